--- a/src/banyanswitch/exceptions.py
+++ b/src/banyanswitch/exceptions.py
@@ -26,7 +26,19 @@
 
 
 class PlatformUnavailableError(PlatformError):
-    """The platform did not take the request, so it had no effect."""
+    """The platform did not take the request, so it had no effect.
+
+    Parameters
+    ----------
+    message : str
+        What was refused and why.
+    retry_after_s : float, optional
+        Time after which another try makes sense, in seconds.
+    """
+
+    def __init__(self, message: str = "", retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
 
 
 class PlatformOutcomeUnknownError(PlatformError):
@@ -57,8 +69,9 @@
     """
 
     def __init__(self, retry_after_s: float) -> None:
-        super().__init__(f"table write budget spent, retry in {retry_after_s:.1f} s")
-        self.retry_after_s = retry_after_s
+        message = f"table write budget spent, retry in {retry_after_s:.1f} s"
+        super().__init__(message, retry_after_s)
+        self.retry_after_s: float = retry_after_s
 
 
 class UpstreamError(BanyanswitchError):
