--- /dev/null
+++ b/src/banyanswitch/helpers/digests.py
@@ -0,0 +1,19 @@
+"""Digests of keys and requests."""
+
+import hashlib
+
+
+def key_digest(bearer_key: str) -> str:
+    """Return the SHA-256 digest of a bearer key in hexadecimal."""
+    return hashlib.sha256(bearer_key.encode()).hexdigest()
+
+
+def request_digest(method: str, path: str, body: bytes) -> str:
+    """Return a digest that tells two calls with one idempotency key apart."""
+    digest = hashlib.sha256()
+    digest.update(method.encode())
+    digest.update(b"\0")
+    digest.update(path.encode())
+    digest.update(b"\0")
+    digest.update(body)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/banyanswitch/helpers/logs.py
@@ -0,0 +1,23 @@
+"""Structured logs on standard error, one JSON line an event."""
+
+import logging
+import sys
+
+import structlog
+
+
+def set_up_logs(level: str) -> None:
+    """Write JSON lines of at least this level to standard error."""
+    numeric_level = logging.getLevelNamesMapping().get(level.upper(), logging.INFO)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(numeric_level),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
