--- /dev/null
+++ b/src/banyanswitch/components/platform/object_store.py
@@ -0,0 +1,49 @@
+"""Client of the platform's object store."""
+
+from urllib.parse import quote
+
+from banyanswitch.components.platform.http_client import PlatformClient
+from banyanswitch.exceptions import PlatformError
+
+STATUS_NOT_FOUND = 404
+FIRST_REFUSAL_STATUS = 300
+
+
+class HttpObjectStore:
+    """Object store over HTTP; implements ``ObjectStore``.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Makes the calls.
+    """
+
+    def __init__(self, client: PlatformClient) -> None:
+        self._client = client
+
+    async def async_put(self, name: str, content: bytes) -> None:
+        """Store an object whole; a reader never sees a part of it."""
+        answer = await self._client.async_write("PUT", _path(name), content)
+        if answer.status >= FIRST_REFUSAL_STATUS:
+            raise PlatformError(f"object refused with status {answer.status}")
+
+    async def async_get_object(self, name: str) -> bytes | None:
+        """Return an object, or ``None`` if there is none."""
+        answer = await self._client.async_read("GET", _path(name))
+        if answer.status == STATUS_NOT_FOUND:
+            return None
+        if answer.status >= FIRST_REFUSAL_STATUS:
+            raise PlatformError(f"object not read, status {answer.status}")
+        return answer.body
+
+    async def async_delete_object(self, name: str) -> None:
+        """Delete an object; one that is absent is no error."""
+        answer = await self._client.async_write("DELETE", _path(name), b"")
+        if answer.status == STATUS_NOT_FOUND:
+            return
+        if answer.status >= FIRST_REFUSAL_STATUS:
+            raise PlatformError(f"object not deleted, status {answer.status}")
+
+
+def _path(name: str) -> str:
+    return "/objects/" + quote(name, safe="/")
