--- a/src/banyanswitch/const.py
+++ b/src/banyanswitch/const.py
@@ -8,6 +8,7 @@
 HEADER_CACHE_SALT: Final = "X-Banyan-Cache-Salt"
 HEADER_PRIORITY: Final = "X-Banyan-Priority"
 HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_CALLER: Final = "X-Banyan-Caller"
 HEADER_RETRY_AFTER: Final = "Retry-After"
 HEADER_LAST_EVENT_ID: Final = "Last-Event-ID"
 
