--- /dev/null
+++ b/src/banyanswitch/decisions/cache_view.py
@@ -0,0 +1,273 @@
+"""View of which upstreams and stores hold which prefixes, from late events."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from banyanswitch.decisions.prefix import prefix_key
+from banyanswitch.identifiers import PrefixHash, StoreId, UpstreamId
+
+DEFAULT_MAX_PIECES: Final = 100_000
+MAX_HOLDERS: Final = 3
+DEFAULT_CONFIDENCE_HALF_LIFE_S: Final = 600.0
+
+
+class CacheEventKind(Enum):
+    """What happened to a piece in an upstream's cache."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+    CLEARED = "cleared"
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One event of an upstream's cache.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the event at this upstream, growing by one.
+    key : str
+        Prefix hash; empty for ``CLEARED``.
+    """
+
+    sequence: int
+    kind: CacheEventKind
+    key: PrefixHash
+
+
+@dataclass(frozen=True, slots=True)
+class Resync:
+    """Command: read the upstream's whole list of keys."""
+
+    upstream: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class CacheMatch:
+    """An upstream that is believed to hold a prefix.
+
+    Parameters
+    ----------
+    pieces : int
+        Number of leading pieces that it holds.
+    """
+
+    upstream: UpstreamId
+    pieces: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoredPrefix:
+    """A prefix that was exported to a store.
+
+    Parameters
+    ----------
+    manifest : str
+        Name of the manifest that lists the blocks.
+    pieces : int
+        Number of leading pieces in the store.
+    is_on_disk : bool
+        Whether it must be read from the store's disk tier.
+    """
+
+    store: StoreId
+    manifest: str
+    pieces: int
+    size_bytes: int
+    is_on_disk: bool = False
+
+
+class _Holder:
+    """One life of an upstream's cache; replaced when the cache is cleared."""
+
+    __slots__ = ("alone", "is_current", "upstream")
+
+    def __init__(self, upstream: UpstreamId) -> None:
+        self.upstream = upstream
+        self.is_current = True
+        # Shared by all pieces with this one holder, to save memory.
+        self.alone: tuple[_Holder, ...] = (self,)
+
+
+class CacheView:
+    """Beliefs about caches; a wrong one costs a recompute, never an answer.
+
+    Prefix hashes are salted by workspace and weight version, so a look-up
+    can't match across them. Entries age in two generations: those not used
+    while ``max_pieces / 2`` others were are forgotten.
+
+    Parameters
+    ----------
+    max_pieces : int
+        Bound on the number of pieces that are tracked.
+    confidence_half_life_s : float
+        Time without events after which an upstream's matches count half.
+    """
+
+    def __init__(
+        self,
+        max_pieces: int = DEFAULT_MAX_PIECES,
+        confidence_half_life_s: float = DEFAULT_CONFIDENCE_HALF_LIFE_S,
+    ) -> None:
+        self._generation_size = max(1, max_pieces // 2)
+        self._half_life_s = confidence_half_life_s
+        self._recent: dict[int, tuple[_Holder, ...]] = {}
+        self._old: dict[int, tuple[_Holder, ...]] = {}
+        self._stored: dict[int, StoredPrefix] = {}
+        self._holders: dict[UpstreamId, _Holder] = {}
+        self._sequences: dict[UpstreamId, int] = {}
+        self._heard_at_s: dict[UpstreamId, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._recent) + len(self._old)
+
+    def matches(
+        self, piece_hashes: Sequence[PrefixHash], limit: int = MAX_HOLDERS
+    ) -> list[CacheMatch]:
+        """Return upstreams that hold a prefix, the longest first."""
+        found: list[CacheMatch] = []
+        seen: set[UpstreamId] = set()
+        for index in range(len(piece_hashes) - 1, -1, -1):
+            for holder in self._get(prefix_key(piece_hashes[index])):
+                if holder.is_current and holder.upstream not in seen:
+                    seen.add(holder.upstream)
+                    found.append(CacheMatch(holder.upstream, index + 1))
+            if len(found) >= limit:
+                break
+        return found[:limit]
+
+    def stored_match(self, piece_hashes: Sequence[PrefixHash]) -> StoredPrefix | None:
+        """Return the longest prefix that a store holds."""
+        if not self._stored:
+            return None
+        for piece_hash in reversed(piece_hashes):
+            stored = self._stored.get(prefix_key(piece_hash))
+            if stored is not None:
+                return stored
+        return None
+
+    def confidence(self, upstream: UpstreamId, now_s: float) -> float:
+        """Return how far an upstream's matches can be believed, from 0 to 1."""
+        heard_at_s = self._heard_at_s.get(upstream)
+        if heard_at_s is None:
+            return 1.0
+        silence_s = max(0.0, now_s - heard_at_s)
+        return float(0.5 ** (silence_s / self._half_life_s))
+
+    def add(self, upstream: UpstreamId, piece_hashes: Iterable[PrefixHash]) -> None:
+        """Note that an upstream holds these pieces."""
+        holder = self._holder(upstream)
+        for piece_hash in piece_hashes:
+            self._add_key(prefix_key(piece_hash), holder)
+
+    def discard(self, upstream: UpstreamId, piece_hash: PrefixHash) -> None:
+        """Note that an upstream no longer holds a piece."""
+        key = prefix_key(piece_hash)
+        for generation in (self._recent, self._old):
+            holders = generation.get(key)
+            if holders is None:
+                continue
+            left = tuple(item for item in holders if item.upstream != upstream)
+            if left:
+                generation[key] = left
+            else:
+                del generation[key]
+
+    def clear(self, upstream: UpstreamId) -> None:
+        """Note that an upstream's cache is empty, in constant time."""
+        holder = self._holders.pop(upstream, None)
+        if holder is not None:
+            holder.is_current = False
+
+    def forget_upstream(self, upstream: UpstreamId) -> None:
+        """Drop all that is known of an upstream that is gone."""
+        self.clear(upstream)
+        self._sequences.pop(upstream, None)
+        self._heard_at_s.pop(upstream, None)
+
+    def apply_events(
+        self, upstream: UpstreamId, events: Sequence[CacheEvent], now_s: float
+    ) -> Resync | None:
+        """Take in a batch of events, in any order.
+
+        Returns
+        -------
+        resync : Resync or None
+            Order to read the whole list when an event is missing.
+        """
+        self._heard_at_s[upstream] = now_s
+        expected = self._sequences.get(upstream)
+        for event in sorted(events, key=_sequence_of):
+            if expected is not None and event.sequence < expected:
+                continue
+            if expected is not None and event.sequence > expected:
+                return Resync(upstream)
+            self._apply(upstream, event)
+            expected = event.sequence + 1
+            self._sequences[upstream] = expected
+        return None
+
+    def resync(
+        self,
+        upstream: UpstreamId,
+        keys: Iterable[PrefixHash],
+        sequence: int,
+        now_s: float,
+    ) -> None:
+        """Replace what is known by the whole list as of ``sequence``."""
+        self.clear(upstream)
+        self.add(upstream, keys)
+        self._sequences[upstream] = sequence + 1
+        self._heard_at_s[upstream] = now_s
+
+    def add_stored(self, tail: PrefixHash, stored: StoredPrefix) -> None:
+        """Note that a prefix, named by its last piece, is whole in a store."""
+        self._stored[prefix_key(tail)] = stored
+
+    def discard_stored(self, tail: PrefixHash) -> None:
+        """Note that a prefix can't be read from a store any more."""
+        self._stored.pop(prefix_key(tail), None)
+
+    def forget_store(self, store: StoreId) -> None:
+        """Drop all prefixes of a store that died."""
+        gone = [key for key, item in self._stored.items() if item.store == store]
+        for key in gone:
+            del self._stored[key]
+
+    def _apply(self, upstream: UpstreamId, event: CacheEvent) -> None:
+        if event.kind is CacheEventKind.CLEARED:
+            self.clear(upstream)
+        elif event.kind is CacheEventKind.EVICTED:
+            self.discard(upstream, event.key)
+        else:
+            self.add(upstream, (event.key,))
+
+    def _holder(self, upstream: UpstreamId) -> _Holder:
+        holder = self._holders.get(upstream)
+        if holder is None:
+            holder = _Holder(upstream)
+            self._holders[upstream] = holder
+        return holder
+
+    def _get(self, key: int) -> tuple[_Holder, ...]:
+        return self._recent.get(key) or self._old.get(key) or ()
+
+    def _add_key(self, key: int, holder: _Holder) -> None:
+        known = tuple(
+            item for item in self._get(key) if item.is_current and item is not holder
+        )
+        self._old.pop(key, None)
+        if known:
+            self._recent[key] = (holder, *known)[:MAX_HOLDERS]
+        else:
+            self._recent[key] = holder.alone
+        if len(self._recent) >= self._generation_size:
+            self._old = self._recent
+            self._recent = {}
+
+
+def _sequence_of(event: CacheEvent) -> int:
+    return event.sequence
--- /dev/null
+++ b/src/banyanswitch/decisions/prefix.py
@@ -0,0 +1,70 @@
+"""Identity of prompt prefixes: chained hashes of pieces, salted per workspace."""
+
+from hashlib import blake2b
+from typing import Final
+
+from banyanswitch.identifiers import PrefixHash, WeightVersion, WorkspaceId
+
+DIGEST_SIZE_BYTES: Final = 16
+LENGTH_SIZE_BYTES: Final = 8
+
+
+def cache_salt(workspace: WorkspaceId, version: WeightVersion) -> str:
+    """Return the salt of all prefixes of one workspace and weight version.
+
+    Each name is preceded by its length, so that two pairs of names never give
+    the same input.
+
+    Returns
+    -------
+    salt : str
+        Hexadecimal digest.
+    """
+    digest = blake2b(digest_size=DIGEST_SIZE_BYTES)
+    for name in (workspace, version):
+        encoded = name.encode()
+        digest.update(len(encoded).to_bytes(LENGTH_SIZE_BYTES, "big"))
+        digest.update(encoded)
+    return digest.hexdigest()
+
+
+def chained_piece_hashes(
+    prompt: bytes, piece_bytes: int, salt: str
+) -> tuple[PrefixHash, ...]:
+    """Return one hash for each prefix of whole pieces.
+
+    Parameters
+    ----------
+    prompt : bytes
+        Prompt in the form in which it is sent.
+    piece_bytes : int
+        Size of a piece, in bytes; the remainder at the end has no hash.
+    salt : str
+        Salt from `cache_salt`.
+
+    Returns
+    -------
+    hashes : tuple of PrefixHash
+        The n-th names the first n + 1 pieces, so it depends on all of them.
+
+    Raises
+    ------
+    ValueError
+        If ``piece_bytes`` is not positive.
+    """
+    if piece_bytes <= 0:
+        raise ValueError("piece_bytes must be > 0")
+    hashes: list[PrefixHash] = []
+    parent = bytes.fromhex(salt)
+    view = memoryview(prompt)
+    for end in range(piece_bytes, len(prompt) + 1, piece_bytes):
+        digest = blake2b(parent, digest_size=DIGEST_SIZE_BYTES)
+        digest.update(view[end - piece_bytes : end])
+        parent = digest.digest()
+        hashes.append(PrefixHash(parent.hex()))
+    return tuple(hashes)
+
+
+def prefix_key(prefix: PrefixHash) -> int:
+    """Return the first 64 bits of a hash, a compact key for indexes."""
+    return int(prefix[:16], 16)
