Keep one client of the platform

Change: the version with the outage gate stays; the write budget is the other version's single bucket with reserves, which wastes no share that is unused.

--- a/src/banyanswitch/components/platform/const.py
+++ b/src/banyanswitch/components/platform/const.py
@@ -1,27 +1,23 @@
-"""Constants of the platform clients."""
+"""Constants of the platform's clients."""
 
 from typing import Final
 
 DOMAIN: Final = "platform"
 
-HEADER_CALLER: Final = "X-Banyan-Caller"
+MAX_TRANSACTION_WRITES: Final = 100
+"""Most writes that the table service takes in one transaction."""
 
-ROUTE_TABLE_GET: Final = "/table/get"
-ROUTE_TABLE_QUERY: Final = "/table/query"
-ROUTE_TABLE_TRANSACT: Final = "/table/transact"
-ROUTE_OBJECTS: Final = "/objects"
-
-MAX_WRITES_PER_TRANSACTION: Final = 100
 MAX_ITEM_BYTES: Final = 256 * 1024
+"""Largest content of one item of the table service."""
 
-MAX_CONNECTIONS: Final = 32
-"""Connections kept to one service of the platform."""
+FAILURES_BEFORE_PAUSE: Final = 3
+"""Failures in a row after which calls are refused without being sent."""
 
-CONNECT_SHARE: Final = 0.5
-"""Share of a call's deadline that may pass before the connection stands."""
+PAUSE_S: Final = 1.0
+"""Time between two probes of a service that fails, in seconds."""
 
 DEFAULT_RETRY_AFTER_S: Final = 1.0
-"""Time to come back when the service does not name one."""
+"""Time to come back when the service does not name one, in seconds."""
 
 CLAIM_RESERVE_SHARE: Final = 0.4
 """Share of the burst that claims leave to leases and configuration."""
@@ -29,5 +25,8 @@
 CONFIGURATION_RESERVE_SHARE: Final = 0.2
 """Share of the burst that configuration leaves to leases."""
 
-BURST_S: Final = 2.0
-"""Time for which unused writes are saved up, in seconds."""
+BUDGET_BURST_S: Final = 2.0
+"""Time for which unused write budget is kept, in seconds."""
+
+MAX_CONNECTIONS: Final = 32
+"""Most connections to one service of the platform."""
--- a/src/banyanswitch/components/platform/http_client.py
+++ b/src/banyanswitch/components/platform/http_client.py
@@ -4,10 +4,10 @@
 
 import aiohttp
 
-from banyanswitch.components.platform.const import HEADER_CALLER
+from banyanswitch.components.platform.const import DEFAULT_RETRY_AFTER_S
 from banyanswitch.components.platform.models import PlatformAnswer
 from banyanswitch.components.platform.outage_gate import OutageGate
-from banyanswitch.const import HEADER_RETRY_AFTER
+from banyanswitch.const import HEADER_CALLER, HEADER_RETRY_AFTER
 from banyanswitch.exceptions import (
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
@@ -18,7 +18,6 @@
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
 FIRST_ERROR_STATUS = 500
-DEFAULT_RETRY_AFTER_S = 1.0
 
 
 class PlatformClient:
--- a/src/banyanswitch/components/platform/models.py
+++ b/src/banyanswitch/components/platform/models.py
@@ -1,43 +1,54 @@
-"""Messages of the table service's HTTP interface."""
+"""Messages of the table service and answers of the platform."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+import msgspec
 
 from banyanswitch.interfaces import Item, Write
 
 
 @dataclass(frozen=True, slots=True)
-class GetRequest:
-    """Body of a read of single items."""
+class PlatformAnswer:
+    """Answer to one HTTP call to the platform."""
 
-    keys: tuple[str, ...]
+    status: int
+    body: bytes
+    retry_after_s: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class QueryRequest:
-    """Body of a read of a range of items."""
+class GetRequest(msgspec.Struct, frozen=True):
+    """Body of a read by keys."""
+
+    keys: list[str]
+
+
+class QueryRequest(msgspec.Struct, frozen=True):
+    """Body of a read by prefix."""
 
     prefix: str
     after: str
     limit: int
 
 
-@dataclass(frozen=True, slots=True)
-class ItemsAnswer:
-    """Items that a read found."""
+class TransactRequest(msgspec.Struct, frozen=True):
+    """Body of a transaction; contents travel as base64."""
 
-    items: tuple[Item, ...] = ()
+    writes: list[Write]
 
 
-@dataclass(frozen=True, slots=True)
-class TransactRequest:
-    """Body of a transaction."""
+class ItemsAnswer(msgspec.Struct, frozen=True):
+    """Answer to a read."""
 
-    writes: tuple[Write, ...]
+    items: list[Item]
 
 
-@dataclass(frozen=True, slots=True)
-class TransactAnswer:
-    """Result of a transaction."""
+class RevisionsAnswer(msgspec.Struct, frozen=True):
+    """Answer to a transaction that was applied."""
+
+    revisions: list[int]
+
+
+class FailedKeysAnswer(msgspec.Struct, frozen=True):
+    """Answer to a transaction whose conditions failed."""
 
-    revisions: tuple[int, ...] = ()
-    failed_keys: tuple[str, ...] = field(default=())
+    failed_keys: list[str]
