Add the peer transport and the membership of instances

Cause: instances have to find each other, tell the dead from the living and pass on who leaves, with a cost a node that does not grow with the number of instances. Change: typed messages over push and pull sockets, signed and ordered by incarnation and sequence; probes with indirect probes, suspicion before death, rumours with a bounded fan-out and digests of the member list, joined with the platform's list.

--- /dev/null
+++ b/src/banyanswitch/components/membership/models.py
@@ -0,0 +1,119 @@
+"""Records and messages of the membership protocol."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+from banyanswitch.identifiers import FailureDomainId, InstanceId
+from banyanswitch.interfaces import Peer
+
+
+class MemberState(IntEnum):
+    """What is believed of a member; of equal revisions the higher state wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """One member as it is passed on between instances.
+
+    Parameters
+    ----------
+    incarnation : int
+        Grows with each start of the process.
+    revision : int
+        Grows when the member changes its own record within an incarnation.
+    service_mask : int
+        One bit for the hash of each service that the member serves.
+    """
+
+    instance: str
+    failure_domain: str
+    peer_address: str
+    http_url: str
+    incarnation: int
+    revision: int
+    state: MemberState
+    is_leaving: bool
+    service_mask: int
+
+    def as_peer(self) -> Peer:
+        """Return the record in the form that other components use."""
+        return Peer(
+            instance=InstanceId(self.instance),
+            failure_domain=FailureDomainId(self.failure_domain),
+            peer_address=self.peer_address,
+            http_url=self.http_url,
+            incarnation=self.incarnation,
+            is_leaving=self.is_leaving,
+        )
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """Probe of a member.
+
+    Parameters
+    ----------
+    probe_id : int
+        Identifies the probe to its sender.
+    sender : Member
+        Record of the sender.
+    digests : bytes
+        Digests of the parts of the sender's member list.
+    members : tuple of Member
+        Records that the receiver may not know.
+    """
+
+    probe_id: int
+    sender: Member
+    digests: bytes
+    members: tuple[Member, ...]
+
+
+class HeartbeatAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answer to a probe."""
+
+    probe_id: int
+    sender: Member
+    digests: bytes
+    members: tuple[Member, ...]
+
+
+class IndirectProbe(msgspec.Struct, frozen=True, array_like=True):
+    """Request to probe a member on behalf of the sender."""
+
+    probe_id: int
+    sender: Member
+    target: Member
+
+
+class IndirectAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Word that the target of an indirect probe answered."""
+
+    probe_id: int
+    target: Member
+
+
+class Rumour(msgspec.Struct, frozen=True, array_like=True):
+    """Changes that are passed on at once."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PeersChanged:
+    """Bus message: the set of live instances or one of their records changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """One entry of the platform's list."""
+
+    instance: str
+    failure_domain: str
+    is_leaving: bool
+    peer_address: str
+    http_url: str
--- /dev/null
+++ b/src/banyanswitch/components/peers/const.py
@@ -0,0 +1,27 @@
+"""Constants of the peer transport."""
+
+from typing import Final
+
+DOMAIN: Final = "peers"
+
+SIGNATURE_PURPOSE: Final = b"peer-message"
+
+MAX_MESSAGE_BYTES: Final = 1024 * 1024
+"""Largest frame that is sent or received."""
+
+MAX_DIALERS: Final = 64
+"""Outgoing connections kept open; the least recently used is closed."""
+
+SEND_BUFFER_MESSAGES: Final = 64
+"""Messages that wait for a slow or absent peer before sending fails."""
+
+RECEIVE_BUFFER_MESSAGES: Final = 512
+"""Messages that wait for this process."""
+
+RECONNECT_MIN_MS: Final = 100
+RECONNECT_MAX_MS: Final = 5000
+
+MAX_TRACKED_SENDERS: Final = 4096
+"""Senders whose last sequence number is remembered."""
+
+MILLISECONDS_PER_S: Final = 1000
