Add runs of model services and calls of plain services

Cause: a request has to reach an upstream that can answer it correctly, and what may have run must not run again. Each answer is checked for run, workspace and version before any of it is passed on; each event of a stream for run and offset. Calls that must not be repeated use single-use connections, because on kept-alive ones the HTTP library repeats PUT and DELETE by itself.

--- /dev/null
+++ b/src/banyanswitch/components/routing/placement.py
@@ -0,0 +1,150 @@
+"""Placement of requests: pins the version, asks the decision, keeps its books."""
+
+import random
+from dataclasses import replace
+
+from banyanswitch.components.gateway.const import BYTES_PER_TOKEN
+from banyanswitch.components.gateway.models import ModelCall
+from banyanswitch.components.routing.const import NONCE_BITS
+from banyanswitch.components.routing.models import Attempt, UpstreamsBusyError
+from banyanswitch.components.routing.pools import UpstreamPools
+from banyanswitch.config.models import Service, Workspace
+from banyanswitch.decisions.cache_view import CacheView
+from banyanswitch.decisions.placement import (
+    Place,
+    PlacementRequest,
+    Placer,
+    Refuse,
+    RefuseReason,
+)
+from banyanswitch.decisions.prefix import cache_salt, chained_piece_hashes
+from banyanswitch.exceptions import RefusalError
+from banyanswitch.helpers.run_identity import RunIdentity, RunIdentityCodec
+from banyanswitch.identifiers import (
+    PrefixHash,
+    RunId,
+    UpstreamId,
+    WeightVersion,
+)
+from banyanswitch.interfaces import ConfigurationView
+
+UNPLACED_RUN = RunId("")
+NO_VERSION = WeightVersion("")
+
+
+class Placements:
+    """Make attempts from the decisions of placement.
+
+    Parameters
+    ----------
+    configuration : ConfigurationView
+        Source of the upstreams' addresses.
+    pools : UpstreamPools
+        Upstreams of each service.
+    identities : RunIdentityCodec
+        Makes run identifiers.
+    generator : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationView,
+        pools: UpstreamPools,
+        identities: RunIdentityCodec,
+        generator: random.Random,
+    ) -> None:
+        self.cache_view = CacheView()
+        self._configuration = configuration
+        self._pools = pools
+        self._identities = identities
+        self._generator = generator
+        self._placer = Placer(self.cache_view, generator)
+
+    def model_request(self, call: ModelCall, now_s: float) -> PlacementRequest:
+        """Pin the version of a call and describe it for placement."""
+        version = self._pools.serving_version(call.service)
+        return PlacementRequest(
+            run=UNPLACED_RUN,
+            workspace=call.workspace.name,
+            service=call.service.name,
+            weight_version=version,
+            piece_hashes=_piece_hashes(call, version),
+            prompt_tokens=call.prompt_tokens,
+            piece_tokens=call.service.piece_tokens,
+            priority=call.workspace.priority,
+            deadline_s=now_s + call.service.request_timeout_s,
+            reuse=call.service.reuse,
+        )
+
+    def plain_request(self, workspace: Workspace, service: Service) -> PlacementRequest:
+        """Describe a call of a plain service for placement."""
+        return PlacementRequest(
+            run=UNPLACED_RUN,
+            workspace=workspace.name,
+            service=service.name,
+            weight_version=None,
+        )
+
+    def attempt(
+        self, request: PlacementRequest, excluded: frozenset[UpstreamId], now_s: float
+    ) -> Attempt:
+        """Choose an upstream and count the request there.
+
+        Raises
+        ------
+        UpstreamsBusyError
+            If all upstreams are full; the request may wait.
+        RefusalError
+            If no upstream can take it.
+        """
+        wanted = replace(request, excluded=excluded)
+        decision = self._placer.place(wanted, self._pools.pool, now_s)
+        if isinstance(decision, Refuse):
+            raise _error_of(decision)
+        upstream = self._configuration.upstream(decision.upstream)
+        if upstream is None:
+            raise RefusalError(
+                "no_upstream", "the upstream was removed", status=503, retry_after_s=1.0
+            )
+        identity = RunIdentity(
+            upstream=decision.upstream,
+            service=request.service,
+            workspace=request.workspace,
+            weight_version=request.weight_version or NO_VERSION,
+            nonce=self._generator.getrandbits(NONCE_BITS),
+        )
+        run_id = self._identities.encode(identity)
+        place = replace(decision, run=run_id)
+        self._placer.on_sent(place, now_s)
+        placed = replace(wanted, run=run_id)
+        return Attempt(run_id, identity, place, placed, upstream.url.rstrip("/"))
+
+    def first_token(self, place: Place, now_s: float) -> None:
+        """Count the prefill of an attempt as done and its pieces as cached."""
+        self._placer.on_first_token(place, now_s)
+
+    def finished(self, place: Place, now_s: float) -> None:
+        """Forget an attempt that ended in any way."""
+        self._placer.on_finished(place, now_s)
+
+
+def _piece_hashes(
+    call: ModelCall, version: WeightVersion | None
+) -> tuple[PrefixHash, ...]:
+    if version is None:
+        return ()
+    salt = cache_salt(call.workspace.name, version)
+    piece_bytes = call.service.piece_tokens * BYTES_PER_TOKEN
+    return chained_piece_hashes(call.prompt, piece_bytes, salt)
+
+
+def _error_of(refuse: Refuse) -> Exception:
+    if refuse.reason is RefuseReason.BUSY:
+        return UpstreamsBusyError(refuse.retry_after_s)
+    return RefusalError(
+        refuse.reason.value,
+        "no upstream can answer this request in time",
+        status=503,
+        retry_after_s=refuse.retry_after_s,
+    )
--- /dev/null
+++ b/src/banyanswitch/components/routing/upstream_client.py
@@ -0,0 +1,254 @@
+"""HTTP client of upstreams; confirms the identity of each answer."""
+
+import asyncio
+from collections.abc import Mapping
+
+import aiohttp
+import msgspec
+
+from banyanswitch.components.routing.const import (
+    ACCEPT_TIMEOUT_S,
+    CANCEL_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    HEADER_CACHED_PIECES,
+    MAX_ANSWER_BYTES,
+    NOT_RUN_CODES,
+    READ_BUFFER_BYTES,
+    TOKEN_TIMEOUT_S,
+    UPSTREAM_CONNECTIONS,
+)
+from banyanswitch.components.routing.models import (
+    Attempt,
+    OpenRun,
+    OutgoingCall,
+    UpstreamDeclinedError,
+    UpstreamRejectedError,
+    WholeAnswer,
+)
+from banyanswitch.const import (
+    HEADER_RUN_ID,
+    HEADER_WEIGHT_VERSION,
+    HEADER_WORKSPACE,
+)
+from banyanswitch.exceptions import (
+    IdentityMismatchError,
+    UpstreamBrokenError,
+    UpstreamNotSentError,
+)
+from banyanswitch.helpers.run_identity import RunIdentity
+from banyanswitch.identifiers import RunId
+
+
+class DeclineDocument(msgspec.Struct, frozen=True):
+    """Body of an answer that says that nothing ran."""
+
+    code: str = ""
+
+
+class UpstreamClient:
+    """Send requests to upstreams.
+
+    Calls that must not be repeated use connections of their own: on a connection
+    that is kept alive the HTTP library repeats some methods by itself.
+    """
+
+    def __init__(self) -> None:
+        self._timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=TOKEN_TIMEOUT_S
+        )
+        self._shared = self._session(force_close=False)
+        self._single_use = self._session(force_close=True)
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        await self._shared.close()
+        await self._single_use.close()
+
+    async def async_open_run(
+        self, attempt: Attempt, path: str, headers: Mapping[str, str], body: bytes
+    ) -> OpenRun:
+        """Start a run and return it once the upstream has confirmed its identity.
+
+        Raises
+        ------
+        UpstreamError
+            If it was not sent, declined, rejected, broke or has another identity.
+        """
+        call = OutgoingCall("POST", attempt.url + path, headers, body)
+        response = await self._async_request(self._shared, call, ACCEPT_TIMEOUT_S)
+        try:
+            await _async_check_status(response)
+            _check_identity(response, attempt.run_id, attempt.identity)
+        except BaseException:
+            response.close()
+            raise
+        cached = response.headers.get(HEADER_CACHED_PIECES, "0")
+        return OpenRun(attempt, response, int(cached) if cached.isdigit() else 0)
+
+    async def async_resume_run(
+        self, url: str, run_id: RunId, identity: RunIdentity, offset: int
+    ) -> aiohttp.ClientResponse:
+        """Go on reading a run from an offset.
+
+        Raises
+        ------
+        UpstreamError
+            If the upstream no longer has the run or can't be reached.
+        """
+        call = OutgoingCall(
+            "GET",
+            f"{url}/engine/runs/{run_id}/stream?from={offset}",
+            {HEADER_RUN_ID: run_id, HEADER_WORKSPACE: identity.workspace},
+        )
+        response = await self._async_request(self._shared, call, ACCEPT_TIMEOUT_S)
+        try:
+            await _async_check_status(response)
+            _check_identity(response, run_id, identity)
+        except BaseException:
+            response.close()
+            raise
+        return response
+
+    async def async_cancel_run(
+        self, url: str, run_id: RunId, *, only_if_unread: bool
+    ) -> None:
+        """Ask an upstream to end a run; failures are of no consequence."""
+        target = f"{url}/engine/runs/{run_id}"
+        if only_if_unread:
+            target += "?only_if_unread=true"
+        try:
+            response = await self._async_request(
+                self._shared, OutgoingCall("DELETE", target), CANCEL_TIMEOUT_S
+            )
+        except (UpstreamNotSentError, UpstreamBrokenError):
+            return
+        response.release()
+
+    async def async_call_once(
+        self,
+        attempt: Attempt,
+        call: OutgoingCall,
+        timeout_s: float,
+    ) -> WholeAnswer:
+        """Send a call that must not be repeated and return its whole answer.
+
+        Raises
+        ------
+        UpstreamNotSentError
+            If no byte of it was sent.
+        UpstreamDeclinedError
+            If the upstream said that it did not run it.
+        UpstreamError
+            If it may have run.
+        """
+        response = await self._async_request(self._single_use, call, timeout_s)
+        try:
+            async with asyncio.timeout(timeout_s), response:
+                return await _async_read_whole(response, attempt)
+        except TimeoutError as error:
+            raise UpstreamBrokenError("no whole answer in time") from error
+
+    def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(
+            limit=UPSTREAM_CONNECTIONS, force_close=force_close
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            timeout=self._timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+        )
+
+    async def _async_request(
+        self,
+        session: aiohttp.ClientSession,
+        call: OutgoingCall,
+        timeout_s: float,
+    ) -> aiohttp.ClientResponse:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await session.request(
+                    call.method,
+                    call.url,
+                    headers=call.headers,
+                    data=call.body,
+                    allow_redirects=False,
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise UpstreamNotSentError(f"no connection to {call.url}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise UpstreamBrokenError(
+                f"no answer from {call.url}: {error!r}"
+            ) from error
+
+
+async def async_read_answer(run: OpenRun) -> WholeAnswer:
+    """Return the whole answer of a run that does not stream.
+
+    Raises
+    ------
+    UpstreamBrokenError
+        If the connection broke or the answer is too long.
+    """
+    async with run.response:
+        body = await _async_read_body(run.response)
+    content_type = run.response.headers.get("Content-Type", "application/json")
+    return WholeAnswer(run.response.status, content_type, body, run.attempt.run_id)
+
+
+async def _async_read_whole(
+    response: aiohttp.ClientResponse, attempt: Attempt
+) -> WholeAnswer:
+    body = await _async_read_body(response)
+    _check_identity(response, attempt.run_id, attempt.identity)
+    if response.status >= 400:
+        code = _decline_code(body)
+        if code in NOT_RUN_CODES:
+            raise UpstreamDeclinedError(code)
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    return WholeAnswer(response.status, content_type, body, attempt.run_id)
+
+
+async def _async_read_body(response: aiohttp.ClientResponse) -> bytes:
+    content = bytearray()
+    try:
+        async for part in response.content.iter_any():
+            content += part
+            if len(content) > MAX_ANSWER_BYTES:
+                raise UpstreamBrokenError("the answer is too long")
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise UpstreamBrokenError(f"the answer broke off: {error!r}") from error
+    return bytes(content)
+
+
+async def _async_check_status(response: aiohttp.ClientResponse) -> None:
+    if response.status < 400:
+        return
+    code = _decline_code(await _async_read_body(response))
+    if code in NOT_RUN_CODES:
+        raise UpstreamDeclinedError(code)
+    if response.status < 500:
+        raise UpstreamRejectedError(response.status)
+    raise UpstreamBrokenError(f"the upstream answered with status {response.status}")
+
+
+def _decline_code(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=DeclineDocument).code
+    except msgspec.DecodeError:
+        return ""
+
+
+def _check_identity(
+    response: aiohttp.ClientResponse, run_id: RunId, identity: RunIdentity
+) -> None:
+    headers = response.headers
+    if headers.get(HEADER_RUN_ID) != run_id:
+        raise IdentityMismatchError("the answer is of another run")
+    if headers.get(HEADER_WORKSPACE) != identity.workspace:
+        raise IdentityMismatchError("the answer is of another workspace")
+    if not identity.weight_version:
+        return
+    if headers.get(HEADER_WEIGHT_VERSION) != identity.weight_version:
+        raise IdentityMismatchError("the answer is of another weight version")
--- /dev/null
+++ b/src/banyanswitch/components/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Event streams: verification of each event's run and offset."""
--- /dev/null
+++ b/src/banyanswitch/components/streams/const.py
@@ -0,0 +1,9 @@
+"""Constants of event streams."""
+
+from typing import Final
+
+EVENT_END: Final = b"\n\n"
+LINE_END: Final = b"\n"
+EVENT_ID_FIELD: Final = b"id: "
+DATA_DONE: Final = b"data: [DONE]"
+MAX_EVENT_BYTES: Final = 262_144
--- /dev/null
+++ b/src/banyanswitch/components/streams/verifier.py
@@ -0,0 +1,107 @@
+"""Verification that each event of a stream belongs to the run and is in order."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from banyanswitch.components.streams.const import (
+    DATA_DONE,
+    EVENT_END,
+    EVENT_ID_FIELD,
+    LINE_END,
+    MAX_EVENT_BYTES,
+)
+from banyanswitch.identifiers import RunId
+
+
+class StreamFault(Enum):
+    """Why a stream can't be trusted any further."""
+
+    FOREIGN_RUN = "foreign_run"
+    MISSING_EVENT = "missing_event"
+    MALFORMED_EVENT = "malformed_event"
+
+
+@dataclass(frozen=True, slots=True)
+class VerifiedChunk:
+    """Events that may be passed on.
+
+    Parameters
+    ----------
+    content : bytes
+        Whole events, as the upstream sent them.
+    event_count : int
+        Events in ``content``.
+    is_done : bool
+        Whether the last event of the run is among them.
+    fault : StreamFault or None
+        What was wrong with the event after ``content``.
+    """
+
+    content: bytes
+    event_count: int
+    is_done: bool
+    fault: StreamFault | None = None
+
+
+class EventVerifier:
+    """Check the events of one run; duplicates are dropped.
+
+    Parameters
+    ----------
+    run_id : RunId
+        Identifier that each event must carry.
+    next_offset : int
+        Offset of the first event that the caller does not have.
+    """
+
+    def __init__(self, run_id: RunId, next_offset: int = 0) -> None:
+        self._prefix = EVENT_ID_FIELD + run_id.encode() + b":"
+        self._rest = b""
+        self.next_offset = next_offset
+        self.is_done = False
+
+    def restart(self) -> None:
+        """Forget a partly received event, before reading from a new connection."""
+        self._rest = b""
+
+    def feed(self, received: bytes) -> VerifiedChunk:
+        """Take in received bytes and return the events that are verified."""
+        events = (self._rest + received).split(EVENT_END)
+        self._rest = events.pop()
+        accepted: list[bytes] = []
+        for event in events:
+            fault = self._check(event, accepted)
+            if fault is not None:
+                return self._chunk(accepted, fault)
+            if self.is_done:
+                break
+        if len(self._rest) > MAX_EVENT_BYTES:
+            return self._chunk(accepted, StreamFault.MALFORMED_EVENT)
+        return self._chunk(accepted, None)
+
+    def _check(self, event: bytes, accepted: list[bytes]) -> StreamFault | None:
+        if not event.startswith(self._prefix):
+            return _fault_of(event)
+        line_end = event.find(LINE_END)
+        digits = event[len(self._prefix) : line_end]
+        if line_end < 0 or not digits.isdigit():
+            return StreamFault.MALFORMED_EVENT
+        offset = int(digits)
+        if offset < self.next_offset:
+            return None
+        if offset > self.next_offset:
+            return StreamFault.MISSING_EVENT
+        self.next_offset += 1
+        accepted.append(event)
+        self.is_done = event.endswith(DATA_DONE)
+        return None
+
+    def _chunk(self, accepted: list[bytes], fault: StreamFault | None) -> VerifiedChunk:
+        content = b"".join(event + EVENT_END for event in accepted)
+        return VerifiedChunk(content, len(accepted), self.is_done, fault)
+
+
+def _fault_of(event: bytes) -> StreamFault:
+    if event.startswith(EVENT_ID_FIELD):
+        return StreamFault.FOREIGN_RUN
+    return StreamFault.MALFORMED_EVENT
--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -336,3 +336,15 @@
         self, workspace: WorkspaceId, key: str, attempt: str
     ) -> None:
         """Record that the call was sent and its outcome is unknown."""
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLoadChanged:
+    """Bus message: a newer load report of an upstream is known here."""
+
+    load: UpstreamLoad
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownStarted:
+    """Bus message: this instance is leaving and takes no new callers."""
