--- /dev/null
+++ b/src/banyanswitch_standins/engine/runs.py
@@ -0,0 +1,197 @@
+"""Runs of the stand-in engine: queueing, prefill and decoding."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from banyanswitch_standins.engine.cache import CachedPiece, PrefixCache
+from banyanswitch_standins.engine.models import (
+    EngineOptions,
+    RunRequest,
+    expected_token,
+)
+from banyanswitch_standins.rates import PriorityGate
+
+PREFILL_CHUNK_TOKENS: Final = 2000
+
+
+class Run:
+    """One answer that is being generated.
+
+    Attributes
+    ----------
+    weight_version : str
+        Version on which the run started and ends.
+    tokens : list of str
+        Tokens generated so far; the index is the offset.
+    """
+
+    def __init__(self, request: RunRequest, weight_version: str) -> None:
+        self.request = request
+        self.weight_version = weight_version
+        self.cached_pieces = 0
+        self.tokens: list[str] = []
+        self.is_ended = False
+        self.readers = 0
+        self.queued_prefill_tokens = 0
+        self.task: asyncio.Task[None] | None = None
+        self.orphan_timer: asyncio.TimerHandle | None = None
+        self._progress = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake the readers."""
+        self._progress.set()
+        self._progress = asyncio.Event()
+
+    async def async_wait(self, offset: int) -> None:
+        """Wait until there is a token at ``offset`` or the run has ended."""
+        while len(self.tokens) <= offset and not self.is_ended:
+            await self._progress.wait()
+
+
+class RunScheduler:
+    """Runs requests in slots, interactive ones first.
+
+    Parameters
+    ----------
+    current_version : callable
+        Returns the version whose pieces the cache may take in.
+    on_change : callable
+        Called after each change of the load.
+    """
+
+    def __init__(
+        self,
+        options: EngineOptions,
+        cache: PrefixCache,
+        current_version: Callable[[], str],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.running = 0
+        self.queued = 0
+        self.recomputed_tokens = 0
+        self.reused_tokens = 0
+        self._options = options
+        self._cache = cache
+        self._current_version = current_version
+        self._on_change = on_change
+        self._slots = PriorityGate(options.slots)
+        self._prefill = PriorityGate(1)
+        self._runs: dict[str, Run] = {}
+
+    @property
+    def queued_prefill_tokens(self) -> int:
+        """Prompt tokens that are not computed yet."""
+        return sum(run.queued_prefill_tokens for run in self._runs.values())
+
+    def find(self, run_id: str) -> Run | None:
+        """Return a run that is going on or still kept."""
+        return self._runs.get(run_id)
+
+    def start(self, request: RunRequest, weight_version: str) -> Run:
+        """Accept a request; a run of the same identity is replaced."""
+        self.cancel(request.run_id)
+        run = Run(request, weight_version)
+        origin = CachedPiece(weight_version, request.cache_salt)
+        run.cached_pieces = self._cache.leading_hits(request.pieces, origin)
+        cached_tokens = run.cached_pieces * self._options.piece_tokens
+        run.queued_prefill_tokens = max(0, request.prompt_tokens - cached_tokens)
+        self.recomputed_tokens += run.queued_prefill_tokens
+        self.reused_tokens += request.prompt_tokens - run.queued_prefill_tokens
+        self._runs[request.run_id] = run
+        run.task = asyncio.create_task(self._async_run(run, origin))
+        return run
+
+    def cancel(self, run_id: str) -> bool:
+        """End a run and forget it."""
+        run = self._runs.pop(run_id, None)
+        if run is None:
+            return False
+        if run.task is not None:
+            run.task.cancel()
+        return True
+
+    def attach_reader(self, run: Run) -> None:
+        """Note that a run has a reader."""
+        run.readers += 1
+        if run.orphan_timer is not None:
+            run.orphan_timer.cancel()
+            run.orphan_timer = None
+
+    def detach_reader(self, run: Run) -> None:
+        """Cancel a run some time after its last reader has gone."""
+        run.readers -= 1
+        if run.readers > 0 or run.is_ended:
+            return
+        loop = asyncio.get_running_loop()
+        run.orphan_timer = loop.call_later(
+            self._options.orphan_s, self.cancel, run.request.run_id
+        )
+
+    async def async_stop(self) -> None:
+        """Cancel all runs."""
+        tasks = [run.task for run in self._runs.values() if run.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _async_run(self, run: Run, origin: CachedPiece) -> None:
+        try:
+            await self._async_generate(run, origin)
+        finally:
+            run.queued_prefill_tokens = 0
+            run.is_ended = True
+            run.notify()
+            self._forget_later(run)
+
+    async def _async_generate(self, run: Run, origin: CachedPiece) -> None:
+        rank = run.request.rank
+        self.queued += 1
+        self._on_change()
+        try:
+            await self._slots.async_acquire(rank)
+        finally:
+            self.queued -= 1
+        self.running += 1
+        self._on_change()
+        try:
+            await self._async_prefill(run)
+            for piece in run.request.pieces:
+                if run.weight_version == self._current_version():
+                    self._cache.store(piece, origin)
+            await self._async_decode(run)
+        finally:
+            self.running -= 1
+            self._slots.release()
+            self._on_change()
+
+    async def _async_prefill(self, run: Run) -> None:
+        while run.queued_prefill_tokens > 0:
+            chunk_tokens = min(PREFILL_CHUNK_TOKENS, run.queued_prefill_tokens)
+            await self._prefill.async_acquire(run.request.rank)
+            try:
+                await asyncio.sleep(chunk_tokens / self._options.prefill_tokens_per_s)
+            finally:
+                self._prefill.release()
+            run.queued_prefill_tokens -= chunk_tokens
+
+    async def _async_decode(self, run: Run) -> None:
+        request = run.request
+        started_at_s = asyncio.get_running_loop().time()
+        for offset in range(request.max_tokens):
+            due_at_s = started_at_s + (offset + 1) / self._options.decode_tokens_per_s
+            delay_s = due_at_s - asyncio.get_running_loop().time()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            token = expected_token(run.weight_version, request.prompt_digest, offset)
+            run.tokens.append(token)
+            run.notify()
+
+    def _forget_later(self, run: Run) -> None:
+        asyncio.get_running_loop().call_later(
+            self._options.keep_runs_s, self._forget, run
+        )
+
+    def _forget(self, run: Run) -> None:
+        if self._runs.get(run.request.run_id) is run:
+            del self._runs[run.request.run_id]
--- /dev/null
+++ b/src/banyanswitch_standins/instances.py
@@ -0,0 +1,65 @@
+"""Stand-in for the platform's list of live and leaving instances."""
+
+import asyncio
+from typing import Literal
+
+import msgspec
+from aiohttp import web
+
+from banyanswitch_standins.app import StandIn, async_decode, json_answer
+
+
+class InstanceRecord(msgspec.Struct, frozen=True):
+    """One instance as the platform lists it."""
+
+    instance: str
+    failure_domain: str
+    peer_address: str
+    http_url: str
+    state: Literal["live", "leaving"] = "live"
+
+
+class InstancesStandIn(StandIn):
+    """List of instances that readers see late.
+
+    Parameters
+    ----------
+    lag_s : float
+        Age of the list that readers see, in seconds.
+    """
+
+    def __init__(self, *, lag_s: float = 0.0) -> None:
+        super().__init__()
+        self._lag_s = lag_s
+        self._records: dict[str, InstanceRecord] = {}
+        self._history: list[tuple[float, tuple[InstanceRecord, ...]]] = []
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the routes of the list."""
+        router.add_get("/instances", self._handle_list)
+        router.add_put("/instances/{instance}", self._handle_put)
+        router.add_delete("/instances/{instance}", self._handle_delete)
+
+    async def _handle_list(self, _request: web.Request) -> web.Response:
+        visible_at_s = asyncio.get_running_loop().time() - self._lag_s
+        while len(self._history) > 1 and self._history[1][0] <= visible_at_s:
+            self._history.pop(0)
+        is_visible = bool(self._history) and self._history[0][0] <= visible_at_s
+        return json_answer({"instances": self._history[0][1] if is_visible else ()})
+
+    async def _handle_put(self, request: web.Request) -> web.Response:
+        record = await async_decode(request, InstanceRecord)
+        if record.instance != request.match_info["instance"]:
+            return json_answer({"code": "bad_request"}, status=400)
+        self._records[record.instance] = record
+        self._note_change()
+        return json_answer({})
+
+    async def _handle_delete(self, request: web.Request) -> web.Response:
+        self._records.pop(request.match_info["instance"], None)
+        self._note_change()
+        return json_answer({})
+
+    def _note_change(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._history.append((now_s, tuple(self._records.values())))
--- /dev/null
+++ b/src/banyanswitch_standins/rates.py
@@ -0,0 +1,99 @@
+"""Rate limits and priority queues that the stand-ins share."""
+
+import asyncio
+import heapq
+from itertools import count
+
+
+class TokenBucket:
+    """Limit of operations a second, with bursts of one second.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Operations a second; 0 sets no limit.
+    """
+
+    def __init__(self, rate_per_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._available = rate_per_s
+        self._updated_at_s: float | None = None
+
+    def try_take(self, amount: float) -> bool:
+        """Take ``amount`` operations if they are available."""
+        if self._rate_per_s <= 0:
+            return True
+        self._refill()
+        if self._available < amount:
+            return False
+        self._available -= amount
+        return True
+
+    def _refill(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self._updated_at_s is not None:
+            elapsed_s = now_s - self._updated_at_s
+            self._available = min(
+                self._rate_per_s, self._available + elapsed_s * self._rate_per_s
+            )
+        self._updated_at_s = now_s
+
+
+class SharedLink:
+    """Link whose bandwidth all transfers share.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Bandwidth; 0 sets no limit.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_at_s = 0.0
+
+    async def async_transfer(self, size_bytes: int) -> None:
+        """Wait until the link has carried ``size_bytes``."""
+        if self._bytes_per_s <= 0:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._free_at_s = max(self._free_at_s, now_s) + size_bytes / self._bytes_per_s
+        await asyncio.sleep(self._free_at_s - now_s)
+
+
+class PriorityGate:
+    """Semaphore that admits waiters by rank, then by arrival.
+
+    Parameters
+    ----------
+    capacity : int
+        Holders at the same time.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._free = capacity
+        self._arrivals = count()
+        self._waiters: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    async def async_acquire(self, rank: int) -> None:
+        """Wait for a place; a lower rank goes first."""
+        if self._free > 0:
+            self._free -= 1
+            return
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiters, (rank, next(self._arrivals), waiter))
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Give the place to the first waiter."""
+        while self._waiters:
+            _, _, waiter = heapq.heappop(self._waiters)
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+        self._free += 1
