--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -348,3 +348,26 @@
 @dataclass(frozen=True, slots=True)
 class ShutdownStarted:
     """Bus message: this instance is leaving and takes no new callers."""
+
+
+@dataclass(frozen=True, slots=True)
+class AddressChoice:
+    """Instances that the callers of a workspace should use.
+
+    Parameters
+    ----------
+    entries : tuple of Peer
+        Instances in the order of preference.
+    ttl_s : float
+        Time for which callers keep the answer, in seconds.
+    """
+
+    entries: tuple[Peer, ...]
+    ttl_s: float
+
+
+class AddressBook(Protocol):
+    """Choice of the instances that callers use."""
+
+    def addresses(self, workspace: WorkspaceId) -> AddressChoice:
+        """Return the instances for the callers of a workspace."""
