--- /dev/null
+++ b/src/banyanswitch/cli/entry.py
@@ -0,0 +1,90 @@
+"""``banyanswitch-entry``: the serving process of an instance."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Mapping
+
+import fire
+import msgspec
+import uvloop
+
+from banyanswitch.components.gateway.server import CallerServer
+from banyanswitch.components.shutdown.coordinator import ShutdownCoordinator
+from banyanswitch.composition import async_compose, disable_io_uring
+from banyanswitch.exceptions import SettingsError
+from banyanswitch.helpers.logs import set_up_logs
+from banyanswitch.settings import EntrySettings, LoadedSettings, load_settings
+
+EXIT_SETTINGS = 2
+
+
+class ListeningDocument(msgspec.Struct, frozen=True):
+    """Line printed on standard output when the process listens."""
+
+    instance: str
+    port: int
+
+
+def run(check_settings: bool = False, **flags: object) -> None:
+    """Serve callers until SIGTERM or SIGINT.
+
+    Every setting is a flag (``--table_url=...``) and an environment variable
+    (``BANYANSWITCH_TABLE_URL``); the flag goes first.
+
+    Parameters
+    ----------
+    check_settings : bool
+        Print the effective settings with their origin and end.
+    **flags
+        Settings.
+    """
+    loaded = _load_or_exit(flags, os.environ)
+    if check_settings:
+        _print_settings(loaded)
+        return
+    set_up_logs(loaded.settings.log_level)
+    disable_io_uring()
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_async_serve(loaded.settings))
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    fire.Fire(run, name="banyanswitch-entry")
+
+
+async def _async_serve(settings: EntrySettings) -> None:
+    kernel = await async_compose(settings)
+    shutdown = kernel.require(ShutdownCoordinator)
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, shutdown.request)
+    server = kernel.require(CallerServer)
+    document = ListeningDocument(settings.instance, server.port)
+    print(msgspec.json.encode(document).decode(), flush=True)
+    try:
+        await shutdown.async_run()
+    finally:
+        await kernel.async_stop()
+
+
+def _load_or_exit(
+    flags: Mapping[str, object], environment: Mapping[str, str]
+) -> LoadedSettings:
+    try:
+        return load_settings(flags, environment)
+    except SettingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+
+
+def _print_settings(loaded: LoadedSettings) -> None:
+    for setting in loaded.effective:
+        print(f"{setting.name}={setting.value} ({setting.source.value})")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/banyanswitch/components/gateway/__init__.py
@@ -0,0 +1,22 @@
+"""Gateway: the HTTP interface of callers."""
+
+from typing import cast
+
+from banyanswitch.components.gateway.const import DOMAIN
+from banyanswitch.components.gateway.server import CallerServer
+from banyanswitch.core import REGISTRY, Kernel
+from banyanswitch.settings import EntrySettings
+
+
+async def async_setup(kernel: Kernel) -> None:
+    """Provide the `CallerServer`, which the composition root starts last."""
+    settings = cast(EntrySettings, kernel.settings)
+    server = CallerServer(kernel, settings)
+    kernel.provide(CallerServer, server)
+    kernel.on_stop(DOMAIN, server.async_stop)
+    await server.async_start()
+
+
+REGISTRY.register(
+    DOMAIN, async_setup, depends_on=("routing", "addresses", "configuration")
+)
--- /dev/null
+++ b/src/banyanswitch/components/gateway/handlers.py
@@ -0,0 +1,154 @@
+"""Handlers of the callers' interface."""
+
+import asyncio
+
+import msgspec
+import structlog
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+from banyanswitch.components.gateway.activity import Activity
+from banyanswitch.components.gateway.models import PlainCall
+from banyanswitch.components.gateway.parsing import RequestParser
+from banyanswitch.components.gateway.problems import problem_response
+from banyanswitch.components.gateway.relay import StreamRelay
+from banyanswitch.components.routing.const import RETRY_AFTER_S
+from banyanswitch.components.routing.model_runs import ModelRuns
+from banyanswitch.components.routing.models import UpstreamsBusyError
+from banyanswitch.components.routing.plain_calls import PlainCalls
+from banyanswitch.config.models import ServiceKind
+from banyanswitch.const import HEADER_LAST_EVENT_ID, HEADER_RUN_ID
+from banyanswitch.core import Kernel
+from banyanswitch.exceptions import RefusalError, RunOutcome
+from banyanswitch.helpers.run_identity import RunIdentityCodec
+from banyanswitch.interfaces import ConfigurationView, StoredAnswer
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class ModelDocument(msgspec.Struct, frozen=True):
+    """One model service in the list of models."""
+
+    id: str
+    object: str = "model"
+
+
+class ModelListDocument(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/models``."""
+
+    data: list[ModelDocument]
+    object: str = "list"
+
+
+@web.middleware
+async def problem_middleware(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Turn errors of handlers into problem documents."""
+    try:
+        return await handler(request)
+    except RefusalError as refusal:
+        return problem_response(refusal)
+    except UpstreamsBusyError as busy:
+        return problem_response(
+            RefusalError(
+                "overloaded",
+                "all upstreams are busy",
+                status=429,
+                retry_after_s=busy.retry_after_s,
+            )
+        )
+    except web.HTTPException as error:
+        return problem_response(
+            RefusalError("http_error", error.reason, status=error.status)
+        )
+    except Exception:
+        LOGGER.exception("handler_failed", path=request.path)
+        return problem_response(
+            RefusalError(
+                "internal_error",
+                "the request failed in this instance",
+                status=500,
+                outcome=RunOutcome.UNKNOWN,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        )
+
+
+class CallerHandlers:
+    """Handlers of requests that upstreams answer.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Source of the components that carry requests out.
+    activity : Activity
+        Counts requests in progress.
+    """
+
+    def __init__(self, kernel: Kernel, activity: Activity) -> None:
+        self._kernel = kernel
+        self._activity = activity
+        self._configuration = kernel.require(ConfigurationView)
+        self._parser = RequestParser(
+            self._configuration, kernel.require(RunIdentityCodec)
+        )
+        self._runs = kernel.require(ModelRuns)
+        self._plain_calls = kernel.require(PlainCalls)
+        self._relay = StreamRelay(kernel, self._runs)
+
+    async def async_completion(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``POST /v1/chat/completions`` and ``/v1/completions``."""
+        if HEADER_LAST_EVENT_ID in request.headers:
+            return await self.async_resume(request)
+        with self._activity.track():
+            call = await self._parser.async_model_call(request)
+            if call.is_stream:
+                return await self._relay.async_relay_call(request, call)
+            answer = await self._runs.async_complete(call)
+            return web.Response(
+                status=answer.status,
+                body=answer.body,
+                headers={
+                    "Content-Type": answer.content_type,
+                    HEADER_RUN_ID: answer.run_id,
+                },
+            )
+
+    async def async_resume(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``GET /v1/streams`` with the events that the caller lacks."""
+        with self._activity.track():
+            call = self._parser.resume_call(request)
+            return await self._relay.async_relay_resumed(request, call)
+
+    async def async_plain(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``/v1/services/<service>/<path>``.
+
+        The call goes on when its caller leaves, so that its result is recorded.
+        """
+        call = await self._parser.async_plain_call(request)
+        task = self._kernel.create_task(self._async_plain(call), "plain call")
+        answer = await asyncio.shield(task)
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers={"Content-Type": answer.content_type},
+        )
+
+    async def async_models(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``GET /v1/models``."""
+        self._parser.authenticate(request)
+        document = ModelListDocument(
+            [
+                ModelDocument(service.name)
+                for service in self._configuration.services()
+                if service.kind is ServiceKind.MODEL
+            ]
+        )
+        return web.Response(
+            body=msgspec.json.encode(document), content_type="application/json"
+        )
+
+    async def _async_plain(self, call: PlainCall) -> StoredAnswer:
+        with self._activity.track():
+            return await self._plain_calls.async_call(call)
--- /dev/null
+++ b/src/banyanswitch/components/gateway/relay.py
@@ -0,0 +1,165 @@
+"""Relay of verified event streams to callers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import msgspec
+import structlog
+from aiohttp import web
+
+from banyanswitch.components.gateway.models import ModelCall, ResumeCall
+from banyanswitch.components.gateway.problems import problem_document
+from banyanswitch.components.routing.const import RESUME_GRACE_S, RETRY_AFTER_S
+from banyanswitch.components.routing.model_runs import ModelRuns, RunStream
+from banyanswitch.components.routing.models import OpenRun, RunLostError
+from banyanswitch.components.streams.verifier import VerifiedChunk
+from banyanswitch.const import (
+    CONTENT_TYPE_EVENT_STREAM,
+    HEADER_RUN_ID,
+    HEADER_WEIGHT_VERSION,
+)
+from banyanswitch.core import Kernel
+from banyanswitch.exceptions import RefusalError, RunOutcome
+from banyanswitch.interfaces import ConfigurationView
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class StreamRelay:
+    """Pass verified events on to callers.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Runs the tasks that end abandoned runs.
+    runs : ModelRuns
+        Starts, resumes and cancels runs.
+    """
+
+    def __init__(self, kernel: Kernel, runs: ModelRuns) -> None:
+        self._kernel = kernel
+        self._configuration = kernel.require(ConfigurationView)
+        self._runs = runs
+
+    async def async_relay_call(
+        self, request: web.Request, call: ModelCall
+    ) -> web.StreamResponse:
+        """Answer a streaming call.
+
+        A run that is lost before its first event was passed on is started again at
+        another upstream; later the caller is told that the stream has broken.
+        """
+        run = await self._runs.async_open(call)
+        while True:
+            stream = self._runs.stream(run)
+            chunks = stream.async_chunks()
+            try:
+                first = await anext(chunks)
+            except RunLostError:
+                run = await self._runs.async_reopen(call, run)
+                continue
+            except asyncio.CancelledError:
+                self._abandon(stream)
+                self._runs.finished(run.attempt)
+                raise
+            return await self._async_relay_run(request, run, stream, first, chunks)
+
+    async def async_relay_resumed(
+        self, request: web.Request, call: ResumeCall
+    ) -> web.StreamResponse:
+        """Answer a call that goes on with a stream.
+
+        Raises
+        ------
+        RefusalError
+            If the upstream no longer has the run.
+        """
+        identity = call.position.identity
+        upstream = self._configuration.upstream(identity.upstream)
+        if upstream is None:
+            raise _run_gone(f"upstream {identity.upstream} was removed")
+        stream = self._runs.resumed_stream(call.position, upstream.url.rstrip("/"))
+        chunks = stream.async_chunks()
+        try:
+            first = await anext(chunks)
+        except RunLostError as error:
+            raise _run_gone(str(error)) from error
+        return await self._async_relay(request, stream, first, chunks)
+
+    async def _async_relay_run(
+        self,
+        request: web.Request,
+        run: OpenRun,
+        stream: RunStream,
+        first: VerifiedChunk,
+        chunks: AsyncIterator[VerifiedChunk],
+    ) -> web.StreamResponse:
+        self._runs.first_token(run.attempt)
+        try:
+            return await self._async_relay(request, stream, first, chunks)
+        finally:
+            self._runs.finished(run.attempt)
+
+    async def _async_relay(
+        self,
+        request: web.Request,
+        stream: RunStream,
+        first: VerifiedChunk,
+        chunks: AsyncIterator[VerifiedChunk],
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=_headers(stream))
+        try:
+            await response.prepare(request)
+            await response.write(first.content)
+            async for chunk in chunks:
+                await response.write(chunk.content)
+        except RunLostError as error:
+            await response.write(_broken_event(str(error)))
+        except (asyncio.CancelledError, ConnectionError):
+            self._abandon(stream)
+            raise
+        finally:
+            stream.release()
+        await response.write_eof()
+        return response
+
+    def _abandon(self, stream: RunStream) -> None:
+        stream.release()
+        self._kernel.create_task(
+            self._async_cancel_later(stream), f"cancel abandoned {stream.run_id}"
+        )
+
+    async def _async_cancel_later(self, stream: RunStream) -> None:
+        await asyncio.sleep(RESUME_GRACE_S)
+        await self._runs.async_cancel(stream.url, stream.run_id, only_if_unread=True)
+
+
+def _headers(stream: RunStream) -> dict[str, str]:
+    return {
+        "Content-Type": CONTENT_TYPE_EVENT_STREAM,
+        "Cache-Control": "no-store",
+        HEADER_RUN_ID: stream.run_id,
+        HEADER_WEIGHT_VERSION: stream.identity.weight_version,
+    }
+
+
+def _broken_event(reason: str) -> bytes:
+    refusal = RefusalError(
+        "run_lost",
+        reason,
+        status=502,
+        outcome=RunOutcome.PARTIAL,
+        retry_after_s=RETRY_AFTER_S,
+    )
+    document = msgspec.json.encode(problem_document(refusal))
+    return b"event: error\ndata: " + document + b"\n\n"
+
+
+def _run_gone(reason: str) -> RefusalError:
+    return RefusalError(
+        "run_gone",
+        reason,
+        status=410,
+        outcome=RunOutcome.PARTIAL,
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/banyanswitch/components/gateway/server.py
@@ -0,0 +1,90 @@
+"""HTTP server of the callers' interface."""
+
+import asyncio
+
+from aiohttp import web
+
+from banyanswitch.components.gateway.activity import Activity
+from banyanswitch.components.gateway.const import MAX_HEADER_BYTES
+from banyanswitch.components.gateway.handlers import CallerHandlers, problem_middleware
+from banyanswitch.components.gateway.status import StatusHandlers
+from banyanswitch.core import Kernel
+from banyanswitch.settings import EntrySettings
+
+LISTEN_BACKLOG = 1024
+CLOSE_TIMEOUT_S = 1.0
+
+
+class CallerServer:
+    """Listen for callers.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Source of the components that carry requests out.
+    settings : EntrySettings
+        Address, port and limits.
+    """
+
+    def __init__(self, kernel: Kernel, settings: EntrySettings) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._runner: web.AppRunner | None = None
+        self.activity = Activity()
+        self.port = settings.port
+
+    async def async_start(self) -> None:
+        """Start to listen; ``port`` holds the port from then on."""
+        runner = web.AppRunner(
+            self._application(),
+            handler_cancellation=True,
+            access_log=None,
+            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+            shutdown_timeout=CLOSE_TIMEOUT_S,
+        )
+        await runner.setup()
+        site = web.TCPSite(
+            runner, self._settings.host, self._settings.port, backlog=LISTEN_BACKLOG
+        )
+        await site.start()
+        self._runner = runner
+        self.port = runner.addresses[0][1]
+
+    async def async_stop(self) -> None:
+        """Stop to listen and close what connections are left."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def async_drain(self, timeout_s: float) -> bool:
+        """Wait for the requests in progress.
+
+        Returns
+        -------
+        is_idle : bool
+            Whether all of them ended in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.activity.async_wait_idle()
+        except TimeoutError:
+            return False
+        return True
+
+    def _application(self) -> web.Application:
+        callers = CallerHandlers(self._kernel, self.activity)
+        status = StatusHandlers(self._kernel, self.activity)
+        application = web.Application(
+            middlewares=[problem_middleware],
+            client_max_size=self._settings.max_body_bytes,
+        )
+        router = application.router
+        router.add_post("/v1/chat/completions", callers.async_completion)
+        router.add_post("/v1/completions", callers.async_completion)
+        router.add_get("/v1/streams", callers.async_resume)
+        router.add_get("/v1/models", callers.async_models)
+        router.add_route("*", "/v1/services/{service}/{path:.*}", callers.async_plain)
+        router.add_get("/v1/addresses", status.async_addresses)
+        router.add_get("/health/live", status.async_live)
+        router.add_get("/health/ready", status.async_ready)
+        return application
--- /dev/null
+++ b/src/banyanswitch/components/gateway/status.py
@@ -0,0 +1,97 @@
+"""Handlers that tell callers which instance to use and whether this one is fit."""
+
+import msgspec
+from aiohttp import web
+
+from banyanswitch.components.gateway.activity import Activity
+from banyanswitch.components.gateway.parsing import RequestParser
+from banyanswitch.core import Kernel, callback
+from banyanswitch.exceptions import RefusalError
+from banyanswitch.helpers.run_identity import RunIdentityCodec
+from banyanswitch.interfaces import AddressBook, ConfigurationView, ShutdownStarted
+
+
+class AddressDocument(msgspec.Struct, frozen=True):
+    """One instance that a caller may use."""
+
+    url: str
+    failure_domain: str
+
+
+class AddressListDocument(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/addresses``, in the order of preference."""
+
+    addresses: list[AddressDocument]
+    ttl_s: float
+
+
+class HealthDocument(msgspec.Struct, frozen=True):
+    """State of this instance."""
+
+    status: str
+    configuration_revision: int
+    requests_in_progress: int
+
+
+class StatusHandlers:
+    """Handlers that this instance answers by itself.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Source of configuration and addresses.
+    activity : Activity
+        Requests in progress.
+    """
+
+    def __init__(self, kernel: Kernel, activity: Activity) -> None:
+        self._configuration = kernel.require(ConfigurationView)
+        self._addresses = kernel.require(AddressBook)
+        self._activity = activity
+        self._parser = RequestParser(
+            self._configuration, kernel.require(RunIdentityCodec)
+        )
+        self._is_leaving = False
+        kernel.bus.subscribe(ShutdownStarted, self._on_shutdown_started)
+
+    async def async_addresses(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``GET /v1/addresses``."""
+        workspace = self._parser.authenticate(request)
+        choice = self._addresses.addresses(workspace.name)
+        document = AddressListDocument(
+            [
+                AddressDocument(entry.http_url, entry.failure_domain)
+                for entry in choice.entries
+            ],
+            choice.ttl_s,
+        )
+        return _json(document)
+
+    async def async_live(self, _request: web.Request) -> web.StreamResponse:
+        """Answer ``GET /health/live``."""
+        return _json(self._health("live"))
+
+    async def async_ready(self, _request: web.Request) -> web.StreamResponse:
+        """Answer ``GET /health/ready``; fails while starting or leaving."""
+        if self._is_leaving:
+            raise RefusalError("leaving", "this instance is leaving", status=503)
+        if self._configuration.revision == 0:
+            raise RefusalError(
+                "not_ready", "this instance has no configuration yet", status=503
+            )
+        return _json(self._health("ready"))
+
+    @callback
+    def _on_shutdown_started(self, _message: ShutdownStarted) -> None:
+        self._is_leaving = True
+
+    def _health(self, status: str) -> HealthDocument:
+        return HealthDocument(
+            status, self._configuration.revision, self._activity.count
+        )
+
+
+def _json(document: msgspec.Struct) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(document), content_type="application/json"
+    )
--- /dev/null
+++ b/src/banyanswitch/components/shutdown/const.py
@@ -0,0 +1,5 @@
+"""Constants of the planned stop."""
+
+from typing import Final
+
+DOMAIN: Final = "shutdown"
