--- /dev/null
+++ b/src/banyanswitch/components/idempotency/const.py
@@ -0,0 +1,47 @@
+"""Constants of the records of calls that may not be repeated."""
+
+from typing import Final
+
+DOMAIN: Final = "idempotency"
+
+CLAIM_PREFIX: Final = "claim/"
+"""Prefix of the records' keys in the table service."""
+
+ANSWER_PREFIX: Final = "answer/"
+"""Prefix of the names of answers in the object store."""
+
+SWEEP_LEASE: Final = "idempotency/sweep"
+"""Duty of removing old records."""
+
+MAX_INLINE_ANSWER_BYTES: Final = 64 * 1024
+"""Largest answer that is kept in the record itself, in bytes."""
+
+FORGET_AFTER_S: Final = 7 * 86_400.0
+"""Time after its expiry for which a key is still known, in seconds."""
+
+SETTLE_WAIT_S: Final = 2.0
+"""Time that a caller waits for a result to be recorded, in seconds."""
+
+SETTLE_KEEP_TRYING_S: Final = 600.0
+"""Time for which a result that could not be recorded is tried again, in seconds."""
+
+SETTLE_RETRY_S: Final = 0.25
+"""Time before the second try to record a result, in seconds; it doubles."""
+
+MAX_SETTLE_RETRY_S: Final = 8.0
+"""Longest time between tries to record a result, in seconds."""
+
+MAX_SETTLING: Final = 1_000
+"""Results that may wait to be recorded at the same time."""
+
+PENDING_RETRY_AFTER_S: Final = 1.0
+"""Time to come back while a call is on its way, in seconds."""
+
+MAX_UNSENT_ATTEMPTS: Final = 10_000
+"""Attempts that ended unsent and are remembered in case their claim shows up."""
+
+SWEEP_PAGE_ITEMS: Final = 200
+"""Records that one step of the sweep reads."""
+
+SWEEP_INTERVAL_S: Final = 2.0
+"""Time between two steps of the sweep, in seconds."""
--- /dev/null
+++ b/src/banyanswitch/components/idempotency/settler.py
@@ -0,0 +1,131 @@
+"""Recording of how a claimed call ended."""
+
+import asyncio
+
+import structlog
+
+from banyanswitch.components.idempotency.const import (
+    MAX_SETTLE_RETRY_S,
+    MAX_SETTLING,
+    SETTLE_KEEP_TRYING_S,
+    SETTLE_RETRY_S,
+    SETTLE_WAIT_S,
+)
+from banyanswitch.components.idempotency.models import (
+    OpenClaim,
+    Settlement,
+    decode_record,
+    encode_record,
+)
+from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.exceptions import ConditionFailedError, PlatformError
+from banyanswitch.interfaces import ObjectStore, TableStore, Write
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class ClaimSettler:
+    """Replace or delete the records of this process's own attempts.
+
+    A record is tried for a bounded time, also after the caller was let go, so that
+    a result survives a short outage of the table service.
+
+    Parameters
+    ----------
+    table : TableStore
+        Read back after a write whose outcome is unknown.
+    objects : ObjectStore
+        Takes answers that are too large for a record.
+    batcher : WriteBatcher
+        Takes the writes.
+    """
+
+    def __init__(
+        self, table: TableStore, objects: ObjectStore, batcher: WriteBatcher
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._batcher = batcher
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def async_settle(self, claim: OpenClaim, settlement: Settlement) -> None:
+        """Settle a claim; return when it is done or has taken too long.
+
+        It is then tried further in the background.
+        """
+        task = self.start(claim, settlement)
+        if task is not None:
+            await asyncio.wait({task}, timeout=SETTLE_WAIT_S)
+
+    def start(
+        self, claim: OpenClaim, settlement: Settlement
+    ) -> asyncio.Task[None] | None:
+        """Settle a claim in the background; ``None`` if too many are waiting."""
+        if len(self._tasks) >= MAX_SETTLING:
+            LOGGER.error("claim_not_settled", record=claim.record_key)
+            return None
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._async_keep_trying(claim, settlement))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def async_stop(self) -> None:
+        """Wait a bounded time for the claims that are being settled, then end."""
+        tasks = tuple(self._tasks)
+        if not tasks:
+            return
+        await asyncio.wait(tasks, timeout=SETTLE_WAIT_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _async_keep_trying(
+        self, claim: OpenClaim, settlement: Settlement
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + SETTLE_KEEP_TRYING_S
+        retry_s = SETTLE_RETRY_S
+        while loop.time() < deadline_s:
+            try:
+                return await self._async_try(claim, settlement)
+            except PlatformError as error:
+                LOGGER.warning("claim_settled_later", reason=str(error))
+            await asyncio.sleep(retry_s)
+            retry_s = min(MAX_SETTLE_RETRY_S, 2.0 * retry_s)
+        LOGGER.error("claim_not_settled", record=claim.record_key)
+        return None
+
+    async def _async_try(self, claim: OpenClaim, settlement: Settlement) -> None:
+        if claim.revision is None:
+            claim.revision = await self._async_read_revision(claim, settlement)
+        if claim.revision is None:
+            return
+        record = settlement.record
+        if settlement.answer_object is not None and record is not None:
+            assert record.answer_object is not None
+            await self._objects.async_put(
+                record.answer_object, settlement.answer_object
+            )
+        content = encode_record(record) if record is not None else None
+        write = Write(claim.record_key, content, claim.revision)
+        try:
+            await self._batcher.async_write(write)
+        except ConditionFailedError as error:
+            claim.revision = None
+            raise PlatformError("the record has another revision") from error
+        except PlatformError:
+            claim.revision = None
+            raise
+
+    async def _async_read_revision(
+        self, claim: OpenClaim, settlement: Settlement
+    ) -> int | None:
+        """Return the record's revision, or ``None`` if nothing is left to write."""
+        items = await self._table.async_get([claim.record_key])
+        if not items:
+            return None
+        found = decode_record(items[0].value)
+        if found.attempt != claim.record.attempt or found == settlement.record:
+            return None
+        return items[0].revision
--- a/src/banyanswitch/components/platform/const.py
+++ b/src/banyanswitch/components/platform/const.py
@@ -30,3 +30,15 @@
 
 MAX_CONNECTIONS: Final = 32
 """Most connections to one service of the platform."""
+
+MAX_BATCH_WRITES: Final = 64
+"""Most writes that are joined into one transaction."""
+
+MAX_BATCH_BYTES: Final = 1024 * 1024
+"""Content at which a batch is closed, in bytes."""
+
+MAX_BATCH_DELAY_S: Final = 0.25
+"""Longest time that a batch waits for the write budget, in seconds."""
+
+MAX_WAITING_WRITES: Final = 512
+"""Writes that may wait for a transaction before more are refused."""
--- /dev/null
+++ b/src/banyanswitch/components/platform/write_batcher.py
@@ -0,0 +1,149 @@
+"""Joining of independent conditional writes into shared transactions."""
+
+import asyncio
+from dataclasses import dataclass
+
+from banyanswitch.components.platform.const import (
+    MAX_BATCH_BYTES,
+    MAX_BATCH_DELAY_S,
+    MAX_BATCH_WRITES,
+    MAX_WAITING_WRITES,
+)
+from banyanswitch.exceptions import (
+    ConditionFailedError,
+    PlatformError,
+    WriteBudgetExceededError,
+)
+from banyanswitch.interfaces import TableStore, Write, WriteClass
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A write and the future that gets its revision."""
+
+    write: Write
+    result: asyncio.Future[int]
+
+
+class WriteBatcher:
+    """Collect writes while a transaction is on its way and send them together.
+
+    A write that comes alone is sent at once. A write whose condition fails does not
+    fail the others: the rest of its batch is sent again without it.
+
+    Parameters
+    ----------
+    table : TableStore
+        Takes the transactions.
+    write_class : WriteClass
+        Class of all the writes.
+    """
+
+    def __init__(self, table: TableStore, write_class: WriteClass) -> None:
+        self._table = table
+        self._write_class = write_class
+        self._waiting: list[_Waiting] = []
+        self._sender: asyncio.Task[None] | None = None
+
+    async def async_write(self, write: Write) -> int:
+        """Apply one write and return the new revision of its item.
+
+        Raises
+        ------
+        ConditionFailedError
+            If the item has another revision than expected.
+        PlatformUnavailableError
+            If nothing was written.
+        PlatformOutcomeUnknownError
+            If the write may have been applied.
+        """
+        if len(self._waiting) >= MAX_WAITING_WRITES:
+            raise WriteBudgetExceededError(MAX_BATCH_DELAY_S)
+        loop = asyncio.get_running_loop()
+        waiting = _Waiting(write, loop.create_future())
+        self._waiting.append(waiting)
+        if self._sender is None:
+            self._sender = loop.create_task(self._async_send_all())
+        return await waiting.result
+
+    async def async_stop(self) -> None:
+        """Wait until the writes that were handed over are settled."""
+        if self._sender is not None:
+            await asyncio.wait({self._sender})
+
+    async def _async_send_all(self) -> None:
+        try:
+            while self._waiting:
+                await self._async_send_batch()
+        finally:
+            self._sender = None
+
+    async def _async_send_batch(self) -> None:
+        batch: dict[str, _Waiting] = {}
+        self._fill(batch)
+        deadline_s = asyncio.get_running_loop().time() + MAX_BATCH_DELAY_S
+        while batch:
+            writes = [waiting.write for waiting in batch.values()]
+            try:
+                revisions = await self._table.async_transact(writes, self._write_class)
+            except ConditionFailedError as error:
+                _drop_failed(batch, error)
+            except WriteBudgetExceededError as error:
+                if not await _async_wait_for_budget(error, deadline_s):
+                    return _fail(batch, error)
+                self._fill(batch)
+            except PlatformError as error:
+                return _fail(batch, error)
+            except BaseException as error:
+                _fail(batch, PlatformError(f"transaction ended by {error!r}"))
+                raise
+            else:
+                return _succeed(batch, revisions)
+        return None
+
+    def _fill(self, batch: dict[str, _Waiting]) -> None:
+        """Move waiting writes into the batch; one write an item."""
+        size_bytes = sum(len(w.write.value or b"") for w in batch.values())
+        left: list[_Waiting] = []
+        for waiting in self._waiting:
+            if waiting.result.done():
+                continue
+            is_full = len(batch) >= MAX_BATCH_WRITES or size_bytes >= MAX_BATCH_BYTES
+            if is_full or waiting.write.key in batch:
+                left.append(waiting)
+                continue
+            batch[waiting.write.key] = waiting
+            size_bytes += len(waiting.write.value or b"")
+        self._waiting = left
+
+
+async def _async_wait_for_budget(
+    error: WriteBudgetExceededError, deadline_s: float
+) -> bool:
+    now_s = asyncio.get_running_loop().time()
+    if now_s + error.retry_after_s > deadline_s:
+        return False
+    await asyncio.sleep(error.retry_after_s)
+    return True
+
+
+def _drop_failed(batch: dict[str, _Waiting], error: ConditionFailedError) -> None:
+    failed_keys = [key for key in error.keys if key in batch] or list(batch)
+    for key in failed_keys:
+        _set_error(batch.pop(key), ConditionFailedError([key]))
+
+
+def _fail(batch: dict[str, _Waiting], error: PlatformError) -> None:
+    for waiting in batch.values():
+        _set_error(waiting, error)
+
+
+def _succeed(batch: dict[str, _Waiting], revisions: tuple[int, ...]) -> None:
+    for waiting, revision in zip(batch.values(), revisions, strict=True):
+        if not waiting.result.done():
+            waiting.result.set_result(revision)
+
+
+def _set_error(waiting: _Waiting, error: PlatformError) -> None:
+    if not waiting.result.done():
+        waiting.result.set_exception(error)
--- /dev/null
+++ b/tests/components/idempotency/test_claim_store.py
@@ -0,0 +1,241 @@
+"""States of a claim and its behaviour under faults of the table."""
+
+import asyncio
+
+import pytest
+
+from banyanswitch.components.idempotency.const import MAX_INLINE_ANSWER_BYTES
+from banyanswitch.exceptions import PlatformError, PlatformUnavailableError
+from banyanswitch.identifiers import WorkspaceId
+from banyanswitch.interfaces import ClaimState, StoredAnswer
+from tests.components.idempotency.conftest import CLAIM_S, RETENTION, StoreFactory
+from tests.fakes.table import FakeTable, TableFault
+
+pytestmark = pytest.mark.looptime
+
+SHOP = WorkspaceId("shop")
+OTHER_SHOP = WorkspaceId("other-shop")
+ANSWER = StoredAnswer(201, "application/json", b'{"paid":true}')
+
+
+async def test_second_call_gets_the_stored_answer(make_store: StoreFactory) -> None:
+    first, second = make_store("a"), make_store("b")
+    claim = await first.async_claim(SHOP, "k", "digest")
+    await first.async_mark_sent(SHOP, "k", claim.attempt)
+    await first.async_complete(SHOP, "k", claim.attempt, ANSWER)
+    result = await second.async_claim(SHOP, "k", "digest")
+    assert (claim.state, result.state) == (ClaimState.CLAIMED, ClaimState.ANSWERED)
+    assert result.answer == ANSWER
+
+
+async def test_workspaces_do_not_share_keys(make_store: StoreFactory) -> None:
+    store = make_store("a")
+    await store.async_claim(SHOP, "k", "digest")
+    result = await store.async_claim(OTHER_SHOP, "k", "digest")
+    assert result.state is ClaimState.CLAIMED
+
+
+@pytest.mark.parametrize(
+    ("digest", "after_s", "expected"),
+    [
+        ("digest", 0.0, ClaimState.PENDING),
+        ("digest", CLAIM_S + 1.0, ClaimState.OUTCOME_UNKNOWN),
+        ("other", 0.0, ClaimState.DIGEST_MISMATCH),
+        ("digest", RETENTION.idempotency_s + 1.0, ClaimState.EXPIRED),
+        ("other", RETENTION.idempotency_s + 1.0, ClaimState.EXPIRED),
+    ],
+)
+async def test_state_of_a_claim_whose_process_died(
+    make_store: StoreFactory, digest: str, after_s: float, expected: ClaimState
+) -> None:
+    await make_store("a").async_claim(SHOP, "k", "digest")
+    await asyncio.sleep(after_s)
+    result = await make_store("b").async_claim(SHOP, "k", digest)
+    assert result.state is expected
+
+
+async def test_expired_answer_is_not_a_new_call(make_store: StoreFactory) -> None:
+    store = make_store("a")
+    claim = await store.async_claim(SHOP, "k", "digest")
+    await store.async_complete(SHOP, "k", claim.attempt, ANSWER)
+    await asyncio.sleep(RETENTION.idempotency_s + 1.0)
+    assert (await store.async_claim(SHOP, "k", "digest")).state is ClaimState.EXPIRED
+
+
+async def test_released_claim_can_be_claimed_again(make_store: StoreFactory) -> None:
+    first, second = make_store("a"), make_store("b")
+    claim = await first.async_claim(SHOP, "k", "digest")
+    await first.async_release(SHOP, "k", claim.attempt)
+    result = await second.async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.CLAIMED
+
+
+async def test_release_after_sending_does_not_free_the_key(
+    make_store: StoreFactory,
+) -> None:
+    store = make_store("a")
+    claim = await store.async_claim(SHOP, "k", "digest")
+    await store.async_mark_sent(SHOP, "k", claim.attempt)
+    await store.async_release(SHOP, "k", claim.attempt)
+    result = await store.async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.OUTCOME_UNKNOWN
+
+
+async def test_only_the_claiming_attempt_releases(make_store: StoreFactory) -> None:
+    first, second = make_store("a"), make_store("b")
+    claim = await first.async_claim(SHOP, "k", "digest")
+    await second.async_release(SHOP, "k", claim.attempt)
+    result = await second.async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.PENDING
+
+
+async def test_call_is_not_sent_after_its_claim_lapsed(
+    make_store: StoreFactory,
+) -> None:
+    store = make_store("a")
+    claim = await store.async_claim(SHOP, "k", "digest")
+    await asyncio.sleep(CLAIM_S)
+    with pytest.raises(PlatformUnavailableError):
+        await store.async_mark_sent(SHOP, "k", claim.attempt)
+
+
+async def test_late_answer_replaces_an_unknown_outcome(
+    make_store: StoreFactory,
+) -> None:
+    first, second = make_store("a"), make_store("b", skew_s=CLAIM_S + 1.0)
+    claim = await first.async_claim(SHOP, "k", "digest")
+    early = await second.async_claim(SHOP, "k", "digest")
+    await first.async_complete(SHOP, "k", claim.attempt, ANSWER)
+    late = await second.async_claim(SHOP, "k", "digest")
+    assert early.state is ClaimState.OUTCOME_UNKNOWN
+    assert late.state is ClaimState.ANSWERED
+
+
+async def test_lost_answer_of_the_claim_write_is_read_back(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    table.write_faults = [TableFault.LOSE_ANSWER]
+    result = await make_store("a").async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.CLAIMED
+
+
+@pytest.mark.parametrize(
+    "fault", [TableFault.REFUSE, TableFault.LOSE_REQUEST, TableFault.APPLY_LATE]
+)
+async def test_claim_that_was_not_recorded_is_refused(
+    make_store: StoreFactory, table: FakeTable, fault: TableFault
+) -> None:
+    table.write_faults = [fault]
+    store = make_store("a")
+    with pytest.raises(PlatformError):
+        await store.async_claim(SHOP, "k", "digest")
+    await asyncio.sleep(2.0 * table.late_s)
+    result = await store.async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.CLAIMED
+
+
+async def test_late_claim_write_never_displaces_the_next_attempt(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    table.write_faults = [TableFault.APPLY_LATE]
+    with pytest.raises(PlatformError):
+        await make_store("a").async_claim(SHOP, "k", "digest")
+    second = make_store("b")
+    claim = await second.async_claim(SHOP, "k", "digest")
+    await second.async_mark_sent(SHOP, "k", claim.attempt)
+    await asyncio.sleep(2.0 * table.late_s)
+    await second.async_complete(SHOP, "k", claim.attempt, ANSWER)
+    result = await make_store("c").async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.ANSWERED
+
+
+async def test_claims_are_refused_at_once_while_the_table_is_down(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    table.is_down = True
+    store = make_store("a")
+    started_s = asyncio.get_running_loop().time()
+    with pytest.raises(PlatformUnavailableError) as caught:
+        await store.async_claim(SHOP, "k", "digest")
+    assert asyncio.get_running_loop().time() == started_s
+    assert caught.value.retry_after_s is not None
+
+
+async def test_answer_outlives_an_outage_of_the_table(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    first, second = make_store("a"), make_store("b")
+    claim = await first.async_claim(SHOP, "k", "digest")
+    table.is_down = True
+    await first.async_complete(SHOP, "k", claim.attempt, ANSWER)
+    await asyncio.sleep(20.0)
+    table.is_down = False
+    await asyncio.sleep(20.0)
+    result = await second.async_claim(SHOP, "k", "digest")
+    assert result.answer == ANSWER
+
+
+@pytest.mark.parametrize("fault", list(TableFault))
+async def test_answer_is_kept_under_each_fault(
+    make_store: StoreFactory, table: FakeTable, fault: TableFault
+) -> None:
+    store = make_store("a")
+    claim = await store.async_claim(SHOP, "k", "digest")
+    table.write_faults = [fault, fault]
+    await store.async_complete(SHOP, "k", claim.attempt, ANSWER)
+    await asyncio.sleep(2.0 * table.late_s)
+    result = await make_store("b").async_claim(SHOP, "k", "digest")
+    assert result.answer == ANSWER
+
+
+async def test_large_answer_is_kept_in_the_object_store(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    answer = StoredAnswer(200, "text/plain", b"x" * (MAX_INLINE_ANSWER_BYTES + 1))
+    store = make_store("a")
+    claim = await store.async_claim(SHOP, "k", "digest")
+    await store.async_complete(SHOP, "k", claim.attempt, answer)
+    result = await make_store("b").async_claim(SHOP, "k", "digest")
+    assert result.answer == answer
+    assert all(len(i.value) < MAX_INLINE_ANSWER_BYTES for i in table.items.values())
+
+
+async def test_cancelled_claim_does_not_block_the_key(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    table.latency_s = 0.5
+    store = make_store("a")
+    task = asyncio.create_task(store.async_claim(SHOP, "k", "digest"))
+    await asyncio.sleep(0.1)
+    task.cancel()
+    await asyncio.sleep(5.0)
+    result = await store.async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.CLAIMED
+
+
+async def test_concurrent_claims_share_transactions(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    table.latency_s = 0.01
+    store = make_store("a")
+    calls = 64
+    results = await asyncio.gather(
+        *(store.async_claim(SHOP, f"k{i}", "digest") for i in range(calls))
+    )
+    assert {result.state for result in results} == {ClaimState.CLAIMED}
+    assert table.counts.transactions <= calls / 8
+    assert table.counts.read_items == 0
+
+
+async def test_one_taken_key_does_not_fail_the_rest_of_its_batch(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    await make_store("b").async_claim(SHOP, "k1", "digest")
+    table.latency_s = 0.01
+    store = make_store("a")
+    results = await asyncio.gather(
+        *(store.async_claim(SHOP, f"k{i}", "digest") for i in range(4))
+    )
+    states = [result.state for result in results]
+    assert states.count(ClaimState.PENDING) == 1
+    assert states.count(ClaimState.CLAIMED) == 3
