--- a/src/banyanswitch_standins/engine/answers.py
+++ b/src/banyanswitch_standins/engine/answers.py
@@ -10,7 +10,7 @@
 from banyanswitch_standins.engine.models import RunRequest
 from banyanswitch_standins.engine.runs import Run
 from banyanswitch_standins.faults import (
-    STREAM_FAULTS,
+    REQUEST_FAULTS,
     Fault,
     FaultKind,
     close_connection,
@@ -53,20 +53,29 @@
     request: web.Request, response: web.StreamResponse, run: Run, first: int
 ) -> None:
     """Send the events of a run from an offset to its end."""
-    faults = request[STREAM_FAULTS]
-    for offset in range(first, run.request.max_tokens + 1):
+    faults = request[REQUEST_FAULTS]
+    for sent, offset in enumerate(_order_of_events(faults, run, first)):
         await run.async_wait(offset)
         is_cut_short = run.is_ended and len(run.tokens) < run.request.max_tokens
         if is_cut_short and offset >= len(run.tokens):
             close_connection(request)
             return
-        for event in _apply_faults(faults, run, offset - first, offset):
+        for event in _apply_faults(faults, run, sent, offset):
             if event is None:
                 close_connection(request)
                 return
             await response.write(event)
 
 
+def _order_of_events(faults: list[Fault], run: Run, first: int) -> list[int]:
+    offsets = list(range(first, run.request.max_tokens + 1))
+    for fault in faults:
+        index = fault.after_events
+        if fault.kind is FaultKind.REORDER and index + 1 < len(offsets):
+            offsets[index : index + 2] = reversed(offsets[index : index + 2])
+    return offsets
+
+
 def _apply_faults(
     faults: list[Fault], run: Run, sent: int, offset: int
 ) -> Iterator[bytes | None]:
@@ -78,10 +87,6 @@
     if FaultKind.CROSS in kinds:
         own = run.request.run_id.encode()
         yield event.replace(own, b"other-" + own)
-    if FaultKind.REORDER in kinds and offset > 0:
-        yield encode_event(run, offset)
-        yield encode_event(run, offset - 1)
-        return
     if FaultKind.DUPLICATE in kinds:
         yield event
     yield event
--- a/src/banyanswitch_standins/engine/models.py
+++ b/src/banyanswitch_standins/engine/models.py
@@ -150,3 +150,9 @@
     """Return the token that an engine generates at an offset of an answer."""
     source = f"{version}|{prompt_digest}|{offset}".encode()
     return f"t{sha256(source).hexdigest()[:8]} "
+
+
+def expected_text(version: str, prompt_digest: str, max_tokens: int) -> str:
+    """Return the whole answer that an engine generates."""
+    tokens = (expected_token(version, prompt_digest, i) for i in range(max_tokens))
+    return "".join(tokens)
--- a/src/banyanswitch_standins/engine/stand_in.py
+++ b/src/banyanswitch_standins/engine/stand_in.py
@@ -1,7 +1,9 @@
 """HTTP interface of the stand-in engine."""
 
 import asyncio
+import time
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Final
 
 from aiohttp import web
@@ -26,9 +28,10 @@
 from banyanswitch_standins.engine.weights import EngineState, OrderRefusedError
 from banyanswitch_standins.faults import (
     LOSE_ANSWER,
-    STREAM_FAULTS,
+    REQUEST_FAULTS,
     FaultKind,
     close_connection,
+    has_fault,
 )
 
 MAX_LOAD_REPORTS: Final = 10_000
@@ -39,15 +42,19 @@
 
     Parameters
     ----------
+    unix_time : callable
+        Returns the wall-clock time against which orders expire.
     **options
         Fields of ``EngineOptions``.
     """
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(
+        self, *, unix_time: Callable[[], float] = time.time, **options: Any
+    ) -> None:
         super().__init__()
         self.options = EngineOptions(**options)
         self.cache = PrefixCache(self.options.cache_pieces, self.options.event_lag_s)
-        self.state = EngineState(self.options, self.cache, self._note_load)
+        self.state = EngineState(self.options, self.cache, self._note_load, unix_time)
         self.scheduler = RunScheduler(
             self.options, self.cache, lambda: self.state.version, self._note_load
         )
@@ -129,7 +136,7 @@
 
     def _answer_headers(self, request: web.Request, run: Run) -> dict[str, str]:
         run_id = run.request.run_id
-        faults = request[STREAM_FAULTS]
+        faults = request[REQUEST_FAULTS]
         if any(f.kind is FaultKind.CROSS and f.after_events == 0 for f in faults):
             run_id = f"other-{run_id}"
         scheduler = self.scheduler
@@ -180,7 +187,7 @@
 
     async def _handle_events(self, request: web.Request) -> web.Response:
         events = self.cache.visible_events(int(request.query.get("after", "0")))
-        if any(fault.kind is FaultKind.GAP for fault in request[STREAM_FAULTS]):
+        if has_fault(request, FaultKind.GAP):
             events = events[::2]
         newest = events[-1].sequence if events else self.cache.sequence
         content = {
--- a/src/banyanswitch_standins/engine/weights.py
+++ b/src/banyanswitch_standins/engine/weights.py
@@ -1,7 +1,6 @@
 """Weight version of the stand-in engine and the orders that change it."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -34,7 +33,11 @@
     """Version, role and highest fencing token of one engine."""
 
     def __init__(
-        self, options: EngineOptions, cache: PrefixCache, on_change: Callable[[], None]
+        self,
+        options: EngineOptions,
+        cache: PrefixCache,
+        on_change: Callable[[], None],
+        unix_time: Callable[[], float],
     ) -> None:
         self.version = options.version
         self.is_leaving = False
@@ -42,6 +45,7 @@
         self._options = options
         self._cache = cache
         self._on_change = on_change
+        self._unix_time = unix_time
         self._highest_token = 0
         self._load_task: asyncio.Task[None] | None = None
 
@@ -51,9 +55,9 @@
         Raises
         ------
         OrderRefusedError
-            If the order has expired or an newer holder has given orders.
+            If the order has expired or a newer holder has given orders.
         """
-        if time.time() > order.expires_at_unix_s:
+        if self._unix_time() > order.expires_at_unix_s:
             raise OrderRefusedError(410, "order_expired")
         if self._options.checks_fencing and order.fencing_token < self._highest_token:
             raise OrderRefusedError(409, "stale_fencing_token")
--- a/src/banyanswitch_standins/faults.py
+++ b/src/banyanswitch_standins/faults.py
@@ -11,7 +11,7 @@
 
 CALLER_HEADER: Final = "X-Banyan-Caller"
 CONTROL_ROUTES: Final = ("/faults", "/stats")
-STREAM_FAULTS: Final = web.RequestKey("stream_faults", list)
+REQUEST_FAULTS: Final = web.RequestKey("faults", list)
 LOSE_ANSWER: Final = web.RequestKey("lose_answer", bool)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -29,6 +29,8 @@
     CROSS = "cross"
     CUT = "cut"
     GAP = "gap"
+    TORN = "torn"
+    CORRUPT = "corrupt"
 
 
 class Fault(msgspec.Struct, kw_only=True):
@@ -116,7 +118,7 @@
             return close_connection(request)
         if FaultKind.FAIL in kinds:
             return web.json_response({"code": "unavailable"}, status=503)
-        request[STREAM_FAULTS] = faults
+        request[REQUEST_FAULTS] = faults
         request[LOSE_ANSWER] = FaultKind.LOSE_ANSWER in kinds
         response = await handler(request)
         if request[LOSE_ANSWER]:
@@ -138,6 +140,11 @@
         return web.json_response(dict(self.counters))
 
 
+def has_fault(request: web.Request, kind: FaultKind) -> bool:
+    """Return whether a fault of this kind strikes the request."""
+    return any(fault.kind is kind for fault in request[REQUEST_FAULTS])
+
+
 def close_connection(request: web.Request) -> web.Response:
     """Close the connection without an answer."""
     if request.transport is not None:
--- a/src/banyanswitch_standins/kv_store.py
+++ b/src/banyanswitch_standins/kv_store.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from banyanswitch_standins.app import StandIn, json_answer
+from banyanswitch_standins.faults import FaultKind, has_fault
 from banyanswitch_standins.rates import SharedLink
 
 CHUNK_BYTES: Final = 64 * 1024
@@ -87,7 +88,7 @@
             return json_answer({"code": "not_found"}, status=404)
         if name in self._memory:
             self._memory.move_to_end(name)
-        content = bytes(block)
+        content = _apply_faults(request, bytes(block))
         response = web.StreamResponse()
         response.content_length = len(content)
         await response.prepare(request)
@@ -143,3 +144,11 @@
         block = self._disk.pop(name, None)
         if block is not None:
             self._disk_used_bytes -= len(block)
+
+
+def _apply_faults(request: web.Request, content: bytes) -> bytes:
+    if has_fault(request, FaultKind.TORN):
+        return content[: len(content) // 2]
+    if has_fault(request, FaultKind.CORRUPT):
+        return bytes(len(content))
+    return content
--- a/src/banyanswitch_standins/plain.py
+++ b/src/banyanswitch_standins/plain.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from banyanswitch_standins.app import StandIn, json_answer
-from banyanswitch_standins.faults import STREAM_FAULTS, FaultKind
+from banyanswitch_standins.faults import FaultKind, has_fault
 
 RUN_ID_HEADER = "X-Banyan-Run-Id"
 WORKSPACE_HEADER = "X-Banyan-Workspace"
@@ -26,7 +26,7 @@
         super().__init__()
         self._work_s = work_s
         self._by_run: Counter[str] = Counter()
-        self._by_body: Counter[str] = Counter()
+        self._by_digest: Counter[str] = Counter()
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the counters and a route for everything else."""
@@ -34,21 +34,21 @@
         router.add_route("*", "/{path:.*}", self._handle_call)
 
     async def _handle_executions(self, _request: web.Request) -> web.Response:
-        return json_answer({"by_run": self._by_run, "by_body": self._by_body})
+        return json_answer({"by_run": self._by_run, "by_digest": self._by_digest})
 
     async def _handle_call(self, request: web.Request) -> web.Response:
         run_id = request.headers.get(RUN_ID_HEADER, "")
         body_digest = sha256(await request.read()).hexdigest()
         self._by_run[run_id] += 1
-        self._by_body[body_digest] += 1
-        execution = self._by_body[body_digest]
+        self._by_digest[body_digest] += 1
+        execution = self._by_digest[body_digest]
         if self._work_s:
             await asyncio.sleep(self._work_s)
         headers = {
             RUN_ID_HEADER: run_id,
             WORKSPACE_HEADER: request.headers.get(WORKSPACE_HEADER, ""),
         }
-        if any(fault.kind is FaultKind.CROSS for fault in request[STREAM_FAULTS]):
+        if has_fault(request, FaultKind.CROSS):
             headers[RUN_ID_HEADER] = f"other-{run_id}"
         content = {"execution": execution, "body_digest": body_digest}
         return json_answer(content, headers=headers)
