--- /dev/null
+++ b/src/banyanswitch/components/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Audit trail of changes."""
--- /dev/null
+++ b/src/banyanswitch/components/audit/codec.py
@@ -0,0 +1,30 @@
+"""Keys and encoding of audit records in the table service."""
+
+from typing import Final
+
+import msgspec
+
+from banyanswitch.components.audit.const import AUDIT_PREFIX, MILLISECONDS_PER_S
+from banyanswitch.components.audit.models import AuditRecord
+
+_DECODER: Final = msgspec.msgpack.Decoder(tuple[AuditRecord, ...])
+
+
+def time_key(at_unix_s: float) -> str:
+    """Return the beginning of the keys of records of a time."""
+    return f"{AUDIT_PREFIX}{int(at_unix_s * MILLISECONDS_PER_S):013d}"
+
+
+def batch_key(records: tuple[AuditRecord, ...]) -> str:
+    """Return the key of an item that holds some records, in the order of time."""
+    return f"{time_key(records[0].at_unix_s)}-{records[0].identity}"
+
+
+def encode_batch(records: tuple[AuditRecord, ...]) -> bytes:
+    """Return the encoded form of records that share an item."""
+    return msgspec.msgpack.encode(records)
+
+
+def decode_batch(value: bytes) -> tuple[AuditRecord, ...]:
+    """Return the records of an item."""
+    return _DECODER.decode(value)
--- /dev/null
+++ b/src/banyanswitch/components/configuration/__init__.py
@@ -0,0 +1,42 @@
+"""Configuration in force: kept encoded, spread from instance to instance."""
+
+import random
+
+from banyanswitch.components.configuration.const import DOMAIN
+from banyanswitch.components.configuration.coordinator import ConfigurationCoordinator
+from banyanswitch.components.configuration.repository import ConfigurationRepository
+from banyanswitch.components.configuration.store_watcher import StoreWatcher
+from banyanswitch.components.configuration.view import HeldConfiguration
+from banyanswitch.core import REGISTRY, Kernel
+from banyanswitch.interfaces import (
+    ConfigurationView,
+    ObjectStore,
+    PeerDirectory,
+    PeerTransport,
+    TableStore,
+)
+
+__all__ = ["DOMAIN", "async_setup"]
+
+
+async def async_setup(kernel: Kernel) -> None:
+    """Provide the configuration in force and keep it up to date."""
+    held = HeldConfiguration()
+    directory = kernel.require(PeerDirectory)
+    generator = kernel.require(random.Random)
+    coordinator = ConfigurationCoordinator(
+        held, directory, kernel.require(PeerTransport), kernel.bus, generator
+    )
+    repository = ConfigurationRepository(
+        kernel.require(TableStore), kernel.require(ObjectStore)
+    )
+    watcher = StoreWatcher(repository, coordinator, directory, generator)
+    kernel.provide(ConfigurationView, held)
+    kernel.create_task(coordinator.async_run_messages(), "configuration_messages")
+    kernel.create_task(
+        coordinator.async_run_announcements(), "configuration_announcements"
+    )
+    kernel.create_task(watcher.async_run(), "configuration_watcher")
+
+
+REGISTRY.register(DOMAIN, async_setup, depends_on=("platform", "peers", "membership"))
--- /dev/null
+++ b/src/banyanswitch/components/configuration/acceptance.py
@@ -0,0 +1,250 @@
+"""Acceptance of a new configuration by one conditional transaction."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from banyanswitch.components.audit.codec import batch_key, encode_batch
+from banyanswitch.components.audit.models import AuditKind, AuditRecord
+from banyanswitch.components.configuration.codec import (
+    delta_key,
+    encode_delta,
+    encode_head,
+)
+from banyanswitch.components.configuration.const import (
+    HEAD_KEY,
+    MAX_DELTA_BYTES,
+    REVISIONS_PER_SNAPSHOT,
+)
+from banyanswitch.components.configuration.errors import (
+    AcceptanceUnknownError,
+    RevisionConflictError,
+)
+from banyanswitch.components.configuration.models import Delta, Head
+from banyanswitch.components.configuration.packed_records import PackedRecords
+from banyanswitch.components.configuration.repository import (
+    EMPTY_BUCKET_DIGEST,
+    EMPTY_CONTENT,
+    OBJECTS_AT_ONCE,
+    AcceptedHead,
+    ConfigurationRepository,
+    Content,
+    bucket_name,
+    manifest_name,
+)
+from banyanswitch.config.models import Configuration
+from banyanswitch.config.records import RecordChange, difference, to_records
+from banyanswitch.exceptions import (
+    ConditionFailedError,
+    PlatformError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from banyanswitch.interfaces import ObjectStore, TableStore, Write, WriteClass
+
+MAX_TRIES: Final = 5
+RETRY_INTERVAL_S: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Author:
+    """Who makes a change, in which attempt and when."""
+
+    operator: str
+    attempt: str
+    now_unix_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Acceptance:
+    """Result of a change that is in force.
+
+    Parameters
+    ----------
+    changes : tuple of RecordChange
+        What was changed; empty if the configuration was in force already.
+    """
+
+    revision: int
+    changes: tuple[RecordChange, ...]
+
+
+class ConfigurationAcceptor:
+    """Put a configuration in force: all of it, or nothing.
+
+    Whatever the size of a change, the transaction writes the head, one delta and
+    the audit record. A change that is too large for a delta is stored as objects
+    before, which nothing refers to until the head does.
+    """
+
+    def __init__(self, table: TableStore, objects: ObjectStore) -> None:
+        self._table = table
+        self._objects = objects
+        self._repository = ConfigurationRepository(table, objects)
+
+    async def async_apply(
+        self,
+        configuration: Configuration,
+        author: Author,
+        expected_revision: int | None = None,
+    ) -> Acceptance:
+        """Put a valid configuration in force.
+
+        Parameters
+        ----------
+        expected_revision : int, optional
+            Revision that the change was made from; a later one is a conflict.
+
+        Raises
+        ------
+        RevisionConflictError
+            If another change was accepted first.
+        AcceptanceUnknownError
+            If no answer told whether the change was accepted.
+        PlatformError
+            If the platform did not take the change.
+        """
+        accepted = await self._repository.async_head()
+        _check_expected(accepted.head, expected_revision)
+        before = await self._async_content(accepted.head)
+        changes = difference(dict(before.records.items()), to_records(configuration))
+        if not changes:
+            return Acceptance(before.revision, ())
+        after = Content(before.revision + 1, before.records.changed(changes))
+        delta = _make_delta(before, after, changes, author)
+        head = await self._async_make_head(accepted.head, after, delta)
+        await self._async_commit(accepted, head, delta, len(changes))
+        return Acceptance(after.revision, changes)
+
+    async def _async_content(self, head: Head | None) -> Content:
+        if head is None:
+            return EMPTY_CONTENT
+        return await self._repository.async_content(head, EMPTY_CONTENT)
+
+    async def _async_make_head(
+        self, before: Head | None, after: Content, delta: Delta
+    ) -> Head:
+        snapshot_revision = before.snapshot_revision if before else 0
+        snapshot_digest = before.snapshot_digest if before else b""
+        is_due = after.revision - snapshot_revision >= REVISIONS_PER_SNAPSHOT
+        if delta.changes is None or is_due:
+            await self._async_store_snapshot(before, after.records)
+            snapshot_revision = after.revision
+            snapshot_digest = after.records.digest
+        return Head(
+            revision=after.revision,
+            digest=after.records.digest,
+            operator=delta.operator,
+            attempt=delta.attempt,
+            accepted_at_unix_s=delta.accepted_at_unix_s,
+            snapshot_revision=snapshot_revision,
+            snapshot_digest=snapshot_digest,
+        )
+
+    async def _async_store_snapshot(
+        self, before: Head | None, records: PackedRecords
+    ) -> None:
+        stored = {EMPTY_BUCKET_DIGEST}
+        if before is not None and before.snapshot_revision > 0:
+            manifest = await self._repository.async_manifest(before.snapshot_digest)
+            stored.update(manifest)
+        limit = asyncio.Semaphore(OBJECTS_AT_ONCE)
+        missing = [
+            index
+            for index in records.bucket_indexes()
+            if records.bucket_digest(index) not in stored
+        ]
+        await asyncio.gather(
+            *(self._async_store_bucket(records, index, limit) for index in missing)
+        )
+        await self._objects.async_put(manifest_name(records.digest), records.manifest)
+
+    async def _async_store_bucket(
+        self, records: PackedRecords, index: int, limit: asyncio.Semaphore
+    ) -> None:
+        name = bucket_name(records.bucket_digest(index))
+        async with limit:
+            await self._objects.async_put(name, records.packed_bucket(index))
+
+    async def _async_commit(
+        self, accepted: AcceptedHead, head: Head, delta: Delta, change_count: int
+    ) -> None:
+        writes = (
+            Write(HEAD_KEY, encode_head(head), accepted.item_revision),
+            Write(delta_key(delta.revision), encode_delta(delta), 0),
+            _audit_write(delta, change_count),
+        )
+        is_outcome_open = False
+        for try_number in range(MAX_TRIES):
+            if try_number > 0:
+                await asyncio.sleep(RETRY_INTERVAL_S)
+            try:
+                await self._table.async_transact(writes, WriteClass.CONFIGURATION)
+                return
+            except ConditionFailedError:
+                if await self._async_is_ours(delta, is_outcome_open):
+                    return
+            except PlatformOutcomeUnknownError:
+                is_outcome_open = True
+            except PlatformUnavailableError:
+                if not is_outcome_open:
+                    raise
+        raise AcceptanceUnknownError(delta.attempt)
+
+    async def _async_is_ours(self, delta: Delta, is_outcome_open: bool) -> bool:
+        """Return whether the delta in the table is this attempt's own.
+
+        A repeated transaction fails if the first one had its effect, so that the
+        identity of the attempt decides and not the failed condition.
+        """
+        try:
+            winner = await self._repository.async_delta(delta.revision)
+        except PlatformError as error:
+            if is_outcome_open:
+                raise AcceptanceUnknownError(delta.attempt) from error
+            raise RevisionConflictError(delta.revision, "unknown", 0.0) from error
+        if winner is None:
+            return False
+        if winner.attempt == delta.attempt:
+            return True
+        raise RevisionConflictError(
+            winner.revision, winner.operator, winner.accepted_at_unix_s
+        )
+
+
+def _check_expected(head: Head | None, expected_revision: int | None) -> None:
+    revision = head.revision if head else 0
+    if expected_revision is None or expected_revision == revision:
+        return
+    if head is None:
+        raise RevisionConflictError(0, "nobody", 0.0)
+    raise RevisionConflictError(revision, head.operator, head.accepted_at_unix_s)
+
+
+def _make_delta(
+    before: Content, after: Content, changes: tuple[RecordChange, ...], author: Author
+) -> Delta:
+    is_small = len(msgspec.msgpack.encode(changes)) <= MAX_DELTA_BYTES
+    return Delta(
+        revision=after.revision,
+        base_digest=before.records.digest,
+        digest=after.records.digest,
+        operator=author.operator,
+        attempt=author.attempt,
+        accepted_at_unix_s=author.now_unix_s,
+        changes=changes if is_small else None,
+    )
+
+
+def _audit_write(delta: Delta, change_count: int) -> Write:
+    record = AuditRecord(
+        at_unix_s=delta.accepted_at_unix_s,
+        kind=AuditKind.CONFIGURATION,
+        actor=delta.operator,
+        subject=f"revision {delta.revision}",
+        detail=f"{change_count} records changed",
+        identity=delta.attempt,
+    )
+    return Write(batch_key((record,)), encode_batch((record,)))
--- /dev/null
+++ b/src/banyanswitch/components/configuration/catalog.py
@@ -0,0 +1,104 @@
+"""Decoded objects of a configuration, except its many workspaces."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Any, cast
+
+from banyanswitch.config.models import (
+    KvStore,
+    Link,
+    Retention,
+    Service,
+    Upstream,
+    WeightRelease,
+)
+from banyanswitch.config.records import (
+    RETENTION_KEY,
+    RecordChange,
+    RecordKind,
+    decode_record,
+    record_kind,
+)
+from banyanswitch.identifiers import ServiceName, UpstreamId
+
+
+class Catalog:
+    """Services, upstreams, stores, links, releases and retention, kept decoded."""
+
+    def __init__(self) -> None:
+        self._records: dict[RecordKind, dict[str, Any]] = {
+            kind: {} for kind in RecordKind if kind is not RecordKind.WORKSPACE
+        }
+        self._upstreams_by_service: dict[ServiceName, tuple[Upstream, ...]] = {}
+        self._releases_by_service: dict[ServiceName, tuple[WeightRelease, ...]] = {}
+        self._services: tuple[Service, ...] = ()
+        self._stores: tuple[KvStore, ...] = ()
+        self._links: tuple[Link, ...] = ()
+
+    def apply(self, changes: Iterable[RecordChange]) -> None:
+        """Take over changes; those of workspaces are passed by."""
+        is_changed = False
+        for change in changes:
+            kind = record_kind(change.key)
+            if kind is RecordKind.WORKSPACE:
+                continue
+            is_changed = True
+            if change.value is None:
+                self._records[kind].pop(change.key, None)
+                continue
+            record = decode_record(change.key, change.value)
+            self._records[kind][change.key] = record
+        if is_changed:
+            self._index()
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service."""
+        key = f"{RecordKind.SERVICE.value}/{name}"
+        return cast(Service | None, self._records[RecordKind.SERVICE].get(key))
+
+    def upstream(self, name: UpstreamId) -> Upstream | None:
+        """Return an upstream."""
+        key = f"{RecordKind.UPSTREAM.value}/{name}"
+        return cast(Upstream | None, self._records[RecordKind.UPSTREAM].get(key))
+
+    def services(self) -> tuple[Service, ...]:
+        """Return all services, in the order of their names."""
+        return self._services
+
+    def upstreams(self, service: ServiceName) -> tuple[Upstream, ...]:
+        """Return the upstreams of a service, in the order of their names."""
+        return self._upstreams_by_service.get(service, ())
+
+    def releases(self, service: ServiceName) -> tuple[WeightRelease, ...]:
+        """Return the weight versions of a service."""
+        return self._releases_by_service.get(service, ())
+
+    def stores(self) -> tuple[KvStore, ...]:
+        """Return all KV stores."""
+        return self._stores
+
+    def links(self) -> tuple[Link, ...]:
+        """Return all links."""
+        return self._links
+
+    def retention(self) -> Retention:
+        """Return how long records are kept."""
+        records = self._records[RecordKind.RETENTION]
+        return cast(Retention, records.get(RETENTION_KEY) or Retention())
+
+    def _index(self) -> None:
+        self._services = self._in_order(RecordKind.SERVICE)
+        self._stores = self._in_order(RecordKind.STORE)
+        self._links = self._in_order(RecordKind.LINK)
+        self._upstreams_by_service = _by_service(self._in_order(RecordKind.UPSTREAM))
+        self._releases_by_service = _by_service(self._in_order(RecordKind.RELEASE))
+
+    def _in_order(self, kind: RecordKind) -> tuple[Any, ...]:
+        return tuple(record for _, record in sorted(self._records[kind].items()))
+
+
+def _by_service(records: tuple[Any, ...]) -> dict[ServiceName, tuple[Any, ...]]:
+    grouped: dict[ServiceName, list[Any]] = defaultdict(list)
+    for record in records:
+        grouped[record.service].append(record)
+    return {service: tuple(members) for service, members in grouped.items()}
--- /dev/null
+++ b/src/banyanswitch/components/configuration/codec.py
@@ -0,0 +1,36 @@
+"""Encoding of the items that the table service keeps."""
+
+from typing import Final
+
+import msgspec
+
+from banyanswitch.components.configuration.const import DELTA_PREFIX
+from banyanswitch.components.configuration.models import Delta, Head
+
+_HEAD_DECODER: Final = msgspec.msgpack.Decoder(Head)
+_DELTA_DECODER: Final = msgspec.msgpack.Decoder(Delta)
+
+
+def encode_head(head: Head) -> bytes:
+    """Return the encoded form of a head."""
+    return msgspec.msgpack.encode(head)
+
+
+def decode_head(value: bytes) -> Head:
+    """Return the head of an item."""
+    return _HEAD_DECODER.decode(value)
+
+
+def encode_delta(delta: Delta) -> bytes:
+    """Return the encoded form of a delta."""
+    return msgspec.msgpack.encode(delta)
+
+
+def decode_delta(value: bytes) -> Delta:
+    """Return the delta of an item."""
+    return _DELTA_DECODER.decode(value)
+
+
+def delta_key(revision: int) -> str:
+    """Return the key of the item that holds a revision's delta."""
+    return f"{DELTA_PREFIX}{revision:012d}"
--- /dev/null
+++ b/src/banyanswitch/components/configuration/errors.py
@@ -0,0 +1,41 @@
+"""Errors of accepting and reading a configuration."""
+
+from banyanswitch.exceptions import BanyanswitchError, PlatformError
+
+
+class RevisionConflictError(BanyanswitchError):
+    """Another change was accepted first; nothing of this one was.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the other change made.
+    operator : str
+        Who made it.
+    accepted_at_unix_s : float
+        When it was made, in seconds since the Unix epoch.
+    """
+
+    def __init__(self, revision: int, operator: str, accepted_at_unix_s: float) -> None:
+        super().__init__(f"revision {revision} by {operator} was accepted first")
+        self.revision = revision
+        self.operator = operator
+        self.accepted_at_unix_s = accepted_at_unix_s
+
+
+class AcceptanceUnknownError(PlatformError):
+    """No answer told whether a change was accepted.
+
+    Parameters
+    ----------
+    attempt : str
+        Identity of the attempt, which the history names if it was accepted.
+    """
+
+    def __init__(self, attempt: str) -> None:
+        super().__init__(f"it is unknown whether attempt {attempt} was accepted")
+        self.attempt = attempt
+
+
+class ContentError(PlatformError):
+    """Stored content is missing or does not match its digest."""
--- /dev/null
+++ b/src/banyanswitch/components/configuration/key_index.py
@@ -0,0 +1,80 @@
+"""Compact index from the digests of bearer keys to buckets."""
+
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterator, Sequence
+from typing import Final, NamedTuple
+
+_PREFIX_HEX_DIGITS: Final = 16
+_FEW_CHANGES: Final = 64
+
+
+class KeyEntry(NamedTuple):
+    """A key and the bucket of its workspace.
+
+    Parameters
+    ----------
+    key_digest : str
+        SHA-256 digest of the key in hexadecimal.
+    bucket : int
+        Number of the bucket.
+    """
+
+    key_digest: str
+    bucket: int
+
+
+class KeyIndex:
+    """Find the buckets that may hold the workspace of a key.
+
+    Ten bytes a key: the first 64 bits of its digest and the number of a bucket.
+    Two keys may share their first bits, so that a caller compares whole digests.
+    """
+
+    __slots__ = ("_buckets", "_prefixes")
+
+    def __init__(self) -> None:
+        self._prefixes = array("Q")
+        self._buckets = array("H")
+
+    def update(self, removed: Sequence[KeyEntry], added: Sequence[KeyEntry]) -> None:
+        """Remove entries that were added before, then add others."""
+        for entry in removed:
+            self._remove(entry)
+        if len(added) <= _FEW_CHANGES:
+            for entry in added:
+                self._add(entry)
+            return
+        known = zip(self._prefixes, self._buckets, strict=True)
+        new = ((_prefix(entry.key_digest), entry.bucket) for entry in added)
+        ordered = sorted([*known, *new])
+        self._prefixes = array("Q", (prefix for prefix, _ in ordered))
+        self._buckets = array("H", (bucket for _, bucket in ordered))
+
+    def buckets(self, key_digest: str) -> Iterator[int]:
+        """Yield the buckets whose workspaces may have this key."""
+        for position in self._positions(_prefix(key_digest)):
+            yield self._buckets[position]
+
+    def _add(self, entry: KeyEntry) -> None:
+        prefix = _prefix(entry.key_digest)
+        position = bisect_left(self._prefixes, prefix)
+        self._prefixes.insert(position, prefix)
+        self._buckets.insert(position, entry.bucket)
+
+    def _remove(self, entry: KeyEntry) -> None:
+        for position in self._positions(_prefix(entry.key_digest)):
+            if self._buckets[position] == entry.bucket:
+                self._prefixes.pop(position)
+                self._buckets.pop(position)
+                return
+
+    def _positions(self, prefix: int) -> Iterator[int]:
+        position = bisect_left(self._prefixes, prefix)
+        while position < len(self._prefixes) and self._prefixes[position] == prefix:
+            yield position
+            position += 1
+
+
+def _prefix(key_digest: str) -> int:
+    return int(key_digest[:_PREFIX_HEX_DIGITS], 16)
--- /dev/null
+++ b/src/banyanswitch/components/configuration/repository.py
@@ -0,0 +1,175 @@
+"""Reading of the accepted configuration from the platform."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass
+from typing import Final
+
+from banyanswitch.components.configuration.codec import (
+    decode_delta,
+    decode_head,
+    delta_key,
+)
+from banyanswitch.components.configuration.const import (
+    BUCKET_OBJECT_PREFIX,
+    DELTA_PREFIX,
+    HEAD_KEY,
+    MANIFEST_OBJECT_PREFIX,
+)
+from banyanswitch.components.configuration.errors import ContentError
+from banyanswitch.components.configuration.models import Delta, Head
+from banyanswitch.components.configuration.packed_records import (
+    BucketError,
+    PackedRecords,
+    packed_digest,
+    split_manifest,
+)
+from banyanswitch.interfaces import ObjectStore, TableStore
+
+DELTAS_PER_QUERY: Final = 64
+OBJECTS_AT_ONCE: Final = 8
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedHead:
+    """The head and the revision of its item, for a conditional write."""
+
+    head: Head | None
+    item_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """Content of one revision."""
+
+    revision: int
+    records: PackedRecords
+
+    def after(self, delta: Delta) -> "Content | None":
+        """Return the content after a delta, or ``None`` if it does not fit."""
+        if delta.revision != self.revision + 1 or delta.changes is None:
+            return None
+        if delta.base_digest != self.records.digest:
+            return None
+        records = self.records.changed(delta.changes)
+        if records.digest != delta.digest:
+            return None
+        return Content(delta.revision, records)
+
+
+EMPTY_CONTENT: Final = Content(0, PackedRecords.empty())
+
+
+class ConfigurationRepository:
+    """Accepted revisions in the table service and the object store."""
+
+    def __init__(self, table: TableStore, objects: ObjectStore) -> None:
+        self._table = table
+        self._objects = objects
+
+    async def async_head(self) -> AcceptedHead:
+        """Return the head as accepted last."""
+        items = await self._table.async_get([HEAD_KEY])
+        if not items:
+            return AcceptedHead(None, 0)
+        return AcceptedHead(decode_head(items[0].value), items[0].revision)
+
+    async def async_delta(self, revision: int) -> Delta | None:
+        """Return what a revision changed."""
+        items = await self._table.async_get([delta_key(revision)])
+        return decode_delta(items[0].value) if items else None
+
+    async def async_deltas(
+        self, after_revision: int, limit: int = DELTAS_PER_QUERY
+    ) -> tuple[Delta, ...]:
+        """Return the deltas that follow a revision, oldest first."""
+        items = await self._table.async_query(
+            DELTA_PREFIX, after=delta_key(after_revision), limit=limit
+        )
+        return tuple(decode_delta(item.value) for item in items)
+
+    async def async_content(self, head: Head, held: Content) -> Content:
+        """Return the content of a head, reading only what differs from ``held``.
+
+        Raises
+        ------
+        ContentError
+            If what is stored does not match its digest.
+        PlatformError
+            If the platform can't be read.
+        """
+        content = held
+        if held.revision < head.snapshot_revision:
+            content = await self._async_snapshot(head, held)
+        while content.revision < head.revision:
+            deltas = await self.async_deltas(content.revision)
+            content = _after_deltas(content, deltas)
+        return content
+
+    async def async_manifest(self, digest: bytes) -> tuple[bytes, ...]:
+        """Return the digests of the buckets of stored content."""
+        name = manifest_name(digest)
+        manifest = await self._objects.async_get_object(name)
+        if manifest is None or hashlib.sha256(manifest).digest() != digest:
+            raise ContentError(f"object {name} is missing or damaged")
+        return split_manifest(manifest)
+
+    async def _async_snapshot(self, head: Head, held: Content) -> Content:
+        digests = await self.async_manifest(head.snapshot_digest)
+        differing = [
+            index
+            for index, digest in enumerate(digests)
+            if digest != held.records.bucket_digest(index)
+        ]
+        limit = asyncio.Semaphore(OBJECTS_AT_ONCE)
+        buckets = await asyncio.gather(
+            *(self._async_bucket(digests[index], limit) for index in differing)
+        )
+        replacements = dict(zip(differing, buckets, strict=True))
+        records = held.records.with_buckets(replacements)
+        return Content(head.snapshot_revision, records)
+
+    async def _async_bucket(self, digest: bytes, limit: asyncio.Semaphore) -> bytes:
+        if digest == EMPTY_BUCKET_DIGEST:
+            return b""
+        name = bucket_name(digest)
+        async with limit:
+            packed = await self._objects.async_get_object(name)
+        if packed is None or not _is_bucket(packed, digest):
+            raise ContentError(f"object {name} is missing or damaged")
+        return packed
+
+
+EMPTY_BUCKET_DIGEST: Final = hashlib.sha256(b"").digest()
+
+
+def manifest_name(digest: bytes) -> str:
+    """Return the name of the object that holds a manifest."""
+    return MANIFEST_OBJECT_PREFIX + digest.hex()
+
+
+def bucket_name(digest: bytes) -> str:
+    """Return the name of the object that holds a bucket."""
+    return BUCKET_OBJECT_PREFIX + digest.hex()
+
+
+def _is_bucket(packed: bytes, digest: bytes) -> bool:
+    try:
+        return packed_digest(packed) == digest
+    except BucketError:
+        return False
+
+
+def _after_deltas(content: Content, deltas: tuple[Delta, ...]) -> Content:
+    if not deltas:
+        raise ContentError(f"no delta follows revision {content.revision}")
+    for delta in deltas:
+        following = content.after(delta)
+        if following is None:
+            break
+        content = following
+    else:
+        return content
+    if content.revision + 1 == deltas[0].revision:
+        raise ContentError(f"the delta of revision {deltas[0].revision} does not fit")
+    return content
--- /dev/null
+++ b/src/banyanswitch/components/configuration/store_watcher.py
@@ -0,0 +1,105 @@
+"""Reading of newly accepted revisions from the platform."""
+
+import asyncio
+import random
+
+import structlog
+
+from banyanswitch.components.configuration.const import (
+    BACKGROUND_READS_PER_S,
+    PEERS_FIRST_S,
+    STORE_READ_DELAY_S,
+    WATCH_INTERVAL_S,
+    WATCHER_COUNT,
+)
+from banyanswitch.components.configuration.coordinator import ConfigurationCoordinator
+from banyanswitch.components.configuration.models import Head
+from banyanswitch.components.configuration.repository import ConfigurationRepository
+from banyanswitch.components.configuration.watchers import choose_watchers
+from banyanswitch.exceptions import PlatformError
+from banyanswitch.interfaces import PeerDirectory
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class StoreWatcher:
+    """Read the head in the table service and hand new content on.
+
+    A few instances read it regularly. All others together make a few reads a
+    second, in case the watchers are cut off from the platform. An instance without
+    any content waits for its peers before it reads the platform.
+
+    Parameters
+    ----------
+    repository : ConfigurationRepository
+        Accepted revisions.
+    coordinator : ConfigurationCoordinator
+        Puts content in force.
+    directory : PeerDirectory
+        Instances that are believed alive.
+    generator : random.Random
+        Spreads the reads of the instances that don't watch.
+    """
+
+    def __init__(
+        self,
+        repository: ConfigurationRepository,
+        coordinator: ConfigurationCoordinator,
+        directory: PeerDirectory,
+        generator: random.Random,
+    ) -> None:
+        self._repository = repository
+        self._coordinator = coordinator
+        self._directory = directory
+        self._random = generator
+        self._is_platform_readable = True
+        self._peers_first_until_s = 0.0
+
+    async def async_run(self) -> None:
+        """Watch until cancelled."""
+        started_at_s = asyncio.get_running_loop().time()
+        wait_s = PEERS_FIRST_S * self._random.uniform(1.0, 2.0)
+        self._peers_first_until_s = started_at_s + wait_s
+        await asyncio.sleep(STORE_READ_DELAY_S * self._random.uniform(0.5, 1.0))
+        while True:
+            if self._is_read_due():
+                await self.async_read()
+            await asyncio.sleep(WATCH_INTERVAL_S * self._random.uniform(0.9, 1.1))
+
+    async def async_read(self) -> None:
+        """Read the head, and the content if it is later than the one in force."""
+        try:
+            accepted = await self._repository.async_head()
+            if accepted.head is not None:
+                await self._async_take(accepted.head)
+        except PlatformError as error:
+            if self._is_platform_readable:
+                LOGGER.warning("configuration_not_readable", reason=str(error))
+            self._is_platform_readable = False
+            return
+        if not self._is_platform_readable:
+            LOGGER.info("configuration_readable_again")
+        self._is_platform_readable = True
+
+    async def _async_take(self, head: Head) -> None:
+        held = self._coordinator.content
+        if head.revision <= held.revision:
+            return
+        self._coordinator.learn_digest(head.revision, head.digest)
+        if held.revision >= head.snapshot_revision:
+            deltas = await self._repository.async_deltas(held.revision)
+            await self._coordinator.async_take_deltas(deltas)
+            return
+        content = await self._repository.async_content(head, held)
+        await self._coordinator.async_take_content(content)
+
+    def _is_read_due(self) -> bool:
+        peers = self._directory.peers()
+        this_instance = self._directory.this_instance().instance
+        if this_instance in choose_watchers(peers, WATCHER_COUNT):
+            return True
+        now_s = asyncio.get_running_loop().time()
+        if self._coordinator.content.revision == 0:
+            return now_s >= self._peers_first_until_s
+        reads_per_interval = BACKGROUND_READS_PER_S * WATCH_INTERVAL_S
+        return self._random.random() < reads_per_interval / max(1, len(peers))
--- /dev/null
+++ b/src/banyanswitch/components/configuration/view.py
@@ -0,0 +1,173 @@
+"""The configuration in force on this instance."""
+
+from collections.abc import Sequence
+from typing import cast
+
+from banyanswitch.components.configuration.catalog import Catalog
+from banyanswitch.components.configuration.const import DECODED_WORKSPACES
+from banyanswitch.components.configuration.key_index import KeyEntry, KeyIndex
+from banyanswitch.components.configuration.packed_records import (
+    PackedRecords,
+    bucket_index,
+)
+from banyanswitch.components.configuration.workspace_cache import (
+    WorkspaceCache,
+    has_key,
+)
+from banyanswitch.config.models import (
+    KvStore,
+    Link,
+    Retention,
+    Service,
+    Upstream,
+    WeightRelease,
+    Workspace,
+)
+from banyanswitch.config.records import (
+    RecordChange,
+    RecordKind,
+    decode_record,
+    difference,
+)
+from banyanswitch.core import callback
+from banyanswitch.identifiers import ServiceName, UpstreamId, WorkspaceId
+
+_WORKSPACE_PREFIX = f"{RecordKind.WORKSPACE.value}/"
+
+
+class HeldConfiguration:
+    """Implementation of ``ConfigurationView`` over packed records.
+
+    Workspaces are decoded when they are asked for; only those used last are kept
+    decoded. Everything else is few and kept decoded.
+
+    Parameters
+    ----------
+    decoded_workspaces : int
+        Workspaces that are kept decoded.
+    """
+
+    def __init__(self, decoded_workspaces: int = DECODED_WORKSPACES) -> None:
+        self._revision = 0
+        self._records = PackedRecords.empty()
+        self._catalog = Catalog()
+        self._key_index = KeyIndex()
+        self._cache = WorkspaceCache(decoded_workspaces)
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 before the first configuration is known."""
+        return self._revision
+
+    @property
+    def records(self) -> PackedRecords:
+        """Content in force."""
+        return self._records
+
+    @callback
+    def replace(self, revision: int, records: PackedRecords) -> bool:
+        """Put a later revision in force.
+
+        Returns
+        -------
+        is_replaced : bool
+            Whether the revision is later than the one in force; an earlier one
+            has no effect.
+        """
+        if revision <= self._revision:
+            return False
+        changes: list[RecordChange] = []
+        for index in self._records.differing_buckets(records):
+            before = dict(self._records.bucket_items(index))
+            after = dict(records.bucket_items(index))
+            changes += difference(before, after)
+        self._update_workspaces(changes)
+        self._catalog.apply(changes)
+        self._revision = revision
+        self._records = records
+        return True
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Return a service."""
+        return self._catalog.service(name)
+
+    def workspace(self, name: WorkspaceId) -> Workspace | None:
+        """Return a workspace."""
+        key = _WORKSPACE_PREFIX + name
+        workspace = self._cache.get(key)
+        if workspace is not None:
+            return workspace
+        value = self._records.get(key)
+        if value is None:
+            return None
+        workspace = cast(Workspace, decode_record(key, value))
+        self._cache.add(key, workspace)
+        return workspace
+
+    def workspace_by_key_digest(self, key_digest: str) -> Workspace | None:
+        """Return the workspace whose bearer key has this SHA-256 digest."""
+        cached = self._cache.get_by_key_digest(key_digest)
+        if cached is not None:
+            return cached
+        for index in self._key_index.buckets(key_digest):
+            workspace = self._find_in_bucket(index, key_digest)
+            if workspace is not None:
+                return workspace
+        return None
+
+    def services(self) -> tuple[Service, ...]:
+        """Return all services."""
+        return self._catalog.services()
+
+    def upstreams(self, service: ServiceName) -> tuple[Upstream, ...]:
+        """Return the upstreams of a service, in the order of their names."""
+        return self._catalog.upstreams(service)
+
+    def upstream(self, name: UpstreamId) -> Upstream | None:
+        """Return an upstream."""
+        return self._catalog.upstream(name)
+
+    def stores(self) -> tuple[KvStore, ...]:
+        """Return all KV stores."""
+        return self._catalog.stores()
+
+    def links(self) -> tuple[Link, ...]:
+        """Return all links."""
+        return self._catalog.links()
+
+    def releases(self, service: ServiceName) -> tuple[WeightRelease, ...]:
+        """Return the weight versions that a service may load."""
+        return self._catalog.releases(service)
+
+    def retention(self) -> Retention:
+        """Return how long records are kept."""
+        return self._catalog.retention()
+
+    def _find_in_bucket(self, index: int, key_digest: str) -> Workspace | None:
+        for key, value in self._records.bucket_items(index):
+            if not key.startswith(_WORKSPACE_PREFIX):
+                continue
+            workspace = cast(Workspace, decode_record(key, value))
+            if has_key(workspace, key_digest):
+                self._cache.add(key, workspace)
+                return workspace
+        return None
+
+    def _update_workspaces(self, changes: Sequence[RecordChange]) -> None:
+        removed: list[KeyEntry] = []
+        added: list[KeyEntry] = []
+        for change in changes:
+            if not change.key.startswith(_WORKSPACE_PREFIX):
+                continue
+            self._cache.remove(change.key)
+            removed += _key_entries(change.key, self._records.get(change.key))
+            added += _key_entries(change.key, change.value)
+        self._key_index.update(removed, added)
+
+
+def _key_entries(key: str, value: bytes | None) -> list[KeyEntry]:
+    if value is None:
+        return []
+    workspace = cast(Workspace, decode_record(key, value))
+    bucket = bucket_index(key)
+    return [KeyEntry(key_digest, bucket) for key_digest in workspace.key_digests]
--- /dev/null
+++ b/src/banyanswitch/components/configuration/workspace_cache.py
@@ -0,0 +1,62 @@
+"""Workspaces that were used last, kept decoded."""
+
+import hmac
+from collections import OrderedDict
+
+from banyanswitch.config.models import Workspace
+
+
+class WorkspaceCache:
+    """Bounded cache of decoded workspaces, by record key and by bearer key.
+
+    Parameters
+    ----------
+    capacity : int
+        Most workspaces that are kept.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._workspaces: OrderedDict[str, Workspace] = OrderedDict()
+        self._keys: dict[str, str] = {}
+
+    def get(self, key: str) -> Workspace | None:
+        """Return a workspace by the key of its record."""
+        workspace = self._workspaces.get(key)
+        if workspace is not None:
+            self._workspaces.move_to_end(key)
+        return workspace
+
+    def get_by_key_digest(self, key_digest: str) -> Workspace | None:
+        """Return the workspace whose bearer key has this digest."""
+        key = self._keys.get(key_digest)
+        if key is None:
+            return None
+        workspace = self.get(key)
+        if workspace is None or not has_key(workspace, key_digest):
+            return None
+        return workspace
+
+    def add(self, key: str, workspace: Workspace) -> None:
+        """Keep a workspace and forget the one unused for the longest time."""
+        self.remove(key)
+        self._workspaces[key] = workspace
+        for key_digest in workspace.key_digests:
+            self._keys[key_digest] = key
+        if len(self._workspaces) > self._capacity:
+            self.remove(next(iter(self._workspaces)))
+
+    def remove(self, key: str) -> None:
+        """Forget a workspace."""
+        workspace = self._workspaces.pop(key, None)
+        if workspace is None:
+            return
+        for key_digest in workspace.key_digests:
+            self._keys.pop(key_digest, None)
+
+
+def has_key(workspace: Workspace, key_digest: str) -> bool:
+    """Return whether one of the workspace's keys has this digest."""
+    return any(
+        hmac.compare_digest(known, key_digest) for known in workspace.key_digests
+    )
--- /dev/null
+++ b/tests/components/configuration/builders.py
@@ -0,0 +1,98 @@
+"""Configurations and nodes for the tests of the component."""
+
+import hashlib
+import random
+from dataclasses import dataclass, field, replace
+
+from banyanswitch.components.configuration.acceptance import (
+    Acceptance,
+    Author,
+    ConfigurationAcceptor,
+)
+from banyanswitch.components.configuration.coordinator import ConfigurationCoordinator
+from banyanswitch.components.configuration.repository import ConfigurationRepository
+from banyanswitch.components.configuration.store_watcher import StoreWatcher
+from banyanswitch.components.configuration.view import HeldConfiguration
+from banyanswitch.config import Configuration, Limits, Workspace
+from banyanswitch.core import Kernel
+from tests.config.test_validation import VALID
+from tests.fakes.peers import FakeNetwork, FakeNode
+from tests.fakes.table import FakeTable
+
+
+def make_workspaces(count: int) -> tuple[Workspace, ...]:
+    return tuple(
+        Workspace(
+            name=f"workspace-{number:05d}",
+            key_digests=(hashlib.sha256(str(number).encode()).hexdigest(),),
+        )
+        for number in range(count)
+    )
+
+
+def make_configuration(workspaces: int) -> Configuration:
+    return replace(VALID, workspaces=make_workspaces(workspaces))
+
+
+def limited(configuration: Configuration, index: int, limit: int) -> Configuration:
+    workspaces = list(configuration.workspaces)
+    limits = Limits(concurrent_requests=limit)
+    workspaces[index] = replace(workspaces[index], limits=limits)
+    return replace(configuration, workspaces=tuple(workspaces))
+
+
+async def apply(
+    table: FakeTable,
+    configuration: Configuration,
+    operator: str = "lan",
+    attempt: str | None = None,
+    expected_revision: int | None = None,
+) -> Acceptance:
+    author = Author(operator, attempt or f"attempt-{random.random()}", 1000.0)
+    acceptor = ConfigurationAcceptor(table, table)
+    return await acceptor.async_apply(configuration, author, expected_revision)
+
+
+@dataclass
+class SpreadNode:
+    node: FakeNode
+    held: HeldConfiguration
+    coordinator: ConfigurationCoordinator
+    kernel: Kernel
+
+
+@dataclass
+class Cluster:
+    """Instances of the component over a fake network and table."""
+
+    table: FakeTable = field(default_factory=lambda: FakeTable(latency_s=0.005))
+    network: FakeNetwork = field(default_factory=FakeNetwork)
+    nodes: list[SpreadNode] = field(default_factory=list)
+
+    def start(self, count: int) -> None:
+        for _ in range(count):
+            self.start_one()
+
+    def start_one(self, table: FakeTable | None = None) -> SpreadNode:
+        number = len(self.nodes)
+        node = self.network.add(number)
+        kernel = Kernel(settings=None)
+        held = HeldConfiguration()
+        generator = random.Random(number)
+        coordinator = ConfigurationCoordinator(held, node, node, kernel.bus, generator)
+        store = table or self.table
+        repository = ConfigurationRepository(store, store)
+        watcher = StoreWatcher(repository, coordinator, node, generator)
+        kernel.create_task(coordinator.async_run_messages(), "messages")
+        kernel.create_task(coordinator.async_run_announcements(), "announcements")
+        kernel.create_task(watcher.async_run(), "watcher")
+        spread_node = SpreadNode(node, held, coordinator, kernel)
+        self.nodes.append(spread_node)
+        return spread_node
+
+    def revisions(self) -> set[int]:
+        return {node.held.revision for node in self.nodes}
+
+    async def async_stop(self) -> None:
+        for node in self.nodes:
+            await node.kernel.async_stop()
--- /dev/null
+++ b/tests/components/configuration/conftest.py
@@ -0,0 +1,14 @@
+"""Fixtures of the component's tests."""
+
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests.components.configuration.builders import Cluster
+
+
+@pytest.fixture
+async def cluster() -> AsyncIterator[Cluster]:
+    cluster = Cluster()
+    yield cluster
+    await cluster.async_stop()
