Add the start of real processes on loopback; cancel only unread runs

The stand-in engine now answers wrong_version with the version it is loading, and honours only_if_unread on DELETE, which the product's client sends.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, benchmarks and fault runs through real processes."""
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,242 @@
+"""Processes on loopback for the demo, the process tests and the fault run."""
+
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final, Self
+
+LISTEN_TIMEOUT_S: Final = 20.0
+STOP_TIMEOUT_S: Final = 20.0
+POLL_S: Final = 0.05
+HTTP_TIMEOUT_S: Final = 5.0
+HOST: Final = "127.0.0.1"
+PEER_KEY: Final = "loopback-peer-key-0123456789"
+STANDIN_MODULE: Final = "banyanswitch_standins.cli"
+ENTRY_MODULE: Final = "banyanswitch.cli.entry"
+CONFIG_MODULE: Final = "banyanswitch.cli.config"
+
+
+class ProcessError(Exception):
+    """A process did not start, answer or end as it should."""
+
+
+@dataclass(eq=False)
+class ChildProcess:
+    """One process that this module started.
+
+    Parameters
+    ----------
+    port : int
+        Port on which it listens, from the line that it printed.
+    log_path : Path
+        File that holds its standard error.
+    """
+
+    name: str
+    process: subprocess.Popen[bytes]
+    port: int
+    log_path: Path
+
+    @property
+    def url(self) -> str:
+        """URL of the process."""
+        return f"http://{HOST}:{self.port}"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once and collect it."""
+        self.signal(signal.SIGKILL)
+        self.process.wait(STOP_TIMEOUT_S)
+
+    def wait_ended(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit status."""
+        try:
+            return self.process.wait(timeout_s)
+        except subprocess.TimeoutExpired as error:
+            raise ProcessError(f"{self.name} did not end in {timeout_s} s") from error
+
+    def post(self, path: str, content: object) -> Any:
+        """Send a JSON document to the process and return its answer."""
+        return request_json("POST", self.url + path, content)
+
+    def get(self, path: str) -> Any:
+        """Return a JSON document of the process."""
+        return request_json("GET", self.url + path)
+
+    def delete(self, path: str) -> Any:
+        """Send a DELETE request."""
+        return request_json("DELETE", self.url + path)
+
+    def add_fault(self, route: str, kind: str, **options: object) -> None:
+        """Put a scripted fault of a stand-in in force."""
+        self.post("/faults", {"route": route, "kind": kind, **options})
+
+    def clear_faults(self) -> None:
+        """Remove all scripted faults of a stand-in."""
+        self.delete("/faults")
+
+    def counter(self, name: str) -> int:
+        """Return a counter of a stand-in."""
+        return int(self.get("/stats").get(name, 0))
+
+    def log_tail(self, lines: int = 20) -> str:
+        """Return the last lines of its standard error."""
+        content = self.log_path.read_text(errors="replace")
+        return "\n".join(content.splitlines()[-lines:])
+
+
+@dataclass(eq=False)
+class ProcessGroup:
+    """Processes that are ended together; each by its own process id."""
+
+    children: list[ChildProcess] = field(default_factory=list)
+
+    def __enter__(self) -> Self:
+        self._directory = tempfile.TemporaryDirectory(prefix="banyanswitch-")
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for child in self.children:
+            child.signal(signal.SIGCONT)
+            child.signal(signal.SIGKILL)
+        for child in self.children:
+            child.process.wait(STOP_TIMEOUT_S)
+        self._directory.cleanup()
+
+    def start(
+        self,
+        name: str,
+        module: str,
+        arguments: Sequence[str],
+        environment: Mapping[str, str] | None = None,
+    ) -> ChildProcess:
+        """Start a Python module and wait for the line with its port."""
+        log_path = Path(self._directory.name) / f"{len(self.children)}-{name}.log"
+        with log_path.open("wb") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, **(environment or {})},
+            )
+        child = ChildProcess(name, process, 0, log_path)
+        self.children.append(child)
+        child.port = _read_port(child)
+        return child
+
+    def start_standin(self, role: str, **options: object) -> ChildProcess:
+        """Start a stand-in; options become flags."""
+        arguments = [role, *_flags(options)]
+        name = str(options.get("upstream", role))
+        return self.start(name, STANDIN_MODULE, arguments)
+
+    def start_entry(
+        self, instance: str, failure_domain: str, **settings: object
+    ) -> ChildProcess:
+        """Start an entry; settings become flags."""
+        known = {
+            "instance": instance,
+            "failure_domain": failure_domain,
+            "port": free_port(),
+            "peer_port": free_port(),
+            "peer_key": PEER_KEY,
+            **settings,
+        }
+        return self.start(instance, ENTRY_MODULE, _flags(known))
+
+
+def run_config(*arguments: str, document: str = "") -> subprocess.CompletedProcess[str]:
+    """Run ``banyanswitch-config`` with a document on its standard input."""
+    return subprocess.run(
+        [sys.executable, "-m", CONFIG_MODULE, *arguments],
+        input=document,
+        capture_output=True,
+        text=True,
+        timeout=LISTEN_TIMEOUT_S,
+        check=False,
+    )
+
+
+def request_json(method: str, url: str, content: object | None = None) -> Any:
+    """Send one HTTP request and return the JSON answer."""
+    body = None if content is None else json.dumps(content).encode()
+    request = urllib.request.Request(url, data=body, method=method)
+    request.add_header("Content-Type", "application/json")
+    with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S) as response:
+        return json.loads(response.read() or b"null")
+
+
+def is_ready(entry: ChildProcess) -> bool:
+    """Return whether an entry says that it is ready."""
+    try:
+        entry.get("/health/ready")
+    except (OSError, urllib.error.URLError):
+        return False
+    return True
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float = LISTEN_TIMEOUT_S
+) -> float:
+    """Wait for a condition.
+
+    Returns
+    -------
+    waited_s : float
+        Time that it took, in seconds.
+    """
+    started_at_s = time.monotonic()
+    while not condition():
+        if time.monotonic() - started_at_s > timeout_s:
+            raise ProcessError(f"{what}: not within {timeout_s} s")
+        time.sleep(POLL_S)
+    return time.monotonic() - started_at_s
+
+
+def free_port() -> int:
+    """Return a port that no process listens on."""
+    with socket.socket() as listener:
+        listener.bind((HOST, 0))
+        port: int = listener.getsockname()[1]
+        return port
+
+
+def _flags(options: Mapping[str, object]) -> list[str]:
+    return [f"--{name}={value}" for name, value in options.items()]
+
+
+def _read_port(child: ChildProcess) -> int:
+    output = child.process.stdout
+    if output is None:
+        raise ProcessError(f"{child.name} has no output")
+    ready, _, _ = select.select([output], [], [], LISTEN_TIMEOUT_S)
+    line = output.readline() if ready else b""
+    if not line:
+        raise ProcessError(f"{child.name} did not listen:\n{child.log_tail()}")
+    return int(json.loads(line)["port"])
--- a/src/banyanswitch_standins/engine/stand_in.py
+++ b/src/banyanswitch_standins/engine/stand_in.py
@@ -100,10 +100,9 @@
     def _refusal(self, wanted_version: str) -> web.Response | None:
         if self.state.is_leaving:
             return json_answer({"code": "leaving"}, status=503)
-        if self.state.is_loading:
-            return json_answer({"code": "loading"}, status=503)
-        if wanted_version and wanted_version != self.state.version:
-            content = {"code": "wrong_version", "version": self.state.version}
+        served = self.state.target_version
+        if self.state.is_loading or wanted_version not in {"", served}:
+            content = {"code": "wrong_version", "version": served}
             return json_answer(content, status=409)
         if self.scheduler.queued >= self.options.max_queued:
             return json_answer({"code": "queue_full"}, status=429)
@@ -157,9 +156,14 @@
         return await self._async_stream(request, run, first)
 
     async def _handle_cancel(self, request: web.Request) -> web.Response:
-        is_known = self.scheduler.cancel(request.match_info["run_id"])
-        self.faults.counters["cancelled_runs"] += int(is_known)
-        return json_answer({}, status=200 if is_known else 404)
+        run = self.scheduler.find(request.match_info["run_id"])
+        if run is None:
+            return json_answer({}, status=404)
+        if run.readers > 0 and request.query.get("only_if_unread") == "true":
+            return json_answer({"code": "has_reader"}, status=409)
+        self.scheduler.cancel(run.request.run_id)
+        self.faults.counters["cancelled_runs"] += 1
+        return json_answer({})
 
     async def _handle_load(self, _request: web.Request) -> web.Response:
         self._note_load()
--- a/src/banyanswitch_standins/engine/weights.py
+++ b/src/banyanswitch_standins/engine/weights.py
@@ -40,6 +40,7 @@
         unix_time: Callable[[], float],
     ) -> None:
         self.version = options.version
+        self.target_version = options.version
         self.is_leaving = False
         self.is_loading = False
         self._options = options
@@ -79,6 +80,7 @@
         if self._load_task is not None:
             self._load_task.cancel()
             self._load_task = None
+        self.target_version = version
         self.is_loading = version != self.version
         if self.is_loading:
             self._load_task = asyncio.create_task(self._async_load(version))
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -193,6 +193,8 @@
     assert await order(5, now_s - 1) == 410
     assert await order(5, now_s + 1) == 202
     assert await order(4, now_s + 1) == 409
+    early = await client.post("/v1/completions", data=body_of(), headers=headers_of())
+    assert await early.json() == {"code": "wrong_version", "version": "v2"}
     await wait_for_version(client, "v2")
     refused = await client.post("/v1/completions", data=body_of(), headers=headers_of())
     assert refused.status == 409
@@ -250,6 +252,8 @@
     answer = await client.post(
         "/v1/completions", data=body_of(500), headers=headers_of()
     )
+    kept = await client.delete("/engine/runs/r1?only_if_unread=true")
+    assert kept.status == 409
     assert (await client.delete("/engine/runs/r1")).status == 200
     with pytest.raises(aiohttp.ClientError):
         await answer.read()
