--- /dev/null
+++ b/src/banyanswitch/components/lease/coordinator.py
@@ -0,0 +1,168 @@
+"""Taking, renewing and giving back the leases of one instance."""
+
+import asyncio
+import contextlib
+import random
+
+import structlog
+
+from banyanswitch.components.lease.candidates import is_candidate
+from banyanswitch.components.lease.const import (
+    JITTER_SHARE,
+    RENEWALS_PER_LEASE,
+    WRITE_TRIES,
+)
+from banyanswitch.components.lease.duty import Duty
+from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.core import callback
+from banyanswitch.exceptions import (
+    ConditionFailedError,
+    PlatformError,
+    PlatformOutcomeUnknownError,
+)
+from banyanswitch.interfaces import (
+    Lease,
+    PeerDirectory,
+    TableStore,
+    WriteClass,
+)
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class LeaseCoordinator:
+    """Implements ``LeaseManager`` over the table service.
+
+    Parameters
+    ----------
+    holder : str
+        Text that names this process and no other.
+    lease_s : float
+        Duration of a lease, in seconds.
+    generator : random.Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: TableStore,
+        peers: PeerDirectory,
+        holder: str,
+        lease_s: float,
+        generator: random.Random,
+    ) -> None:
+        self._table = table
+        self._peers = peers
+        self._holder = holder
+        self._lease_s = lease_s
+        self._generator = generator
+        self._batcher = WriteBatcher(table, WriteClass.LEASE)
+        self._duties: dict[str, Duty] = {}
+        self._reported: dict[str, int] = {}
+        self._has_new_duty = asyncio.Event()
+
+    @callback
+    def campaign(self, name: str) -> None:
+        """Try to hold the named duty from now on."""
+        if name not in self._duties:
+            self._duties[name] = Duty(name, self._holder, self._lease_s)
+            self._has_new_duty.set()
+
+    @callback
+    def held(self, name: str) -> Lease | None:
+        """Return the lease if it is valid at this moment of the loop's clock."""
+        duty = self._duties.get(name)
+        return duty.held(_now_s()) if duty is not None else None
+
+    async def async_run(self) -> None:
+        """Renew what is held and watch the rest until cancelled."""
+        while True:
+            self._has_new_duty.clear()
+            await self.async_step()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s()):
+                    await self._has_new_duty.wait()
+
+    async def async_step(self) -> None:
+        """Read the watched duties once, then write what is due."""
+        try:
+            await self._async_read_watched()
+        except PlatformError as error:
+            LOGGER.warning("lease_records_not_read", reason=str(error))
+        duties = self._active()
+        await asyncio.gather(*(self._async_write_safely(duty) for duty in duties))
+        self._report_changes()
+
+    async def async_release_all(self) -> None:
+        """Give all leases back, after `async_run` has ended."""
+        writes = [duty.release_write() for duty in self._duties.values()]
+        results = await asyncio.gather(
+            *(self._batcher.async_write(write) for write in writes if write),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                LOGGER.warning("lease_not_released", reason=str(result))
+
+    def _interval_s(self) -> float:
+        jitter = self._generator.uniform(0.0, JITTER_SHARE)
+        return self._lease_s / RENEWALS_PER_LEASE * (1.0 - jitter)
+
+    def _active(self) -> tuple[Duty, ...]:
+        """Return the duties that are held or watched."""
+        now_s = _now_s()
+        return tuple(
+            duty
+            for duty in self._duties.values()
+            if duty.held(now_s) is not None or is_candidate(duty.name, self._peers)
+        )
+
+    async def _async_read_watched(self) -> None:
+        now_s = _now_s()
+        watched = [duty for duty in self._active() if duty.held(now_s) is None]
+        if watched:
+            await self._async_read(watched)
+
+    async def _async_read(self, duties: list[Duty]) -> None:
+        items = await self._table.async_get([duty.key for duty in duties])
+        by_key = {item.key: item for item in items}
+        now_s = _now_s()
+        for duty in duties:
+            duty.observe(by_key.get(duty.key), now_s)
+
+    async def _async_write(self, duty: Duty) -> None:
+        """Write what is due; once more if the first write met another record."""
+        for _ in range(WRITE_TRIES):
+            sent_at_s = _now_s()
+            write = duty.next_write(sent_at_s)
+            if write is None:
+                return
+            try:
+                revision = await self._batcher.async_write(write)
+            except (ConditionFailedError, PlatformOutcomeUnknownError):
+                await self._async_read([duty])
+                continue
+            duty.on_written(write, revision, sent_at_s)
+            return
+
+    async def _async_write_safely(self, duty: Duty) -> None:
+        try:
+            await self._async_write(duty)
+        except PlatformError as error:
+            LOGGER.warning("lease_not_written", duty=duty.name, reason=str(error))
+
+    def _report_changes(self) -> None:
+        """Log which duties this instance took or lost since the last step."""
+        for duty in self._duties.values():
+            lease = duty.held(_now_s())
+            token = lease.fencing_token if lease is not None else 0
+            if token == self._reported.get(duty.name, 0):
+                continue
+            self._reported[duty.name] = token
+            event = "lease_acquired" if token else "lease_lost"
+            LOGGER.info(event, duty=duty.name, fencing_token=token)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
