--- /dev/null
+++ b/src/banyanswitch/decisions/admission.py
@@ -0,0 +1,317 @@
+"""Admission of requests: limits of workspaces, priorities and bounded queues."""
+
+import heapq
+import math
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from banyanswitch.config.models import Limits, Priority
+from banyanswitch.decisions.token_bucket import TokenBucket
+from banyanswitch.identifiers import RunId, WorkspaceId
+
+MIN_RETRY_AFTER_S: Final = 0.5
+MAX_RETRY_AFTER_S: Final = 60.0
+FINISH_TIME_SMOOTHING: Final = 0.1
+"""Weight of the latest interval between two finished requests in the mean."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmissionPolicy:
+    """Settings of admission on one instance.
+
+    Parameters
+    ----------
+    capacity : int
+        Requests that this instance may have at upstreams at the same time.
+    batch_share : float
+        Part of the capacity that batch requests may hold, from 0 to 1.
+    batch_every : int
+        While both priorities wait, one grant in this many goes to batch.
+    max_queued : int
+        Most requests that wait, for each priority.
+    burst_s : float
+        Time for which a workspace may save up its rate, in seconds.
+    """
+
+    capacity: int = 64
+    batch_share: float = 0.75
+    batch_every: int = 4
+    max_queued: int = 256
+    burst_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AdmissionRequest:
+    """What admission needs to know about a request.
+
+    Parameters
+    ----------
+    limits : Limits
+        Limits of the workspace over the whole system.
+    serving_entries : int
+        Entry instances among which the workspace's callers are spread.
+    latest_start_s : float
+        Loop time after which a start is too late.
+    """
+
+    run: RunId
+    workspace: WorkspaceId
+    limits: Limits
+    serving_entries: int
+    priority: Priority
+    latest_start_s: float
+
+
+class AdmissionRefusal(Enum):
+    """Why a request is not admitted."""
+
+    RATE_LIMITED = "rate_limited"
+    TOO_MANY_CONCURRENT = "too_many_concurrent"
+    OVERLOADED = "overloaded"
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """Place the request now, and call `Admission.on_finished` at its end."""
+
+    run: RunId
+
+
+@dataclass(frozen=True, slots=True)
+class Queued:
+    """Wait for one of the results of `Admission.advance`.
+
+    Parameters
+    ----------
+    expected_wait_s : float
+        Expected time in the queue, in seconds.
+    """
+
+    run: RunId
+    expected_wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotAdmitted:
+    """Answer the caller at once that the request has not run.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Time after which another try makes sense, in seconds.
+    """
+
+    run: RunId
+    reason: AdmissionRefusal
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class _WorkspaceUse:
+    bucket: TokenBucket
+    running: int = 0
+    queued: int = 0
+
+
+@dataclass(slots=True)
+class _Waiting:
+    request: AdmissionRequest
+    is_gone: bool = False
+
+
+class Admission:
+    """Admit, queue or refuse the requests of one instance.
+
+    A request is queued only if it is expected to start in time, and a queued one
+    that can't any more is given up at once.
+    """
+
+    def __init__(self, policy: AdmissionPolicy) -> None:
+        self._policy = policy
+        self._workspaces: dict[WorkspaceId, _WorkspaceUse] = {}
+        self._running: dict[RunId, AdmissionRequest] = {}
+        self._running_batch = 0
+        self._waiting: dict[RunId, _Waiting] = {}
+        self._queues: dict[Priority, list[tuple[float, int, _Waiting]]] = {
+            priority: [] for priority in Priority
+        }
+        self._queued = dict.fromkeys(Priority, 0)
+        self._arrivals = 0
+        self._grants = 0
+        self._finish_interval_s = 0.0
+        self._last_finish_s: float | None = None
+
+    @property
+    def running_count(self) -> int:
+        """Number of admitted requests that have not finished."""
+        return len(self._running)
+
+    def set_policy(self, policy: AdmissionPolicy) -> None:
+        """Use other settings from now on, for example another capacity."""
+        self._policy = policy
+
+    def admit(
+        self, request: AdmissionRequest, now_s: float
+    ) -> Admitted | Queued | NotAdmitted:
+        """Decide on a new request."""
+        use = self._use(request, now_s)
+        refusal = self._over_limit(request, use, now_s)
+        if refusal is not None:
+            return refusal
+        if self._has_room(request.priority) and not self._queued[request.priority]:
+            use.bucket.try_spend(1.0, now_s)
+            self._start(request, use)
+            return Admitted(request.run)
+        wait_s = self._expected_wait_s(request.priority)
+        is_full = self._queued[request.priority] >= self._policy.max_queued
+        if is_full or now_s + wait_s > request.latest_start_s:
+            return _overloaded(request, wait_s)
+        use.bucket.try_spend(1.0, now_s)
+        self._enqueue(request, use)
+        return Queued(request.run, wait_s)
+
+    def on_finished(self, run: RunId, now_s: float) -> None:
+        """Free the place of an admitted request, or drop a queued one."""
+        request = self._running.pop(run, None)
+        if request is None:
+            self._cancel(run)
+            return
+        self._workspaces[request.workspace].running -= 1
+        if request.priority is Priority.BATCH:
+            self._running_batch -= 1
+        self._note_finish(now_s)
+
+    def advance(self, now_s: float) -> tuple[Admitted | NotAdmitted, ...]:
+        """Start queued requests that fit and give up those that are too late.
+
+        Call it after each `on_finished` and a few times a second.
+        """
+        results: list[Admitted | NotAdmitted] = []
+        for priority in Priority:
+            results.extend(self._give_up_late(priority, now_s))
+        while True:
+            waiting = self._next_waiting()
+            if waiting is None:
+                return tuple(results)
+            request = waiting.request
+            self._remove(waiting)
+            self._start(request, self._workspaces[request.workspace])
+            results.append(Admitted(request.run))
+
+    def _use(self, request: AdmissionRequest, now_s: float) -> _WorkspaceUse:
+        rate_per_s = request.limits.requests_per_s / max(1, request.serving_entries)
+        capacity = max(1.0, rate_per_s * self._policy.burst_s)
+        use = self._workspaces.get(request.workspace)
+        if use is None:
+            use = _WorkspaceUse(TokenBucket(rate_per_s, capacity, now_s))
+            self._workspaces[request.workspace] = use
+            return use
+        if (use.bucket.rate_per_s, use.bucket.capacity) != (rate_per_s, capacity):
+            use.bucket.change(rate_per_s, capacity, now_s)
+        return use
+
+    def _over_limit(
+        self, request: AdmissionRequest, use: _WorkspaceUse, now_s: float
+    ) -> NotAdmitted | None:
+        limit = request.limits.concurrent_requests / max(1, request.serving_entries)
+        if use.running + use.queued >= max(1, math.ceil(limit)):
+            return NotAdmitted(
+                request.run,
+                AdmissionRefusal.TOO_MANY_CONCURRENT,
+                _bounded_retry_s(self._finish_interval_s),
+            )
+        if use.bucket.level(now_s) >= 1.0:
+            return None
+        return NotAdmitted(
+            request.run,
+            AdmissionRefusal.RATE_LIMITED,
+            _bounded_retry_s(use.bucket.wait_s(1.0, now_s)),
+        )
+
+    def _has_room(self, priority: Priority) -> bool:
+        if len(self._running) >= self._policy.capacity:
+            return False
+        if priority is Priority.INTERACTIVE:
+            return True
+        batch_capacity = max(1, int(self._policy.capacity * self._policy.batch_share))
+        return self._running_batch < batch_capacity
+
+    def _start(self, request: AdmissionRequest, use: _WorkspaceUse) -> None:
+        use.running += 1
+        self._running[request.run] = request
+        if request.priority is Priority.BATCH:
+            self._running_batch += 1
+
+    def _enqueue(self, request: AdmissionRequest, use: _WorkspaceUse) -> None:
+        self._arrivals += 1
+        waiting = _Waiting(request)
+        use.queued += 1
+        self._queued[request.priority] += 1
+        self._waiting[request.run] = waiting
+        item = (request.latest_start_s, self._arrivals, waiting)
+        heapq.heappush(self._queues[request.priority], item)
+
+    def _remove(self, waiting: _Waiting) -> None:
+        request = waiting.request
+        waiting.is_gone = True
+        del self._waiting[request.run]
+        self._queued[request.priority] -= 1
+        self._workspaces[request.workspace].queued -= 1
+
+    def _cancel(self, run: RunId) -> None:
+        waiting = self._waiting.get(run)
+        if waiting is not None:
+            self._remove(waiting)
+
+    def _head(self, priority: Priority) -> _Waiting | None:
+        queue = self._queues[priority]
+        while queue and queue[0][2].is_gone:
+            heapq.heappop(queue)
+        return queue[0][2] if queue else None
+
+    def _next_waiting(self) -> _Waiting | None:
+        interactive = self._head(Priority.INTERACTIVE)
+        batch = self._head(Priority.BATCH)
+        if batch is not None and not self._has_room(Priority.BATCH):
+            batch = None
+        if interactive is not None and not self._has_room(Priority.INTERACTIVE):
+            interactive = None
+        if interactive is None or batch is None:
+            return interactive or batch
+        self._grants += 1
+        return batch if self._grants % self._policy.batch_every == 0 else interactive
+
+    def _give_up_late(self, priority: Priority, now_s: float) -> list[NotAdmitted]:
+        results: list[NotAdmitted] = []
+        while True:
+            head = self._head(priority)
+            if head is None or head.request.latest_start_s >= now_s:
+                return results
+            self._remove(head)
+            wait_s = self._expected_wait_s(priority)
+            results.append(_overloaded(head.request, wait_s))
+
+    def _expected_wait_s(self, priority: Priority) -> float:
+        ahead = self._queued[Priority.INTERACTIVE] + 1
+        if priority is Priority.BATCH:
+            ahead += self._queued[Priority.BATCH]
+        return ahead * self._finish_interval_s
+
+    def _note_finish(self, now_s: float) -> None:
+        last_s = self._last_finish_s
+        self._last_finish_s = now_s
+        if last_s is None or not self._waiting:
+            return
+        change_s = now_s - last_s - self._finish_interval_s
+        self._finish_interval_s += FINISH_TIME_SMOOTHING * change_s
+
+
+def _overloaded(request: AdmissionRequest, wait_s: float) -> NotAdmitted:
+    return NotAdmitted(
+        request.run, AdmissionRefusal.OVERLOADED, _bounded_retry_s(wait_s)
+    )
+
+
+def _bounded_retry_s(wait_s: float) -> float:
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- a/src/banyanswitch/decisions/cache_view.py
+++ b/src/banyanswitch/decisions/cache_view.py
@@ -10,6 +10,7 @@
 
 DEFAULT_MAX_PIECES: Final = 100_000
 MAX_HOLDERS: Final = 3
+FIRST_SEQUENCE: Final = 1
 DEFAULT_CONFIDENCE_HALF_LIFE_S: Final = 600.0
 
 
@@ -199,11 +200,11 @@
             Order to read the whole list when an event is missing.
         """
         self._heard_at_s[upstream] = now_s
-        expected = self._sequences.get(upstream)
+        expected = self._sequences.get(upstream, FIRST_SEQUENCE)
         for event in sorted(events, key=_sequence_of):
-            if expected is not None and event.sequence < expected:
+            if event.sequence < expected:
                 continue
-            if expected is not None and event.sequence > expected:
+            if event.sequence > expected:
                 return Resync(upstream)
             self._apply(upstream, event)
             expected = event.sequence + 1
@@ -217,7 +218,12 @@
         sequence: int,
         now_s: float,
     ) -> None:
-        """Replace what is known by the whole list as of ``sequence``."""
+        """Replace what is known by the whole list as of ``sequence``.
+
+        A list that is older than the events taken in is dropped.
+        """
+        if sequence + 1 < self._sequences.get(upstream, FIRST_SEQUENCE):
+            return
         self.clear(upstream)
         self.add(upstream, keys)
         self._sequences[upstream] = sequence + 1
--- /dev/null
+++ b/src/banyanswitch/decisions/ejection.py
@@ -0,0 +1,103 @@
+"""Ejection of failing upstreams and their slow return."""
+
+import random
+from dataclasses import dataclass
+
+from banyanswitch.identifiers import UpstreamId
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EjectionPolicy:
+    """Settings of ejection.
+
+    Parameters
+    ----------
+    failures : int
+        Failures in a row that eject an upstream.
+    base_s : float
+        Length of the first ejection; each further one in a row is twice as long.
+    jitter_share : float
+        Random part that is added to the length, so that upstreams that failed
+        together don't return together.
+    ramp_s : float
+        Time over which a returning upstream gets its full share back.
+    first_share : float
+        Share of its requests that a returning upstream gets at once.
+    """
+
+    failures: int = 3
+    base_s: float = 2.0
+    max_s: float = 60.0
+    jitter_share: float = 0.5
+    ramp_s: float = 10.0
+    first_share: float = 0.1
+
+
+@dataclass(slots=True)
+class _Record:
+    failures: int = 0
+    ejections: int = 0
+    until_s: float = 0.0
+
+
+class Ejector:
+    """Remember which upstreams fail, and give their weights in the pool.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(self, policy: EjectionPolicy, generator: random.Random) -> None:
+        self._policy = policy
+        self._generator = generator
+        self._records: dict[UpstreamId, _Record] = {}
+
+    def on_failure(self, upstream: UpstreamId, now_s: float) -> None:
+        """Count a failure that is the upstream's fault."""
+        record = self._records.setdefault(upstream, _Record())
+        record.failures += 1
+        is_returning = record.ejections > 0
+        if now_s < record.until_s:
+            return
+        if record.failures < self._policy.failures and not is_returning:
+            return
+        length_s = min(self._policy.max_s, self._policy.base_s * 2.0**record.ejections)
+        jitter = 1.0 + self._policy.jitter_share * self._generator.random()
+        record.until_s = now_s + length_s * jitter
+        record.ejections += 1
+        record.failures = 0
+
+    def on_success(self, upstream: UpstreamId, now_s: float) -> None:
+        """Count a success; a full ramp without failure clears the record."""
+        record = self._records.get(upstream)
+        if record is None:
+            return
+        record.failures = 0
+        if record.ejections == 0 or now_s >= record.until_s + self._policy.ramp_s:
+            del self._records[upstream]
+
+    def weight(self, upstream: UpstreamId, now_s: float) -> float:
+        """Return the share of its normal work that an upstream may get.
+
+        0 while it is ejected, then a share that grows to 1 over the ramp.
+        """
+        record = self._records.get(upstream)
+        if record is None or record.ejections == 0:
+            return 1.0
+        if now_s < record.until_s:
+            return 0.0
+        progress = (now_s - record.until_s) / self._policy.ramp_s
+        first_share = self._policy.first_share
+        return min(1.0, first_share + (1.0 - first_share) * progress)
+
+    def returning(self) -> tuple[UpstreamId, ...]:
+        """Return the upstreams whose weight changes with time."""
+        return tuple(
+            upstream for upstream, record in self._records.items() if record.ejections
+        )
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop the record of an upstream that was replaced."""
+        self._records.pop(upstream, None)
--- /dev/null
+++ b/src/banyanswitch/decisions/token_bucket.py
@@ -0,0 +1,53 @@
+"""Token bucket on an explicit clock."""
+
+
+class TokenBucket:
+    """Bounded budget that fills at a constant rate and is never negative.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Tokens added each second.
+    capacity : float
+        Most tokens held; the bucket starts full.
+    now_s : float
+        Loop time of the start.
+    """
+
+    def __init__(self, rate_per_s: float, capacity: float, now_s: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.capacity = capacity
+        self._level = capacity
+        self._updated_at_s = now_s
+
+    def level(self, now_s: float) -> float:
+        """Return the tokens at hand."""
+        elapsed_s = max(0.0, now_s - self._updated_at_s)
+        self._updated_at_s = max(self._updated_at_s, now_s)
+        self._level = min(self.capacity, self._level + elapsed_s * self.rate_per_s)
+        return self._level
+
+    def try_spend(self, tokens: float, now_s: float) -> bool:
+        """Take tokens if there are enough of them."""
+        if self.level(now_s) < tokens:
+            return False
+        self._level -= tokens
+        return True
+
+    def add(self, tokens: float, now_s: float) -> None:
+        """Give tokens back, up to the capacity."""
+        self._level = min(self.capacity, self.level(now_s) + tokens)
+
+    def wait_s(self, tokens: float, now_s: float) -> float:
+        """Return the time until that many tokens are at hand, in seconds."""
+        missing = min(tokens, self.capacity) - self.level(now_s)
+        if missing <= 0:
+            return 0.0
+        return missing / self.rate_per_s if self.rate_per_s > 0 else float("inf")
+
+    def change(self, rate_per_s: float, capacity: float, now_s: float) -> None:
+        """Set another rate and capacity from now on."""
+        self.level(now_s)
+        self.rate_per_s = rate_per_s
+        self.capacity = capacity
+        self._level = min(self._level, capacity)
