--- a/src/banyanswitch/components/lease/__init__.py
+++ b/src/banyanswitch/components/lease/__init__.py
@@ -23,7 +23,7 @@
         peers=kernel.require(PeerDirectory),
         holder=f"{settings.instance}/{uuid.uuid4().hex}",
         lease_s=settings.lease_s,
-        generator=random.Random(settings.random_seed or None),
+        generator=kernel.require(random.Random),
     )
     kernel.provide(LeaseManager, coordinator)
     task = kernel.create_task(coordinator.async_run(), DOMAIN)
--- a/src/banyanswitch/components/platform/__init__.py
+++ b/src/banyanswitch/components/platform/__init__.py
@@ -10,7 +10,6 @@
 from banyanswitch.components.platform.table_store import HttpTableStore
 from banyanswitch.components.platform.write_budget import WriteBudget
 from banyanswitch.core import REGISTRY, Kernel
-from banyanswitch.helpers.wall_clock import SystemWallClock, WallClock
 from banyanswitch.identifiers import InstanceId
 from banyanswitch.interfaces import ObjectStore, TableStore
 from banyanswitch.settings import EntrySettings
@@ -19,7 +18,7 @@
 
 
 async def async_setup(kernel: Kernel) -> None:
-    """Provide the wall clock, the table service and the object store."""
+    """Provide the table service and the object store."""
     settings = cast(EntrySettings, kernel.settings)
     connector = aiohttp.TCPConnector(limit=0, limit_per_host=MAX_CONNECTIONS)
     session = aiohttp.ClientSession(connector=connector)
@@ -29,7 +28,6 @@
     table = PlatformClient(session, settings.table_url, caller, timeout_s)
     objects = PlatformClient(session, settings.effective_object_url, caller, timeout_s)
     budget = WriteBudget(settings.table_writes_per_s, kernel.now_s)
-    kernel.provide(WallClock, SystemWallClock())
     kernel.provide(TableStore, HttpTableStore(table, budget))
     kernel.provide(ObjectStore, HttpObjectStore(objects))
 
--- /dev/null
+++ b/src/banyanswitch/components/weights/outstanding.py
@@ -0,0 +1,117 @@
+"""Orders whose effect is not settled yet, and pauses after failed ones."""
+
+from dataclasses import dataclass
+
+from banyanswitch.components.weights.const import (
+    LOAD_TIMEOUT_S,
+    MAX_RETRY_S,
+    REPORT_LAG_S,
+    RETRY_S,
+)
+from banyanswitch.components.weights.models import OrderResult
+from banyanswitch.identifiers import UpstreamId, WeightVersion
+from banyanswitch.interfaces import UpstreamLoad
+
+WITHOUT_EFFECT = frozenset(
+    {
+        OrderResult.STALE_FENCING_TOKEN,
+        OrderResult.EXPIRED,
+        OrderResult.REFUSED,
+        OrderResult.NOT_SENT,
+    }
+)
+
+
+@dataclass(slots=True)
+class _Outstanding:
+    """An order that may be taken up or is being carried out.
+
+    Parameters
+    ----------
+    busy_until_s : float
+        Loop time until which the upstream may load without a report that says so.
+    """
+
+    version: WeightVersion
+    busy_until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Pause:
+    """Time for which an upstream gets no order."""
+
+    length_s: float
+    until_s: float
+
+
+class OutstandingOrders:
+    """Decide when an ordered upstream counts as loading, and when it may get orders.
+
+    An order holds its place until a report shows its version, or until a report
+    from after the order's end and the reports' lag shows no load.
+    """
+
+    def __init__(self) -> None:
+        self._orders: dict[UpstreamId, _Outstanding] = {}
+        self._pauses: dict[UpstreamId, _Pause] = {}
+        self._settled_at_s: dict[UpstreamId, float] = {}
+
+    def on_issued(
+        self, upstream: UpstreamId, version: WeightVersion, expires_at_s: float
+    ) -> None:
+        """Take in that an order is about to be sent."""
+        busy_until_s = expires_at_s + REPORT_LAG_S
+        self._orders[upstream] = _Outstanding(version, busy_until_s)
+
+    def on_result(
+        self, upstream: UpstreamId, result: OrderResult, now_s: float
+    ) -> None:
+        """Take in what became of an order."""
+        if result in WITHOUT_EFFECT:
+            self._fail(upstream, now_s)
+
+    def observe(
+        self, upstream: UpstreamId, load: UpstreamLoad | None, now_s: float
+    ) -> None:
+        """Compare an outstanding order with the upstream's last report."""
+        order = self._orders.get(upstream)
+        if order is None:
+            return
+        if now_s >= order.busy_until_s + LOAD_TIMEOUT_S:
+            self._fail(upstream, now_s)
+            return
+        if load is None:
+            return
+        if load.is_loading:
+            seen_until_s = load.received_at_s + REPORT_LAG_S
+            order.busy_until_s = max(order.busy_until_s, seen_until_s)
+            return
+        if load.weight_version == order.version:
+            self._succeed(upstream, load.received_at_s)
+            return
+        if load.received_at_s >= order.busy_until_s:
+            self._fail(upstream, now_s)
+
+    def is_busy(self, upstream: UpstreamId) -> bool:
+        """Return whether an order may still be carried out there."""
+        return upstream in self._orders
+
+    def retry_at_s(self, upstream: UpstreamId, load: UpstreamLoad) -> float:
+        """Return the loop time before which the upstream gets no order."""
+        pause = self._pauses.get(upstream)
+        pause_until_s = pause.until_s if pause is not None else 0.0
+        settled_at_s = self._settled_at_s.get(upstream)
+        if settled_at_s is None or load.received_at_s > settled_at_s + REPORT_LAG_S:
+            return pause_until_s
+        return max(pause_until_s, settled_at_s + REPORT_LAG_S)
+
+    def _succeed(self, upstream: UpstreamId, now_s: float) -> None:
+        del self._orders[upstream]
+        self._pauses.pop(upstream, None)
+        self._settled_at_s[upstream] = now_s
+
+    def _fail(self, upstream: UpstreamId, now_s: float) -> None:
+        self._orders.pop(upstream, None)
+        last = self._pauses.get(upstream)
+        length_s = RETRY_S if last is None else min(MAX_RETRY_S, 2.0 * last.length_s)
+        self._pauses[upstream] = _Pause(length_s, now_s + length_s)
--- /dev/null
+++ b/src/banyanswitch/components/weights/service_swap.py
@@ -0,0 +1,123 @@
+"""Orders that bring the upstreams of one service to the declared version."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from banyanswitch.components.weights.const import (
+    LEASE_MARGIN_S,
+    MIN_ORDER_LIFETIME_S,
+    REPORT_LAG_S,
+    REPORT_TIMEOUT_S,
+)
+from banyanswitch.components.weights.models import OrderResult
+from banyanswitch.components.weights.outstanding import OutstandingOrders
+from banyanswitch.config.models import Service, Upstream
+from banyanswitch.decisions.swap_order import SwapView, next_loads
+from banyanswitch.identifiers import UpstreamId, WeightVersion
+from banyanswitch.interfaces import Lease, UpstreamDirectory
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedOrder:
+    """An order that is due.
+
+    Parameters
+    ----------
+    expires_at_s : float
+        Loop time until which it may be taken up.
+    """
+
+    upstream: UpstreamId
+    version: WeightVersion
+    fencing_token: int
+    expires_at_s: float
+
+
+class ServiceSwap:
+    """Compare desired with observed versions; holds no socket and no clock.
+
+    A new holder first waits until the orders of the one before can't be taken up any
+    more and reports show what they caused. So upstreams that ignore fencing tokens
+    don't get orders from two holders at once.
+    """
+
+    def __init__(self) -> None:
+        self._token = 0
+        self._quiet_until_s = 0.0
+        self._is_fenced = False
+        self._orders = OutstandingOrders()
+
+    def plan(
+        self,
+        service: Service,
+        upstreams: Sequence[Upstream],
+        directory: UpstreamDirectory,
+        lease: Lease,
+        now_s: float,
+    ) -> tuple[PlannedOrder, ...]:
+        """Return the orders that are due now."""
+        if lease.fencing_token != self._token:
+            self._start_tenure(service, lease, now_s)
+        views = [self._view(upstream, directory, now_s) for upstream in upstreams]
+        version = service.weight_version
+        expires_at_s = min(
+            now_s + service.swap.order_lifetime_s, lease.expires_at_s - LEASE_MARGIN_S
+        )
+        if version is None or self._is_fenced or now_s < self._quiet_until_s:
+            return ()
+        if expires_at_s - now_s < MIN_ORDER_LIFETIME_S:
+            return ()
+        return tuple(
+            PlannedOrder(upstream, version, lease.fencing_token, expires_at_s)
+            for upstream in next_loads(views, version, service.swap, now_s)
+        )
+
+    def on_issued(self, order: PlannedOrder) -> None:
+        """Take in that an order is about to be sent."""
+        self._orders.on_issued(order.upstream, order.version, order.expires_at_s)
+
+    def on_result(self, order: PlannedOrder, result: OrderResult, now_s: float) -> None:
+        """Take in what became of an order."""
+        if order.fencing_token != self._token:
+            return
+        self._orders.on_result(order.upstream, result, now_s)
+        if result is OrderResult.STALE_FENCING_TOKEN:
+            self._is_fenced = True
+
+    def _start_tenure(self, service: Service, lease: Lease, now_s: float) -> None:
+        self._token = lease.fencing_token
+        self._is_fenced = False
+        self._orders = OutstandingOrders()
+        self._quiet_until_s = now_s + service.swap.order_lifetime_s + REPORT_LAG_S
+
+    def _view(
+        self, upstream: Upstream, directory: UpstreamDirectory, now_s: float
+    ) -> SwapView:
+        load = directory.load(upstream.name)
+        self._orders.observe(upstream.name, load, now_s)
+        is_busy = self._orders.is_busy(upstream.name)
+        if load is None or now_s - load.received_at_s > REPORT_TIMEOUT_S:
+            return _unreported_view(upstream, is_busy)
+        return SwapView(
+            name=upstream.name,
+            failure_domain=upstream.failure_domain,
+            weight_version=load.weight_version,
+            is_serving=directory.is_accepting(upstream.name),
+            is_loading=load.is_loading or is_busy,
+            is_leaving=load.is_leaving,
+            running_requests=load.running_requests,
+            retry_at_s=self._orders.retry_at_s(upstream.name, load),
+        )
+
+
+def _unreported_view(upstream: Upstream, is_busy: bool) -> SwapView:
+    """Describe an upstream that nobody hears of; it gets no orders."""
+    return SwapView(
+        name=upstream.name,
+        failure_domain=upstream.failure_domain,
+        weight_version=None,
+        is_serving=False,
+        is_loading=is_busy,
+        retry_at_s=math.inf,
+    )
