--- /dev/null
+++ b/bench/demo/__main__.py
@@ -0,0 +1,70 @@
+"""Run the demo: ``python -m bench.demo``; status 0 only if every line held."""
+
+import asyncio
+import sys
+import time
+from typing import Final
+
+import aiohttp
+
+from bench.callers import Caller
+from bench.demo.load import ADDRESS_TTL_S
+from bench.demo.report import Line, format_line
+from bench.demo.steps import STEPS, DemoState, Step
+from bench.fleet import KEYS, Fleet, FleetPlan
+from bench.processes import ProcessGroup
+
+PLAN: Final = FleetPlan(
+    engine_options={
+        "prefill_tokens_per_s": 40_000.0,
+        "decode_tokens_per_s": 50.0,
+        "load_s": 0.5,
+    },
+    entry_settings={"address_ttl_s": ADDRESS_TTL_S, "lease_s": 3.0},
+)
+
+
+def main() -> int:
+    """Start the fleet, run the steps and print one row a step."""
+    started_at_s = time.monotonic()
+    with ProcessGroup() as group:
+        fleet = Fleet(group, PLAN)
+        fleet.apply()
+        fleet.start_entries()
+        started = Line(
+            "processes",
+            True,
+            f"{len(group.children)} started, ready after "
+            f"{time.monotonic() - started_at_s:.1f} s",
+        )
+        print(format_line(started), flush=True)
+        lines = asyncio.run(_async_run_steps(fleet))
+        if not all(line.is_held for line in lines):
+            for entry in fleet.entries:
+                print(f"-- {entry.name}\n{entry.log_tail()}", file=sys.stderr)
+    is_held = all(line.is_held for line in lines)
+    elapsed_s = time.monotonic() - started_at_s
+    print(format_line(Line("demo", is_held, f"{elapsed_s:.1f} s, all processes ended")))
+    return 0 if is_held else 1
+
+
+async def _async_run_steps(fleet: Fleet) -> list[Line]:
+    lines: list[Line] = []
+    async with aiohttp.ClientSession() as session:
+        state = DemoState(fleet, Caller(session, KEYS[0]))
+        for name, step in STEPS:
+            line = await _async_run_step(name, step, state)
+            print(format_line(line), flush=True)
+            lines.append(line)
+    return lines
+
+
+async def _async_run_step(name: str, step: Step, state: DemoState) -> Line:
+    try:
+        return Line(name, True, await step(state))
+    except Exception as error:  # the table shows any failure of a step
+        return Line(name, False, f"{type(error).__name__}: {error}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,257 @@
+"""A small fleet on loopback: stand-ins, entries and their configuration."""
+
+import subprocess
+from dataclasses import dataclass, field, replace
+from functools import partial
+from hashlib import sha256
+from typing import Final
+
+from banyanswitch.config import (
+    Configuration,
+    KvStore,
+    Limits,
+    Link,
+    Service,
+    ServiceKind,
+    SwapPolicy,
+    Upstream,
+    WeightRelease,
+    Workspace,
+    render,
+)
+from banyanswitch.identifiers import (
+    FailureDomainId,
+    ServiceName,
+    StoreId,
+    UpstreamId,
+    WeightVersion,
+    WorkspaceId,
+)
+from bench.processes import (
+    HOST,
+    ChildProcess,
+    ProcessError,
+    ProcessGroup,
+    free_port,
+    is_ready,
+    request_json,
+    run_config,
+    wait_until,
+)
+
+MODEL: Final = ServiceName("appraisal")
+PLAIN: Final = ServiceName("counter")
+FIRST_VERSION: Final = WeightVersion("v1")
+SECOND_VERSION: Final = WeightVersion("v2")
+FAILURE_DOMAINS: Final = tuple(FailureDomainId(name) for name in ("a", "b", "c"))
+KEYS: Final = ("key-of-the-first-workspace", "key-of-the-second-workspace")
+STORE_BYTES: Final = 64 * 1024 * 1024
+LINK_BYTES_PER_S: Final = 50_000_000.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """Sizes and speeds of a fleet.
+
+    Parameters
+    ----------
+    engine_options : dict
+        Options of every stand-in engine.
+    entry_settings : dict
+        Settings of every entry beside its addresses.
+    instance_lag_s : float
+        Age of the platform's list of instances, in seconds.
+    """
+
+    entries: int = 2
+    engines: int = 2
+    plain_services: int = 1
+    engine_options: dict[str, object] = field(default_factory=dict)
+    table_options: dict[str, object] = field(default_factory=dict)
+    plain_options: dict[str, object] = field(default_factory=dict)
+    entry_settings: dict[str, object] = field(default_factory=dict)
+    instance_lag_s: float = 0.0
+    limits: Limits = field(
+        default_factory=lambda: Limits(requests_per_s=2000.0, concurrent_requests=1000)
+    )
+
+
+class Fleet:
+    """Running processes of one plan.
+
+    Parameters
+    ----------
+    group : ProcessGroup
+        Ends the processes.
+    """
+
+    def __init__(self, group: ProcessGroup, plan: FleetPlan) -> None:
+        self._group = group
+        self._plan = plan
+        self._peer_addresses: list[str] = []
+        self.table = group.start_standin("table", **plan.table_options)
+        self.instances = group.start_standin("instances", lag_s=plan.instance_lag_s)
+        self.weights = group.start_standin("weights")
+        self.store = group.start_standin("kv-store", bytes_per_s=LINK_BYTES_PER_S)
+        self.engines = [self._start_engine(i) for i in range(plan.engines)]
+        self.plain = [
+            group.start_standin("plain", **plan.plain_options)
+            for _ in range(plan.plain_services)
+        ]
+        self.entries: list[ChildProcess] = []
+        self.configuration = self._make_configuration()
+
+    def start_entries(self) -> None:
+        """Start the planned entries and wait until they are ready."""
+        started = [self.start_entry() for _ in range(self._plan.entries)]
+        for entry in started:
+            self.list_instance(entry, "live")
+        self.wait_ready()
+
+    def start_entry(self) -> ChildProcess:
+        """Start one more entry, without waiting until it is ready."""
+        index = len(self.entries)
+        instance = f"entry-{index + 1}"
+        failure_domain = FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
+        peer_port = free_port()
+        entry = self._group.start_entry(
+            instance,
+            failure_domain,
+            peer_port=peer_port,
+            peer_seeds=",".join(self._peer_addresses),
+            table_url=self.table.url,
+            instance_list_url=self.instances.url,
+            **self._plan.entry_settings,
+        )
+        self._peer_addresses.append(f"tcp://{HOST}:{peer_port}")
+        self.entries.append(entry)
+        return entry
+
+    def list_instance(self, entry: ChildProcess, state: str) -> None:
+        """Put an instance on the platform's list."""
+        index = self.entries.index(entry)
+        record = {
+            "instance": entry.name,
+            "failure_domain": FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+            "peer_address": self._peer_addresses[index],
+            "http_url": entry.url,
+            "state": state,
+        }
+        request_json("PUT", f"{self.instances.url}/instances/{entry.name}", record)
+
+    def wait_ready(self) -> None:
+        """Wait until all running entries are ready."""
+        for entry in self.entries:
+            if entry.is_running:
+                wait_until(partial(is_ready, entry), f"{entry.name} is ready")
+
+    def apply(self, configuration: Configuration | None = None) -> None:
+        """Put a configuration in force with ``banyanswitch-config``."""
+        if configuration is not None:
+            self.configuration = configuration
+        result = self.try_apply(self.configuration)
+        if result.returncode != 0:
+            raise ProcessError(f"apply failed: {result.stdout}{result.stderr}")
+
+    def try_apply(
+        self, configuration: Configuration, *arguments: str
+    ) -> subprocess.CompletedProcess[str]:
+        """Run ``banyanswitch-config apply`` and return how it ended."""
+        return run_config(
+            f"--table_url={self.table.url}",
+            "apply",
+            "-",
+            *arguments,
+            document=render(configuration),
+        )
+
+    def with_version(self, version: WeightVersion) -> Configuration:
+        """Return the configuration with another weight version in use."""
+        services = tuple(
+            replace(service, weight_version=version)
+            if service.kind is ServiceKind.MODEL
+            else service
+            for service in self.configuration.services
+        )
+        return replace(self.configuration, services=services)
+
+    def revision_of(self, entry: ChildProcess) -> int:
+        """Return the configuration revision in force at an entry."""
+        return int(entry.get("/health/live")["configuration_revision"])
+
+    def engine_counter(self, name: str) -> int:
+        """Return a counter summed over the running engines."""
+        return sum(e.counter(name) for e in self.engines if e.is_running)
+
+    def executions(self) -> dict[str, int]:
+        """Return how often each body was executed by the plain services."""
+        total: dict[str, int] = {}
+        for service in self.plain:
+            for digest, count in service.get("/executions")["by_digest"].items():
+                total[digest] = total.get(digest, 0) + count
+        return total
+
+    def _start_engine(self, index: int) -> ChildProcess:
+        return self._group.start_standin(
+            "engine",
+            upstream=f"engine-{index + 1}",
+            service=MODEL,
+            version=FIRST_VERSION,
+            weights_url=self.weights.url,
+            checks_fencing=index % 2 == 0,
+            **self._plan.engine_options,
+        )
+
+    def _make_configuration(self) -> Configuration:
+        return Configuration(
+            services=(
+                Service(
+                    name=MODEL,
+                    kind=ServiceKind.MODEL,
+                    weight_version=FIRST_VERSION,
+                    swap=SwapPolicy(loads_at_once=1),
+                ),
+                Service(name=PLAIN, kind=ServiceKind.PLAIN),
+            ),
+            workspaces=tuple(self._workspace(i, key) for i, key in enumerate(KEYS)),
+            upstreams=(
+                *(self._upstream(MODEL, i, e) for i, e in enumerate(self.engines)),
+                *(self._upstream(PLAIN, i, p) for i, p in enumerate(self.plain)),
+            ),
+            stores=(
+                KvStore(
+                    name=StoreId("store-1"),
+                    url=self.store.url,
+                    failure_domain=FAILURE_DOMAINS[0],
+                    memory_bytes=STORE_BYTES,
+                    disk_bytes=STORE_BYTES,
+                ),
+            ),
+            links=(Link(store=StoreId("store-1"), bytes_per_s=LINK_BYTES_PER_S),),
+            releases=tuple(
+                WeightRelease(
+                    service=MODEL,
+                    version=version,
+                    source=f"{self.weights.url}/weights/{MODEL}/{version}",
+                )
+                for version in (FIRST_VERSION, SECOND_VERSION)
+            ),
+        )
+
+    def _workspace(self, index: int, key: str) -> Workspace:
+        return Workspace(
+            name=WorkspaceId(f"workspace-{index + 1}"),
+            key_digests=(sha256(key.encode()).hexdigest(),),
+            limits=self._plan.limits,
+        )
+
+    def _upstream(
+        self, service: ServiceName, index: int, process: ChildProcess
+    ) -> Upstream:
+        return Upstream(
+            name=UpstreamId(f"{service}-{index + 1}"),
+            service=service,
+            url=process.url,
+            failure_domain=FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+            checks_fencing=service != MODEL or index % 2 == 0,
+        )
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -13,6 +13,7 @@
 import urllib.request
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import cached_property
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Final, Self
@@ -38,17 +39,26 @@
 
     Parameters
     ----------
-    port : int
-        Port on which it listens, from the line that it printed.
     log_path : Path
         File that holds its standard error.
     """
 
     name: str
     process: subprocess.Popen[bytes]
-    port: int
     log_path: Path
 
+    @cached_property
+    def port(self) -> int:
+        """Port on which it listens; waits for the line that it prints."""
+        output = self.process.stdout
+        if output is None:
+            raise ProcessError(f"{self.name} has no output")
+        is_readable, _, _ = select.select([output], [], [], LISTEN_TIMEOUT_S)
+        line = output.readline() if is_readable else b""
+        if not line:
+            raise ProcessError(f"{self.name} did not listen:\n{self.log_tail()}")
+        return int(json.loads(line)["port"])
+
     @property
     def url(self) -> str:
         """URL of the process."""
@@ -136,18 +146,18 @@
         arguments: Sequence[str],
         environment: Mapping[str, str] | None = None,
     ) -> ChildProcess:
-        """Start a Python module and wait for the line with its port."""
+        """Start a Python module without waiting for it to listen."""
         log_path = Path(self._directory.name) / f"{len(self.children)}-{name}.log"
         with log_path.open("wb") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=log,
                 env={**os.environ, **(environment or {})},
             )
-        child = ChildProcess(name, process, 0, log_path)
+        child = ChildProcess(name, process, log_path)
         self.children.append(child)
-        child.port = _read_port(child)
         return child
 
     def start_standin(self, role: str, **options: object) -> ChildProcess:
@@ -229,14 +239,3 @@
 
 def _flags(options: Mapping[str, object]) -> list[str]:
     return [f"--{name}={value}" for name, value in options.items()]
-
-
-def _read_port(child: ChildProcess) -> int:
-    output = child.process.stdout
-    if output is None:
-        raise ProcessError(f"{child.name} has no output")
-    ready, _, _ = select.select([output], [], [], LISTEN_TIMEOUT_S)
-    line = output.readline() if ready else b""
-    if not line:
-        raise ProcessError(f"{child.name} did not listen:\n{child.log_tail()}")
-    return int(json.loads(line)["port"])
