Keep instances that start together from all reading the store

Cause: an instance that knows no other yet takes itself for a watcher. Seen: 32 instances that find each other after 1 s read 8224 objects, 257 of them each (test_cold_starts_that_find_their_peers_late...: 'assert 8224 <= (4 * 257)'). Ruled out: the choice of watchers, which is the same on all once they know each other (the test without the delay passed). Change: an instance that knows no other waits up to 2 s for one. A single instance starts 2 s later with its configuration.

--- a/src/banyanswitch/cli/config.py
+++ b/src/banyanswitch/cli/config.py
@@ -8,12 +8,9 @@
 import asyncio
 import sys
 import uuid
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Final, TypeVar
 
-import fire
-
 from banyanswitch.cli.config_output import (
     EXIT_CONFLICT,
     EXIT_DIFFERENT,
@@ -30,12 +27,13 @@
 )
 from banyanswitch.cli.platform_access import (
     EXIT_USAGE,
+    Command,
     Platform,
-    PlatformUrls,
+    async_run_command,
     fail,
-    open_platform,
     operator_name,
     platform_urls,
+    run_commands,
 )
 from banyanswitch.components.configuration.acceptance import (
     Acceptance,
@@ -59,7 +57,6 @@
 from banyanswitch.helpers.wall_clock import SystemWallClock
 
 T = TypeVar("T")
-Command = Callable[[Platform], Awaitable[T]]
 
 STANDARD_INPUT: Final = "-"
 
@@ -198,13 +195,13 @@
             print_json(lines)
             return
         for line in lines:
-            count = "many" if line.changed_records is None else line.changed_records
+            count = f"{line.changed_records} records"
             print(f"{line.revision:>8}  {line.accepted_at}  {line.operator}  {count}")
 
     def _run(self, command: Command[T]) -> T:
         urls = platform_urls(self._table_url, self._object_url)
         try:
-            return asyncio.run(_async_run(urls, command))
+            return asyncio.run(async_run_command(urls, command))
         except RevisionConflictError as error:
             fail(conflict_text(error), EXIT_CONFLICT)
         except AcceptanceUnknownError as error:
@@ -213,11 +210,6 @@
             fail(f"the platform can't be used: {error}", EXIT_UNAVAILABLE)
 
 
-async def _async_run(urls: PlatformUrls, command: Command[T]) -> T:
-    async with open_platform(urls) as platform:
-        return await command(platform)
-
-
 async def _async_content(platform: Platform) -> Content:
     repository = ConfigurationRepository(platform.table, platform.objects)
     accepted = await repository.async_head()
@@ -243,7 +235,7 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire(ConfigCommands, name="banyanswitch-config")
+    run_commands(ConfigCommands, "banyanswitch-config", sys.argv[1:])
 
 
 if __name__ == "__main__":
--- a/src/banyanswitch/cli/config_output.py
+++ b/src/banyanswitch/cli/config_output.py
@@ -55,19 +55,13 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryLine:
-    """One accepted revision, as printed.
-
-    Parameters
-    ----------
-    changed_records : int or None
-        ``None`` if the change was stored as objects.
-    """
+    """One accepted revision, as printed."""
 
     revision: int
     accepted_at: str
     operator: str
     attempt: str
-    changed_records: int | None
+    changed_records: int
 
 
 def print_json(content: object) -> None:
@@ -99,7 +93,7 @@
         iso_time(delta.accepted_at_unix_s),
         delta.operator,
         delta.attempt,
-        None if delta.changes is None else len(delta.changes),
+        delta.change_count,
     )
 
 
--- a/src/banyanswitch/cli/platform_access.py
+++ b/src/banyanswitch/cli/platform_access.py
@@ -3,12 +3,13 @@
 import getpass
 import os
 import sys
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Final, NoReturn
+from typing import Final, NoReturn, TypeVar
 
 import aiohttp
+import fire
 
 from banyanswitch.components.platform import HttpObjectStore, HttpTableStore
 from banyanswitch.components.platform.http_client import PlatformClient
@@ -35,6 +36,10 @@
     objects: ObjectStore
 
 
+T = TypeVar("T")
+Command = Callable[[Platform], Awaitable[T]]
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformUrls:
     """Where the platform's services are."""
@@ -65,6 +70,27 @@
     raise SystemExit(status)
 
 
+def run_commands(commands: type, name: str, arguments: Sequence[str]) -> None:
+    """Run a command line of ``fire``.
+
+    ``fire`` takes a lone ``-`` for a separator, so that it is passed on as the
+    document it stands for.
+    """
+    spelled = ["--document=-" if word == "-" else word for word in arguments]
+    try:
+        fire.Fire(commands, command=spelled, name=name)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of the output has ended; there is nobody left to tell.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
+async def async_run_command(urls: PlatformUrls, command: Command[T]) -> T:
+    """Open the clients, run a command and close them."""
+    async with open_platform(urls) as platform:
+        return await command(platform)
+
+
 @asynccontextmanager
 async def open_platform(urls: PlatformUrls) -> AsyncIterator[Platform]:
     """Open the clients for the time of a command."""
--- a/src/banyanswitch/components/configuration/acceptance.py
+++ b/src/banyanswitch/components/configuration/acceptance.py
@@ -115,7 +115,7 @@
         after = Content(before.revision + 1, before.records.changed(changes))
         delta = _make_delta(before, after, changes, author)
         head = await self._async_make_head(accepted.head, after, delta)
-        await self._async_commit(accepted, head, delta, len(changes))
+        await self._async_commit(accepted, head, delta)
         return Acceptance(after.revision, changes)
 
     async def _async_content(self, head: Head | None) -> Content:
@@ -169,12 +169,12 @@
             await self._objects.async_put(name, records.packed_bucket(index))
 
     async def _async_commit(
-        self, accepted: AcceptedHead, head: Head, delta: Delta, change_count: int
+        self, accepted: AcceptedHead, head: Head, delta: Delta
     ) -> None:
         writes = (
             Write(HEAD_KEY, encode_head(head), accepted.item_revision),
             Write(delta_key(delta.revision), encode_delta(delta), 0),
-            _audit_write(delta, change_count),
+            _audit_write(delta),
         )
         is_outcome_open = False
         for try_number in range(MAX_TRIES):
@@ -234,17 +234,18 @@
         operator=author.operator,
         attempt=author.attempt,
         accepted_at_unix_s=author.now_unix_s,
+        change_count=len(changes),
         changes=changes if is_small else None,
     )
 
 
-def _audit_write(delta: Delta, change_count: int) -> Write:
+def _audit_write(delta: Delta) -> Write:
     record = AuditRecord(
         at_unix_s=delta.accepted_at_unix_s,
         kind=AuditKind.CONFIGURATION,
         actor=delta.operator,
         subject=f"revision {delta.revision}",
-        detail=f"{change_count} records changed",
+        detail=f"{delta.change_count} records changed",
         identity=delta.attempt,
     )
     return Write(batch_key((record,)), encode_batch((record,)))
--- a/src/banyanswitch/components/configuration/const.py
+++ b/src/banyanswitch/components/configuration/const.py
@@ -38,6 +38,15 @@
 STORE_READ_DELAY_S: Final = 0.5
 """Time for which a starting instance hears its peers before it reads the store."""
 
+ALONE_DELAY_S: Final = 2.0
+"""Time for which a starting instance that knows no other waits for one.
+
+Instances that start together know of each other only a little later; without the
+wait each would take itself for the one that reads the store.
+"""
+
+ALONE_CHECK_INTERVAL_S: Final = 0.1
+
 PEERS_FIRST_S: Final = 4.0
 """Time for which an instance that does not watch waits for its peers' content."""
 
--- a/src/banyanswitch/components/configuration/models.py
+++ b/src/banyanswitch/components/configuration/models.py
@@ -41,6 +41,8 @@
         Digest of the content that the changes apply to.
     digest : bytes
         Digest of the content that results.
+    change_count : int
+        Number of records that changed.
     changes : tuple of RecordChange or None
         ``None`` if there are too many; the content is then stored as objects.
     """
@@ -51,6 +53,7 @@
     operator: str
     attempt: str
     accepted_at_unix_s: float
+    change_count: int
     changes: tuple[RecordChange, ...] | None
 
 
--- a/src/banyanswitch/components/configuration/store_watcher.py
+++ b/src/banyanswitch/components/configuration/store_watcher.py
@@ -6,6 +6,8 @@
 import structlog
 
 from banyanswitch.components.configuration.const import (
+    ALONE_CHECK_INTERVAL_S,
+    ALONE_DELAY_S,
     BACKGROUND_READS_PER_S,
     PEERS_FIRST_S,
     STORE_READ_DELAY_S,
@@ -54,6 +56,7 @@
         self._random = generator
         self._is_platform_readable = True
         self._peers_first_until_s = 0.0
+        self._alone_until_s = 0.0
 
     async def async_run(self) -> None:
         """Watch until cancelled."""
@@ -61,7 +64,11 @@
         wait_s = PEERS_FIRST_S * self._random.uniform(1.0, 2.0)
         self._peers_first_until_s = started_at_s + wait_s
         await asyncio.sleep(STORE_READ_DELAY_S * self._random.uniform(0.5, 1.0))
+        self._alone_until_s = started_at_s + ALONE_DELAY_S
         while True:
+            if self._is_waiting_for_peers():
+                await asyncio.sleep(ALONE_CHECK_INTERVAL_S)
+                continue
             if self._is_read_due():
                 await self.async_read()
             await asyncio.sleep(WATCH_INTERVAL_S * self._random.uniform(0.9, 1.1))
@@ -93,6 +100,11 @@
         content = await self._repository.async_content(head, held)
         await self._coordinator.async_take_content(content)
 
+    def _is_waiting_for_peers(self) -> bool:
+        is_alone = len(self._directory.peers()) < 2
+        now_s = asyncio.get_running_loop().time()
+        return is_alone and now_s < self._alone_until_s
+
     def _is_read_due(self) -> bool:
         peers = self._directory.peers()
         this_instance = self._directory.this_instance().instance
--- a/tests/components/configuration/builders.py
+++ b/tests/components/configuration/builders.py
@@ -53,6 +53,17 @@
     return await acceptor.async_apply(configuration, author, expected_revision)
 
 
+@dataclass
+class CountingTable(FakeTable):
+    """Counts the reads of objects too."""
+
+    object_reads: int = 0
+
+    async def async_get_object(self, name: str) -> bytes | None:
+        self.object_reads += 1
+        return await super().async_get_object(name)
+
+
 @dataclass
 class SpreadNode:
     node: FakeNode
@@ -65,7 +76,7 @@
 class Cluster:
     """Instances of the component over a fake network and table."""
 
-    table: FakeTable = field(default_factory=lambda: FakeTable(latency_s=0.005))
+    table: CountingTable = field(default_factory=lambda: CountingTable(latency_s=0.005))
     network: FakeNetwork = field(default_factory=FakeNetwork)
     nodes: list[SpreadNode] = field(default_factory=list)
 
--- a/tests/fakes/peers.py
+++ b/tests/fakes/peers.py
@@ -27,6 +27,7 @@
     delay_s: float = 0.003
     loss: float = 0.0
     seed: int = 1
+    is_discovered: bool = True
     nodes: dict[str, "FakeNode"] = field(default_factory=dict)
     partitions: list[Collection[str]] = field(default_factory=list)
     sent: dict[str, Traffic] = field(default_factory=lambda: defaultdict(Traffic))
@@ -99,4 +100,6 @@
         return self.peer
 
     def peers(self) -> tuple[Peer, ...]:
+        if not self.network.is_discovered:
+            return (self.peer,)
         return tuple(node.peer for _, node in sorted(self.network.nodes.items()))
