--- a/src/banyanswitch/components/platform/const.py
+++ b/src/banyanswitch/components/platform/const.py
@@ -19,11 +19,14 @@
 DEFAULT_RETRY_AFTER_S: Final = 1.0
 """Time to come back when the service does not name one, in seconds."""
 
-CLAIM_RESERVE_SHARE: Final = 0.4
-"""Share of the burst that claims leave to leases and configuration."""
+CLAIM_SHARE: Final = 0.7
+"""Share of the write budget that claims and answers of calls may use."""
 
-CONFIGURATION_RESERVE_SHARE: Final = 0.2
-"""Share of the burst that configuration leaves to leases."""
+LEASE_SHARE: Final = 0.2
+"""Share of the write budget that leases have for themselves."""
+
+CONFIGURATION_SHARE: Final = 0.1
+"""Share of the write budget that configuration has for itself."""
 
 BUDGET_BURST_S: Final = 2.0
 """Time for which unused write budget is kept, in seconds."""
--- a/src/banyanswitch/components/platform/table_store.py
+++ b/src/banyanswitch/components/platform/table_store.py
@@ -40,7 +40,7 @@
     client : PlatformClient
         Makes the calls.
     budget : WriteBudget
-        Bounds the transactions of this instance.
+        Bounds the writes of this instance.
     """
 
     def __init__(self, client: PlatformClient, budget: WriteBudget) -> None:
@@ -71,7 +71,8 @@
             return ()
         if len(writes) > MAX_TRANSACTION_WRITES:
             raise PlatformError(f"{len(writes)} writes exceed one transaction")
-        self._budget.admit(write_class, asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self._budget.admit(write_class, len(writes), now_s)
         body = msgspec.json.encode(TransactRequest(list(writes)))
         answer = await self._client.async_write("POST", "/table/transact", body)
         if answer.status == STATUS_CONFLICT:
--- a/src/banyanswitch/components/platform/write_budget.py
+++ b/src/banyanswitch/components/platform/write_budget.py
@@ -1,44 +1,65 @@
 """Budget of table writes that the parts of one instance share."""
 
-from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from banyanswitch.components.platform.const import (
     BUDGET_BURST_S,
-    CLAIM_RESERVE_SHARE,
-    CONFIGURATION_RESERVE_SHARE,
+    CLAIM_SHARE,
+    CONFIGURATION_SHARE,
+    LEASE_SHARE,
 )
 from banyanswitch.exceptions import WriteBudgetExceededError
 from banyanswitch.interfaces import WriteClass
 
-RESERVE_SHARES: Final[Mapping[WriteClass, float]] = {
-    WriteClass.CLAIM: CLAIM_RESERVE_SHARE,
-    WriteClass.CONFIGURATION: CONFIGURATION_RESERVE_SHARE,
-    WriteClass.LEASE: 0.0,
+SHARES: Final = {
+    WriteClass.CLAIM: CLAIM_SHARE,
+    WriteClass.LEASE: LEASE_SHARE,
+    WriteClass.CONFIGURATION: CONFIGURATION_SHARE,
 }
 
 
+@dataclass(slots=True)
+class _Bucket:
+    """Token bucket of one class; a transaction may leave it in debt."""
+
+    writes_per_s: float
+    capacity: float
+    level: float
+    filled_at_s: float
+
+    def fill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self.filled_at_s)
+        self.level = min(self.capacity, self.level + elapsed_s * self.writes_per_s)
+        self.filled_at_s = now_s
+
+    def time_until_one_s(self) -> float:
+        return max(0.0, (1.0 - self.level) / self.writes_per_s)
+
+
 class WriteBudget:
-    """Token bucket in which each class leaves a reserve to more urgent ones.
+    """Admit transactions within a rate of written items, by class.
 
-    Claims come with the callers' load. Their reserve keeps that load from costing
-    an instance its leases.
+    Claims come with the callers' load and use only their own share. The other
+    classes may use what claims leave when their own share is spent, so that load
+    can't cost an instance its leases.
 
     Parameters
     ----------
-    transactions_per_s : float
-        Transactions admitted in the long run, per second.
+    writes_per_s : float
+        Items that all classes together may write, per second.
     now_s : float
-        Loop time at which the bucket starts, full.
+        Loop time at which the budget starts, full.
     """
 
-    def __init__(self, transactions_per_s: float, now_s: float) -> None:
-        self._transactions_per_s = transactions_per_s
-        self._burst = max(2.0, transactions_per_s * BUDGET_BURST_S)
-        self._tokens = self._burst
-        self._refilled_at_s = now_s
+    def __init__(self, writes_per_s: float, now_s: float) -> None:
+        self._buckets: dict[WriteClass, _Bucket] = {}
+        for write_class, share in SHARES.items():
+            rate = share * writes_per_s
+            capacity = max(1.0, rate * BUDGET_BURST_S)
+            self._buckets[write_class] = _Bucket(rate, capacity, capacity, now_s)
 
-    def admit(self, write_class: WriteClass, now_s: float) -> None:
+    def admit(self, write_class: WriteClass, writes: int, now_s: float) -> None:
         """Take one transaction out of the budget.
 
         Raises
@@ -46,15 +67,13 @@
         WriteBudgetExceededError
             If what the class may use is spent; nothing is taken.
         """
-        self._refill(now_s)
-        reserve = self._burst * RESERVE_SHARES[write_class]
-        missing = 1.0 - (self._tokens - reserve)
-        if missing > 0.0:
-            raise WriteBudgetExceededError(missing / self._transactions_per_s)
-        self._tokens -= 1.0
-
-    def _refill(self, now_s: float) -> None:
-        elapsed_s = max(0.0, now_s - self._refilled_at_s)
-        self._refilled_at_s = now_s
-        refilled = self._tokens + elapsed_s * self._transactions_per_s
-        self._tokens = min(self._burst, refilled)
+        for bucket in self._buckets.values():
+            bucket.fill(now_s)
+        own = self._buckets[write_class]
+        if own.level >= 1.0:
+            own.level -= writes
+            return
+        claims = self._buckets[WriteClass.CLAIM]
+        if claims.level < 1.0:
+            raise WriteBudgetExceededError(own.time_until_one_s())
+        claims.level -= writes
