Add decisions on reuse across stores and shares of the links

Prompts are tracked with one record each; exports go out by the number of returns so far, the oldest first, since those are nearest to their eviction. Placement imports only what the workspace's share still allows, and counts only the missing pieces of a stored prefix, where it counted all before.

--- /dev/null
+++ b/src/banyanswitch/decisions/link_budget.py
@@ -0,0 +1,180 @@
+"""Shares of the links between stores and upstreams, on one instance."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from banyanswitch.decisions.token_bucket import TokenBucket
+from banyanswitch.decisions.upstream_pool import StoreView
+from banyanswitch.identifiers import StoreId, WorkspaceId
+
+ACCOUNTING_WINDOW_S: Final = 600.0
+"""Window in which the use of a link stays within the declared share."""
+
+WORKSPACE_BURST_S: Final = 60.0
+BACKGROUND_BURST_S: Final = 10.0
+RATE_SMOOTHING: Final = 0.2
+"""Weight of the latest transfer in the mean rate."""
+
+FIRST_RETRY_S: Final = 2.0
+LONGEST_RETRY_S: Final = 60.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinkSettings:
+    """What one instance may use of one link.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Declared rate of the link.
+    background_share : float
+        Share for exports and prefetches over the whole system.
+    entries : int
+        Entry instances that divide the background share.
+    """
+
+    store: StoreId
+    bytes_per_s: float
+    background_share: float
+    entries: int = 1
+
+
+class WorkspaceShare(Protocol):
+    """Share of each link that a workspace may use through this instance."""
+
+    def __call__(self, workspace: WorkspaceId) -> float:
+        """Return the share, from 0 to 1."""
+
+
+class LinkBudget:
+    """Budget of one link, for each workspace and for background work.
+
+    Parameters
+    ----------
+    workspace_share : WorkspaceShare
+        Local share of a workspace: its limit over the entries that serve it.
+    now_s : float
+        Loop time of the start.
+    """
+
+    def __init__(
+        self, settings: LinkSettings, workspace_share: WorkspaceShare, now_s: float
+    ) -> None:
+        self._settings = settings
+        self._workspace_share = workspace_share
+        self._workspaces: dict[WorkspaceId, TokenBucket] = {}
+        share = settings.background_share / settings.entries
+        self._background = _bucket(
+            share * settings.bytes_per_s, BACKGROUND_BURST_S, now_s
+        )
+        self._observed_bytes_per_s = settings.bytes_per_s
+        self._queued_bytes = 0
+        self._failures = 0
+        self._retry_at_s = now_s
+
+    def view(self, now_s: float) -> StoreView:
+        """Return what placement should expect of this link."""
+        return StoreView(
+            store=self._settings.store,
+            bytes_per_s=self._observed_bytes_per_s,
+            queued_bytes=self._queued_bytes,
+            is_available=now_s >= self._retry_at_s,
+        )
+
+    def import_bytes(self, workspace: WorkspaceId, now_s: float) -> float:
+        """Return how much a workspace may import now, in bytes."""
+        return self._bucket_of(workspace, now_s).level(now_s)
+
+    def export_bytes(self, workspace: WorkspaceId, now_s: float) -> float:
+        """Return how much a workspace may export now, in bytes."""
+        if now_s < self._retry_at_s:
+            return 0.0
+        return min(
+            self._bucket_of(workspace, now_s).level(now_s),
+            self._background.level(now_s),
+        )
+
+    def start_import(
+        self, workspace: WorkspaceId, size_bytes: int, now_s: float
+    ) -> bool:
+        """Take the budget for an import; the caller recomputes if it is spent."""
+        if not self._bucket_of(workspace, now_s).try_spend(size_bytes, now_s):
+            return False
+        self._queued_bytes += size_bytes
+        return True
+
+    def start_export(
+        self, workspace: WorkspaceId, size_bytes: int, now_s: float
+    ) -> bool:
+        """Take the budget for an export or a prefetch."""
+        if self.export_bytes(workspace, now_s) < size_bytes:
+            return False
+        self._background.try_spend(size_bytes, now_s)
+        return self.start_import(workspace, size_bytes, now_s)
+
+    def on_done(self, size_bytes: int, elapsed_s: float) -> None:
+        """Learn from a transfer that ended well."""
+        self._queued_bytes = max(0, self._queued_bytes - size_bytes)
+        self._failures = 0
+        if size_bytes <= 0 or elapsed_s <= 0:
+            return
+        change = size_bytes / elapsed_s - self._observed_bytes_per_s
+        self._observed_bytes_per_s += RATE_SMOOTHING * change
+
+    def on_failed(self, size_bytes: int, now_s: float) -> None:
+        """Stop using the store for a time that doubles with each failure."""
+        self._queued_bytes = max(0, self._queued_bytes - size_bytes)
+        wait_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2.0**self._failures)
+        self._failures += 1
+        self._retry_at_s = max(self._retry_at_s, now_s + wait_s)
+
+    def _bucket_of(self, workspace: WorkspaceId, now_s: float) -> TokenBucket:
+        bucket = self._workspaces.get(workspace)
+        if bucket is None:
+            rate = self._workspace_share(workspace) * self._settings.bytes_per_s
+            bucket = _bucket(rate, WORKSPACE_BURST_S, now_s)
+            self._workspaces[workspace] = bucket
+        return bucket
+
+
+class LinkBudgets:
+    """Budgets of all links of an instance, as placement reads them."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[StoreId, LinkBudget] = {}
+
+    def put(self, store: StoreId, budget: LinkBudget) -> None:
+        """Add or replace the budget of a link."""
+        self._budgets[store] = budget
+
+    def get(self, store: StoreId) -> LinkBudget | None:
+        """Return the budget of a link."""
+        return self._budgets.get(store)
+
+    def stores(self) -> tuple[StoreId, ...]:
+        """Return the stores whose links have a budget."""
+        return tuple(self._budgets)
+
+    def import_bytes(
+        self, store: StoreId, workspace: WorkspaceId, now_s: float
+    ) -> float:
+        """Return how much a workspace may import from a store now, in bytes."""
+        budget = self._budgets.get(store)
+        return budget.import_bytes(workspace, now_s) if budget is not None else 0.0
+
+
+def equal_share(link_share: float, serving_entries: int) -> Callable[..., float]:
+    """Return a share that is the same for all workspaces."""
+    share = link_share / serving_entries
+
+    def share_of(workspace: WorkspaceId) -> float:
+        return share
+
+    return share_of
+
+
+def _bucket(rate_per_s: float, burst_s: float, now_s: float) -> TokenBucket:
+    # The burst counts against the window too, so the refill is slower by it.
+    refill = rate_per_s * (1.0 - burst_s / ACCOUNTING_WINDOW_S)
+    return TokenBucket(refill, rate_per_s * burst_s, now_s)
--- a/src/banyanswitch/decisions/placement.py
+++ b/src/banyanswitch/decisions/placement.py
@@ -9,6 +9,7 @@
 from banyanswitch.const import DEFAULT_PIECE_TOKENS
 from banyanswitch.decisions.cache_view import CacheView, StoredPrefix
 from banyanswitch.decisions.in_flight import InFlightTracker
+from banyanswitch.decisions.link_budget import LinkBudgets
 from banyanswitch.decisions.prefix import prefix_key
 from banyanswitch.decisions.upstream_pool import UpstreamPool, UpstreamView
 from banyanswitch.identifiers import (
@@ -163,6 +164,8 @@
         What upstreams and stores are believed to hold.
     rng : random.Random
         Seeded source of the random samples.
+    links : LinkBudgets, optional
+        Bounds the imports of each workspace.
     """
 
     def __init__(
@@ -170,11 +173,13 @@
         cache_view: CacheView,
         rng: random.Random,
         policy: PlacementPolicy | None = None,
+        links: LinkBudgets | None = None,
     ) -> None:
         self.cache_view = cache_view
         self.in_flight = InFlightTracker()
         self._rng = rng
         self._policy = policy or PlacementPolicy()
+        self._links = links
 
     def place(
         self, request: PlacementRequest, pool: UpstreamPool, now_s: float
@@ -211,7 +216,9 @@
                 self._compute_option(request, view, cached, known_pieces, now_s)
             )
             if stored is not None and stored.pieces > cached:
-                imported = self._import_option(request, view, stored, pool, now_s)
+                imported = self._import_option(
+                    request, view, cached, stored, pool=pool, now_s=now_s
+                )
                 if imported is not None:
                     options.append(imported)
         if not options:
@@ -308,30 +315,53 @@
         self,
         request: PlacementRequest,
         view: UpstreamView,
+        cached_pieces: int,
         stored: StoredPrefix,
+        *,
         pool: UpstreamPool,
         now_s: float,
     ) -> _Option | None:
         store = pool.store(stored.store)
         if store is None or not store.is_available or store.bytes_per_s <= 0:
             return None
-        link_s = stored.size_bytes / store.bytes_per_s
+        pieces = self._importable_pieces(request, cached_pieces, stored, now_s)
+        if pieces <= cached_pieces:
+            return None
+        size_bytes = (pieces - cached_pieces) * stored.size_bytes // stored.pieces
+        link_s = size_bytes / store.bytes_per_s
         import_s = link_s + store.queued_bytes / store.bytes_per_s
         if stored.is_on_disk:
-            import_s += stored.size_bytes / store.disk_bytes_per_s
-        tokens = max(0, request.prompt_tokens - stored.pieces * request.piece_tokens)
+            import_s += size_bytes / store.disk_bytes_per_s
+        tokens = max(0, request.prompt_tokens - pieces * request.piece_tokens)
+        redone_tokens = (stored.pieces - pieces) * request.piece_tokens
         wait_s = max(import_s, self._wait_s(view, now_s))
         first_token_s = wait_s + tokens / view.prefill_tokens_per_s
         cost = request.reuse.first_token_weight * first_token_s
         cost += request.reuse.link_weight * link_s
+        cost += (
+            request.reuse.recompute_weight * redone_tokens / view.prefill_tokens_per_s
+        )
         order = ImportFirst(
             store=stored.store,
             manifest=stored.manifest,
-            pieces=stored.pieces,
-            size_bytes=stored.size_bytes,
+            pieces=pieces,
+            size_bytes=size_bytes,
             expected_s=import_s,
         )
-        return _Option(view.upstream, cost, first_token_s, stored.pieces, tokens, order)
+        return _Option(view.upstream, cost, first_token_s, pieces, tokens, order)
+
+    def _importable_pieces(
+        self,
+        request: PlacementRequest,
+        cached_pieces: int,
+        stored: StoredPrefix,
+        now_s: float,
+    ) -> int:
+        if self._links is None or stored.pieces <= 0:
+            return stored.pieces
+        allowed = self._links.import_bytes(stored.store, request.workspace, now_s)
+        allowed_pieces = int(allowed * stored.pieces // max(1, stored.size_bytes))
+        return min(stored.pieces, cached_pieces + allowed_pieces)
 
     def _best(self, options: list[_Option], home: UpstreamId | None) -> _Option:
         best = min(options, key=_cost_of)
--- /dev/null
+++ b/src/banyanswitch/decisions/prompt_index.py
@@ -0,0 +1,118 @@
+"""Bounded index of the prompts of one service, one record a prompt."""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from banyanswitch.decisions.cache_view import StoredPrefix
+from banyanswitch.decisions.prefix import prefix_key
+from banyanswitch.decisions.return_model import ReturnModel
+from banyanswitch.identifiers import (
+    PrefixHash,
+    UpstreamId,
+    WeightVersion,
+    WorkspaceId,
+)
+
+MIN_HORIZON_S: Final = 60.0
+
+
+@dataclass(slots=True)
+class PromptRecord:
+    """What is known of one prompt.
+
+    Parameters
+    ----------
+    key : int
+        Compact key of the last piece.
+    returns : int
+        How often it has come back.
+    stored : StoredPrefix, optional
+        Its longest prefix in a store.
+    is_exporting : bool
+        Whether an export of it is on its way.
+    """
+
+    key: int
+    workspace: WorkspaceId
+    weight_version: WeightVersion
+    pieces: int
+    last_use_s: float
+    upstream: UpstreamId
+    returns: int = 0
+    stored: StoredPrefix | None = None
+    is_exporting: bool = False
+
+
+class PromptIndex:
+    """Records in the order of their last use, found by any longer prompt.
+
+    Parameters
+    ----------
+    max_prompts : int
+        Most records; the one that was not used for longest is forgotten.
+    horizon_s : float
+        Age at which a prompt is not expected back.
+    """
+
+    def __init__(self, max_prompts: int, horizon_s: float) -> None:
+        self._max_prompts = max_prompts
+        self._horizon_s = horizon_s
+        self._records: dict[int, PromptRecord] = {}
+        self._model = ReturnModel()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[PromptRecord]:
+        return iter(tuple(self._records.values()))
+
+    def get(self, key: int) -> PromptRecord | None:
+        """Return the record with this key."""
+        return self._records.get(key)
+
+    def take(
+        self, piece_hashes: Sequence[PrefixHash], now_s: float
+    ) -> PromptRecord | None:
+        """Remove and return the record of the longest prefix, as returned now."""
+        for piece_hash in reversed(piece_hashes):
+            record = self._records.pop(prefix_key(piece_hash), None)
+            if record is None:
+                continue
+            self._model.on_returned(now_s - record.last_use_s, record.returns)
+            record.returns += 1
+            record.last_use_s = now_s
+            return record
+        return None
+
+    def put(self, record: PromptRecord) -> None:
+        """Add a record as the one used last."""
+        self._records[record.key] = record
+
+    def remove(self, key: int) -> None:
+        """Remove a record if it is present."""
+        self._records.pop(key, None)
+
+    def pop_excess(self, now_s: float) -> PromptRecord | None:
+        """Forget and return the oldest record if there are too many."""
+        if len(self._records) <= self._max_prompts:
+            return None
+        record = self._records.pop(next(iter(self._records)))
+        self._model.on_forgotten(now_s - record.last_use_s, record.returns)
+        return record
+
+    def return_probability(
+        self, record: PromptRecord, now_s: float, within_s: float | None = None
+    ) -> float:
+        """Return the probability that a prompt comes back in time.
+
+        Parameters
+        ----------
+        within_s : float, optional
+            Time from now; the rest of the horizon if it is not given.
+        """
+        age_s = now_s - record.last_use_s
+        until_s = max(age_s + MIN_HORIZON_S, self._horizon_s)
+        if within_s is not None:
+            until_s = age_s + within_s
+        return self._model.probability(record.returns, age_s, until_s)
--- /dev/null
+++ b/src/banyanswitch/decisions/reuse.py
@@ -0,0 +1,362 @@
+"""Decisions on which prefixes are exported to stores, dropped and prefetched."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from banyanswitch.decisions.cache_view import CacheView, StoredPrefix
+from banyanswitch.decisions.export_queue import ExportQueue
+from banyanswitch.decisions.link_budget import LinkBudgets
+from banyanswitch.decisions.prefix import prefix_key
+from banyanswitch.decisions.prompt_index import PromptIndex, PromptRecord
+from banyanswitch.decisions.reuse_models import (
+    Drop,
+    Export,
+    Prefetch,
+    PromptUse,
+    ReuseSettings,
+    StoreSpace,
+    StoreTier,
+)
+from banyanswitch.decisions.sampled_set import SampledSet
+from banyanswitch.identifiers import PrefixHash, StoreId, UpstreamId, WeightVersion
+
+DROP_SAMPLES: Final = 32
+PREFETCH_SAMPLES: Final = 32
+
+
+@dataclass(slots=True)
+class _Exporting:
+    record: PromptRecord
+    use: PromptUse
+
+
+class ReusePlanner:
+    """Track the prompts of one service and decide what stores keep.
+
+    Parameters
+    ----------
+    cache_view : CacheView
+        Tells what upstreams hold, and gets the prefixes that stores hold.
+    links : LinkBudgets
+        Shares of the links.
+    generator : random.Random
+        Source of the samples from which drops and prefetches are chosen.
+    """
+
+    def __init__(
+        self,
+        settings: ReuseSettings,
+        cache_view: CacheView,
+        links: LinkBudgets,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._cache_view = cache_view
+        self._links = links
+        self._generator = generator
+        self._prompts = PromptIndex(settings.max_prompts, settings.horizon_s)
+        self._queue = ExportQueue(settings.max_pending)
+        self._exporting: dict[str, _Exporting] = {}
+        self._stored_keys: dict[StoreId, SampledSet] = {}
+
+    @property
+    def prompt_count(self) -> int:
+        """Number of prompts that are tracked."""
+        return len(self._prompts)
+
+    @property
+    def pending_count(self) -> int:
+        """Number of prompts that wait for their export."""
+        return len(self._queue)
+
+    def on_used(self, use: PromptUse, now_s: float) -> None:
+        """Take in a prompt at its first token."""
+        if not use.piece_hashes:
+            return
+        key = prefix_key(use.piece_hashes[-1])
+        record = self._prompts.take(use.piece_hashes, now_s)
+        if record is None:
+            record = _new_record(key, use, now_s)
+        self._queue.discard(record.key)
+        self._unlist(record)
+        record.key = key
+        record.pieces = len(use.piece_hashes)
+        record.upstream = use.upstream
+        self._prompts.put(record)
+        self._list(record)
+        if record.stored is None or record.stored.pieces < record.pieces:
+            self._queue.put(key, record.returns, use)
+        forgotten = self._prompts.pop_excess(now_s)
+        if forgotten is not None:
+            self._unlist(forgotten)
+            self._queue.discard(forgotten.key)
+
+    def next_export(self, spaces: Sequence[StoreSpace], now_s: float) -> Export | None:
+        """Return the most valuable export that the links allow now.
+
+        The command takes its share of the link; `on_exported` or
+        `on_export_failed` must follow.
+        """
+        for key, use in self._queue.candidates():
+            record = self._prompts.get(key)
+            if record is None or not self._is_hot(use):
+                self._queue.discard(key)
+                continue
+            if record.is_exporting:
+                continue
+            export = self._plan_export(record, use, spaces, now_s)
+            if export is not None:
+                self._queue.discard(key)
+                record.is_exporting = True
+                self._exporting[export.manifest] = _Exporting(record, use)
+                return export
+        return None
+
+    def on_exported(
+        self, export: Export, elapsed_s: float, *, is_on_disk: bool
+    ) -> None:
+        """Take in that a store holds a prefix whole."""
+        budget = self._links.get(export.store)
+        if budget is not None:
+            budget.on_done(export.size_bytes, elapsed_s)
+        stored = StoredPrefix(
+            store=export.store,
+            manifest=export.manifest,
+            pieces=len(export.piece_hashes),
+            size_bytes=len(export.piece_hashes) * self._settings.piece_size_bytes,
+            is_on_disk=is_on_disk,
+        )
+        if export.replaces is not None:
+            self._cache_view.discard_stored(PrefixHash(export.replaces))
+        self._cache_view.add_stored(export.piece_hashes[-1], stored)
+        exporting = self._exporting.pop(export.manifest, None)
+        if exporting is None:
+            return
+        record = exporting.record
+        record.is_exporting = False
+        self._unlist(record)
+        record.stored = stored
+        self._list(record)
+        is_latest = prefix_key(exporting.use.piece_hashes[-1]) == record.key
+        if is_latest and stored.pieces < record.pieces:
+            self._queue.put(record.key, record.returns, exporting.use)
+
+    def on_export_failed(self, export: Export, now_s: float) -> None:
+        """Take in that an export failed; the prompt waits for its next use."""
+        budget = self._links.get(export.store)
+        if budget is not None:
+            budget.on_failed(export.size_bytes, now_s)
+        exporting = self._exporting.pop(export.manifest, None)
+        if exporting is not None:
+            exporting.record.is_exporting = False
+
+    def on_lost(self, stored: StoredPrefix) -> None:
+        """Take in that a stored prefix could not be read."""
+        tail = PrefixHash(stored.manifest)
+        self._cache_view.discard_stored(tail)
+        record = self._prompts.get(prefix_key(tail))
+        if record is not None and record.stored == stored:
+            self._unlist(record)
+            record.stored = None
+
+    def on_store_lost(self, store: StoreId) -> None:
+        """Forget all that a store held."""
+        self._cache_view.forget_store(store)
+        self._stored_keys.pop(store, None)
+        for record in self._prompts:
+            if record.stored is not None and record.stored.store == store:
+                record.stored = None
+
+    def next_drops(
+        self, store: StoreId, needed_bytes: int, now_s: float
+    ) -> tuple[Drop, ...]:
+        """Return what to delete so that a store has that much more space.
+
+        The least likely to return of a sample goes first.
+        """
+        drops: list[Drop] = []
+        freed_bytes = 0
+        while freed_bytes < needed_bytes:
+            record = self._least_likely(store, now_s)
+            if record is None or record.stored is None:
+                break
+            freed_bytes += record.stored.size_bytes
+            drops.append(self._drop(record, record.stored))
+        return tuple(drops)
+
+    def retire_version(self, version: WeightVersion) -> tuple[Drop, ...]:
+        """Forget a version that no run uses any more and drop what is stored."""
+        drops: list[Drop] = []
+        for record in self._prompts:
+            if record.weight_version != version:
+                continue
+            if record.stored is not None:
+                drops.append(self._drop(record, record.stored))
+            self._prompts.remove(record.key)
+            self._queue.discard(record.key)
+        return tuple(drops)
+
+    def next_prefetches(
+        self, upstreams: Sequence[UpstreamId], limit: int, now_s: float
+    ) -> tuple[Prefetch, ...]:
+        """Return stored prefixes that are worth importing before they are asked for.
+
+        The expected gain in first-token time must exceed the cost of a transfer
+        that turns out to be useless.
+        """
+        weights = self._settings.weights
+        results: list[Prefetch] = []
+        for keys in self._stored_keys.values():
+            for key in keys.sample(PREFETCH_SAMPLES, self._generator):
+                record = self._prompts.get(key)
+                if record is None or record.stored is None or not upstreams:
+                    continue
+                probability = self._prompts.return_probability(
+                    record, now_s, self._settings.prefetch_horizon_s
+                )
+                gain = probability * weights.first_token_weight
+                if gain <= (1.0 - probability) * weights.link_weight:
+                    continue
+                upstream = self._generator.choice(upstreams)
+                results.append(Prefetch(record.workspace, record.stored, upstream))
+        return tuple(results[:limit])
+
+    def cache_values_s(self, now_s: float) -> dict[UpstreamId, float]:
+        """Return the prefill time that each upstream's cache is likely to save."""
+        values: dict[UpstreamId, float] = {}
+        for record in self._prompts:
+            stored_pieces = record.stored.pieces if record.stored is not None else 0
+            pieces = max(0, record.pieces - stored_pieces)
+            value_s = pieces * self._settings.piece_prefill_s
+            value_s *= self._prompts.return_probability(record, now_s)
+            values[record.upstream] = values.get(record.upstream, 0.0) + value_s
+        return values
+
+    def _is_hot(self, use: PromptUse) -> bool:
+        matches = self._cache_view.matches(use.piece_hashes)
+        return any(match.upstream == use.upstream for match in matches)
+
+    def _plan_export(
+        self,
+        record: PromptRecord,
+        use: PromptUse,
+        spaces: Sequence[StoreSpace],
+        now_s: float,
+    ) -> Export | None:
+        space = self._choose_store(record, use, spaces, now_s)
+        budget = self._links.get(space.store) if space is not None else None
+        if space is None or budget is None:
+            return None
+        if not self._is_worth(record, budget.view(now_s).bytes_per_s, now_s):
+            return None
+        piece_size = self._settings.piece_size_bytes
+        stored_pieces = record.stored.pieces if record.stored is not None else 0
+        allowed = int(budget.export_bytes(use.workspace, now_s) // piece_size)
+        pieces = min(len(use.piece_hashes), stored_pieces + allowed)
+        size_bytes = (pieces - stored_pieces) * piece_size
+        if size_bytes <= 0:
+            return None
+        if not budget.start_export(use.workspace, size_bytes, now_s):
+            return None
+        return Export(
+            workspace=use.workspace,
+            weight_version=use.weight_version,
+            upstream=use.upstream,
+            store=space.store,
+            tier=self._choose_tier(record, now_s),
+            manifest=use.piece_hashes[pieces - 1],
+            piece_hashes=use.piece_hashes[:pieces],
+            stored_pieces=stored_pieces,
+            size_bytes=size_bytes,
+            replaces=record.stored.manifest if record.stored is not None else None,
+        )
+
+    def _choose_store(
+        self,
+        record: PromptRecord,
+        use: PromptUse,
+        spaces: Sequence[StoreSpace],
+        now_s: float,
+    ) -> StoreSpace | None:
+        best: StoreSpace | None = None
+        best_rank = (False, 0.0)
+        for space in spaces:
+            budget = self._links.get(space.store)
+            if budget is None:
+                continue
+            if record.stored is not None and record.stored.store != space.store:
+                continue
+            allowed_bytes = budget.export_bytes(use.workspace, now_s)
+            if allowed_bytes < self._settings.piece_size_bytes:
+                continue
+            rank = (space.failure_domain == use.failure_domain, allowed_bytes)
+            if best is None or rank > best_rank:
+                best = space
+                best_rank = rank
+        return best
+
+    def _choose_tier(self, record: PromptRecord, now_s: float) -> StoreTier:
+        probability = self._prompts.return_probability(
+            record, now_s, self._settings.memory_horizon_s
+        )
+        is_soon = probability >= self._settings.memory_probability
+        return StoreTier.MEMORY if is_soon else StoreTier.DISK
+
+    def _is_worth(self, record: PromptRecord, bytes_per_s: float, now_s: float) -> bool:
+        if bytes_per_s <= 0:
+            return False
+        weights = self._settings.weights
+        link_s = self._settings.piece_size_bytes / bytes_per_s
+        prefill_s = self._settings.piece_prefill_s
+        gain = weights.first_token_weight * max(0.0, prefill_s - link_s)
+        gain += weights.recompute_weight * prefill_s
+        gain -= weights.link_weight * link_s
+        probability = self._prompts.return_probability(record, now_s)
+        return probability * gain > weights.link_weight * link_s
+
+    def _least_likely(self, store: StoreId, now_s: float) -> PromptRecord | None:
+        keys = self._stored_keys.get(store)
+        if keys is None:
+            return None
+        found = [
+            self._prompts.get(key) for key in keys.sample(DROP_SAMPLES, self._generator)
+        ]
+        records = [record for record in found if record is not None]
+        if not records:
+            return None
+        return min(
+            records,
+            key=lambda record: self._prompts.return_probability(record, now_s),
+        )
+
+    def _drop(self, record: PromptRecord, stored: StoredPrefix) -> Drop:
+        self._cache_view.discard_stored(PrefixHash(stored.manifest))
+        self._unlist(record)
+        record.stored = None
+        return Drop(stored.store, stored.manifest)
+
+    def _list(self, record: PromptRecord) -> None:
+        if record.stored is None or self._prompts.get(record.key) is not record:
+            return
+        keys = self._stored_keys.setdefault(record.stored.store, SampledSet())
+        keys.add(record.key)
+
+    def _unlist(self, record: PromptRecord) -> None:
+        if record.stored is None:
+            return
+        keys = self._stored_keys.get(record.stored.store)
+        if keys is not None:
+            keys.discard(record.key)
+
+
+def _new_record(key: int, use: PromptUse, now_s: float) -> PromptRecord:
+    return PromptRecord(
+        key=key,
+        workspace=use.workspace,
+        weight_version=use.weight_version,
+        pieces=len(use.piece_hashes),
+        last_use_s=now_s,
+        upstream=use.upstream,
+    )
