--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -115,6 +115,9 @@
     async def async_get_object(self, name: str) -> bytes | None:
         """Return an object, or ``None`` if there is none."""
 
+    async def async_delete_object(self, name: str) -> None:
+        """Delete an object; one that is absent is no error."""
+
 
 class ConfigurationView(Protocol):
     """The configuration in force on this instance; never goes back."""
