--- a/src/banyanswitch/components/idempotency/const.py
+++ b/src/banyanswitch/components/idempotency/const.py
@@ -45,3 +45,9 @@
 
 SWEEP_INTERVAL_S: Final = 2.0
 """Time between two steps of the sweep, in seconds."""
+
+SWEEP_STEP_WRITES: Final = 16
+"""Records that one step of the sweep writes."""
+
+MAX_EXPIRED_BYTES: Final = 4 * 1024
+"""Longest answer that stays in an expired record, in bytes."""
