Let a claim be released after it was marked as sent

Cause: routing marks a call before it connects, and releases the claim when no upstream could be reached; the store turned that release into outcome unknown, so a call that was refused as not run could not be tried again. Change: the caller vouches that no byte was sent. The test that held the old rule is replaced by two: release after an unreachable upstream frees the key, and an abandoned call is never claimed again, also when release follows, under each fault.

--- a/src/banyanswitch/components/idempotency/claim_store.py
+++ b/src/banyanswitch/components/idempotency/claim_store.py
@@ -120,7 +120,6 @@
         now_s = asyncio.get_running_loop().time()
         if claim is None or now_s >= claim.lapses_at_s:
             raise PlatformUnavailableError("the claim lapsed before the call was sent")
-        claim.is_sent = True
 
     async def async_complete(
         self, workspace: WorkspaceId, key: str, attempt: str, answer: StoredAnswer
@@ -134,14 +133,14 @@
     async def async_release(
         self, workspace: WorkspaceId, key: str, attempt: str
     ) -> None:
-        """Give a claim back when no byte of the call was sent."""
+        """Give a claim back when no byte of the call was sent.
+
+        The caller vouches for that, also after ``async_mark_sent``: an upstream that
+        could not be reached got nothing.
+        """
         claim = self._open.pop(attempt, None)
         if claim is None:
             return
-        if claim.is_sent:
-            LOGGER.error("release_of_sent_call", record=claim.record_key)
-            await self._async_settle_unknown(claim)
-            return
         self._remember_unsent(attempt)
         await self._settler.async_settle(claim, Settlement(None))
 
@@ -150,8 +149,10 @@
     ) -> None:
         """Record that the call was sent and its outcome is unknown."""
         claim = self._open.pop(attempt, None)
-        if claim is not None:
-            await self._async_settle_unknown(claim)
+        if claim is None:
+            return
+        record = msgspec.structs.replace(claim.record, state=RecordState.UNKNOWN)
+        await self._settler.async_settle(claim, Settlement(record))
 
     async def async_stop(self) -> None:
         """Wait a bounded time for the writes that are on their way."""
@@ -254,10 +255,6 @@
         answer = decode_answer(content)
         return ClaimResult(ClaimState.ANSWERED, record.attempt, answer)
 
-    async def _async_settle_unknown(self, claim: OpenClaim) -> None:
-        record = msgspec.structs.replace(claim.record, state=RecordState.UNKNOWN)
-        await self._settler.async_settle(claim, Settlement(record))
-
     def _give_up(self, claim: OpenClaim) -> None:
         """Remove a claim that may have been recorded and will not be sent."""
         self._remember_unsent(claim.record.attempt)
