Serve the whole path: follow the upstreams of services in use

Cause: the pool asked for the load of every upstream, which made each instance want the reports of all of them, and an upstream without a report got no work, so the first request was refused (seen: 503 no_upstream from a fresh entry). A service is now followed from its first request; until its first report an upstream is taken to serve the declared version, and it declines if it does not. Plain services report load too.

--- a/src/banyanswitch/components/gateway/status.py
+++ b/src/banyanswitch/components/gateway/status.py
@@ -3,12 +3,13 @@
 import msgspec
 from aiohttp import web
 
+from banyanswitch.components.addresses import AddressCoordinator
 from banyanswitch.components.gateway.activity import Activity
 from banyanswitch.components.gateway.parsing import RequestParser
 from banyanswitch.core import Kernel, callback
 from banyanswitch.exceptions import RefusalError
 from banyanswitch.helpers.run_identity import RunIdentityCodec
-from banyanswitch.interfaces import AddressBook, ConfigurationView, ShutdownStarted
+from banyanswitch.interfaces import ConfigurationView, ShutdownStarted
 
 
 class AddressDocument(msgspec.Struct, frozen=True):
@@ -46,7 +47,7 @@
 
     def __init__(self, kernel: Kernel, activity: Activity) -> None:
         self._configuration = kernel.require(ConfigurationView)
-        self._addresses = kernel.require(AddressBook)
+        self._addresses = kernel.require(AddressCoordinator)
         self._activity = activity
         self._parser = RequestParser(
             self._configuration, kernel.require(RunIdentityCodec)
@@ -57,13 +58,14 @@
     async def async_addresses(self, request: web.Request) -> web.StreamResponse:
         """Answer ``GET /v1/addresses``."""
         workspace = self._parser.authenticate(request)
-        choice = self._addresses.addresses(workspace.name)
+        conversation = request.query.get("conversation")
+        answer = self._addresses.addresses(workspace.name, conversation)
         document = AddressListDocument(
             [
-                AddressDocument(entry.http_url, entry.failure_domain)
-                for entry in choice.entries
+                AddressDocument(address.url, address.failure_domain)
+                for address in answer.addresses
             ],
-            choice.ttl_s,
+            answer.time_to_live_s,
         )
         return _json(document)
 
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -63,6 +63,7 @@
 
     def model_request(self, call: ModelCall, now_s: float) -> PlacementRequest:
         """Pin the version of a call and describe it for placement."""
+        self._pools.follow(call.service, now_s)
         version = self._pools.serving_version(call.service)
         return PlacementRequest(
             run=UNPLACED_RUN,
@@ -77,8 +78,11 @@
             reuse=call.service.reuse,
         )
 
-    def plain_request(self, workspace: Workspace, service: Service) -> PlacementRequest:
+    def plain_request(
+        self, workspace: Workspace, service: Service, now_s: float
+    ) -> PlacementRequest:
         """Describe a call of a plain service for placement."""
+        self._pools.follow(service, now_s)
         return PlacementRequest(
             run=UNPLACED_RUN,
             workspace=workspace.name,
--- a/src/banyanswitch/components/routing/plain_calls.py
+++ b/src/banyanswitch/components/routing/plain_calls.py
@@ -146,7 +146,7 @@
             )
 
     async def _async_send(self, call: PlainCall) -> WholeAnswer:
-        request = self._placements.plain_request(call.workspace, call.service)
+        request = self._placements.plain_request(call.workspace, call.service, _now_s())
         excluded: frozenset[UpstreamId] = frozenset()
         while len(excluded) < MAX_PLACEMENT_ATTEMPTS:
             attempt = self._placements.attempt(request, excluded, _now_s())
--- a/src/banyanswitch/components/routing/pools.py
+++ b/src/banyanswitch/components/routing/pools.py
@@ -1,5 +1,9 @@
 """Pool of upstreams, kept up to date from configuration and load reports."""
 
+import asyncio
+from dataclasses import dataclass, field
+
+from banyanswitch.components.upstream_load.models import UpstreamLoadChanged
 from banyanswitch.config.models import Service, Upstream
 from banyanswitch.core import Kernel, callback
 from banyanswitch.decisions.upstream_pool import UpstreamPool, UpstreamView
@@ -9,12 +13,26 @@
     ConfigurationView,
     UpstreamDirectory,
     UpstreamLoad,
-    UpstreamLoadChanged,
 )
 
+REFRESH_S = 0.25
+FOLLOW_S = 60.0
+
+
+@dataclass(slots=True)
+class _FollowedService:
+    """State of one followed service."""
+
+    upstreams: set[UpstreamId] = field(default_factory=set)
+    versions: set[WeightVersion] = field(default_factory=set)
+    used_at_s: float = 0.0
+
 
 class UpstreamPools:
-    """Keep the pool that placement reads.
+    """Keep the views of upstreams of the services that this instance serves.
+
+    A service is followed from its first request until none came for a while, so an
+    instance does not need the load reports of all upstreams.
 
     Parameters
     ----------
@@ -24,7 +42,7 @@
     Attributes
     ----------
     pool : UpstreamPool
-        Views of the upstreams of all services.
+        Views of the upstreams of the followed services.
     """
 
     def __init__(self, kernel: Kernel) -> None:
@@ -32,11 +50,19 @@
         self._configuration = kernel.require(ConfigurationView)
         self._directory = kernel.require(UpstreamDirectory)
         self._weights: dict[UpstreamId, float] = {}
-        self._known: set[UpstreamId] = set()
-        self._versions: dict[ServiceName, set[WeightVersion]] = {}
+        self._followed: dict[ServiceName, _FollowedService] = {}
         kernel.bus.subscribe(ConfigurationChanged, self._on_configuration_changed)
         kernel.bus.subscribe(UpstreamLoadChanged, self._on_load_changed)
-        self._rebuild()
+        kernel.create_task(self._async_refresh(), "refresh upstream views")
+
+    @callback
+    def follow(self, service: Service, now_s: float) -> None:
+        """Note a request for a service."""
+        followed = self._followed.get(service.name)
+        if followed is None:
+            followed = self._followed[service.name] = _FollowedService()
+            self._refresh_service(service.name, followed)
+        followed.used_at_s = now_s
 
     @callback
     def set_weight(self, upstream: UpstreamId, weight: float) -> None:
@@ -54,63 +80,87 @@
         declared = service.weight_version
         if declared is None or self._accepting_count(service.name, declared):
             return declared
-        versions = self._versions.get(service.name)
-        if not versions:
+        followed = self._followed.get(service.name)
+        if followed is None or not followed.versions:
             return declared
         return max(
-            sorted(versions),
+            sorted(followed.versions),
             key=lambda version: self._accepting_count(service.name, version),
         )
 
     def _accepting_count(self, service: ServiceName, version: WeightVersion) -> int:
         return len(self.pool.accepting(service, version))
 
+    async def _async_refresh(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(REFRESH_S)
+            self._forget_unused(loop.time())
+            for name, followed in self._followed.items():
+                self._refresh_service(name, followed)
+
     @callback
     def _on_configuration_changed(self, _message: ConfigurationChanged) -> None:
-        self._rebuild()
+        for name, followed in self._followed.items():
+            self._refresh_service(name, followed)
 
     @callback
     def _on_load_changed(self, message: UpstreamLoadChanged) -> None:
-        self._refresh(message.load.upstream)
-
-    def _rebuild(self) -> None:
+        self._refresh(UpstreamId(message.upstream))
+
+    def _forget_unused(self, now_s: float) -> None:
+        for name, followed in tuple(self._followed.items()):
+            if now_s - followed.used_at_s < FOLLOW_S:
+                continue
+            del self._followed[name]
+            for upstream in followed.upstreams:
+                self.pool.remove(upstream)
+
+    def _refresh_service(self, name: ServiceName, followed: _FollowedService) -> None:
+        service = self._configuration.service(name)
         declared: set[UpstreamId] = set()
-        for service in self._configuration.services():
-            for upstream in self._configuration.upstreams(service.name):
+        if service is not None:
+            for upstream in self._configuration.upstreams(name):
                 declared.add(upstream.name)
-                self.pool.update(self._view(upstream))
-        for name in self._known - declared:
-            self.pool.remove(name)
-        self._known = declared
+                self._put(upstream, service, followed)
+        for gone in followed.upstreams - declared:
+            self.pool.remove(gone)
+        followed.upstreams = declared
 
     def _refresh(self, name: UpstreamId) -> None:
         upstream = self._configuration.upstream(name)
         if upstream is None:
             return
-        self._known.add(name)
-        self.pool.update(self._view(upstream))
+        service = self._configuration.service(upstream.service)
+        followed = self._followed.get(upstream.service)
+        if service is None or followed is None:
+            return
+        followed.upstreams.add(name)
+        self._put(upstream, service, followed)
 
-    def _view(self, upstream: Upstream) -> UpstreamView:
+    def _put(
+        self, upstream: Upstream, service: Service, followed: _FollowedService
+    ) -> None:
+        weight = self._weights.get(upstream.name, 1.0)
+        is_accepting = weight > 0 and self._directory.is_accepting(upstream.name)
         load = self._directory.load(upstream.name)
         if load is None:
-            return _view_without_report(upstream)
+            load = _assumed_load(upstream, service)
         if load.weight_version is not None:
-            versions = self._versions.setdefault(upstream.service, set())
-            versions.add(load.weight_version)
-        weight = self._weights.get(upstream.name, 1.0)
-        is_accepting = weight > 0 and self._directory.is_accepting(upstream.name)
-        return _view_with_report(upstream, load, weight, is_accepting)
+            followed.versions.add(load.weight_version)
+        self.pool.update(_view_with_report(upstream, load, weight, is_accepting))
 
 
-def _view_without_report(upstream: Upstream) -> UpstreamView:
-    return UpstreamView(
+def _assumed_load(upstream: Upstream, service: Service) -> UpstreamLoad:
+    return UpstreamLoad(
         upstream=upstream.name,
-        service=upstream.service,
-        failure_domain=upstream.failure_domain,
-        weight_version=None,
-        slots=upstream.slots,
-        prefill_tokens_per_s=upstream.prefill_tokens_per_s,
-        is_accepting=False,
+        running_requests=0,
+        queued_requests=0,
+        queued_prefill_tokens=0,
+        weight_version=service.weight_version,
+        is_leaving=False,
+        is_loading=False,
+        received_at_s=0.0,
     )
 
 
--- a/src/banyanswitch/components/shutdown/__init__.py
+++ b/src/banyanswitch/components/shutdown/__init__.py
@@ -17,4 +17,4 @@
     kernel.provide(ShutdownCoordinator, coordinator)
 
 
-REGISTRY.register(DOMAIN, async_setup, depends_on=("gateway",))
+REGISTRY.register(DOMAIN, async_setup, depends_on=("gateway", "membership"))
--- a/src/banyanswitch/components/shutdown/coordinator.py
+++ b/src/banyanswitch/components/shutdown/coordinator.py
@@ -5,6 +5,7 @@
 import structlog
 
 from banyanswitch.components.gateway.server import CallerServer
+from banyanswitch.components.membership import MembershipCoordinator
 from banyanswitch.core import Kernel, callback
 from banyanswitch.interfaces import ShutdownStarted
 from banyanswitch.settings import EntrySettings
@@ -29,6 +30,7 @@
         self, kernel: Kernel, server: CallerServer, settings: EntrySettings
     ) -> None:
         self._kernel = kernel
+        self._membership = kernel.require(MembershipCoordinator)
         self._server = server
         self._settings = settings
         self._requested = asyncio.Event()
@@ -46,6 +48,7 @@
         """
         await self._requested.wait()
         LOGGER.info("stop_requested", in_progress=self._server.activity.count)
+        self._membership.begin_leaving()
         self._kernel.bus.publish(ShutdownStarted())
         await asyncio.sleep(self._settings.address_ttl_s)
         is_idle = await self._server.async_drain(self._settings.drain_timeout_s)
--- a/src/banyanswitch/composition.py
+++ b/src/banyanswitch/composition.py
@@ -21,7 +21,6 @@
     "idempotency",
     "addresses",
     "routing",
-    "kv_cache",
     "weights",
     "metrics",
     "gateway",
--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -341,36 +341,6 @@
         """Record that the call was sent and its outcome is unknown."""
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamLoadChanged:
-    """Bus message: a newer load report of an upstream is known here."""
-
-    load: UpstreamLoad
-
-
 @dataclass(frozen=True, slots=True)
 class ShutdownStarted:
     """Bus message: this instance is leaving and takes no new callers."""
-
-
-@dataclass(frozen=True, slots=True)
-class AddressChoice:
-    """Instances that the callers of a workspace should use.
-
-    Parameters
-    ----------
-    entries : tuple of Peer
-        Instances in the order of preference.
-    ttl_s : float
-        Time for which callers keep the answer, in seconds.
-    """
-
-    entries: tuple[Peer, ...]
-    ttl_s: float
-
-
-class AddressBook(Protocol):
-    """Choice of the instances that callers use."""
-
-    def addresses(self, workspace: WorkspaceId) -> AddressChoice:
-        """Return the instances for the callers of a workspace."""
--- a/src/banyanswitch_standins/plain.py
+++ b/src/banyanswitch_standins/plain.py
@@ -27,23 +27,41 @@
         self._work_s = work_s
         self._by_run: Counter[str] = Counter()
         self._by_digest: Counter[str] = Counter()
+        self._running = 0
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the counters and a route for everything else."""
         router.add_get("/executions", self._handle_executions)
+        router.add_get("/engine/load", self._handle_load)
         router.add_route("*", "/{path:.*}", self._handle_call)
 
     async def _handle_executions(self, _request: web.Request) -> web.Response:
         return json_answer({"by_run": self._by_run, "by_digest": self._by_digest})
 
+    async def _handle_load(self, _request: web.Request) -> web.Response:
+        return json_answer(
+            {
+                "upstream": "",
+                "running_requests": self._running,
+                "queued_requests": 0,
+                "queued_prefill_tokens": 0,
+                "weight_version": None,
+                "is_leaving": False,
+                "is_loading": False,
+            }
+        )
+
     async def _handle_call(self, request: web.Request) -> web.Response:
         run_id = request.headers.get(RUN_ID_HEADER, "")
         body_digest = sha256(await request.read()).hexdigest()
         self._by_run[run_id] += 1
         self._by_digest[body_digest] += 1
         execution = self._by_digest[body_digest]
-        if self._work_s:
+        self._running += 1
+        try:
             await asyncio.sleep(self._work_s)
+        finally:
+            self._running -= 1
         headers = {
             RUN_ID_HEADER: run_id,
             WORKSPACE_HEADER: request.headers.get(WORKSPACE_HEADER, ""),
