--- /dev/null
+++ b/bench/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault run: seeded faults of all classes under load, every answer checked."""
--- /dev/null
+++ b/bench/faults/__main__.py
@@ -0,0 +1,127 @@
+"""Run the fault run: ``python -m bench.faults``; status 0 only if nothing broke."""
+
+import asyncio
+import json
+import random
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+import fire
+
+from bench.callers import Caller
+from bench.faults.ledger import Ending, Ledger, Violations, find_violations
+from bench.faults.load import CallerContext, async_call_until_done
+from bench.faults.schedule import FaultRun, async_run_faults
+from bench.fleet import KEYS, Fleet, FleetPlan
+from bench.processes import ProcessGroup
+
+DEFAULT_REQUESTS: Final = 20_000
+DEFAULT_SEED: Final = 20_261_203
+CALLERS: Final = 48
+SOCKET_READ_TIMEOUT_S: Final = 8.0
+RUN_TIMEOUT_S: Final = 900.0
+DATA_PATH: Final = Path(__file__).parents[2] / "docs" / "data" / "faults.json"
+
+PLAN: Final = FleetPlan(
+    entries=4,
+    engines=4,
+    engine_options={
+        "prefill_tokens_per_s": 1_000_000.0,
+        "decode_tokens_per_s": 400.0,
+        "load_s": 0.3,
+        "slots": 32,
+        "keep_runs_s": 20.0,
+    },
+    entry_settings={
+        "address_ttl_s": 1.0,
+        "lease_s": 3.0,
+        "claim_s": 5.0,
+        "platform_timeout_s": 1.0,
+        "table_writes_per_s": 200.0,
+        "log_level": "warning",
+    },
+)
+
+
+def main(
+    requests: int = DEFAULT_REQUESTS,
+    seed: int = DEFAULT_SEED,
+    output: str = str(DATA_PATH),
+) -> None:
+    """Offer requests to a fleet while all classes of faults strike it.
+
+    Parameters
+    ----------
+    requests : int
+        Requests to offer.
+    seed : int
+        Seed of the requests and of the order of the faults.
+    output : str
+        File that takes the result as JSON.
+    """
+    started_at_s = time.monotonic()
+    with ProcessGroup() as group:
+        fleet = Fleet(group, PLAN)
+        fleet.apply()
+        fleet.start_entries()
+        run = FaultRun(fleet, random.Random(seed))
+        ledger = asyncio.run(_async_run(run, requests, seed))
+        violations = find_violations(ledger, fleet.executions())
+    elapsed_s = time.monotonic() - started_at_s
+    report = _report(ledger, violations, run, seed, elapsed_s)
+    Path(output).write_text(json.dumps(report, indent=2) + "\n")
+    print(json.dumps(report, indent=2))
+    sys.exit(0 if violations.count == 0 and not run.failures else 1)
+
+
+async def _async_run(run: FaultRun, requests: int, seed: int) -> Ledger:
+    ledger = Ledger()
+    timeout = aiohttp.ClientTimeout(
+        total=None, sock_connect=1.0, sock_read=SOCKET_READ_TIMEOUT_S
+    )
+    connector = aiohttp.TCPConnector(limit=0)
+    urls = [entry.url for entry in run.fleet.entries]
+    async with (
+        aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
+        asyncio.timeout(RUN_TIMEOUT_S),
+    ):
+        callers = [Caller(session, key) for key in KEYS]
+        context = CallerContext(callers, urls, ledger, requests)
+        faults = asyncio.create_task(async_run_faults(run, ledger, requests))
+        await asyncio.gather(
+            *(async_call_until_done(context, seed + i) for i in range(CALLERS))
+        )
+        await faults
+    return ledger
+
+
+def _report(
+    ledger: Ledger,
+    violations: Violations,
+    run: FaultRun,
+    seed: int,
+    elapsed_s: float,
+) -> dict[str, object]:
+    return {
+        "seed": seed,
+        "offered": ledger.offered,
+        "answered": ledger.total(Ending.ANSWERED),
+        "refused": ledger.total(Ending.REFUSED),
+        "unknown": ledger.total(Ending.UNKNOWN),
+        "violations": asdict(violations),
+        "endings": dict(sorted(ledger.endings.items())),
+        "resumed_streams": ledger.resumed_streams,
+        "refusals_by_code": dict(sorted(ledger.refusals.items())),
+        "faults_caused": dict(sorted(run.done.items())),
+        "harness_failures": run.failures,
+        "examples": ledger.examples,
+        "elapsed_s": round(elapsed_s, 1),
+    }
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -88,7 +88,7 @@
     def __init__(self, group: ProcessGroup, plan: FleetPlan) -> None:
         self._group = group
         self._plan = plan
-        self._peer_addresses: list[str] = []
+        self._ports: list[tuple[int, int]] = []
         self.table = group.start_standin("table", **plan.table_options)
         self.instances = group.start_standin("instances", lag_s=plan.instance_lag_s)
         self.weights = group.start_standin("weights")
@@ -110,30 +110,28 @@
 
     def start_entry(self) -> ChildProcess:
         """Start one more entry, without waiting until it is ready."""
-        index = len(self.entries)
-        instance = f"entry-{index + 1}"
-        failure_domain = FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
-        peer_port = free_port()
-        entry = self._group.start_entry(
-            instance,
-            failure_domain,
-            peer_port=peer_port,
-            peer_seeds=",".join(self._peer_addresses),
-            table_url=self.table.url,
-            instance_list_url=self.instances.url,
-            **self._plan.entry_settings,
-        )
-        self._peer_addresses.append(f"tcp://{HOST}:{peer_port}")
+        self._ports.append((free_port(), free_port()))
+        entry = self._launch_entry(len(self._ports) - 1)
         self.entries.append(entry)
         return entry
 
+    def restart_entry(self, index: int) -> ChildProcess:
+        """Start an entry that has ended again, under the same addresses."""
+        self.entries[index] = self._launch_entry(index)
+        return self.entries[index]
+
+    def restart_engine(self, index: int) -> ChildProcess:
+        """Start an engine that has ended again, under the same address."""
+        self.engines[index] = self._start_engine(index, self.engines[index].port)
+        return self.engines[index]
+
     def list_instance(self, entry: ChildProcess, state: str) -> None:
         """Put an instance on the platform's list."""
         index = self.entries.index(entry)
         record = {
             "instance": entry.name,
             "failure_domain": FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
-            "peer_address": self._peer_addresses[index],
+            "peer_address": self._peer_address(index),
             "http_url": entry.url,
             "state": state,
         }
@@ -191,9 +189,27 @@
                 total[digest] = total.get(digest, 0) + count
         return total
 
-    def _start_engine(self, index: int) -> ChildProcess:
+    def _peer_address(self, index: int) -> str:
+        return f"tcp://{HOST}:{self._ports[index][1]}"
+
+    def _launch_entry(self, index: int) -> ChildProcess:
+        port, peer_port = self._ports[index]
+        others = (i for i in range(len(self._ports)) if i != index)
+        return self._group.start_entry(
+            f"entry-{index + 1}",
+            FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)],
+            port=port,
+            peer_port=peer_port,
+            peer_seeds=",".join(self._peer_address(i) for i in others),
+            table_url=self.table.url,
+            instance_list_url=self.instances.url,
+            **self._plan.entry_settings,
+        )
+
+    def _start_engine(self, index: int, port: int = 0) -> ChildProcess:
         return self._group.start_standin(
             "engine",
+            port=port,
             upstream=f"engine-{index + 1}",
             service=MODEL,
             version=FIRST_VERSION,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -173,8 +173,6 @@
         known = {
             "instance": instance,
             "failure_domain": failure_domain,
-            "port": free_port(),
-            "peer_port": free_port(),
             "peer_key": PEER_KEY,
             **settings,
         }
--- a/src/banyanswitch_standins/engine/models.py
+++ b/src/banyanswitch_standins/engine/models.py
@@ -75,11 +75,12 @@
 
 
 class ExportRequest(msgspec.Struct):
-    """Body of ``POST /engine/kv/export``."""
+    """Body of ``POST /engine/kv/export``; blocks are named prefix and key."""
 
     keys: list[str]
     store_url: str
     manifest: str
+    block_prefix: str = ""
 
 
 class BlockReference(msgspec.Struct, frozen=True):
--- a/src/banyanswitch_standins/engine/transfer.py
+++ b/src/banyanswitch_standins/engine/transfer.py
@@ -45,9 +45,10 @@
             if piece is None:
                 continue
             content = block_content(key, piece, block_bytes)
-            await _async_put(session, f"{order.store_url}/blocks/{key}", content)
+            block = order.block_prefix + key
+            await _async_put(session, f"{order.store_url}/blocks/{block}", content)
             digest = sha256(content).hexdigest()
-            references.append(BlockReference(key, key, digest, len(content)))
+            references.append(BlockReference(key, block, digest, len(content)))
         manifest = msgspec.json.encode({"pieces": references})
         url = f"{order.store_url}/manifests/{order.manifest}"
         await _async_put(session, url, manifest)
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -274,9 +274,15 @@
         )
     ).read()
     store_url = str(store.make_url("")).rstrip("/")
-    order = {"keys": ["aa", "bb"], "store_url": store_url, "manifest": "m"}
+    order = {
+        "keys": ["aa", "bb"],
+        "store_url": store_url,
+        "manifest": "m",
+        "block_prefix": "generation-1/",
+    }
     exported = await (await first.post("/engine/kv/export", json=order)).json()
     assert [piece["key"] for piece in exported["pieces"]] == ["aa", "bb"]
+    assert exported["pieces"][0]["block"] == "generation-1/aa"
     assert (await store.get("/manifests/m")).status == 200
     if fault is not None:
         await store.post("/faults", json={"route": "/blocks", "kind": fault})
