Admit requests by workspace limits and priority before they are placed

Cause: without admission every request reached placement, whatever its workspace's limits, and waited at the upstream. One queue a service bounds the waits; a request that can't start in time is refused at once with a time to come back. A caller may lower the priority of a request by header, not raise it.

--- /dev/null
+++ b/src/banyanswitch/components/admission/gate.py
@@ -0,0 +1,147 @@
+"""Gate that admits requests by the limits of their workspace and by priority."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from banyanswitch.components.admission.const import ADVANCE_S, DEFAULT_CAPACITY
+from banyanswitch.config.models import Priority, Service, Workspace
+from banyanswitch.core import Kernel, callback
+from banyanswitch.decisions.admission import (
+    Admission,
+    AdmissionPolicy,
+    AdmissionRefusal,
+    AdmissionRequest,
+    Admitted,
+    NotAdmitted,
+)
+from banyanswitch.exceptions import RefusalError
+from banyanswitch.identifiers import RunId, ServiceName
+
+TOO_MANY_REQUESTS_STATUS = 429
+DETAILS = {
+    AdmissionRefusal.RATE_LIMITED: "the workspace is over its rate of requests",
+    AdmissionRefusal.TOO_MANY_CONCURRENT: "the workspace has too many requests open",
+    AdmissionRefusal.OVERLOADED: "the request could not start in time",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionCall:
+    """A request that asks to be admitted.
+
+    Parameters
+    ----------
+    latest_start_s : float
+        Loop time after which a start is too late.
+    """
+
+    workspace: Workspace
+    service: Service
+    priority: Priority
+    latest_start_s: float
+
+
+class AdmissionGate:
+    """Admit requests, one queue a service.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Clock and task lifetimes.
+    serving_entries : callable
+        Returns the number of instances among which a workspace's callers are spread.
+    capacity : callable
+        Returns how many requests of a service may be at its upstreams.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        serving_entries: Callable[[], int],
+        capacity: Callable[[Service], int],
+    ) -> None:
+        self._kernel = kernel
+        self._serving_entries = serving_entries
+        self._capacity = capacity
+        self._admissions: dict[ServiceName, Admission] = {}
+        self._waiting: dict[RunId, asyncio.Future[None]] = {}
+        self._numbers = itertools.count()
+        kernel.create_task(self._async_advance(), "advance admission")
+
+    @asynccontextmanager
+    async def async_admitted(self, call: AdmissionCall) -> AsyncIterator[None]:
+        """Hold a place while the block runs.
+
+        Raises
+        ------
+        RefusalError
+            At once, if the request is over a limit or can't start in time.
+        """
+        admission = self._admission(call.service)
+        request = AdmissionRequest(
+            run=RunId(str(next(self._numbers))),
+            workspace=call.workspace.name,
+            limits=call.workspace.limits,
+            serving_entries=self._serving_entries(),
+            priority=call.priority,
+            latest_start_s=call.latest_start_s,
+        )
+        try:
+            await self._async_admit(admission, request)
+            yield
+        finally:
+            admission.on_finished(request.run, self._kernel.now_s)
+            self._deliver(admission)
+
+    async def _async_admit(
+        self, admission: Admission, request: AdmissionRequest
+    ) -> None:
+        result = admission.admit(request, self._kernel.now_s)
+        if isinstance(result, NotAdmitted):
+            raise _refusal(result)
+        if isinstance(result, Admitted):
+            return
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[request.run] = future
+        try:
+            await future
+        finally:
+            del self._waiting[request.run]
+
+    async def _async_advance(self) -> None:
+        while True:
+            await asyncio.sleep(ADVANCE_S)
+            if self._waiting:
+                for admission in self._admissions.values():
+                    self._deliver(admission)
+
+    def _admission(self, service: Service) -> Admission:
+        policy = AdmissionPolicy(capacity=self._capacity(service) or DEFAULT_CAPACITY)
+        admission = self._admissions.get(service.name)
+        if admission is None:
+            admission = self._admissions[service.name] = Admission(policy)
+        admission.set_policy(policy)
+        return admission
+
+    @callback
+    def _deliver(self, admission: Admission) -> None:
+        for result in admission.advance(self._kernel.now_s):
+            future = self._waiting.get(result.run)
+            if future is None or future.done():
+                continue
+            if isinstance(result, NotAdmitted):
+                future.set_exception(_refusal(result))
+            else:
+                future.set_result(None)
+
+
+def _refusal(result: NotAdmitted) -> RefusalError:
+    return RefusalError(
+        result.reason.value,
+        DETAILS[result.reason],
+        status=TOO_MANY_REQUESTS_STATUS,
+        retry_after_s=result.retry_after_s,
+    )
--- a/src/banyanswitch/components/gateway/__init__.py
+++ b/src/banyanswitch/components/gateway/__init__.py
@@ -18,5 +18,7 @@
 
 
 REGISTRY.register(
-    DOMAIN, async_setup, depends_on=("routing", "addresses", "configuration")
+    DOMAIN,
+    async_setup,
+    depends_on=("admission", "routing", "addresses", "configuration"),
 )
--- a/src/banyanswitch/components/gateway/handlers.py
+++ b/src/banyanswitch/components/gateway/handlers.py
@@ -7,14 +7,14 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
+from banyanswitch.components.admission.gate import AdmissionCall, AdmissionGate
 from banyanswitch.components.gateway.activity import Activity
-from banyanswitch.components.gateway.models import PlainCall
+from banyanswitch.components.gateway.models import ModelCall, PlainCall
 from banyanswitch.components.gateway.parsing import RequestParser
 from banyanswitch.components.gateway.problems import problem_response
 from banyanswitch.components.gateway.relay import StreamRelay
 from banyanswitch.components.routing.const import RETRY_AFTER_S
 from banyanswitch.components.routing.model_runs import ModelRuns
-from banyanswitch.components.routing.models import UpstreamsBusyError
 from banyanswitch.components.routing.plain_calls import PlainCalls
 from banyanswitch.config.models import ServiceKind
 from banyanswitch.const import HEADER_LAST_EVENT_ID, HEADER_RUN_ID
@@ -49,15 +49,6 @@
         return await handler(request)
     except RefusalError as refusal:
         return problem_response(refusal)
-    except UpstreamsBusyError as busy:
-        return problem_response(
-            RefusalError(
-                "overloaded",
-                "all upstreams are busy",
-                status=429,
-                retry_after_s=busy.retry_after_s,
-            )
-        )
     except web.HTTPException as error:
         return problem_response(
             RefusalError("http_error", error.reason, status=error.status)
@@ -93,6 +84,7 @@
         self._parser = RequestParser(
             self._configuration, kernel.require(RunIdentityCodec)
         )
+        self._gate = kernel.require(AdmissionGate)
         self._runs = kernel.require(ModelRuns)
         self._plain_calls = kernel.require(PlainCalls)
         self._relay = StreamRelay(kernel, self._runs)
@@ -103,17 +95,8 @@
             return await self.async_resume(request)
         with self._activity.track():
             call = await self._parser.async_model_call(request)
-            if call.is_stream:
-                return await self._relay.async_relay_call(request, call)
-            answer = await self._runs.async_complete(call)
-            return web.Response(
-                status=answer.status,
-                body=answer.body,
-                headers={
-                    "Content-Type": answer.content_type,
-                    HEADER_RUN_ID: answer.run_id,
-                },
-            )
+            async with self._gate.async_admitted(_admission_call(call)):
+                return await self._async_answer(request, call)
 
     async def async_resume(self, request: web.Request) -> web.StreamResponse:
         """Answer ``GET /v1/streams`` with the events that the caller lacks."""
@@ -129,6 +112,8 @@
         call = await self._parser.async_plain_call(request)
         task = self._kernel.create_task(self._async_plain(call), "plain call")
         answer = await asyncio.shield(task)
+        if isinstance(answer, RefusalError):
+            raise answer
         return web.Response(
             status=answer.status,
             body=answer.body,
@@ -149,6 +134,25 @@
             body=msgspec.json.encode(document), content_type="application/json"
         )
 
-    async def _async_plain(self, call: PlainCall) -> StoredAnswer:
+    async def _async_answer(
+        self, request: web.Request, call: ModelCall
+    ) -> web.StreamResponse:
+        if call.is_stream:
+            return await self._relay.async_relay_call(request, call)
+        answer = await self._runs.async_complete(call)
+        headers = {"Content-Type": answer.content_type, HEADER_RUN_ID: answer.run_id}
+        return web.Response(status=answer.status, body=answer.body, headers=headers)
+
+    async def _async_plain(self, call: PlainCall) -> StoredAnswer | RefusalError:
         with self._activity.track():
-            return await self._plain_calls.async_call(call)
+            try:
+                async with self._gate.async_admitted(_admission_call(call)):
+                    return await self._plain_calls.async_call(call)
+            except RefusalError as refusal:
+                return refusal
+
+
+def _admission_call(call: ModelCall | PlainCall) -> AdmissionCall:
+    return AdmissionCall(
+        call.workspace, call.service, call.priority, call.latest_start_s
+    )
--- a/src/banyanswitch/components/gateway/models.py
+++ b/src/banyanswitch/components/gateway/models.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from banyanswitch.config.models import Service, Workspace
+from banyanswitch.config.models import Priority, Service, Workspace
 from banyanswitch.helpers.run_identity import StreamPosition
 
 
@@ -43,6 +43,8 @@
         Canonical bytes of the prompt, from which pieces are hashed.
     prompt_tokens : int
         Estimated length of the prompt.
+    latest_start_s : float
+        Loop time after which the request is not sent to an upstream any more.
     """
 
     workspace: Workspace
@@ -53,6 +55,8 @@
     prompt_tokens: int
     max_tokens: int
     is_stream: bool
+    priority: Priority
+    latest_start_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +78,8 @@
     content_type: str
     body: bytes = field(repr=False)
     idempotency_key: str | None
+    priority: Priority
+    latest_start_s: float
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/banyanswitch/components/gateway/parsing.py
+++ b/src/banyanswitch/components/gateway/parsing.py
@@ -1,8 +1,11 @@
 """Checks of callers' requests, before anything runs."""
 
+import asyncio
+
 import msgspec
 from aiohttp import web
 
+from banyanswitch.components.admission.const import MAX_WAIT_S
 from banyanswitch.components.gateway.const import (
     BEARER_PREFIX,
     BYTES_PER_TOKEN,
@@ -16,8 +19,12 @@
     PlainCall,
     ResumeCall,
 )
-from banyanswitch.config.models import Service, ServiceKind, Workspace
-from banyanswitch.const import HEADER_IDEMPOTENCY_KEY, HEADER_LAST_EVENT_ID
+from banyanswitch.config.models import Priority, Service, ServiceKind, Workspace
+from banyanswitch.const import (
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_LAST_EVENT_ID,
+    HEADER_PRIORITY,
+)
 from banyanswitch.exceptions import Finding, RefusalError
 from banyanswitch.helpers.digests import key_digest
 from banyanswitch.helpers.run_identity import ResumeTokenError, RunIdentityCodec
@@ -84,6 +91,7 @@
         prompt = _prompt_bytes(completion)
         prompt_tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
         max_tokens = _checked_max_tokens(completion)
+        priority = _priority(request, workspace)
         if prompt_tokens > service.max_prompt_tokens:
             finding = Finding(
                 "messages",
@@ -104,6 +112,8 @@
             prompt_tokens=prompt_tokens,
             max_tokens=max_tokens,
             is_stream=completion.stream,
+            priority=priority,
+            latest_start_s=_latest_start_s(priority),
         )
 
     def resume_call(self, request: web.Request) -> ResumeCall:
@@ -139,6 +149,7 @@
         idempotency_key = request.headers.get(HEADER_IDEMPOTENCY_KEY)
         if idempotency_key is not None:
             _check_idempotency_key(idempotency_key)
+        priority = _priority(request, workspace)
         path = "/" + request.match_info["path"]
         if request.query_string:
             path = f"{path}?{request.query_string}"
@@ -152,6 +163,8 @@
             ),
             body=await _async_body(request),
             idempotency_key=idempotency_key,
+            priority=priority,
+            latest_start_s=_latest_start_s(priority),
         )
 
     def _service(self, name: str, kind: ServiceKind, place: str) -> Service:
@@ -211,6 +224,30 @@
     raise _invalid_body(f"max_tokens: must be from 1 to {MAX_OUTPUT_TOKENS}")
 
 
+def _priority(request: web.Request, workspace: Workspace) -> Priority:
+    """Return the workspace's priority, which a request may lower."""
+    wanted = request.headers.get(HEADER_PRIORITY)
+    if wanted is None:
+        return workspace.priority
+    try:
+        priority = Priority(wanted)
+    except ValueError as error:
+        names = " or ".join(item.value for item in Priority)
+        raise RefusalError(
+            "invalid_priority",
+            f"must be {names}",
+            status=400,
+            findings=[Finding(HEADER_PRIORITY, f"must be {names}")],
+        ) from error
+    if workspace.priority is Priority.BATCH:
+        return Priority.BATCH
+    return priority
+
+
+def _latest_start_s(priority: Priority) -> float:
+    return asyncio.get_running_loop().time() + MAX_WAIT_S[priority]
+
+
 def _check_idempotency_key(key: str) -> None:
     if 0 < len(key) <= MAX_IDEMPOTENCY_KEY_CHARACTERS and key.isprintable():
         return
--- a/src/banyanswitch/components/routing/model_runs.py
+++ b/src/banyanswitch/components/routing/model_runs.py
@@ -273,7 +273,9 @@
         while True:
             if len(excluded) >= MAX_PLACEMENT_ATTEMPTS:
                 raise _exhausted()
-            attempt = self._placements.attempt(request, excluded, _now_s())
+            attempt = await self._placements.async_attempt(
+                request, excluded, call.latest_start_s
+            )
             run = await self._async_try(call, attempt)
             if run is not None:
                 return run
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -1,11 +1,12 @@
 """Placement of requests: pins the version, asks the decision, keeps its books."""
 
+import asyncio
 import random
 from dataclasses import replace
 
 from banyanswitch.components.gateway.const import BYTES_PER_TOKEN
 from banyanswitch.components.gateway.models import ModelCall
-from banyanswitch.components.routing.const import NONCE_BITS
+from banyanswitch.components.routing.const import BUSY_RETRY_S, NONCE_BITS
 from banyanswitch.components.routing.models import Attempt, UpstreamsBusyError
 from banyanswitch.components.routing.pools import UpstreamPools
 from banyanswitch.config.models import Service, Workspace
@@ -73,7 +74,7 @@
             piece_hashes=_piece_hashes(call, version),
             prompt_tokens=call.prompt_tokens,
             piece_tokens=call.service.piece_tokens,
-            priority=call.workspace.priority,
+            priority=call.priority,
             deadline_s=now_s + call.service.request_timeout_s,
             reuse=call.service.reuse,
         )
@@ -90,18 +91,33 @@
             weight_version=None,
         )
 
-    def attempt(
-        self, request: PlacementRequest, excluded: frozenset[UpstreamId], now_s: float
+    async def async_attempt(
+        self,
+        request: PlacementRequest,
+        excluded: frozenset[UpstreamId],
+        latest_start_s: float,
     ) -> Attempt:
         """Choose an upstream and count the request there.
 
+        While all upstreams are full, the request waits.
+
         Raises
         ------
-        UpstreamsBusyError
-            If all upstreams are full; the request may wait.
         RefusalError
-            If no upstream can take it.
+            If no upstream can take it in time.
         """
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                return self._attempt(request, excluded, loop.time())
+            except UpstreamsBusyError as busy:
+                if loop.time() + BUSY_RETRY_S > latest_start_s:
+                    raise _overloaded(busy.retry_after_s) from busy
+            await asyncio.sleep(BUSY_RETRY_S)
+
+    def _attempt(
+        self, request: PlacementRequest, excluded: frozenset[UpstreamId], now_s: float
+    ) -> Attempt:
         wanted = replace(request, excluded=excluded)
         decision = self._placer.place(wanted, self._pools.pool, now_s)
         if isinstance(decision, Refuse):
@@ -143,6 +159,15 @@
     return chained_piece_hashes(call.prompt, piece_bytes, salt)
 
 
+def _overloaded(retry_after_s: float) -> RefusalError:
+    return RefusalError(
+        "overloaded",
+        "all upstreams are busy",
+        status=429,
+        retry_after_s=retry_after_s,
+    )
+
+
 def _error_of(refuse: Refuse) -> Exception:
     if refuse.reason is RefuseReason.BUSY:
         return UpstreamsBusyError(refuse.retry_after_s)
--- a/src/banyanswitch/components/routing/plain_calls.py
+++ b/src/banyanswitch/components/routing/plain_calls.py
@@ -149,7 +149,9 @@
         request = self._placements.plain_request(call.workspace, call.service, _now_s())
         excluded: frozenset[UpstreamId] = frozenset()
         while len(excluded) < MAX_PLACEMENT_ATTEMPTS:
-            attempt = self._placements.attempt(request, excluded, _now_s())
+            attempt = await self._placements.async_attempt(
+                request, excluded, call.latest_start_s
+            )
             try:
                 return await self._async_send_once(call, attempt)
             except (UpstreamNotSentError, UpstreamDeclinedError) as error:
--- a/src/banyanswitch/composition.py
+++ b/src/banyanswitch/composition.py
@@ -20,6 +20,7 @@
     "upstream_load",
     "idempotency",
     "addresses",
+    "admission",
     "routing",
     "weights",
     "metrics",
