Refuse truthfully when a claim lapses before the call is sent

Cause (found by reading): marking a claim as sent may fail when the claim lapsed in a pause, and that error escaped as an internal error with outcome unknown although nothing was sent. Ruled out: sending anyway, since another instance may hold the claim as unknown by then. Now the claim is released and the refusal says not run. The test of the lapsed claim failed before (PlatformUnavailableError escaped).

--- a/src/banyanswitch/components/routing/plain_calls.py
+++ b/src/banyanswitch/components/routing/plain_calls.py
@@ -116,8 +116,8 @@
         self, call: PlainCall, claimed: _Claimed
     ) -> StoredAnswer:
         workspace = call.workspace.name
-        await self._records.async_mark_sent(workspace, claimed.key, claimed.attempt)
         try:
+            await self._async_mark_sent(call, claimed)
             answer = _stored(await self._async_send(call))
         except RefusalError as refusal:
             await self._async_close_claim(call, claimed, refusal.outcome)
@@ -130,6 +130,19 @@
             LOGGER.error("answer_not_recorded", workspace=workspace, reason=str(error))
         return answer
 
+    async def _async_mark_sent(self, call: PlainCall, claimed: _Claimed) -> None:
+        try:
+            await self._records.async_mark_sent(
+                call.workspace.name, claimed.key, claimed.attempt
+            )
+        except PlatformError as error:
+            raise RefusalError(
+                "claim_lapsed",
+                "the claim lapsed before the call was sent",
+                status=503,
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+
     async def _async_close_claim(
         self, call: PlainCall, claimed: _Claimed, outcome: RunOutcome
     ) -> None:
