Let a plug-in import stored prefixes and follow served prompts

Cause: placement already chooses imports, and nothing carried them out. Routing now awaits an importer that registers itself, and publishes each prompt that was served.

--- a/src/banyanswitch/components/gateway/relay.py
+++ b/src/banyanswitch/components/gateway/relay.py
@@ -94,7 +94,7 @@
         first: VerifiedChunk,
         chunks: AsyncIterator[VerifiedChunk],
     ) -> web.StreamResponse:
-        self._runs.first_token(run.attempt)
+        self._runs.first_token(run)
         try:
             return await self._async_relay(request, stream, first, chunks)
         finally:
--- a/src/banyanswitch/components/routing/__init__.py
+++ b/src/banyanswitch/components/routing/__init__.py
@@ -28,7 +28,9 @@
     kernel.on_stop(DOMAIN, client.async_close)
     kernel.provide(UpstreamPools, pools)
     kernel.provide(Placements, placements)
-    kernel.provide(ModelRuns, ModelRuns(placements, client, failures.note))
+    kernel.provide(
+        ModelRuns, ModelRuns(placements, client, failures.note, kernel.bus.publish)
+    )
     kernel.provide(
         PlainCalls,
         PlainCalls(placements, client, kernel.require(IdempotencyStore), failures.note),
--- a/src/banyanswitch/components/routing/model_runs.py
+++ b/src/banyanswitch/components/routing/model_runs.py
@@ -18,6 +18,8 @@
 from banyanswitch.components.routing.models import (
     Attempt,
     OpenRun,
+    PrefixImporter,
+    PromptServed,
     RunLostError,
     UpstreamDeclinedError,
     UpstreamRejectedError,
@@ -36,6 +38,7 @@
     HEADER_WEIGHT_VERSION,
     HEADER_WORKSPACE,
 )
+from banyanswitch.core import callback
 from banyanswitch.decisions.placement import PlacementRequest
 from banyanswitch.decisions.prefix import cache_salt
 from banyanswitch.exceptions import RefusalError, RunOutcome, UpstreamError
@@ -164,6 +167,8 @@
         Talks to upstreams.
     on_upstream_failure : callable
         Told of each upstream that broke or could not be reached.
+    publish : callable
+        Told of each prompt that an upstream has computed.
     """
 
     def __init__(
@@ -171,10 +176,18 @@
         placements: Placements,
         client: UpstreamClient,
         on_upstream_failure: Callable[[UpstreamId], None],
+        publish: Callable[[PromptServed], None],
     ) -> None:
         self._placements = placements
         self._client = client
         self._on_upstream_failure = on_upstream_failure
+        self._publish = publish
+        self._importer: PrefixImporter | None = None
+
+    @callback
+    def set_importer(self, importer: PrefixImporter) -> None:
+        """Let placements that ask for it import stored prefixes first."""
+        self._importer = importer
 
     async def async_open(self, call: ModelCall) -> OpenRun:
         """Start a run at an upstream that confirmed its identity.
@@ -235,9 +248,10 @@
             next_offset=position.offset + 1,
         )
 
-    def first_token(self, attempt: Attempt) -> None:
-        """Note that the first token of an attempt arrived."""
-        self._placements.first_token(attempt.place, _now_s())
+    def first_token(self, run: OpenRun) -> None:
+        """Note that the first token of a run arrived."""
+        self._placements.first_token(run.attempt.place, _now_s())
+        self._publish(PromptServed(run.attempt, run.cached_pieces))
 
     def finished(self, attempt: Attempt) -> None:
         """Note that an attempt ended."""
@@ -260,7 +274,7 @@
                 self.async_cancel(attempt.url, attempt.run_id, only_if_unread=False)
             )
             raise
-        self.first_token(attempt)
+        self.first_token(run)
         self.finished(attempt)
         return answer
 
@@ -281,8 +295,15 @@
                 return run
             excluded |= {attempt.place.upstream}
 
+    async def _async_import_first(self, attempt: Attempt) -> None:
+        if self._importer is None or attempt.place.import_first is None:
+            return
+        is_imported = await self._importer.async_import(attempt)
+        LOGGER.debug("import_first", run=attempt.run_id, is_imported=is_imported)
+
     async def _async_try(self, call: ModelCall, attempt: Attempt) -> OpenRun | None:
         try:
+            await self._async_import_first(attempt)
             return await self._client.async_open_run(
                 attempt, call.path, _headers(attempt), call.body
             )
--- a/src/banyanswitch/components/routing/models.py
+++ b/src/banyanswitch/components/routing/models.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import aiohttp
 
@@ -68,6 +69,36 @@
     url: str
 
 
+@dataclass(frozen=True, slots=True)
+class PromptServed:
+    """Bus message: an upstream gave the first token for a prompt.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        Where it ran, with the hashes of its pieces.
+    cached_pieces : int
+        Pieces that the upstream had in its cache.
+    """
+
+    attempt: Attempt
+    cached_pieces: int
+
+
+class PrefixImporter(Protocol):
+    """Imports stored prefixes to upstreams."""
+
+    async def async_import(self, attempt: Attempt) -> bool:
+        """Carry out the import that a placement asks for.
+
+        Returns
+        -------
+        is_imported : bool
+            Whether the upstream holds the verified prefix now; otherwise the
+            upstream computes it.
+        """
+
+
 @dataclass(frozen=True, slots=True)
 class OpenRun:
     """A run whose identity the upstream has confirmed.
