Route by the decisions on retries, ejection and the turn of versions

Cause: routing repeated a failed run up to four times without any budget, which makes a retry storm when a failure domain goes; it ejected at one failure; and during a swap all requests turned to the first upstream with the new version. The pure decisions take over: a budget of a tenth of first attempts, three failures in a row, and a turn in proportion to the upstreams that serve the new version, by conversation. An attempt that is given up is cancelled at the upstream, also when its caller leaves while it waits. Ruled out: a fixed read timeout on the connection, which would cut a whole answer that takes longer than ten seconds; the wait now depends on what is awaited.

--- a/src/banyanswitch/components/gateway/relay.py
+++ b/src/banyanswitch/components/gateway/relay.py
@@ -10,8 +10,9 @@
 from banyanswitch.components.gateway.models import ModelCall, ResumeCall
 from banyanswitch.components.gateway.problems import problem_document
 from banyanswitch.components.routing.const import RESUME_GRACE_S, RETRY_AFTER_S
-from banyanswitch.components.routing.model_runs import ModelRuns, RunStream
+from banyanswitch.components.routing.model_runs import ModelRuns
 from banyanswitch.components.routing.models import OpenRun, RunLostError
+from banyanswitch.components.routing.run_stream import RunStream
 from banyanswitch.components.streams.verifier import VerifiedChunk
 from banyanswitch.const import (
     CONTENT_TYPE_EVENT_STREAM,
@@ -59,8 +60,7 @@
                 run = await self._runs.async_reopen(call, run)
                 continue
             except asyncio.CancelledError:
-                self._abandon(stream)
-                self._runs.finished(run.attempt)
+                self._runs.give_up(run)
                 raise
             return await self._async_relay_run(request, run, stream, first, chunks)
 
--- a/src/banyanswitch/components/routing/__init__.py
+++ b/src/banyanswitch/components/routing/__init__.py
@@ -3,11 +3,12 @@
 import random
 
 from banyanswitch.components.routing.const import DOMAIN
-from banyanswitch.components.routing.failures import UpstreamFailures
+from banyanswitch.components.routing.health import UpstreamHealth
 from banyanswitch.components.routing.model_runs import ModelRuns
 from banyanswitch.components.routing.placement import Placements
 from banyanswitch.components.routing.plain_calls import PlainCalls
 from banyanswitch.components.routing.pools import UpstreamPools
+from banyanswitch.components.routing.retries import Retries
 from banyanswitch.components.routing.upstream_client import UpstreamClient
 from banyanswitch.core import REGISTRY, Kernel
 from banyanswitch.helpers.run_identity import RunIdentityCodec
@@ -17,23 +18,27 @@
 async def async_setup(kernel: Kernel) -> None:
     """Provide `ModelRuns` and `PlainCalls`."""
     pools = UpstreamPools(kernel)
-    failures = UpstreamFailures(kernel, pools)
+    generator = kernel.require(random.Random)
+    health = UpstreamHealth(kernel, pools, generator)
+    retries = Retries(generator)
     client = UpstreamClient()
     placements = Placements(
         kernel.require(ConfigurationView),
         pools,
         kernel.require(RunIdentityCodec),
-        kernel.require(random.Random),
+        generator,
     )
     kernel.on_stop(DOMAIN, client.async_close)
     kernel.provide(UpstreamPools, pools)
     kernel.provide(Placements, placements)
     kernel.provide(
-        ModelRuns, ModelRuns(placements, client, failures.note, kernel.bus.publish)
+        ModelRuns, ModelRuns(kernel, placements, client, health=health, retries=retries)
     )
     kernel.provide(
         PlainCalls,
-        PlainCalls(placements, client, kernel.require(IdempotencyStore), failures.note),
+        PlainCalls(
+            placements, client, kernel.require(IdempotencyStore), health.note_failure
+        ),
     )
 
 
--- a/src/banyanswitch/components/routing/const.py
+++ b/src/banyanswitch/components/routing/const.py
@@ -22,7 +22,7 @@
 RESUME_GRACE_S: Final = 5.0
 """Time in which a caller may resume a stream elsewhere before it is cancelled."""
 
-MAX_PLACEMENT_ATTEMPTS: Final = 4
+MAX_PLAIN_ATTEMPTS: Final = 4
 UPSTREAM_CONNECTIONS: Final = 1024
 READ_BUFFER_BYTES: Final = 65_536
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
--- a/src/banyanswitch/components/routing/model_runs.py
+++ b/src/banyanswitch/components/routing/model_runs.py
@@ -1,36 +1,33 @@
 """Runs of model services: placed, retried while nothing was passed on, resumed."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import Mapping
 
-import aiohttp
 import structlog
 
 from banyanswitch.components.gateway.models import ModelCall
 from banyanswitch.components.routing.const import (
     HEADER_PIECES,
     HEADER_PROMPT_TOKENS,
-    MAX_PLACEMENT_ATTEMPTS,
-    RESUME_ATTEMPTS,
-    RESUME_BACKOFF_S,
-    RETRY_AFTER_S,
+    TOKEN_TIMEOUT_S,
 )
+from banyanswitch.components.routing.health import UpstreamHealth
 from banyanswitch.components.routing.models import (
     Attempt,
     OpenRun,
     PrefixImporter,
     PromptServed,
-    RunLostError,
     UpstreamDeclinedError,
     UpstreamRejectedError,
     WholeAnswer,
 )
 from banyanswitch.components.routing.placement import Placements
+from banyanswitch.components.routing.retries import Retries
+from banyanswitch.components.routing.run_stream import RunStream
 from banyanswitch.components.routing.upstream_client import (
     UpstreamClient,
     async_read_answer,
 )
-from banyanswitch.components.streams.verifier import EventVerifier, VerifiedChunk
 from banyanswitch.const import (
     HEADER_CACHE_SALT,
     HEADER_PRIORITY,
@@ -38,150 +35,53 @@
     HEADER_WEIGHT_VERSION,
     HEADER_WORKSPACE,
 )
-from banyanswitch.core import callback
-from banyanswitch.decisions.placement import PlacementRequest
+from banyanswitch.core import Kernel, callback
 from banyanswitch.decisions.prefix import cache_salt
+from banyanswitch.decisions.retry import FailedAttempt
 from banyanswitch.exceptions import RefusalError, RunOutcome, UpstreamError
-from banyanswitch.helpers.run_identity import RunIdentity, StreamPosition
+from banyanswitch.helpers.run_identity import StreamPosition
 from banyanswitch.identifiers import RunId, UpstreamId
 
 LOGGER = structlog.get_logger(__name__)
 NO_UPSTREAMS: frozenset[UpstreamId] = frozenset()
-
-
-class RunStream:
-    """Verified events of one run, resumed at the upstream when a connection breaks.
-
-    Parameters
-    ----------
-    client : UpstreamClient
-        Opens further connections.
-    url : str
-        Base URL of the upstream that has the run.
-    run_id, identity : RunId, RunIdentity
-        What each answer must confirm.
-    next_offset : int
-        First event that the caller does not have.
-    response : aiohttp.ClientResponse, optional
-        Connection that is open already.
-    """
-
-    def __init__(
-        self,
-        client: UpstreamClient,
-        url: str,
-        run_id: RunId,
-        identity: RunIdentity,
-        *,
-        next_offset: int = 0,
-        response: aiohttp.ClientResponse | None = None,
-    ) -> None:
-        self.run_id = run_id
-        self.identity = identity
-        self.url = url
-        self._client = client
-        self._response = response
-        self._verifier = EventVerifier(run_id, next_offset)
-        self._failures = 0
-
-    @property
-    def is_done(self) -> bool:
-        """Whether the last event of the run was passed on."""
-        return self._verifier.is_done
-
-    async def async_chunks(self) -> AsyncIterator[VerifiedChunk]:
-        """Yield chunks with at least one event until the run is done.
-
-        Raises
-        ------
-        RunLostError
-            If the run can't be continued.
-        """
-        while not self.is_done:
-            received = await self._async_receive()
-            chunk = self._verifier.feed(received)
-            if chunk.event_count:
-                self._failures = 0
-                yield chunk
-            if chunk.fault is not None:
-                LOGGER.warning(
-                    "stream_fault",
-                    run=self.run_id,
-                    upstream=self.identity.upstream,
-                    fault=chunk.fault.value,
-                )
-                self._drop_connection()
-        self.release()
-
-    @property
-    def connection(self) -> aiohttp.ClientResponse | None:
-        """Connection that is open at the moment."""
-        return self._response
-
-    def release(self) -> None:
-        """Give up the connection."""
-        if self._response is not None:
-            self._response.close()
-            self._response = None
-
-    async def _async_receive(self) -> bytes:
-        try:
-            if self._response is None:
-                await self._async_reconnect()
-            assert self._response is not None
-            received = await self._response.content.readany()
-        except (UpstreamError, aiohttp.ClientError, TimeoutError, OSError) as error:
-            await self._async_after_failure(error)
-            return b""
-        if not received:
-            await self._async_after_failure(None)
-        return received
-
-    async def _async_reconnect(self) -> None:
-        self._verifier.restart()
-        self._response = await self._client.async_resume_run(
-            self.url, self.run_id, self.identity, self._verifier.next_offset
-        )
-
-    async def _async_after_failure(self, error: Exception | None) -> None:
-        self._drop_connection()
-        if isinstance(error, UpstreamRejectedError) or (
-            self._failures > RESUME_ATTEMPTS
-        ):
-            raise RunLostError(f"the run can't be continued: {error!r}") from error
-        await asyncio.sleep(RESUME_BACKOFF_S * self._failures)
-
-    def _drop_connection(self) -> None:
-        self._failures += 1
-        self.release()
+FIRST_TOKEN_MARGIN = 4.0
+"""Multiple of the expected time to first token that is waited for it."""
 
 
 class ModelRuns:
     """Start and resume runs of model services.
 
+    Model runs may be repeated: one that fails before any of its answer was passed
+    on is ended and started again at another upstream, within the retry budget.
+
     Parameters
     ----------
+    kernel : Kernel
+        Clock, bus and task lifetimes.
     placements : Placements
         Chooses upstreams.
     client : UpstreamClient
         Talks to upstreams.
-    on_upstream_failure : callable
-        Told of each upstream that broke or could not be reached.
-    publish : callable
-        Told of each prompt that an upstream has computed.
+    health : UpstreamHealth
+        Told which upstreams fail.
+    retries : Retries
+        Bounds the repeated attempts.
     """
 
     def __init__(
         self,
+        kernel: Kernel,
         placements: Placements,
         client: UpstreamClient,
-        on_upstream_failure: Callable[[UpstreamId], None],
-        publish: Callable[[PromptServed], None],
+        *,
+        health: UpstreamHealth,
+        retries: Retries,
     ) -> None:
+        self._kernel = kernel
         self._placements = placements
         self._client = client
-        self._on_upstream_failure = on_upstream_failure
-        self._publish = publish
+        self._health = health
+        self._retries = retries
         self._importer: PrefixImporter | None = None
 
     @callback
@@ -192,24 +92,28 @@
     async def async_open(self, call: ModelCall) -> OpenRun:
         """Start a run at an upstream that confirmed its identity.
 
-        Model runs may be repeated, so a run that fails before its first token has
-        been passed on is tried at another upstream.
-
         Raises
         ------
         RefusalError
             If no upstream took it.
         """
-        request = self._placements.model_request(call, _now_s())
-        return await self._async_open(call, request, NO_UPSTREAMS)
+        self._retries.first_attempt(call.service.name)
+        return await self._async_open(call, NO_UPSTREAMS)
 
     async def async_reopen(self, call: ModelCall, failed: OpenRun) -> OpenRun:
-        """Start again elsewhere after a run failed before anything was passed on."""
+        """Start again elsewhere after a run failed before anything was passed on.
+
+        Raises
+        ------
+        RefusalError
+            If there is to be no further attempt.
+        """
         attempt = failed.attempt
-        self.finished(attempt)
+        self.give_up(failed)
+        self._health.note_failure(attempt.place.upstream)
         excluded = attempt.request.excluded | {attempt.place.upstream}
-        request = self._placements.model_request(call, _now_s())
-        return await self._async_open(call, request, excluded)
+        await self._async_before_retry(call, excluded)
+        return await self._async_open(call, excluded)
 
     async def async_complete(self, call: ModelCall) -> WholeAnswer:
         """Return the whole answer of a run that does not stream.
@@ -224,20 +128,23 @@
             try:
                 return await self._async_read(call, run)
             except UpstreamError:
-                self._on_upstream_failure(run.attempt.place.upstream)
                 run = await self.async_reopen(call, run)
 
+    @callback
     def stream(self, run: OpenRun) -> RunStream:
         """Return the verified events of an open run."""
         attempt = run.attempt
+        expected_s = attempt.place.expected_first_token_s
         return RunStream(
             self._client,
             attempt.url,
             attempt.run_id,
             attempt.identity,
             response=run.response,
+            first_event_timeout_s=TOKEN_TIMEOUT_S + FIRST_TOKEN_MARGIN * expected_s,
         )
 
+    @callback
     def resumed_stream(self, position: StreamPosition, url: str) -> RunStream:
         """Return the events after those that the caller has."""
         return RunStream(
@@ -248,14 +155,24 @@
             next_offset=position.offset + 1,
         )
 
+    @callback
     def first_token(self, run: OpenRun) -> None:
         """Note that the first token of a run arrived."""
-        self._placements.first_token(run.attempt.place, _now_s())
-        self._publish(PromptServed(run.attempt, run.cached_pieces))
+        attempt = run.attempt
+        self._health.note_success(attempt.place.upstream)
+        self._placements.first_token(attempt.place, self._kernel.now_s)
+        self._kernel.bus.publish(PromptServed(attempt, run.cached_pieces))
 
+    @callback
     def finished(self, attempt: Attempt) -> None:
         """Note that an attempt ended."""
-        self._placements.finished(attempt.place, _now_s())
+        self._placements.finished(attempt.place, self._kernel.now_s)
+
+    @callback
+    def give_up(self, run: OpenRun) -> None:
+        """End a run that nobody will read."""
+        run.response.close()
+        self._give_up_attempt(run.attempt)
 
     async def async_cancel(
         self, url: str, run_id: RunId, *, only_if_unread: bool
@@ -264,29 +181,20 @@
         await self._client.async_cancel_run(url, run_id, only_if_unread=only_if_unread)
 
     async def _async_read(self, call: ModelCall, run: OpenRun) -> WholeAnswer:
-        attempt = run.attempt
         try:
-            answer = await async_read_answer(run)
+            answer = await async_read_answer(run, call.service.request_timeout_s)
         except asyncio.CancelledError:
-            run.response.close()
-            self.finished(attempt)
-            await asyncio.shield(
-                self.async_cancel(attempt.url, attempt.run_id, only_if_unread=False)
-            )
+            self.give_up(run)
             raise
         self.first_token(run)
-        self.finished(attempt)
+        self.finished(run.attempt)
         return answer
 
     async def _async_open(
-        self,
-        call: ModelCall,
-        request: PlacementRequest,
-        excluded: frozenset[UpstreamId],
+        self, call: ModelCall, excluded: frozenset[UpstreamId]
     ) -> OpenRun:
+        request = self._placements.model_request(call, self._kernel.now_s)
         while True:
-            if len(excluded) >= MAX_PLACEMENT_ATTEMPTS:
-                raise _exhausted()
             attempt = await self._placements.async_attempt(
                 request, excluded, call.latest_start_s
             )
@@ -294,12 +202,15 @@
             if run is not None:
                 return run
             excluded |= {attempt.place.upstream}
+            await self._async_before_retry(call, excluded)
 
-    async def _async_import_first(self, attempt: Attempt) -> None:
-        if self._importer is None or attempt.place.import_first is None:
-            return
-        is_imported = await self._importer.async_import(attempt)
-        LOGGER.debug("import_first", run=attempt.run_id, is_imported=is_imported)
+    async def _async_before_retry(
+        self, call: ModelCall, excluded: frozenset[UpstreamId]
+    ) -> None:
+        failed = FailedAttempt(
+            outcome=RunOutcome.PARTIAL, is_repeatable=True, attempts=len(excluded)
+        )
+        await self._retries.async_before_retry(call.service.name, failed)
 
     async def _async_try(self, call: ModelCall, attempt: Attempt) -> OpenRun | None:
         try:
@@ -309,27 +220,44 @@
             )
         except UpstreamRejectedError as error:
             self.finished(attempt)
-            raise RefusalError(
-                "rejected_by_upstream", str(error), status=error.status
-            ) from error
+            raise _rejected(error) from error
         except UpstreamDeclinedError as error:
             self.finished(attempt)
-            LOGGER.info(
-                "upstream_declined",
-                upstream=attempt.place.upstream,
-                code=error.code,
-            )
-            return None
+            _log_failure(attempt, error)
         except UpstreamError as error:
-            self.finished(attempt)
-            self._on_upstream_failure(attempt.place.upstream)
-            LOGGER.warning(
-                "upstream_failed", upstream=attempt.place.upstream, reason=str(error)
-            )
-            return None
+            self._give_up_attempt(attempt)
+            self._health.note_failure(attempt.place.upstream)
+            _log_failure(attempt, error)
         except asyncio.CancelledError:
-            self.finished(attempt)
+            self._give_up_attempt(attempt)
             raise
+        return None
+
+    async def _async_import_first(self, attempt: Attempt) -> None:
+        if self._importer is None or attempt.place.import_first is None:
+            return
+        is_imported = await self._importer.async_import(attempt)
+        LOGGER.debug("import_first", run=attempt.run_id, is_imported=is_imported)
+
+    def _give_up_attempt(self, attempt: Attempt) -> None:
+        self.finished(attempt)
+        self._kernel.create_task(
+            self.async_cancel(attempt.url, attempt.run_id, only_if_unread=False),
+            f"cancel {attempt.run_id}",
+        )
+
+
+def _log_failure(attempt: Attempt, error: UpstreamError) -> None:
+    LOGGER.warning(
+        "upstream_failed",
+        run=attempt.run_id,
+        upstream=attempt.place.upstream,
+        reason=str(error),
+    )
+
+
+def _rejected(error: UpstreamRejectedError) -> RefusalError:
+    return RefusalError("rejected_by_upstream", str(error), status=error.status)
 
 
 def _headers(attempt: Attempt) -> Mapping[str, str]:
@@ -344,17 +272,3 @@
         HEADER_PIECES: ",".join(attempt.request.piece_hashes),
         HEADER_PROMPT_TOKENS: str(attempt.request.prompt_tokens),
     }
-
-
-def _exhausted() -> RefusalError:
-    return RefusalError(
-        "upstreams_failed",
-        "every upstream that was tried failed",
-        status=502,
-        outcome=RunOutcome.PARTIAL,
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -4,6 +4,8 @@
 import random
 from dataclasses import replace
 
+import xxhash
+
 from banyanswitch.components.gateway.const import BYTES_PER_TOKEN
 from banyanswitch.components.gateway.models import ModelCall
 from banyanswitch.components.routing.const import BUSY_RETRY_S, NONCE_BITS
@@ -31,6 +33,7 @@
 
 UNPLACED_RUN = RunId("")
 NO_VERSION = WeightVersion("")
+CONVERSATION_KEY_BYTES = 1024
 
 
 class Placements:
@@ -65,7 +68,7 @@
     def model_request(self, call: ModelCall, now_s: float) -> PlacementRequest:
         """Pin the version of a call and describe it for placement."""
         self._pools.follow(call.service, now_s)
-        version = self._pools.serving_version(call.service)
+        version = self._pools.serving_version(call.service, _conversation_key(call))
         return PlacementRequest(
             run=UNPLACED_RUN,
             workspace=call.workspace.name,
@@ -149,6 +152,12 @@
         self._placer.on_finished(place, now_s)
 
 
+def _conversation_key(call: ModelCall) -> str:
+    """Name the conversation: the start of a prompt stays when the prompt grows."""
+    start = call.prompt[:CONVERSATION_KEY_BYTES]
+    return f"{call.workspace.name}:{xxhash.xxh3_64_hexdigest(start)}"
+
+
 def _piece_hashes(
     call: ModelCall, version: WeightVersion | None
 ) -> tuple[PrefixHash, ...]:
--- a/src/banyanswitch/components/routing/plain_calls.py
+++ b/src/banyanswitch/components/routing/plain_calls.py
@@ -8,7 +8,7 @@
 
 from banyanswitch.components.gateway.models import PlainCall
 from banyanswitch.components.routing.const import (
-    MAX_PLACEMENT_ATTEMPTS,
+    MAX_PLAIN_ATTEMPTS,
     RETRY_AFTER_S,
 )
 from banyanswitch.components.routing.models import (
@@ -161,7 +161,7 @@
     async def _async_send(self, call: PlainCall) -> WholeAnswer:
         request = self._placements.plain_request(call.workspace, call.service, _now_s())
         excluded: frozenset[UpstreamId] = frozenset()
-        while len(excluded) < MAX_PLACEMENT_ATTEMPTS:
+        while len(excluded) < MAX_PLAIN_ATTEMPTS:
             attempt = await self._placements.async_attempt(
                 request, excluded, call.latest_start_s
             )
--- a/src/banyanswitch/components/routing/pools.py
+++ b/src/banyanswitch/components/routing/pools.py
@@ -6,6 +6,7 @@
 from banyanswitch.components.upstream_load.models import UpstreamLoadChanged
 from banyanswitch.config.models import Service, Upstream
 from banyanswitch.core import Kernel, callback
+from banyanswitch.decisions.swap_order import choose_version
 from banyanswitch.decisions.upstream_pool import UpstreamPool, UpstreamView
 from banyanswitch.identifiers import ServiceName, UpstreamId, WeightVersion
 from banyanswitch.interfaces import (
@@ -71,25 +72,23 @@
         self._refresh(upstream)
 
     @callback
-    def serving_version(self, service: Service) -> WeightVersion | None:
-        """Return the version on which new requests run.
+    def serving_version(self, service: Service, key: str) -> WeightVersion | None:
+        """Return the version on which a new request runs.
 
-        The declared version goes first; until an upstream serves it, requests go to
-        the version that most upstreams serve.
+        Parameters
+        ----------
+        key : str
+            Names what should stay on one version during a swap.
         """
         declared = service.weight_version
-        if declared is None or self._accepting_count(service.name, declared):
-            return declared
         followed = self._followed.get(service.name)
-        if followed is None or not followed.versions:
+        if declared is None or followed is None:
             return declared
-        return max(
-            sorted(followed.versions),
-            key=lambda version: self._accepting_count(service.name, version),
-        )
-
-    def _accepting_count(self, service: ServiceName, version: WeightVersion) -> int:
-        return len(self.pool.accepting(service, version))
+        serving = {
+            version: len(self.pool.accepting(service.name, version))
+            for version in followed.versions
+        }
+        return choose_version(key, declared, serving) or declared
 
     async def _async_refresh(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/banyanswitch/components/routing/upstream_client.py
+++ b/src/banyanswitch/components/routing/upstream_client.py
@@ -14,7 +14,6 @@
     MAX_ANSWER_BYTES,
     NOT_RUN_CODES,
     READ_BUFFER_BYTES,
-    TOKEN_TIMEOUT_S,
     UPSTREAM_CONNECTIONS,
 )
 from banyanswitch.components.routing.models import (
@@ -54,7 +53,7 @@
 
     def __init__(self) -> None:
         self._timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=TOKEN_TIMEOUT_S
+            total=None, sock_connect=CONNECT_TIMEOUT_S
         )
         self._shared = self._session(force_close=False)
         self._single_use = self._session(force_close=True)
@@ -183,16 +182,19 @@
             ) from error
 
 
-async def async_read_answer(run: OpenRun) -> WholeAnswer:
+async def async_read_answer(run: OpenRun, timeout_s: float) -> WholeAnswer:
     """Return the whole answer of a run that does not stream.
 
     Raises
     ------
     UpstreamBrokenError
-        If the connection broke or the answer is too long.
+        If the connection broke, or the answer is too long or too late.
     """
-    async with run.response:
-        body = await _async_read_body(run.response)
+    try:
+        async with asyncio.timeout(timeout_s), run.response:
+            body = await _async_read_body(run.response)
+    except TimeoutError as error:
+        raise UpstreamBrokenError("no whole answer in time") from error
     content_type = run.response.headers.get("Content-Type", "application/json")
     return WholeAnswer(run.response.status, content_type, body, run.attempt.run_id)
 
