--- /dev/null
+++ b/bench/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions over small fakes."""
--- /dev/null
+++ b/bench/decisions/recorder.py
@@ -0,0 +1,140 @@
+"""Record of what became of each request, and the figures drawn from it."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bench.decisions.workload import Request
+
+SHORT_TARGET_S = 0.54
+LONG_TARGET_S = 60.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of one request.
+
+    Parameters
+    ----------
+    known_pieces : int
+        Leading pieces that had been computed before on the same weight version.
+    cached_pieces : int
+        Leading pieces that needed no prefill.
+    refused_after_s : float, optional
+        Time from arrival to the refusal.
+    """
+
+    request: Request
+    first_token_s: float | None = None
+    known_pieces: int = 0
+    cached_pieces: int = 0
+    refused_after_s: float | None = None
+    has_failed: bool = False
+    attempts: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Latency:
+    """Time to first token in seconds, at shares of 100."""
+
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    share_in_target: float
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """Figures of one run or of one window of it."""
+
+    requests: int
+    short: Latency
+    long: Latency
+    returning: Latency
+    recomputed_share: float
+    refused: int
+    refused_short: int
+    failed: int
+    refusal_delay_p99_s: float
+    goodput_share: float
+    retries: int
+
+
+class Recorder:
+    """Outcomes in the order of arrival."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[Outcome] = []
+
+    def start(self, request: Request) -> Outcome:
+        """Add a request that has arrived."""
+        outcome = Outcome(request)
+        self.outcomes.append(outcome)
+        return outcome
+
+    def figures(
+        self, from_s: float, until_s: float, capacity_tokens_per_s: float
+    ) -> Figures:
+        """Return the figures of the requests that arrived in a window.
+
+        Parameters
+        ----------
+        capacity_tokens_per_s : float
+            Prefill rate of all upstreams together.
+        """
+        outcomes = [
+            item for item in self.outcomes if from_s <= item.request.at_s < until_s
+        ]
+        short = [item for item in outcomes if not item.request.is_long]
+        long = [item for item in outcomes if item.request.is_long]
+        returning = [item for item in long if item.request.turn > 0]
+        known = sum(item.known_pieces for item in returning)
+        recomputed = sum(
+            max(0, item.known_pieces - item.cached_pieces) for item in returning
+        )
+        refused = [item for item in outcomes if item.refused_after_s is not None]
+        delays = sorted(item.refused_after_s or 0.0 for item in refused)
+        good_tokens = sum(_good_tokens(item) for item in outcomes)
+        return Figures(
+            requests=len(outcomes),
+            short=_latency(short, SHORT_TARGET_S),
+            long=_latency(long, LONG_TARGET_S),
+            returning=_latency(returning, LONG_TARGET_S),
+            recomputed_share=recomputed / known if known else 0.0,
+            refused=len(refused),
+            refused_short=sum(not item.request.is_long for item in refused),
+            failed=sum(item.has_failed for item in outcomes),
+            refusal_delay_p99_s=_quantile(delays, 0.99),
+            goodput_share=good_tokens / (capacity_tokens_per_s * (until_s - from_s)),
+            retries=sum(max(0, item.attempts - 1) for item in outcomes),
+        )
+
+
+def _good_tokens(outcome: Outcome) -> float:
+    if outcome.first_token_s is None:
+        return 0.0
+    request = outcome.request
+    target_s = LONG_TARGET_S if request.is_long else SHORT_TARGET_S
+    if outcome.first_token_s > target_s:
+        return 0.0
+    piece_tokens = request.prompt_tokens / max(1, request.pieces)
+    return request.prompt_tokens - outcome.cached_pieces * min(4_000.0, piece_tokens)
+
+
+def _latency(outcomes: Sequence[Outcome], target_s: float) -> Latency:
+    times = sorted(
+        item.first_token_s for item in outcomes if item.first_token_s is not None
+    )
+    in_target = sum(time_s <= target_s for time_s in times)
+    return Latency(
+        p50_s=_quantile(times, 0.50),
+        p95_s=_quantile(times, 0.95),
+        p99_s=_quantile(times, 0.99),
+        share_in_target=in_target / len(times) if times else 1.0,
+    )
+
+
+def _quantile(ordered: Sequence[float], share: float) -> float:
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, math.ceil(share * len(ordered)) - 1)]
--- a/src/banyanswitch/decisions/reuse.py
+++ b/src/banyanswitch/decisions/reuse.py
@@ -143,6 +143,18 @@
         if is_latest and stored.pieces < record.pieces:
             self._queue.put(record.key, record.returns, exporting.use)
 
+    def on_recovered(self, stored: StoredPrefix) -> None:
+        """Take in a stored prefix that another instance has told of."""
+        tail = PrefixHash(stored.manifest)
+        self._cache_view.add_stored(tail, stored)
+        record = self._prompts.get(prefix_key(tail))
+        if record is None:
+            return
+        self._unlist(record)
+        record.stored = stored
+        self._list(record)
+        self._queue.discard(record.key)
+
     def on_export_failed(self, export: Export, now_s: float) -> None:
         """Take in that an export failed; the prompt waits for its next use."""
         budget = self._links.get(export.store)
