Start a silent interactive request elsewhere, within the retry budget

Cause: an upstream that freezes after it accepted a run held an interactive caller for ten seconds and more. After four times the expected time to first token, and at least one second, the run is given up there and started at another upstream. Ruled out: two runs side by side, which would compute each late prompt twice.

--- a/src/banyanswitch/components/gateway/relay.py
+++ b/src/banyanswitch/components/gateway/relay.py
@@ -55,7 +55,7 @@
             stream = self._runs.stream(run)
             chunks = stream.async_chunks()
             try:
-                first = await anext(chunks)
+                first = await self._runs.async_first_chunk(call, run, chunks)
             except RunLostError:
                 run = await self._runs.async_reopen(call, run)
                 continue
--- a/src/banyanswitch/components/routing/const.py
+++ b/src/banyanswitch/components/routing/const.py
@@ -22,6 +22,9 @@
 RESUME_GRACE_S: Final = 5.0
 """Time in which a caller may resume a stream elsewhere before it is cancelled."""
 
+HEDGE_MIN_S: Final = 1.0
+"""Shortest silence after which an interactive request is started elsewhere."""
+
 MAX_PLAIN_ATTEMPTS: Final = 4
 UPSTREAM_CONNECTIONS: Final = 1024
 READ_BUFFER_BYTES: Final = 65_536
--- a/src/banyanswitch/components/routing/model_runs.py
+++ b/src/banyanswitch/components/routing/model_runs.py
@@ -1,7 +1,7 @@
 """Runs of model services: placed, retried while nothing was passed on, resumed."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
 
 import structlog
 
@@ -17,6 +17,7 @@
     OpenRun,
     PrefixImporter,
     PromptServed,
+    RunLostError,
     UpstreamDeclinedError,
     UpstreamRejectedError,
     WholeAnswer,
@@ -28,6 +29,7 @@
     UpstreamClient,
     async_read_answer,
 )
+from banyanswitch.components.streams.verifier import VerifiedChunk
 from banyanswitch.const import (
     HEADER_CACHE_SALT,
     HEADER_PRIORITY,
@@ -155,6 +157,32 @@
             next_offset=position.offset + 1,
         )
 
+    async def async_first_chunk(
+        self, call: ModelCall, run: OpenRun, chunks: AsyncIterator[VerifiedChunk]
+    ) -> VerifiedChunk:
+        """Return the first events of a run.
+
+        An interactive request whose upstream stays silent for much longer than
+        expected is given up there, so that it can be started elsewhere.
+
+        Raises
+        ------
+        RunLostError
+            If the run is lost or was given up.
+        """
+        place = run.attempt.place
+        patience_s = self._retries.hedge_after_s(
+            call.service.name, place.expected_first_token_s, call.priority
+        )
+        first = asyncio.ensure_future(anext(chunks))
+        try:
+            await asyncio.wait({first}, timeout=patience_s)
+            if not first.done() and self._retries.try_hedge(call.service.name):
+                raise RunLostError(f"upstream {place.upstream} is silent")
+            return await first
+        finally:
+            first.cancel()
+
     @callback
     def first_token(self, run: OpenRun) -> None:
         """Note that the first token of a run arrived."""
--- a/src/banyanswitch/components/routing/retries.py
+++ b/src/banyanswitch/components/routing/retries.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from banyanswitch.components.routing.const import HEDGE_MIN_S
+from banyanswitch.config.models import Priority
 from banyanswitch.decisions.retry import FailedAttempt, GiveUp, Retrier, RetryPolicy
 from banyanswitch.exceptions import RefusalError, RunOutcome
 from banyanswitch.identifiers import ServiceName
@@ -44,10 +46,26 @@
             raise _refusal(decision, failed.outcome)
         await asyncio.sleep(decision.delay_s)
 
+    def hedge_after_s(
+        self, service: ServiceName, expected_first_token_s: float, priority: Priority
+    ) -> float | None:
+        """Return the silence after which a repeatable request is started again."""
+        now_s = asyncio.get_running_loop().time()
+        return self._retrier(service, now_s).hedge_after_s(
+            expected_first_token_s, priority, is_repeatable=True
+        )
+
+    def try_hedge(self, service: ServiceName) -> bool:
+        """Take the budget for starting a silent request again."""
+        now_s = asyncio.get_running_loop().time()
+        return self._retrier(service, now_s).try_hedge(now_s)
+
     def _retrier(self, service: ServiceName, now_s: float) -> Retrier:
         retrier = self._retriers.get(service)
         if retrier is None:
-            retrier = Retrier(RetryPolicy(), self._generator, now_s)
+            retrier = Retrier(
+                RetryPolicy(hedge_min_s=HEDGE_MIN_S), self._generator, now_s
+            )
             self._retriers[service] = retrier
         return retrier
 
