--- a/src/banyanswitch/components/gateway/__init__.py
+++ b/src/banyanswitch/components/gateway/__init__.py
@@ -20,5 +20,5 @@
 REGISTRY.register(
     DOMAIN,
     async_setup,
-    depends_on=("admission", "routing", "addresses", "configuration"),
+    depends_on=("admission", "routing", "addresses", "configuration", "metrics"),
 )
--- a/src/banyanswitch/components/gateway/handlers.py
+++ b/src/banyanswitch/components/gateway/handlers.py
@@ -3,28 +3,22 @@
 import asyncio
 
 import msgspec
-import structlog
 from aiohttp import web
-from aiohttp.typedefs import Handler
 
 from banyanswitch.components.admission.gate import AdmissionCall, AdmissionGate
 from banyanswitch.components.gateway.activity import Activity
 from banyanswitch.components.gateway.models import ModelCall, PlainCall
 from banyanswitch.components.gateway.parsing import RequestParser
-from banyanswitch.components.gateway.problems import problem_response
 from banyanswitch.components.gateway.relay import StreamRelay
-from banyanswitch.components.routing.const import RETRY_AFTER_S
 from banyanswitch.components.routing.model_runs import ModelRuns
 from banyanswitch.components.routing.plain_calls import PlainCalls
 from banyanswitch.config.models import ServiceKind
 from banyanswitch.const import HEADER_LAST_EVENT_ID, HEADER_RUN_ID
 from banyanswitch.core import Kernel
-from banyanswitch.exceptions import RefusalError, RunOutcome
+from banyanswitch.exceptions import RefusalError
 from banyanswitch.helpers.run_identity import RunIdentityCodec
 from banyanswitch.interfaces import ConfigurationView, StoredAnswer
 
-LOGGER = structlog.get_logger(__name__)
-
 
 class ModelDocument(msgspec.Struct, frozen=True):
     """One model service in the list of models."""
@@ -40,32 +34,6 @@
     object: str = "list"
 
 
-@web.middleware
-async def problem_middleware(
-    request: web.Request, handler: Handler
-) -> web.StreamResponse:
-    """Turn errors of handlers into problem documents."""
-    try:
-        return await handler(request)
-    except RefusalError as refusal:
-        return problem_response(refusal)
-    except web.HTTPException as error:
-        return problem_response(
-            RefusalError("http_error", error.reason, status=error.status)
-        )
-    except Exception:
-        LOGGER.exception("handler_failed", path=request.path)
-        return problem_response(
-            RefusalError(
-                "internal_error",
-                "the request failed in this instance",
-                status=500,
-                outcome=RunOutcome.UNKNOWN,
-                retry_after_s=RETRY_AFTER_S,
-            )
-        )
-
-
 class CallerHandlers:
     """Handlers of requests that upstreams answer.
 
--- a/src/banyanswitch/components/gateway/relay.py
+++ b/src/banyanswitch/components/gateway/relay.py
@@ -9,6 +9,8 @@
 
 from banyanswitch.components.gateway.models import ModelCall, ResumeCall
 from banyanswitch.components.gateway.problems import problem_document
+from banyanswitch.components.metrics.const import Counter, Timing
+from banyanswitch.components.metrics.recorder import MetricRecorder
 from banyanswitch.components.routing.const import RESUME_GRACE_S, RETRY_AFTER_S
 from banyanswitch.components.routing.model_runs import ModelRuns
 from banyanswitch.components.routing.models import OpenRun, RunLostError
@@ -41,6 +43,7 @@
         self._kernel = kernel
         self._configuration = kernel.require(ConfigurationView)
         self._runs = runs
+        self._metrics = kernel.require(MetricRecorder)
 
     async def async_relay_call(
         self, request: web.Request, call: ModelCall
@@ -50,6 +53,7 @@
         A run that is lost before its first event was passed on is started again at
         another upstream; later the caller is told that the stream has broken.
         """
+        started_at_s = self._kernel.now_s
         run = await self._runs.async_open(call)
         while True:
             stream = self._runs.stream(run)
@@ -62,6 +66,7 @@
             except asyncio.CancelledError:
                 self._runs.give_up(run)
                 raise
+            self._metrics.observe(Timing.FIRST_TOKEN, self._kernel.now_s - started_at_s)
             return await self._async_relay_run(request, run, stream, first, chunks)
 
     async def async_relay_resumed(
@@ -84,6 +89,7 @@
             first = await anext(chunks)
         except RunLostError as error:
             raise _run_gone(str(error)) from error
+        self._metrics.count(Counter.STREAMS_RESUMED)
         return await self._async_relay(request, stream, first, chunks)
 
     async def _async_relay_run(
@@ -114,6 +120,7 @@
             async for chunk in chunks:
                 await response.write(chunk.content)
         except RunLostError as error:
+            self._metrics.count(Counter.STREAMS_LOST)
             await response.write(_broken_event(str(error)))
         except (asyncio.CancelledError, ConnectionError):
             self._abandon(stream)
--- a/src/banyanswitch/components/gateway/server.py
+++ b/src/banyanswitch/components/gateway/server.py
@@ -6,8 +6,11 @@
 
 from banyanswitch.components.gateway.activity import Activity
 from banyanswitch.components.gateway.const import MAX_HEADER_BYTES
-from banyanswitch.components.gateway.handlers import CallerHandlers, problem_middleware
+from banyanswitch.components.gateway.handlers import CallerHandlers
+from banyanswitch.components.gateway.middleware import problem_middleware
 from banyanswitch.components.gateway.status import StatusHandlers
+from banyanswitch.components.metrics.const import Gauge
+from banyanswitch.components.metrics.recorder import MetricRecorder
 from banyanswitch.core import Kernel
 from banyanswitch.settings import EntrySettings
 
@@ -74,8 +77,10 @@
     def _application(self) -> web.Application:
         callers = CallerHandlers(self._kernel, self.activity)
         status = StatusHandlers(self._kernel, self.activity)
+        metrics = self._kernel.require(MetricRecorder)
+        metrics.set_gauge(Gauge.REQUESTS_IN_PROGRESS, lambda: self.activity.count)
         application = web.Application(
-            middlewares=[problem_middleware],
+            middlewares=[problem_middleware(metrics)],
             client_max_size=self._settings.max_body_bytes,
         )
         router = application.router
--- a/src/banyanswitch/components/metrics/const.py
+++ b/src/banyanswitch/components/metrics/const.py
@@ -19,7 +19,6 @@
     STREAMS_RESUMED = "streams_resumed"
     STREAMS_LOST = "streams_lost"
     UPSTREAM_FAILURES = "upstream_failures"
-    IDENTITY_MISMATCHES = "identity_mismatches"
     CALLS_UNKNOWN = "calls_unknown"
 
 
--- a/src/banyanswitch/components/routing/__init__.py
+++ b/src/banyanswitch/components/routing/__init__.py
@@ -45,5 +45,5 @@
 REGISTRY.register(
     DOMAIN,
     async_setup,
-    depends_on=("configuration", "upstream_load", "idempotency"),
+    depends_on=("configuration", "upstream_load", "idempotency", "metrics"),
 )
--- a/src/banyanswitch/components/routing/health.py
+++ b/src/banyanswitch/components/routing/health.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from banyanswitch.components.metrics.const import Counter
+from banyanswitch.components.metrics.recorder import MetricRecorder
 from banyanswitch.components.routing.pools import UpstreamPools
 from banyanswitch.core import Kernel, callback
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
@@ -33,6 +35,7 @@
     ) -> None:
         self._kernel = kernel
         self._pools = pools
+        self._metrics = kernel.require(MetricRecorder)
         self._ejector = Ejector(EjectionPolicy(), generator)
         self._reduced: set[UpstreamId] = set()
         kernel.create_task(self._async_return(), "return of ejected upstreams")
@@ -40,6 +43,7 @@
     @callback
     def note_failure(self, upstream: UpstreamId) -> None:
         """Take in that an upstream broke or could not be reached."""
+        self._metrics.count(Counter.UPSTREAM_FAILURES)
         self._ejector.on_failure(upstream, self._kernel.now_s)
         self._apply(upstream)
 
