Pass on as rumours only what is new; cut the bytes of the membership

Cause: records learned by comparing member lists were passed on as rumours too, so a cold start left 27 transmissions a member in each queue, and each rumour about one member carried 31 others. Ruled out: lasting differences of the lists (2.0 messages a second: no instance was behind). Change: answers carry rumours and compared records apart; compared records are not passed on; an immediate rumour carries only the fresh changes; one transmission a doubling instead of three. An upstream that changes its weight version is passed on at once as well.

--- a/src/banyanswitch/components/membership/const.py
+++ b/src/banyanswitch/components/membership/const.py
@@ -12,7 +12,7 @@
 MAX_MEMBERS_PER_MESSAGE: Final = 32
 """Most member records that one message carries."""
 
-RUMOUR_TRANSMISSIONS_PER_DOUBLING: Final = 3
+RUMOUR_TRANSMISSIONS_PER_DOUBLING: Final = 1
 """Times a change is passed on for each doubling of the number of members."""
 
 EAGER_FANOUT: Final = 3
--- a/src/banyanswitch/components/membership/coordinator.py
+++ b/src/banyanswitch/components/membership/coordinator.py
@@ -93,7 +93,7 @@
         self._listed: dict[str, ListedInstance] = {}
         self._listed_leaving: dict[str, int] = {}
         self._eager_budget = EAGER_MESSAGES_PER_S
-        self._is_eager_planned = False
+        self._eager: set[str] = set()
         self._is_behind = True
         self._is_stopping = False
         self._heartbeats = 0
@@ -277,7 +277,7 @@
         self, address: str, probe_id: int, target: Member | None
     ) -> None:
         message = Heartbeat(
-            probe_id, self._self, self._table.digests(), self._news(target)
+            probe_id, self._self, self._table.digests(), self._rumours_for(target)
         )
         self._outbox.send(address, message)
 
@@ -317,17 +317,21 @@
     @callback
     def _on_heartbeat(self, message: Heartbeat) -> None:
         self._absorb(message.sender)
-        self._absorb_all(message.members)
-        news = self._news(message.sender, message.digests)
+        self._absorb_all(message.rumours)
         answer = HeartbeatAnswer(
-            message.probe_id, self._self, self._table.digests(), news
+            message.probe_id,
+            self._self,
+            self._table.digests(),
+            self._rumours_for(message.sender),
+            self._records_for(message.digests),
         )
         self._outbox.send(message.sender.peer_address, answer)
 
     @callback
     def _on_heartbeat_answer(self, message: HeartbeatAnswer) -> None:
         self._absorb(message.sender)
-        self._absorb_all(message.members)
+        self._absorb_all(message.rumours)
+        self._absorb_all(message.records, is_rumour=False)
         self._is_behind = message.digests != self._table.digests()
         probe = self._probes.answered(message.probe_id, message.sender.instance)
         if probe is None or probe.requester is None or probe.target is None:
@@ -354,15 +358,15 @@
     def _on_rumour(self, message: Rumour) -> None:
         self._absorb_all(message.members)
 
-    def _absorb_all(self, members: Iterable[Member]) -> None:
+    def _absorb_all(self, members: Iterable[Member], *, is_rumour: bool = True) -> None:
         for member in members:
-            self._absorb(member)
+            self._absorb(member, is_rumour=is_rumour)
 
-    def _absorb(self, heard: Member) -> None:
+    def _absorb(self, heard: Member, *, is_rumour: bool = True) -> None:
         if heard.instance == self._self.instance:
             self._note_word_of_self(heard)
             return
-        self._store(heard)
+        self._store(heard, is_rumour=is_rumour)
 
     def _note_word_of_self(self, heard: Member) -> None:
         if heard.incarnation > self._self.incarnation:
@@ -387,7 +391,7 @@
         self._self = replace(changed, revision=changed.revision + 1)
         self._store(self._self)
 
-    def _store(self, member: Member) -> None:
+    def _store(self, member: Member, *, is_rumour: bool = True) -> None:
         known = self._table.get(member.instance)
         now_s = asyncio.get_running_loop().time()
         if not self._table.put(member, now_s):
@@ -397,8 +401,9 @@
             return
         self._serving.clear()
         self._note_suspicion(stored, now_s)
-        self._rumours.add(member.instance)
-        self._plan_eager_rumour()
+        if is_rumour:
+            self._rumours.add(member.instance)
+            self._plan_eager_rumour(member.instance)
         is_same_peer = known is not None and known.as_peer() == stored.as_peer()
         was_dead = known is not None and known.state is MemberState.DEAD
         if is_same_peer and was_dead == (stored.state is MemberState.DEAD):
@@ -413,40 +418,39 @@
             return
         self._suspected_until_s.pop(member.instance, None)
 
-    def _plan_eager_rumour(self) -> None:
-        if self._is_eager_planned:
-            return
-        self._is_eager_planned = True
-        asyncio.get_running_loop().call_soon(self._send_eager_rumour)
+    def _plan_eager_rumour(self, instance: str) -> None:
+        if not self._eager:
+            asyncio.get_running_loop().call_soon(self._send_eager_rumour)
+        self._eager.add(instance)
 
     def _send_eager_rumour(self) -> None:
-        self._is_eager_planned = False
+        members = self._records(sorted(self._eager)[:MAX_MEMBERS_PER_MESSAGE])
+        self._eager.clear()
         targets = self._sample_others(EAGER_FANOUT)
         if not targets or self._eager_budget < len(targets):
             return
         self._eager_budget -= len(targets)
-        members = self._take_rumours()
         for target in targets:
             self._outbox.send(target.peer_address, Rumour(members))
 
-    def _take_rumours(self) -> tuple[Member, ...]:
+    def _rumours_for(self, receiver: Member | None) -> tuple[Member, ...]:
         names = self._rumours.take(MAX_MEMBERS_PER_MESSAGE, len(self._table))
-        found = (self._table.get(name) for name in names)
-        return tuple(member for member in found if member is not None)
-
-    def _news(
-        self, receiver: Member | None, digests: bytes = b""
-    ) -> tuple[Member, ...]:
-        news = {member.instance: member for member in self._take_rumours()}
-        if receiver is not None:
-            known = self._table.get(receiver.instance)
-            if known is not None and known != receiver:
-                news[known.instance] = known
+        members = self._records(names)
+        if receiver is None:
+            return members
+        known = self._table.get(receiver.instance)
+        if known is None or known == receiver or known in members:
+            return members
+        return (*members, known)
+
+    def _records_for(self, digests: bytes) -> tuple[Member, ...]:
         unknown = self._table.in_different_buckets(digests)
-        self._random.shuffle(unknown)
-        for member in unknown[: max(0, MAX_MEMBERS_PER_MESSAGE - len(news))]:
-            news[member.instance] = member
-        return tuple(news.values())
+        count = min(len(unknown), MAX_MEMBERS_PER_MESSAGE)
+        return tuple(self._random.sample(unknown, count))
+
+    def _records(self, instances: Iterable[str]) -> tuple[Member, ...]:
+        found = (self._table.get(instance) for instance in instances)
+        return tuple(member for member in found if member is not None)
 
     def _others(self) -> list[Member]:
         this = self._self.instance
--- a/src/banyanswitch/components/membership/models.py
+++ b/src/banyanswitch/components/membership/models.py
@@ -63,23 +63,30 @@
         Record of the sender.
     digests : bytes
         Digests of the parts of the sender's member list.
-    members : tuple of Member
-        Records that the receiver may not know.
+    rumours : tuple of Member
+        Recent changes, which the receiver passes on.
     """
 
     probe_id: int
     sender: Member
     digests: bytes
-    members: tuple[Member, ...]
+    rumours: tuple[Member, ...]
 
 
 class HeartbeatAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """Answer to a probe."""
+    """Answer to a probe.
+
+    Parameters
+    ----------
+    records : tuple of Member
+        Members in parts of the list that differ; the receiver does not pass them on.
+    """
 
     probe_id: int
     sender: Member
     digests: bytes
-    members: tuple[Member, ...]
+    rumours: tuple[Member, ...]
+    records: tuple[Member, ...]
 
 
 class IndirectProbe(msgspec.Struct, frozen=True, array_like=True):
--- a/src/banyanswitch/components/peers/transport.py
+++ b/src/banyanswitch/components/peers/transport.py
@@ -181,10 +181,11 @@
     async def _async_receive(self, listener: pynng.Pull0) -> None:
         while True:
             frame = await listener.arecv()
-            self._deliver(frame)
+            self.deliver(frame)
 
     @callback
-    def _deliver(self, frame: bytes) -> None:
+    def deliver(self, frame: bytes) -> None:
+        """Check a frame and hand its message to the subscribers."""
         try:
             message = self._open(frame)
         except (PeerError, msgspec.MsgspecError) as error:
--- a/src/banyanswitch/components/upstream_load/load_table.py
+++ b/src/banyanswitch/components/upstream_load/load_table.py
@@ -7,7 +7,7 @@
     LEAVING_HOLD_S,
     REPORT_LIFETIME_S,
 )
-from banyanswitch.identifiers import UpstreamId
+from banyanswitch.identifiers import UpstreamId, WeightVersion
 from banyanswitch.interfaces import UpstreamLoad
 
 
@@ -17,7 +17,8 @@
     Parameters
     ----------
     on_change : callable
-        Called with the upstream when it begins or stops to leave or to load.
+        Called with the upstream when it begins or stops to leave or to load,
+        and when it serves another weight version.
     """
 
     def __init__(self, on_change: Callable[[UpstreamId], None]) -> None:
@@ -63,5 +64,5 @@
         return False
 
 
-def _state(load: UpstreamLoad) -> tuple[bool, bool]:
-    return load.is_leaving, load.is_loading
+def _state(load: UpstreamLoad) -> tuple[bool, bool, WeightVersion | None]:
+    return load.is_leaving, load.is_loading, load.weight_version
