Measure the rate of a link over all transfers, and let it recover

Cause: the rate was taken from the time of each transfer, the wait behind others of the same instance included, and a low rate was never measured again, since imports no longer paid. Ruled out: the workspace's share (no import was cut short by it). Change: time while other transfers ended does not count; without transfers the rate goes back to the declared one with a half-life of 60 s.

--- a/bench/decisions/entry.py
+++ b/bench/decisions/entry.py
@@ -200,7 +200,7 @@
             return
 
         def done(elapsed_s: float) -> None:
-            budget.on_done(order.size_bytes, elapsed_s)
+            budget.on_done(order.size_bytes, elapsed_s, self._simulator.now_s)
             pieces = store.read(order.manifest, order.pieces)
             if pieces is None:
                 self._lost(call)
@@ -323,7 +323,8 @@
                 return
             if export.replaces is not None and export.replaces != export.manifest:
                 store.delete(export.replaces)
-            self.planner.on_exported(export, elapsed_s, is_on_disk=False)
+            now_s = self._simulator.now_s
+            self.planner.on_exported(export, elapsed_s, now_s, is_on_disk=False)
             self._update_stores()
 
         def failed() -> None:
--- a/bench/decisions/report.py
+++ b/bench/decisions/report.py
@@ -14,6 +14,7 @@
 
 
 def run(
+    *,
     deployment: str = "",
     scenario: str = "",
     policy: str = "",
--- a/src/banyanswitch/decisions/link_budget.py
+++ b/src/banyanswitch/decisions/link_budget.py
@@ -16,6 +16,9 @@
 RATE_SMOOTHING: Final = 0.2
 """Weight of the latest transfer in the mean rate."""
 
+RATE_HALF_LIFE_S: Final = 60.0
+"""Time in which the mean rate goes half of the way back to the declared one."""
+
 FIRST_RETRY_S: Final = 2.0
 LONGEST_RETRY_S: Final = 60.0
 
@@ -69,6 +72,7 @@
             share * settings.bytes_per_s, BACKGROUND_BURST_S, now_s
         )
         self._observed_bytes_per_s = settings.bytes_per_s
+        self._observed_at_s = now_s
         self._queued_bytes = 0
         self._failures = 0
         self._retry_at_s = now_s
@@ -77,7 +81,7 @@
         """Return what placement should expect of this link."""
         return StoreView(
             store=self._settings.store,
-            bytes_per_s=self._observed_bytes_per_s,
+            bytes_per_s=self._expected_bytes_per_s(now_s),
             queued_bytes=self._queued_bytes,
             is_available=now_s >= self._retry_at_s,
         )
@@ -113,14 +117,21 @@
         self._background.try_spend(size_bytes, now_s)
         return self.start_import(workspace, size_bytes, now_s)
 
-    def on_done(self, size_bytes: int, elapsed_s: float) -> None:
-        """Learn from a transfer that ended well."""
+    def on_done(self, size_bytes: int, elapsed_s: float, now_s: float) -> None:
+        """Learn from a transfer that ended well.
+
+        Its time while other transfers of this instance ended does not count, so
+        that several at once give the rate of the link and not a part of it.
+        """
         self._queued_bytes = max(0, self._queued_bytes - size_bytes)
         self._failures = 0
-        if size_bytes <= 0 or elapsed_s <= 0:
+        alone_s = min(elapsed_s, now_s - self._observed_at_s)
+        if size_bytes <= 0 or alone_s <= 0:
             return
-        change = size_bytes / elapsed_s - self._observed_bytes_per_s
-        self._observed_bytes_per_s += RATE_SMOOTHING * change
+        rate = min(size_bytes / alone_s, self._settings.bytes_per_s)
+        expected = self._expected_bytes_per_s(now_s)
+        self._observed_bytes_per_s = expected + RATE_SMOOTHING * (rate - expected)
+        self._observed_at_s = now_s
 
     def on_failed(self, size_bytes: int, now_s: float) -> None:
         """Stop using the store for a time that doubles with each failure."""
@@ -129,6 +140,13 @@
         self._failures += 1
         self._retry_at_s = max(self._retry_at_s, now_s + wait_s)
 
+    def _expected_bytes_per_s(self, now_s: float) -> float:
+        # Without new transfers a low rate would never be measured again.
+        age_s = max(0.0, now_s - self._observed_at_s)
+        weight = 0.5 ** (age_s / RATE_HALF_LIFE_S)
+        declared = self._settings.bytes_per_s
+        return float(declared + weight * (self._observed_bytes_per_s - declared))
+
     def _bucket_of(self, workspace: WorkspaceId, now_s: float) -> TokenBucket:
         bucket = self._workspaces.get(workspace)
         if bucket is None:
--- a/src/banyanswitch/decisions/reuse.py
+++ b/src/banyanswitch/decisions/reuse.py
@@ -115,12 +115,12 @@
         return None
 
     def on_exported(
-        self, export: Export, elapsed_s: float, *, is_on_disk: bool
+        self, export: Export, elapsed_s: float, now_s: float, *, is_on_disk: bool
     ) -> None:
         """Take in that a store holds a prefix whole."""
         budget = self._links.get(export.store)
         if budget is not None:
-            budget.on_done(export.size_bytes, elapsed_s)
+            budget.on_done(export.size_bytes, elapsed_s, now_s)
         stored = StoredPrefix(
             store=export.store,
             manifest=export.manifest,
--- a/tests/decisions/test_reuse.py
+++ b/tests/decisions/test_reuse.py
@@ -73,7 +73,7 @@
     def export_all(self, now_s: float) -> int:
         count = 0
         while (export := self.planner.next_export([SPACE], now_s)) is not None:
-            self.planner.on_exported(export, 0.01, is_on_disk=False)
+            self.planner.on_exported(export, 0.01, now_s, is_on_disk=False)
             count += 1
         return count
 
@@ -88,13 +88,13 @@
     setup.use("a", 4, 0.0)
     first = setup.planner.next_export([SPACE], 1.0)
     assert first is not None and first.size_bytes == 4 * PIECE_BYTES
-    setup.planner.on_exported(first, 0.1, is_on_disk=False)
+    setup.planner.on_exported(first, 0.1, 1.0, is_on_disk=False)
     chain = setup.use("a", 6, 200.0)
     second = setup.planner.next_export([SPACE], 201.0)
     assert second is not None
     assert (second.stored_pieces, second.size_bytes) == (4, 2 * PIECE_BYTES)
     assert second.replaces == first.manifest
-    setup.planner.on_exported(second, 0.1, is_on_disk=False)
+    setup.planner.on_exported(second, 0.1, 201.0, is_on_disk=False)
     stored = setup.view.stored_match(chain)
     assert stored is not None and stored.pieces == 6
     assert setup.planner.prompt_count == 1 and setup.planner.pending_count == 0
@@ -157,6 +157,18 @@
     assert model.probability(0, 2_000.0, 2_000.0) == 0.0
 
 
+def test_rate_of_a_link_is_that_of_all_transfers_and_recovers() -> None:
+    settings_ = LinkSettings(store=STORE, bytes_per_s=RATE, background_share=0.5)
+    budget = LinkBudget(settings_, equal_share(1.0, 1), 0.0)
+    for number in range(1, 6):
+        budget.on_done(RATE, float(number), float(number))
+    assert budget.view(5.0).bytes_per_s == pytest.approx(RATE)
+    for number in range(6, 40):
+        budget.on_done(RATE // 10, 1.0, float(number))
+    assert budget.view(39.0).bytes_per_s < 0.2 * RATE
+    assert budget.view(400.0).bytes_per_s > 0.9 * RATE
+
+
 TRANSFERS = st.lists(
     st.tuples(
         st.floats(0, 30),
