Receive peer messages through a readable descriptor

Cause: each received message completed an asynchronous operation on a thread of the library, which woke the event loop for one message. Ruled out: codec and signature (the slope over 64 to 8,192 bytes is under 10 ns a byte, 15 us a message together). Conclusion: messages, not bytes, are the cost; they are counted in the slopes.

--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of the control mechanisms, measured on one machine."""
--- /dev/null
+++ b/bench/capacity/membership_cost.py
@@ -0,0 +1,246 @@
+"""Cost of the membership against the number of instances.
+
+Run ``python -m bench.capacity.membership_cost``.
+"""
+
+import asyncio
+import random
+import sys
+import tracemalloc
+from dataclasses import dataclass
+from statistics import mean
+
+from banyanswitch.components.membership.coordinator import MembershipCoordinator
+from banyanswitch.components.membership.member_table import MemberTable
+from banyanswitch.components.membership.models import Member, MemberState
+from bench.capacity.slopes import fit_fields, save
+from bench.capacity.virtual import (
+    FramedNetwork,
+    FramedTransport,
+    ProcessorClock,
+    run_virtual,
+)
+
+SEED = 1
+INSTANCES = (8, 16, 32, 64, 128, 330)
+TABLE_SIZES = (64, 128, 256, 512, 1024)
+SETTLE_S = 60.0
+MEASURE_S = 30.0
+LIMIT_S = 60.0
+STEP_S = 0.05
+FAILURE_DOMAINS = 6
+SERVICES = 24
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipPoint:
+    """Cost of one instance among ``instances``.
+
+    Parameters
+    ----------
+    cold_start_s : float
+        Time until all instances, started together, knew each other.
+    cold_start_bytes_per_s : float
+        Bytes of one instance a second during that time, mean over instances.
+    leaving_s : float
+        Time until all knew that one leaves.
+    death_s : float
+        Time until all knew that one died.
+    churn_bytes_per_s : float
+        Bytes of one instance a second while one instance a second restarts.
+    processor_share : float
+        Share of a core of one instance, the fake network and the event loop included.
+    """
+
+    instances: int
+    messages_per_s: float
+    bytes_per_s: float
+    max_bytes_per_s: float
+    processor_share: float
+    cold_start_s: float
+    cold_start_bytes_per_s: float
+    leaving_s: float
+    death_s: float
+    churn_bytes_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryPoint:
+    """Memory of the member table of one instance."""
+
+    members: int
+    size_bytes: float
+
+
+class Instances:
+    """Instances of one run."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.network = FramedNetwork()
+        self.nodes: dict[int, MembershipCoordinator] = {}
+        self.tasks: dict[int, asyncio.Task[None]] = {}
+
+    def start(self, number: int, incarnation: int = 1) -> None:
+        """Start one instance."""
+        member = make_member(number, incarnation)
+        node = MembershipCoordinator(
+            transport=FramedTransport(
+                self.network, member.instance, member.peer_address, incarnation
+            ),
+            this_member=member,
+            seeds=(make_member(0).peer_address, make_member(1).peer_address),
+            heartbeat_s=1.0,
+            generator=random.Random(SEED * 100_000 + number * 100 + incarnation),
+            on_change=lambda: None,
+            on_new_incarnation=lambda _: None,
+        )
+        self.nodes[number] = node
+        self.tasks[number] = asyncio.get_running_loop().create_task(node.async_run())
+
+    async def async_kill(self, number: int) -> None:
+        """End one instance without a word."""
+        del self.nodes[number]
+        del self.network.transports[make_member(number).peer_address]
+        task = self.tasks.pop(number)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def async_close(self) -> None:
+        """End all instances."""
+        for number in tuple(self.nodes):
+            await self.async_kill(number)
+
+    def all_know(self, count: int) -> bool:
+        """Return whether each instance knows ``count`` live ones."""
+        return all(len(node.peers()) == count for node in self.nodes.values())
+
+    def all_know_leaving(self, number: int) -> bool:
+        """Return whether each instance knows that one leaves."""
+        name = make_member(number).instance
+        return all(
+            any(peer.is_leaving for peer in node.peers() if peer.instance == name)
+            for node in self.nodes.values()
+        )
+
+
+def make_member(number: int, incarnation: int = 1) -> Member:
+    """Return a record as it would be in production."""
+    host = f"10.{number // 250}.4.{number % 250}"
+    return Member(
+        instance=f"entry-{number:04d}",
+        failure_domain=f"domain-{number % FAILURE_DOMAINS}",
+        peer_address=f"tcp://{host}:7080",
+        http_url=f"http://{host}:8080",
+        incarnation=1_780_000_000_000 + incarnation,
+        revision=3,
+        state=MemberState.ALIVE,
+        is_leaving=False,
+        service_mask=(1 << SERVICES) - 1,
+    )
+
+
+async def async_until(condition: object) -> float:
+    """Return the time until the condition holds, or the limit."""
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    while loop.time() - start_s < LIMIT_S:
+        if condition():  # type: ignore[operator]
+            break
+        await asyncio.sleep(STEP_S)
+    return loop.time() - start_s
+
+
+async def async_measure(count: int) -> MembershipPoint:
+    """Measure one number of instances."""
+    instances = Instances(count)
+    network = instances.network
+    for number in range(count):
+        instances.start(number)
+    cold_start_s = await async_until(lambda: instances.all_know(count))
+    cold_start_bytes = mean(network.totals())
+    await asyncio.sleep(SETTLE_S)
+
+    network.clear()
+    clock = ProcessorClock()
+    await asyncio.sleep(MEASURE_S)
+    processor_s = clock.elapsed_s()
+    messages = sum(network.messages.values())
+    totals = network.totals()
+
+    instances.nodes[2].begin_leaving()
+    leaving_s = await async_until(lambda: instances.all_know_leaving(2))
+    await asyncio.sleep(SETTLE_S)
+    await instances.async_kill(3)
+    death_s = await async_until(lambda: instances.all_know(count - 1))
+    instances.start(3, incarnation=2)
+    await asyncio.sleep(SETTLE_S)
+
+    network.clear()
+    for second in range(int(MEASURE_S)):
+        number = 4 + second % (count - 4)
+        await instances.async_kill(number)
+        instances.start(number, incarnation=3 + second)
+        await asyncio.sleep(1.0)
+    churn_bytes = mean(network.totals())
+    await instances.async_close()
+    return MembershipPoint(
+        instances=count,
+        messages_per_s=messages / MEASURE_S / count,
+        bytes_per_s=mean(totals) / MEASURE_S,
+        max_bytes_per_s=max(totals) / MEASURE_S,
+        processor_share=processor_s / MEASURE_S / count,
+        cold_start_s=cold_start_s,
+        cold_start_bytes_per_s=cold_start_bytes / cold_start_s,
+        leaving_s=leaving_s,
+        death_s=death_s,
+        churn_bytes_per_s=churn_bytes / MEASURE_S,
+    )
+
+
+def measure_memory(count: int) -> MemoryPoint:
+    """Measure the memory of a member table."""
+    tracemalloc.start()
+    table = MemberTable()
+    for number in range(count):
+        table.put(make_member(number), 0.0)
+    peers = tuple(member.as_peer() for member in table.live())
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    if len(peers) != count:
+        raise RuntimeError("members were lost")
+    return MemoryPoint(count, size_bytes)
+
+
+def main() -> None:
+    """Measure all points and write them."""
+    counts = [int(argument) for argument in sys.argv[1:]] or INSTANCES
+    points = [run_virtual(async_measure(count)) for count in counts]
+    memory = [measure_memory(count) for count in TABLE_SIZES]
+    for point in points:
+        print(point)
+    save(
+        "membership",
+        command="python -m bench.capacity.membership_cost",
+        seed=SEED,
+        series={"instances": points, "memory": memory},
+        fits=[
+            *fit_fields(
+                points,
+                "instances",
+                (
+                    "messages_per_s",
+                    "bytes_per_s",
+                    "max_bytes_per_s",
+                    "processor_share",
+                    "cold_start_bytes_per_s",
+                    "churn_bytes_per_s",
+                ),
+            ),
+            *fit_fields(memory, "members", ("size_bytes",)),
+        ],
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity/virtual.py
@@ -0,0 +1,117 @@
+"""Instances in one process, in virtual time, with the frames of the real transport."""
+
+import asyncio
+import time
+from collections import defaultdict
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+import looptime
+
+from banyanswitch.components.peers.transport import NngPeerTransport
+from banyanswitch.helpers.signing import SigningKeys
+from banyanswitch.identifiers import InstanceId
+
+T = TypeVar("T")
+
+LATENCY_S = 0.0015
+TICK_S = 2e-6
+KEYS = SigningKeys(b"capacity-key-0123456789")
+TCP_BYTES_PER_MESSAGE = 120
+"""Headers of the transport, TCP and IP for a message and its acknowledgement."""
+
+
+class FramedNetwork:
+    """Carry signed frames between transports and count them by sender."""
+
+    def __init__(self) -> None:
+        self.transports: dict[str, FramedTransport] = {}
+        self.messages: dict[str, int] = defaultdict(int)
+        self.sent_bytes: dict[str, int] = defaultdict(int)
+        self.received_bytes: dict[str, int] = defaultdict(int)
+        self.group_of: dict[str, int] = {}
+        self._last_due_s: dict[str, float] = {}
+
+    def clear(self) -> None:
+        """Start to count anew."""
+        self.messages.clear()
+        self.sent_bytes.clear()
+        self.received_bytes.clear()
+
+    def carry(self, sender: str, receiver: str, frame: bytes) -> None:
+        """Deliver a frame after the latency."""
+        size_bytes = len(frame) + TCP_BYTES_PER_MESSAGE
+        self.messages[sender] += 1
+        self.sent_bytes[sender] += size_bytes
+        self.received_bytes[receiver] += size_bytes
+        target = self.transports.get(receiver)
+        if self.group_of.get(sender, 0) != self.group_of.get(receiver, 0):
+            return
+        if target is not None:
+            due_s = self._next_due_s(receiver)
+            asyncio.get_running_loop().call_at(due_s, target.deliver, frame)
+
+    def _next_due_s(self, receiver: str) -> float:
+        # Timers that are due at the same time do not fire in order.
+        now_s = asyncio.get_running_loop().time()
+        after_last_s = self._last_due_s.get(receiver, 0.0) + TICK_S
+        self._last_due_s[receiver] = max(now_s + LATENCY_S, after_last_s)
+        return self._last_due_s[receiver]
+
+    def totals(self) -> list[int]:
+        """Return the bytes of each instance, sent and received together."""
+        return [
+            self.sent_bytes[address] + self.received_bytes[address]
+            for address in self.transports
+        ]
+
+
+class FramedTransport:
+    """Transport with the real frames but without sockets."""
+
+    def __init__(
+        self, network: FramedNetwork, name: str, address: str, incarnation: int = 1
+    ) -> None:
+        self._network = network
+        self._address = address
+        self._transport = NngPeerTransport(
+            instance=InstanceId(name),
+            incarnation=incarnation,
+            listen_address=address,
+            advertised_address=address,
+            keys=KEYS,
+        )
+        network.transports[address] = self
+
+    def subscribe(self, message_type: type[T], handler: Callable[[T], None]) -> None:
+        """Call ``handler`` for each message of this type that arrives."""
+        self._transport.subscribe(message_type, handler)
+
+    async def async_send(self, peer_address: str, message: object) -> None:
+        """Send a message."""
+        frame = self._transport.frame(peer_address, message)
+        self._network.carry(self._address, peer_address, frame)
+
+    def deliver(self, frame: bytes) -> None:
+        """Take in a frame."""
+        self._transport.deliver(frame)
+
+
+def run_virtual(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine in a loop whose clock jumps over idle time."""
+    loop = looptime.new_event_loop(start=0.0, end=1_000_000.0, noop_cycles=0)
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+class ProcessorClock:
+    """Processor time of this process since the object was made, in seconds."""
+
+    def __init__(self) -> None:
+        self._start_s = time.process_time()
+
+    def elapsed_s(self) -> float:
+        """Return the time used."""
+        return time.process_time() - self._start_s
--- a/src/banyanswitch/components/peers/const.py
+++ b/src/banyanswitch/components/peers/const.py
@@ -18,6 +18,9 @@
 RECEIVE_BUFFER_MESSAGES: Final = 512
 """Messages that wait for this process."""
 
+RECEIVE_BATCH_MESSAGES: Final = 32
+"""Messages delivered before other work of the loop gets its turn."""
+
 RECONNECT_MIN_MS: Final = 100
 RECONNECT_MAX_MS: Final = 5000
 
--- a/src/banyanswitch/components/peers/transport.py
+++ b/src/banyanswitch/components/peers/transport.py
@@ -13,6 +13,7 @@
 from banyanswitch.components.peers.const import (
     MAX_DIALERS,
     MAX_MESSAGE_BYTES,
+    RECEIVE_BATCH_MESSAGES,
     RECEIVE_BUFFER_MESSAGES,
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
@@ -71,7 +72,6 @@
         self._max_dialers = max_dialers
         self._dialers: OrderedDict[str, pynng.Push0] = OrderedDict()
         self._listener: pynng.Pull0 | None = None
-        self._receiver: asyncio.Task[None] | None = None
         self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
         self.dropped_frames = 0
 
@@ -100,15 +100,14 @@
         self._listener = listener
         if self._advertised_address is None:
             self._advertised_address = f"tcp://{bound.local_address}"
-        loop = asyncio.get_running_loop()
-        self._receiver = loop.create_task(self._async_receive(listener), name="peers")
+        asyncio.get_running_loop().add_reader(
+            listener.recv_fd, self._receive_waiting, listener
+        )
 
     async def async_stop(self) -> None:
         """Stop receiving and close all sockets."""
-        if self._receiver is not None:
-            self._receiver.cancel()
-            await asyncio.gather(self._receiver, return_exceptions=True)
         if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener.recv_fd)
             self._listener.close()
         while self._dialers:
             self._dialers.popitem()[1].close()
@@ -178,9 +177,13 @@
             self._dialers.popitem(last=False)[1].close()
         return dialer
 
-    async def _async_receive(self, listener: pynng.Pull0) -> None:
-        while True:
-            frame = await listener.arecv()
+    @callback
+    def _receive_waiting(self, listener: pynng.Pull0) -> None:
+        for _ in range(RECEIVE_BATCH_MESSAGES):
+            try:
+                frame = listener.recv(block=False)
+            except pynng.TryAgain:
+                return
             self.deliver(frame)
 
     @callback
