Don't refuse short requests for batch work that waits at an upstream

Cause: the expected wait of an interactive request counted all queued prefill, though engines serve interactive requests first; at half load short requests were refused. Ruled out: counting only own interactive work in the choice as well (test_busy_holder_loses_to_an_idle_upstream failed, rightly: the queue may be of other instances' interactive requests). Change: the deadline is checked against own interactive work and one chunk; the rest of the queue counts half in the choice.

--- a/src/banyanswitch/decisions/in_flight.py
+++ b/src/banyanswitch/decisions/in_flight.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from banyanswitch.config.models import Priority
 from banyanswitch.decisions.upstream_pool import UpstreamView
 from banyanswitch.identifiers import RunId, UpstreamId
 
@@ -14,6 +15,7 @@
     upstream: UpstreamId
     prefill_tokens: int
     sent_at_s: float
+    priority: Priority
 
 
 class InFlightTracker:
@@ -27,11 +29,17 @@
         return len(self._runs)
 
     def add(
-        self, run: RunId, upstream: UpstreamId, prefill_tokens: int, now_s: float
+        self,
+        run: RunId,
+        upstream: UpstreamId,
+        prefill_tokens: int,
+        now_s: float,
+        *,
+        priority: Priority = Priority.INTERACTIVE,
     ) -> None:
         """Note a request that was sent; a second try replaces the first."""
         self.remove(run, now_s)
-        sent = _Sent(upstream, prefill_tokens, now_s)
+        sent = _Sent(upstream, prefill_tokens, now_s, priority)
         self._runs[run] = sent
         self._by_upstream[upstream][run] = sent
 
@@ -83,3 +91,20 @@
         )
         own_tokens = sum(sent.prefill_tokens for sent in own.values())
         return max(float(own_tokens), reported + unseen)
+
+    def interactive_tokens(self, view: UpstreamView) -> float:
+        """Return the prompt tokens that are known to be of interactive requests.
+
+        Load reports don't tell the priorities apart, so these are only the tokens
+        of this instance's own requests.
+        """
+        own = self._by_upstream.get(view.upstream)
+        if not own:
+            return 0.0
+        return float(
+            sum(
+                sent.prefill_tokens
+                for sent in own.values()
+                if sent.priority is Priority.INTERACTIVE
+            )
+        )
--- a/src/banyanswitch/decisions/placement.py
+++ b/src/banyanswitch/decisions/placement.py
@@ -24,6 +24,7 @@
 
 DEFAULT_SAMPLES: Final = 3
 HOME_PIECES: Final = 2
+MIN_WEIGHT: Final = 0.05
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,6 +90,7 @@
     prefill_tokens: int
     piece_hashes: tuple[PrefixHash, ...] = ()
     import_first: ImportFirst | None = None
+    priority: Priority = Priority.INTERACTIVE
 
 
 class RefuseReason(Enum):
@@ -132,6 +134,10 @@
         Requests per slot that an upstream may hold, waiting ones included.
     retry_after_s : float
         Time to come back when no upstream is available, in seconds.
+    chunk_tokens : int
+        Tokens that an engine computes before it turns to a request that goes first.
+    unsure_wait_weight : float
+        Cost of a second of queued work whose priority is not known.
     """
 
     samples: int = DEFAULT_SAMPLES
@@ -141,6 +147,22 @@
     decode_slot_s: float = 0.3
     queue_factor: float = 1.0
     retry_after_s: float = 1.0
+    chunk_tokens: int = 1000
+    unsure_wait_weight: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Wait:
+    """Time before the prefill of a request begins.
+
+    Parameters
+    ----------
+    cost_s : float
+        Added to its cost for work that may turn out to go first.
+    """
+
+    expected_s: float
+    cost_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,11 +260,18 @@
             prefill_tokens=best.prefill_tokens,
             piece_hashes=request.piece_hashes,
             import_first=best.import_first,
+            priority=request.priority,
         )
 
     def on_sent(self, place: Place, now_s: float) -> None:
         """Note that a request was sent as ordered."""
-        self.in_flight.add(place.run, place.upstream, place.prefill_tokens, now_s)
+        self.in_flight.add(
+            place.run,
+            place.upstream,
+            place.prefill_tokens,
+            now_s,
+            priority=place.priority,
+        )
 
     def on_first_token(self, place: Place, now_s: float) -> None:
         """Note that the upstream has computed the whole prompt."""
@@ -285,14 +314,21 @@
             bound *= self._policy.batch_slot_share
         return running >= max(1.0, bound)
 
-    def _wait_s(self, view: UpstreamView, now_s: float) -> float:
+    def _wait(
+        self, request: PlacementRequest, view: UpstreamView, now_s: float
+    ) -> _Wait:
         lag_s = self._policy.report_lag_s
         tokens = self.in_flight.prefill_tokens(view, now_s, lag_s)
-        wait_s = tokens / view.prefill_tokens_per_s
+        first_tokens = tokens
+        if request.priority is Priority.INTERACTIVE:
+            own_tokens = self.in_flight.interactive_tokens(view)
+            first_tokens = min(tokens, own_tokens + self._policy.chunk_tokens)
         excess = self.in_flight.requests(view, now_s, lag_s) + 1 - view.slots
-        if excess > 0:
-            wait_s += excess * self._policy.decode_slot_s
-        return wait_s / max(view.weight, 0.05)
+        slot_s = max(0, excess) * self._policy.decode_slot_s
+        weight = max(view.weight, MIN_WEIGHT)
+        expected_s = (first_tokens / view.prefill_tokens_per_s + slot_s) / weight
+        unsure_s = (tokens - first_tokens) / view.prefill_tokens_per_s
+        return _Wait(expected_s, self._policy.unsure_wait_weight * unsure_s)
 
     def _compute_option(
         self,
@@ -303,9 +339,10 @@
         now_s: float,
     ) -> _Option:
         tokens = max(0, request.prompt_tokens - cached_pieces * request.piece_tokens)
-        first_token_s = self._wait_s(view, now_s) + tokens / view.prefill_tokens_per_s
+        wait = self._wait(request, view, now_s)
+        first_token_s = wait.expected_s + tokens / view.prefill_tokens_per_s
         redone_tokens = max(0, known_pieces - cached_pieces) * request.piece_tokens
-        cost = request.reuse.first_token_weight * first_token_s
+        cost = request.reuse.first_token_weight * (first_token_s + wait.cost_s)
         cost += (
             request.reuse.recompute_weight * redone_tokens / view.prefill_tokens_per_s
         )
@@ -334,9 +371,10 @@
             import_s += size_bytes / store.disk_bytes_per_s
         tokens = max(0, request.prompt_tokens - pieces * request.piece_tokens)
         redone_tokens = (stored.pieces - pieces) * request.piece_tokens
-        wait_s = max(import_s, self._wait_s(view, now_s))
+        wait = self._wait(request, view, now_s)
+        wait_s = max(import_s, wait.expected_s)
         first_token_s = wait_s + tokens / view.prefill_tokens_per_s
-        cost = request.reuse.first_token_weight * first_token_s
+        cost = request.reuse.first_token_weight * (first_token_s + wait.cost_s)
         cost += request.reuse.link_weight * link_s
         cost += (
             request.reuse.recompute_weight * redone_tokens / view.prefill_tokens_per_s
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -86,6 +86,16 @@
     assert isinstance(placer.place(make_request(), pool, 0.0), Place)
 
 
+def test_interactive_request_does_not_wait_for_batch_prefill() -> None:
+    placer = make_placer()
+    pool = make_pool(1, queued_prefill_tokens=400_000, running_requests=5)
+    short = {"piece_hashes": (), "prompt_tokens": 400, "deadline_s": 0.54}
+    placed = placer.place(make_request(**short), pool, 0.0)
+    assert isinstance(placed, Place) and placed.expected_first_token_s < 0.54
+    refused = placer.place(make_request(priority=Priority.BATCH, **short), pool, 0.0)
+    assert isinstance(refused, Refuse) and refused.reason is RefuseReason.DEADLINE
+
+
 def test_deadline_that_cannot_be_met_is_refused() -> None:
     refused = make_placer().place(make_request(deadline_s=1.0), make_pool(), 0.0)
     assert refused.reason is RefuseReason.DEADLINE
