--- a/src/banyanswitch/cli/entry.py
+++ b/src/banyanswitch/cli/entry.py
@@ -9,15 +9,29 @@
 import fire
 import msgspec
 import uvloop
+from fire.decorators import SetParseFn
 
 from banyanswitch.components.gateway.server import CallerServer
 from banyanswitch.components.shutdown.coordinator import ShutdownCoordinator
 from banyanswitch.composition import async_compose, disable_io_uring
 from banyanswitch.exceptions import SettingsError
 from banyanswitch.helpers.logs import set_up_logs
-from banyanswitch.settings import EntrySettings, LoadedSettings, load_settings
+from banyanswitch.settings import (
+    EntrySettings,
+    LoadedSettings,
+    described_settings,
+    load_settings,
+)
 
 EXIT_SETTINGS = 2
+HELP_FLAG = "help"
+CHECK_FLAG = "check_settings"
+HELP_HEADING = """banyanswitch-entry: serve callers until SIGTERM or SIGINT.
+
+Every setting is a flag and an environment variable; the flag goes first.
+--check_settings prints the effective settings with their origin and ends.
+Exit statuses: 0 stopped as planned; 2 wrong settings.
+"""
 
 
 class ListeningDocument(msgspec.Struct, frozen=True):
@@ -27,21 +41,20 @@
     port: int
 
 
-def run(check_settings: bool = False, **flags: object) -> None:
+def run(**flags: str) -> None:
     """Serve callers until SIGTERM or SIGINT.
 
-    Every setting is a flag (``--table_url=...``) and an environment variable
-    (``BANYANSWITCH_TABLE_URL``); the flag goes first.
-
     Parameters
     ----------
-    check_settings : bool
-        Print the effective settings with their origin and end.
     **flags
-        Settings.
+        Settings; ``--check_settings`` prints the effective ones and ends.
     """
+    if HELP_FLAG in flags:
+        _print_help()
+        return
+    is_check = flags.pop(CHECK_FLAG, None) is not None
     loaded = _load_or_exit(flags, os.environ)
-    if check_settings:
+    if is_check:
         _print_settings(loaded)
         return
     set_up_logs(loaded.settings.log_level)
@@ -52,7 +65,7 @@
 
 def main() -> None:
     """Entry point of the binary."""
-    fire.Fire(run, name="banyanswitch-entry")
+    fire.Fire(SetParseFn(str)(run), name="banyanswitch-entry")
 
 
 async def _async_serve(settings: EntrySettings) -> None:
@@ -81,6 +94,13 @@
         sys.exit(EXIT_SETTINGS)
 
 
+def _print_help() -> None:
+    print(HELP_HEADING)
+    for setting in described_settings():
+        print(f"  --{setting.name}, {setting.variable}")
+        print(f"      {setting.help_text} (default: {setting.default or 'none'})")
+
+
 def _print_settings(loaded: LoadedSettings) -> None:
     for setting in loaded.effective:
         print(f"{setting.name}={setting.value} ({setting.source.value})")
--- /dev/null
+++ b/src/banyanswitch/cli/load.py
@@ -0,0 +1,232 @@
+"""``banyanswitch-load``: an open-loop load of returning and short prompts."""
+
+import asyncio
+import random
+import sys
+from dataclasses import dataclass, field
+
+import aiohttp
+import fire
+import msgspec
+from fire.decorators import SetParseFn
+from hdrh.histogram import HdrHistogram
+
+MICROSECONDS_PER_S = 1_000_000
+LONGEST_FIRST_TOKEN_US = 600 * MICROSECONDS_PER_S
+SIGNIFICANT_DIGITS = 3
+BYTES_PER_TOKEN = 4
+EXIT_NO_ANSWER = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadPlan:
+    """What to send.
+
+    Parameters
+    ----------
+    long_share : float
+        Share of requests that carry one of the long prompts.
+    long_prompts : int
+        Different long prompts; each returns as requests choose it again.
+    long_tokens : int
+        Length of a long prompt.
+    """
+
+    url: str
+    key: str
+    model: str
+    requests_per_s: float = 10.0
+    duration_s: float = 30.0
+    long_share: float = 0.2
+    long_prompts: int = 20
+    long_tokens: int = 16_000
+    max_tokens: int = 32
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What came back."""
+
+    offered: int = 0
+    answered: int = 0
+    refused: int = 0
+    failed: int = 0
+    first_token_us: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(
+            1, LONGEST_FIRST_TOKEN_US, SIGNIFICANT_DIGITS
+        )
+    )
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Figures that the tool prints."""
+
+    offered: int
+    answered: int
+    refused: int
+    failed: int
+    first_token_p50_s: float
+    first_token_p95_s: float
+    first_token_p99_s: float
+
+
+class AddressDocument(msgspec.Struct, frozen=True):
+    """One address in the answer to ``GET /v1/addresses``."""
+
+    url: str
+
+
+class AddressListDocument(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/addresses``."""
+
+    addresses: list[AddressDocument]
+    ttl_s: float
+
+
+class LoadGenerator:
+    """Send requests at their planned times, whether earlier ones have ended or not.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        What to send.
+    session : aiohttp.ClientSession
+        Carries the requests.
+    """
+
+    def __init__(self, plan: LoadPlan, session: aiohttp.ClientSession) -> None:
+        self._plan = plan
+        self._session = session
+        self._random = random.Random(plan.seed)
+        self._headers = {"Authorization": f"Bearer {plan.key}"}
+        self._urls = [plan.url]
+        self._urls_until_s = 0.0
+        self.result = LoadResult()
+
+    async def async_run(self) -> LoadResult:
+        """Send the whole plan and return what came back."""
+        loop = asyncio.get_running_loop()
+        started_at_s = loop.time()
+        tasks: list[asyncio.Task[None]] = []
+        for number in range(int(self._plan.requests_per_s * self._plan.duration_s)):
+            due_at_s = started_at_s + number / self._plan.requests_per_s
+            await asyncio.sleep(max(0.0, due_at_s - loop.time()))
+            await self._async_refresh_urls()
+            tasks.append(asyncio.create_task(self._async_send(due_at_s)))
+        await asyncio.gather(*tasks)
+        return self.result
+
+    async def _async_refresh_urls(self) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._urls_until_s:
+            return
+        async with self._session.get(
+            f"{self._urls[0]}/v1/addresses", headers=self._headers
+        ) as response:
+            content = await response.read()
+        answer = msgspec.json.decode(content, type=AddressListDocument)
+        self._urls = [address.url for address in answer.addresses] or self._urls
+        self._urls_until_s = loop.time() + answer.ttl_s
+
+    async def _async_send(self, due_at_s: float) -> None:
+        self.result.offered += 1
+        url = f"{self._urls[0]}/v1/chat/completions"
+        try:
+            async with self._session.post(
+                url, data=self._body(), headers=self._headers
+            ) as response:
+                if response.status >= 400:
+                    self.result.refused += 1
+                    return
+                await response.content.readany()
+                waited_s = asyncio.get_running_loop().time() - due_at_s
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            self.result.failed += 1
+            return
+        self.result.answered += 1
+        self.result.first_token_us.record_value(int(waited_s * MICROSECONDS_PER_S))
+
+    def _body(self) -> bytes:
+        content = f"question {self._random.random()} "
+        if self._random.random() < self._plan.long_share:
+            number = self._random.randrange(self._plan.long_prompts)
+            content = self._text(number, self._plan.long_tokens) + content
+        document = {
+            "model": self._plan.model,
+            "messages": [{"role": "user", "content": content}],
+            "max_tokens": self._plan.max_tokens,
+            "stream": True,
+        }
+        return msgspec.json.encode(document)
+
+    def _text(self, number: int, tokens: int) -> str:
+        line = f"record {number} of the long prompt; "
+        size_bytes = tokens * BYTES_PER_TOKEN
+        return (line * (size_bytes // len(line) + 1))[:size_bytes]
+
+
+def report_of(result: LoadResult) -> LoadReport:
+    """Return the figures of a finished load."""
+    histogram = result.first_token_us
+
+    def percentile_s(percentile: float) -> float:
+        value_us: int = histogram.get_value_at_percentile(percentile)
+        return value_us / MICROSECONDS_PER_S
+
+    return LoadReport(
+        offered=result.offered,
+        answered=result.answered,
+        refused=result.refused,
+        failed=result.failed,
+        first_token_p50_s=percentile_s(50.0),
+        first_token_p95_s=percentile_s(95.0),
+        first_token_p99_s=percentile_s(99.0),
+    )
+
+
+def run(url: str, key: str, model: str, json: bool = False, **plan: float) -> None:
+    """Send an open-loop load to the instances and print what came back.
+
+    Exit statuses: 0 some requests were answered; 1 none was.
+
+    Parameters
+    ----------
+    url : str
+        Any instance; it is asked which instances to use.
+    key : str
+        Bearer key of a workspace.
+    model : str
+        Name of a model service.
+    json : bool
+        Print one JSON document.
+    **plan
+        requests_per_s, duration_s, long_share, long_prompts, long_tokens,
+        max_tokens, seed.
+    """
+    load_plan = LoadPlan(url=url, key=key, model=model, **plan)  # type: ignore[arg-type]
+    result = asyncio.run(_async_run(load_plan))
+    report = report_of(result)
+    if json:
+        print(msgspec.json.encode(report).decode())
+    else:
+        for name, value in msgspec.structs.asdict(report).items():
+            print(f"{name}: {value}")
+    if result.answered == 0:
+        sys.exit(EXIT_NO_ANSWER)
+
+
+async def _async_run(plan: LoadPlan) -> LoadResult:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        return await LoadGenerator(plan, session).async_run()
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    fire.Fire(SetParseFn(str, "url", "key", "model")(run), name="banyanswitch-load")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/banyanswitch/settings.py
+++ b/src/banyanswitch/settings.py
@@ -161,6 +161,29 @@
     effective: tuple[EffectiveSetting, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DescribedSetting:
+    """One setting for the help text and the operators' page."""
+
+    name: str
+    variable: str
+    help_text: str
+    default: str
+
+
+def described_settings() -> tuple[DescribedSetting, ...]:
+    """Return all settings in the order of their declaration."""
+    return tuple(
+        DescribedSetting(
+            setting.name,
+            ENVIRONMENT_PREFIX + setting.name.upper(),
+            setting.metadata["help"],
+            str(setting.default),
+        )
+        for setting in fields(EntrySettings)
+    )
+
+
 def load_settings(
     flags: Mapping[str, object], environment: Mapping[str, str]
 ) -> LoadedSettings:
