Run the process as an aiomisc service; let routing not import the gateway

Cause: the gateway and routing imported each other, so a plug-in could not import routing alone (seen: ImportError of the worked example's test), and the process did not use aiomisc as the users ask. Checked calls now belong to routing; the kernel is an aiomisc service whose loop comes from a factory after io_uring is disabled.

--- a/src/banyanswitch/cli/entry.py
+++ b/src/banyanswitch/cli/entry.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Mapping
 
+import aiomisc
 import fire
 import msgspec
 import uvloop
@@ -14,6 +15,7 @@
 from banyanswitch.components.gateway.server import CallerServer
 from banyanswitch.components.shutdown.coordinator import ShutdownCoordinator
 from banyanswitch.composition import async_compose, disable_io_uring
+from banyanswitch.core import Kernel
 from banyanswitch.exceptions import SettingsError
 from banyanswitch.helpers.logs import set_up_logs
 from banyanswitch.settings import (
@@ -26,6 +28,7 @@
 EXIT_SETTINGS = 2
 HELP_FLAG = "help"
 CHECK_FLAG = "check_settings"
+THREADS = 2
 HELP_HEADING = """banyanswitch-entry: serve callers until SIGTERM or SIGINT.
 
 Every setting is a flag and an environment variable; the flag goes first.
@@ -41,6 +44,43 @@
     port: int
 
 
+class EntryService(aiomisc.Service):
+    """The kernel and its components as one service of the process.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._kernel: Kernel | None = None
+
+    async def start(self) -> None:
+        """Set up all components and print where the process listens."""
+        kernel = await async_compose(self._settings)
+        self._kernel = kernel
+        shutdown = kernel.require(ShutdownCoordinator)
+        loop = asyncio.get_running_loop()
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, shutdown.request)
+        server = kernel.require(CallerServer)
+        document = ListeningDocument(self._settings.instance, server.port)
+        print(msgspec.json.encode(document).decode(), flush=True)
+
+    async def async_wait_stopped(self) -> None:
+        """Return when a planned stop has drained the process."""
+        if self._kernel is not None:
+            await self._kernel.require(ShutdownCoordinator).async_run()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """End all components."""
+        if self._kernel is not None:
+            await self._kernel.async_stop()
+
+
 def run(**flags: str) -> None:
     """Serve callers until SIGTERM or SIGINT.
 
@@ -59,8 +99,15 @@
         return
     set_up_logs(loaded.settings.log_level)
     disable_io_uring()
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_async_serve(loaded.settings))
+    service = EntryService(loaded.settings)
+    with aiomisc.entrypoint(
+        service,
+        loop_factory=uvloop.new_event_loop,
+        log_config=False,
+        pool_size=THREADS,
+        catch_signals=(),
+    ) as loop:
+        loop.run_until_complete(service.async_wait_stopped())
 
 
 def main() -> None:
@@ -68,21 +115,6 @@
     fire.Fire(SetParseFn(str)(run), name="banyanswitch-entry")
 
 
-async def _async_serve(settings: EntrySettings) -> None:
-    kernel = await async_compose(settings)
-    shutdown = kernel.require(ShutdownCoordinator)
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, shutdown.request)
-    server = kernel.require(CallerServer)
-    document = ListeningDocument(settings.instance, server.port)
-    print(msgspec.json.encode(document).decode(), flush=True)
-    try:
-        await shutdown.async_run()
-    finally:
-        await kernel.async_stop()
-
-
 def _load_or_exit(
     flags: Mapping[str, object], environment: Mapping[str, str]
 ) -> LoadedSettings:
--- a/src/banyanswitch/components/gateway/const.py
+++ b/src/banyanswitch/components/gateway/const.py
@@ -7,8 +7,6 @@
 MAX_HEADER_BYTES: Final = 16_384
 MAX_OUTPUT_TOKENS: Final = 32_768
 MAX_IDEMPOTENCY_KEY_CHARACTERS: Final = 128
-BYTES_PER_TOKEN: Final = 4
-"""Estimate by which the length of a prompt in tokens is judged."""
 
 PROBLEM_TYPE_PREFIX: Final = "urn:banyanswitch:problem:"
 BEARER_PREFIX: Final = "Bearer "
--- a/src/banyanswitch/components/gateway/handlers.py
+++ b/src/banyanswitch/components/gateway/handlers.py
@@ -7,9 +7,9 @@
 
 from banyanswitch.components.admission.gate import AdmissionCall, AdmissionGate
 from banyanswitch.components.gateway.activity import Activity
-from banyanswitch.components.gateway.models import ModelCall, PlainCall
 from banyanswitch.components.gateway.parsing import RequestParser
 from banyanswitch.components.gateway.relay import StreamRelay
+from banyanswitch.components.routing.calls import ModelCall, PlainCall
 from banyanswitch.components.routing.model_runs import ModelRuns
 from banyanswitch.components.routing.plain_calls import PlainCalls
 from banyanswitch.config.models import ServiceKind
--- a/src/banyanswitch/components/gateway/parsing.py
+++ b/src/banyanswitch/components/gateway/parsing.py
@@ -8,19 +8,14 @@
 from banyanswitch.components.admission.const import MAX_WAIT_S
 from banyanswitch.components.gateway.const import (
     BEARER_PREFIX,
-    BYTES_PER_TOKEN,
     MAX_IDEMPOTENCY_KEY_CHARACTERS,
     MAX_OUTPUT_TOKENS,
 )
-from banyanswitch.components.gateway.models import (
-    CompletionBody,
-    ModelCall,
-    PieceText,
-    PlainCall,
-    ResumeCall,
-)
+from banyanswitch.components.gateway.models import CompletionBody, PieceText
+from banyanswitch.components.routing.calls import ModelCall, PlainCall, ResumeCall
 from banyanswitch.config.models import Priority, Service, ServiceKind, Workspace
 from banyanswitch.const import (
+    BYTES_PER_TOKEN,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_LAST_EVENT_ID,
     HEADER_PRIORITY,
--- a/src/banyanswitch/components/gateway/relay.py
+++ b/src/banyanswitch/components/gateway/relay.py
@@ -6,10 +6,10 @@
 import structlog
 from aiohttp import web
 
-from banyanswitch.components.gateway.models import ModelCall, ResumeCall
 from banyanswitch.components.gateway.problems import problem_document
 from banyanswitch.components.metrics.const import Counter, Timing
 from banyanswitch.components.metrics.recorder import MetricRecorder
+from banyanswitch.components.routing.calls import ModelCall, ResumeCall
 from banyanswitch.components.routing.const import RESUME_GRACE_S, RETRY_AFTER_S
 from banyanswitch.components.routing.model_runs import ModelRuns
 from banyanswitch.components.routing.models import OpenRun, RunLostError
--- /dev/null
+++ b/src/banyanswitch/components/routing/calls.py
@@ -0,0 +1,64 @@
+"""Checked calls, as the gateway hands them to routing."""
+
+from dataclasses import dataclass, field
+
+from banyanswitch.config.models import Priority, Service, Workspace
+from banyanswitch.helpers.run_identity import StreamPosition
+
+
+@dataclass(frozen=True, slots=True)
+class ModelCall:
+    """A checked request for a model service.
+
+    Parameters
+    ----------
+    path : str
+        Path on the upstream, for example ``/v1/chat/completions``.
+    body : bytes
+        Body as the caller sent it.
+    prompt : bytes
+        Canonical bytes of the prompt, from which pieces are hashed.
+    prompt_tokens : int
+        Estimated length of the prompt.
+    latest_start_s : float
+        Loop time after which the request is not sent to an upstream any more.
+    """
+
+    workspace: Workspace
+    service: Service
+    path: str
+    body: bytes = field(repr=False)
+    prompt: bytes = field(repr=False)
+    prompt_tokens: int
+    max_tokens: int
+    is_stream: bool
+    priority: Priority
+    latest_start_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeCall:
+    """A request to go on with a stream after the event that the caller has."""
+
+    workspace: Workspace
+    position: StreamPosition
+
+
+@dataclass(frozen=True, slots=True)
+class PlainCall:
+    """A checked request for a plain service."""
+
+    workspace: Workspace
+    service: Service
+    method: str
+    path: str
+    content_type: str
+    body: bytes = field(repr=False)
+    idempotency_key: str | None
+    priority: Priority
+    latest_start_s: float
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the method allows the call to be sent again."""
+        return self.method in {"GET", "HEAD"}
--- a/src/banyanswitch/components/routing/model_runs.py
+++ b/src/banyanswitch/components/routing/model_runs.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from banyanswitch.components.gateway.models import ModelCall
+from banyanswitch.components.routing.calls import ModelCall
 from banyanswitch.components.routing.const import (
     HEADER_PIECES,
     HEADER_PROMPT_TOKENS,
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -6,12 +6,12 @@
 
 import xxhash
 
-from banyanswitch.components.gateway.const import BYTES_PER_TOKEN
-from banyanswitch.components.gateway.models import ModelCall
+from banyanswitch.components.routing.calls import ModelCall
 from banyanswitch.components.routing.const import BUSY_RETRY_S, NONCE_BITS
 from banyanswitch.components.routing.models import Attempt, UpstreamsBusyError
 from banyanswitch.components.routing.pools import UpstreamPools
 from banyanswitch.config.models import Service, Workspace
+from banyanswitch.const import BYTES_PER_TOKEN
 from banyanswitch.decisions.cache_view import CacheView
 from banyanswitch.decisions.placement import (
     Place,
--- a/src/banyanswitch/components/routing/plain_calls.py
+++ b/src/banyanswitch/components/routing/plain_calls.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from banyanswitch.components.gateway.models import PlainCall
+from banyanswitch.components.routing.calls import PlainCall
 from banyanswitch.components.routing.const import (
     MAX_PLAIN_ATTEMPTS,
     RETRY_AFTER_S,
--- a/src/banyanswitch/const.py
+++ b/src/banyanswitch/const.py
@@ -17,3 +17,6 @@
 
 DEFAULT_PIECE_TOKENS: Final = 4000
 """Tokens in one piece of a prompt: the unit of caching and transfer."""
+
+BYTES_PER_TOKEN: Final = 4
+"""Estimate by which the length of a prompt in tokens is judged."""
--- a/tests/components/routing/test_plain_calls.py
+++ b/tests/components/routing/test_plain_calls.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from banyanswitch.components.gateway.models import PlainCall
+from banyanswitch.components.routing.calls import PlainCall
 from banyanswitch.components.routing.models import (
     Attempt,
     UpstreamDeclinedError,
