--- a/src/banyanswitch/decisions/cache_view.py
+++ b/src/banyanswitch/decisions/cache_view.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Final
 
-from banyanswitch.decisions.prefix import prefix_key
+from banyanswitch.decisions.prefix import prefix_key, prefix_keys
 from banyanswitch.identifiers import PrefixHash, StoreId, UpstreamId
 
 DEFAULT_MAX_PIECES: Final = 100_000
@@ -131,8 +131,12 @@
         """Return upstreams that hold a prefix, the longest first."""
         found: list[CacheMatch] = []
         seen: set[UpstreamId] = set()
-        for index in range(len(piece_hashes) - 1, -1, -1):
-            for holder in self._get(prefix_key(piece_hashes[index])):
+        recent = self._recent
+        old = self._old
+        keys = prefix_keys(tuple(piece_hashes))
+        for index in range(len(keys) - 1, -1, -1):
+            key = keys[index]
+            for holder in recent.get(key) or old.get(key) or ():
                 if holder.is_current and holder.upstream not in seen:
                     seen.add(holder.upstream)
                     found.append(CacheMatch(holder.upstream, index + 1))
@@ -144,8 +148,8 @@
         """Return the longest prefix that a store holds."""
         if not self._stored:
             return None
-        for piece_hash in reversed(piece_hashes):
-            stored = self._stored.get(prefix_key(piece_hash))
+        for key in reversed(prefix_keys(tuple(piece_hashes))):
+            stored = self._stored.get(key)
             if stored is not None:
                 return stored
         return None
--- a/src/banyanswitch/decisions/in_flight.py
+++ b/src/banyanswitch/decisions/in_flight.py
@@ -18,6 +18,26 @@
     priority: Priority
 
 
+@dataclass(slots=True)
+class LoadEstimate:
+    """Estimated load of an upstream now.
+
+    Parameters
+    ----------
+    requests : int
+        Requests that run or wait there.
+    prefill_tokens : float
+        Prompt tokens that wait there.
+    interactive_tokens : float
+        Those known to be of interactive requests. Load reports don't tell the
+        priorities apart, so these are this instance's own.
+    """
+
+    requests: int
+    prefill_tokens: float
+    interactive_tokens: float
+
+
 class InFlightTracker:
     """Count own requests per upstream and join them with its last report."""
 
@@ -59,52 +79,31 @@
         if not left:
             del self._by_upstream[sent.upstream]
 
-    def requests(self, view: UpstreamView, now_s: float, report_lag_s: float) -> int:
-        """Return the requests that an upstream is believed to hold."""
-        reported = view.running_requests + view.queued_requests
-        own = self._by_upstream.get(view.upstream)
-        if not own:
-            return reported
-        seen_until_s = view.reported_at_s - report_lag_s
-        unseen = sum(1 for sent in own.values() if sent.sent_at_s >= seen_until_s)
-        return max(len(own), reported + unseen)
-
-    def prefill_tokens(
+    def estimate(
         self, view: UpstreamView, now_s: float, report_lag_s: float
-    ) -> float:
-        """Return the prompt tokens that wait at an upstream.
+    ) -> LoadEstimate:
+        """Correct a load report by the time since and by what was sent since.
 
-        The reported ones are assumed to have been worked off at the
-        upstream's rate since the report was made.
+        The reported prompt tokens are assumed to have been worked off at the
+        upstream's rate since the report arrived.
         """
+        requests = view.running_requests + view.queued_requests
         age_s = max(0.0, now_s - view.reported_at_s)
         worked_off = age_s * view.prefill_tokens_per_s
-        reported = max(0.0, view.queued_prefill_tokens - worked_off)
+        tokens = max(0.0, view.queued_prefill_tokens - worked_off)
         own = self._by_upstream.get(view.upstream)
         if not own:
-            return reported
+            return LoadEstimate(requests, tokens, 0.0)
         seen_until_s = view.reported_at_s - report_lag_s
-        unseen = sum(
-            sent.prefill_tokens
-            for sent in own.values()
-            if sent.sent_at_s >= seen_until_s
-        )
-        own_tokens = sum(sent.prefill_tokens for sent in own.values())
-        return max(float(own_tokens), reported + unseen)
-
-    def interactive_tokens(self, view: UpstreamView) -> float:
-        """Return the prompt tokens that are known to be of interactive requests.
-
-        Load reports don't tell the priorities apart, so these are only the tokens
-        of this instance's own requests.
-        """
-        own = self._by_upstream.get(view.upstream)
-        if not own:
-            return 0.0
-        return float(
-            sum(
-                sent.prefill_tokens
-                for sent in own.values()
-                if sent.priority is Priority.INTERACTIVE
-            )
+        own_tokens = 0
+        interactive_tokens = 0
+        for sent in own.values():
+            own_tokens += sent.prefill_tokens
+            if sent.priority is Priority.INTERACTIVE:
+                interactive_tokens += sent.prefill_tokens
+            if sent.sent_at_s >= seen_until_s:
+                requests += 1
+                tokens += sent.prefill_tokens
+        return LoadEstimate(
+            max(len(own), requests), max(own_tokens, tokens), interactive_tokens
         )
--- a/src/banyanswitch/decisions/prefix.py
+++ b/src/banyanswitch/decisions/prefix.py
@@ -1,5 +1,6 @@
 """Identity of prompt prefixes: chained hashes of pieces, salted per workspace."""
 
+from functools import lru_cache
 from hashlib import blake2b
 from typing import Final
 
@@ -7,6 +8,7 @@
 
 DIGEST_SIZE_BYTES: Final = 16
 LENGTH_SIZE_BYTES: Final = 8
+REMEMBERED_CHAINS: Final = 256
 
 
 def cache_salt(workspace: WorkspaceId, version: WeightVersion) -> str:
@@ -68,3 +70,9 @@
 def prefix_key(prefix: PrefixHash) -> int:
     """Return the first 64 bits of a hash, a compact key for indexes."""
     return int(prefix[:16], 16)
+
+
+@lru_cache(maxsize=REMEMBERED_CHAINS)
+def prefix_keys(piece_hashes: tuple[PrefixHash, ...]) -> tuple[int, ...]:
+    """Return the compact keys of a chain; the latest chains are remembered."""
+    return tuple([prefix_key(piece_hash) for piece_hash in piece_hashes])
--- a/src/banyanswitch/decisions/prompt_index.py
+++ b/src/banyanswitch/decisions/prompt_index.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from banyanswitch.decisions.cache_view import StoredPrefix
-from banyanswitch.decisions.prefix import prefix_key
+from banyanswitch.decisions.prefix import prefix_keys
 from banyanswitch.decisions.return_model import ReturnModel
 from banyanswitch.identifiers import (
     PrefixHash,
@@ -75,8 +75,8 @@
         self, piece_hashes: Sequence[PrefixHash], now_s: float
     ) -> PromptRecord | None:
         """Remove and return the record of the longest prefix, as returned now."""
-        for piece_hash in reversed(piece_hashes):
-            record = self._records.pop(prefix_key(piece_hash), None)
+        for key in reversed(prefix_keys(tuple(piece_hashes))):
+            record = self._records.pop(key, None)
             if record is None:
                 continue
             self._model.on_returned(now_s - record.last_use_s, record.returns)
