Let prompts longer than a piece be batch unless they ask otherwise

Cause: every request of an interactive workspace was interactive, so a clerk's long read was refused after 0.3 s without a place and competed with a seller's short one. The users' long requests can wait. The test of the ranks seen by the engine failed before for the long prompt without header.

--- a/src/banyanswitch/components/gateway/parsing.py
+++ b/src/banyanswitch/components/gateway/parsing.py
@@ -86,7 +86,10 @@
         prompt = _prompt_bytes(completion)
         prompt_tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
         max_tokens = _checked_max_tokens(completion)
-        priority = _priority(request, workspace)
+        usual = Priority.INTERACTIVE
+        if prompt_tokens > service.piece_tokens:
+            usual = Priority.BATCH
+        priority = _priority(request, workspace, usual)
         if prompt_tokens > service.max_prompt_tokens:
             finding = Finding(
                 "messages",
@@ -144,7 +147,7 @@
         idempotency_key = request.headers.get(HEADER_IDEMPOTENCY_KEY)
         if idempotency_key is not None:
             _check_idempotency_key(idempotency_key)
-        priority = _priority(request, workspace)
+        priority = _priority(request, workspace, Priority.INTERACTIVE)
         path = "/" + request.match_info["path"]
         if request.query_string:
             path = f"{path}?{request.query_string}"
@@ -219,11 +222,15 @@
     raise _invalid_body(f"max_tokens: must be from 1 to {MAX_OUTPUT_TOKENS}")
 
 
-def _priority(request: web.Request, workspace: Workspace) -> Priority:
-    """Return the workspace's priority, which a request may lower."""
-    wanted = request.headers.get(HEADER_PRIORITY)
-    if wanted is None:
-        return workspace.priority
+def _priority(request: web.Request, workspace: Workspace, usual: Priority) -> Priority:
+    """Return the priority that a request asks for, at most its workspace's.
+
+    Parameters
+    ----------
+    usual : Priority
+        Priority of a request that asks for none.
+    """
+    wanted = request.headers.get(HEADER_PRIORITY, usual.value)
     try:
         priority = Priority(wanted)
     except ValueError as error:
--- a/tests/components/gateway/conftest.py
+++ b/tests/components/gateway/conftest.py
@@ -72,6 +72,7 @@
                 kind=ServiceKind.MODEL,
                 weight_version=VERSION,
                 max_prompt_tokens=1000,
+                piece_tokens=500,
             ),
             Service(name=PLAIN, kind=ServiceKind.PLAIN),
         )
--- a/tests/components/gateway/test_api.py
+++ b/tests/components/gateway/test_api.py
@@ -8,6 +8,7 @@
 import pytest
 
 from banyanswitch.config.models import Limits
+from banyanswitch_standins.engine.models import BATCH_RANK, INTERACTIVE_RANK
 
 from .conftest import MAX_BODY_BYTES, Api
 
@@ -201,3 +202,29 @@
     async with asyncio.timeout(10.0):
         while api.engine.scheduler.running or api.server.activity.count:
             await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("prompt_tokens", "header", "priority"),
+    [
+        (10, None, "interactive"),
+        (900, None, "batch"),
+        (900, "interactive", "interactive"),
+        (10, "batch", "batch"),
+    ],
+)
+async def test_long_prompts_wait_behind_short_ones(
+    api: Api, prompt_tokens: int, header: str | None, priority: str
+) -> None:
+    content = "x" * (4 * prompt_tokens)
+    body = _body(messages=[{"role": "user", "content": content}])
+    more = {"X-Banyan-Priority": header} if header else {}
+    async with api.session.post(
+        CHAT, data=body, headers=api.headers(**more)
+    ) as response:
+        run_id = response.headers["X-Banyan-Run-Id"]
+        await response.read()
+    run = api.engine.scheduler.find(run_id)
+    assert run is not None
+    ranks = {"interactive": INTERACTIVE_RANK, "batch": BATCH_RANK}
+    assert run.request.rank == ranks[priority]
