Let a service declare the size of the KV cache of a piece

Contract, added only: Service.piece_size_bytes, default 256 MB as the reuse decision had it. Cause: in the demo a link of 50 MB/s never exports, since a piece is taken for 256 MB while its block has some KB (nothing stored within 15 s).

--- a/src/banyanswitch/config/models.py
+++ b/src/banyanswitch/config/models.py
@@ -14,6 +14,7 @@
 )
 
 SCHEMA_VERSION = 1
+DEFAULT_PIECE_SIZE_BYTES = 256_000_000
 
 
 class ServiceKind(Enum):
@@ -79,12 +80,15 @@
     ----------
     weight_version : str, optional
         Version that new requests must run on; none for plain services.
+    piece_size_bytes : int
+        Size of the KV cache of one piece, by which links are shared.
     """
 
     name: ServiceName
     kind: ServiceKind
     weight_version: WeightVersion | None = None
     piece_tokens: int = DEFAULT_PIECE_TOKENS
+    piece_size_bytes: int = DEFAULT_PIECE_SIZE_BYTES
     max_prompt_tokens: int = 400_000
     first_token_target_s: float = 0.54
     request_timeout_s: float = 600.0
--- a/src/banyanswitch/config/validation.py
+++ b/src/banyanswitch/config/validation.py
@@ -78,6 +78,7 @@
     if not is_model and service.weight_version is not None:
         yield Finding(f"{place}.weight_version", "must be absent for a plain service")
     yield from _positive(f"{place}.piece_tokens", service.piece_tokens)
+    yield from _positive(f"{place}.piece_size_bytes", service.piece_size_bytes)
     yield from _positive(f"{place}.max_prompt_tokens", service.max_prompt_tokens)
     yield from _positive(f"{place}.first_token_target_s", service.first_token_target_s)
     yield from _positive(f"{place}.request_timeout_s", service.request_timeout_s)
