--- /dev/null
+++ b/src/banyanswitch/components/membership/listed_instances.py
@@ -0,0 +1,57 @@
+"""What the platform's list says of the instances."""
+
+from collections.abc import Sequence
+
+from msgspec.structs import replace
+
+from banyanswitch.components.membership.member_list import MemberList
+from banyanswitch.components.membership.models import ListedInstance
+
+
+class ListedInstances:
+    """Join the platform's lagging list with the members.
+
+    Of the list's words only that of leaving is believed. It is of the process that
+    ran when the list first said so, and not of a later start.
+
+    Parameters
+    ----------
+    members : MemberList
+        The members.
+    """
+
+    def __init__(self, members: MemberList) -> None:
+        self._members = members
+        self._entries: tuple[ListedInstance, ...] = ()
+        self._leaving_incarnation: dict[str, int] = {}
+
+    def addresses(self) -> list[str]:
+        """Return the peer addresses on the list."""
+        return [entry.peer_address for entry in self._entries]
+
+    def note(self, entries: Sequence[ListedInstance]) -> None:
+        """Take in the list."""
+        self._entries = tuple(entries)
+        for entry in entries:
+            if entry.is_leaving:
+                self._note_leaving(entry)
+                continue
+            self._leaving_incarnation.pop(entry.instance, None)
+            self._note_live(entry)
+
+    def _note_leaving(self, entry: ListedInstance) -> None:
+        member = self._members.table.get(entry.instance)
+        if member is None:
+            return
+        incarnation = self._leaving_incarnation.setdefault(
+            entry.instance, member.incarnation
+        )
+        if member.incarnation == incarnation and not member.is_leaving:
+            self._members.absorb(replace(member, is_leaving=True))
+
+    def _note_live(self, entry: ListedInstance) -> None:
+        this = self._members.this
+        if entry.instance != this.instance:
+            return
+        if this.is_leaving and not self._members.is_stopping:
+            self._members.take_incarnation(this.incarnation + 1)
--- /dev/null
+++ b/src/banyanswitch/components/membership/member_list.py
@@ -0,0 +1,149 @@
+"""Record of the own instance and what it knows of the others."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import xxhash
+from msgspec.structs import replace
+
+from banyanswitch.components.membership.const import SERVICE_MASK_BITS
+from banyanswitch.components.membership.member_table import MemberTable
+from banyanswitch.components.membership.models import Member, MemberState
+from banyanswitch.identifiers import ServiceName
+from banyanswitch.interfaces import Peer
+
+
+class StoredHandler(Protocol):
+    """Takes in that a member's record changed."""
+
+    def __call__(self, member: Member, *, is_rumour: bool) -> None:
+        """Take in the new record and whether it is passed on."""
+
+
+def service_mask(services: Iterable[ServiceName]) -> int:
+    """Return the mask in which each service sets the bit of its hash."""
+    mask = 0
+    for service in services:
+        mask |= 1 << (xxhash.xxh32_intdigest(service.encode()) % SERVICE_MASK_BITS)
+    return mask
+
+
+class MemberList:
+    """Members, this instance included, as the rest of the process sees them.
+
+    Parameters
+    ----------
+    this_member : Member
+        First record of this instance.
+    on_change : callable
+        Called after the live instances or one of their records changed.
+    on_new_incarnation : callable
+        Called with the number when this instance had to take a new incarnation.
+    on_stored : StoredHandler
+        Called after any record changed.
+    """
+
+    def __init__(
+        self,
+        this_member: Member,
+        *,
+        on_change: Callable[[], None],
+        on_new_incarnation: Callable[[int], None],
+        on_stored: StoredHandler,
+    ) -> None:
+        self.this = this_member
+        self.table = MemberTable()
+        self.is_stopping = False
+        self._on_change = on_change
+        self._on_new_incarnation = on_new_incarnation
+        self._on_stored = on_stored
+        self._peers: tuple[Peer, ...] = ()
+        self._serving: dict[ServiceName, tuple[Peer, ...]] = {}
+
+    def peers(self) -> tuple[Peer, ...]:
+        """Return all live instances, in the order of their identifiers."""
+        if not self._peers:
+            self._peers = tuple(member.as_peer() for member in self._sorted_live())
+        return self._peers
+
+    def serving(self, service: ServiceName) -> tuple[Peer, ...]:
+        """Return the live instances that serve a service, in a fixed order."""
+        if service not in self._serving:
+            mask = service_mask((service,))
+            found = (m for m in self._sorted_live() if m.service_mask & mask)
+            self._serving[service] = tuple(member.as_peer() for member in found)
+        return self._serving[service]
+
+    def others(self) -> list[Member]:
+        """Return the other live members."""
+        this = self.this.instance
+        return [member for member in self.table.live() if member.instance != this]
+
+    def sample_others(
+        self, generator: random.Random, count: int, excluded: str = ""
+    ) -> list[Member]:
+        """Return a few other live members."""
+        others = [m for m in self.others() if m.instance != excluded]
+        return generator.sample(others, min(count, len(others)))
+
+    def records(self, instances: Iterable[str]) -> tuple[Member, ...]:
+        """Return the records of those instances that are known."""
+        found = (self.table.get(instance) for instance in instances)
+        return tuple(member for member in found if member is not None)
+
+    def absorb_all(self, members: Iterable[Member], *, is_rumour: bool = True) -> None:
+        """Take in records."""
+        for member in members:
+            self.absorb(member, is_rumour=is_rumour)
+
+    def absorb(self, heard: Member, *, is_rumour: bool = True) -> None:
+        """Take in a record; a rumour is passed on."""
+        if heard.instance == self.this.instance:
+            self._note_word_of_self(heard)
+            return
+        self.store(heard, is_rumour=is_rumour)
+
+    def change_self(self, **changes: int | bool) -> None:
+        """Change this instance's record and pass it on."""
+        changed = replace(self.this, **changes)
+        self.this = replace(changed, revision=changed.revision + 1)
+        self.store(self.this)
+
+    def take_incarnation(self, incarnation: int) -> None:
+        """Start a new incarnation of this instance."""
+        self._on_new_incarnation(incarnation)
+        self.change_self(
+            incarnation=incarnation, revision=0, is_leaving=self.is_stopping
+        )
+
+    def store(self, member: Member, *, is_rumour: bool = True) -> None:
+        """Put a record into the table and tell of what changed."""
+        known = self.table.get(member.instance)
+        if not self.table.put(member, asyncio.get_running_loop().time()):
+            return
+        (stored,) = self.records((member.instance,))
+        self._serving.clear()
+        self._on_stored(stored, is_rumour=is_rumour)
+        is_same_peer = known is not None and known.as_peer() == stored.as_peer()
+        was_dead = known is not None and known.state is MemberState.DEAD
+        if is_same_peer and was_dead == (stored.state is MemberState.DEAD):
+            return
+        self._peers = ()
+        self._on_change()
+
+    def _note_word_of_self(self, heard: Member) -> None:
+        if heard.incarnation > self.this.incarnation:
+            self.take_incarnation(heard.incarnation + 1)
+            return
+        if heard.incarnation < self.this.incarnation:
+            return
+        is_doubted = heard.state is not MemberState.ALIVE
+        if heard.is_leaving and not self.this.is_leaving:
+            self.change_self(is_leaving=True)
+        elif is_doubted and heard.revision >= self.this.revision:
+            self.change_self(revision=heard.revision)
+
+    def _sorted_live(self) -> list[Member]:
+        return sorted(self.table.live(), key=lambda member: member.instance)
--- a/src/banyanswitch/components/membership/rumours.py
+++ b/src/banyanswitch/components/membership/rumours.py
@@ -1,10 +1,18 @@
-"""Changes of members that are still to be passed on."""
+"""Changes of members that are passed on."""
 
+import asyncio
 import math
+import random
 
 from banyanswitch.components.membership.const import (
+    EAGER_FANOUT,
+    EAGER_MESSAGES_PER_S,
+    MAX_MEMBERS_PER_MESSAGE,
     RUMOUR_TRANSMISSIONS_PER_DOUBLING,
 )
+from banyanswitch.components.membership.member_list import MemberList
+from banyanswitch.components.membership.models import Member, Rumour
+from banyanswitch.components.peers.outbox import Outbox
 
 
 class RumourQueue:
@@ -33,3 +41,65 @@
             if self._transmissions[instance] >= bound:
                 del self._transmissions[instance]
         return chosen
+
+
+class RumourSpreader:
+    """Send changes to a few members at once and add them to later heartbeats.
+
+    Parameters
+    ----------
+    members : MemberList
+        The members.
+    outbox : Outbox
+        Sends messages.
+    generator : random.Random
+        Chooses the receivers.
+    """
+
+    def __init__(
+        self, members: MemberList, outbox: Outbox, generator: random.Random
+    ) -> None:
+        self._members = members
+        self._outbox = outbox
+        self._random = generator
+        self._queue = RumourQueue()
+        self._fresh: set[str] = set()
+        self._budget = EAGER_MESSAGES_PER_S
+
+    def add(self, instance: str) -> None:
+        """Pass on a member's record."""
+        self._queue.add(instance)
+        if not self._fresh:
+            asyncio.get_running_loop().call_soon(self._send_fresh)
+        self._fresh.add(instance)
+
+    def refill(self, elapsed_s: float) -> None:
+        """Allow more immediate messages."""
+        refilled = self._budget + EAGER_MESSAGES_PER_S * elapsed_s
+        self._budget = min(EAGER_MESSAGES_PER_S, refilled)
+
+    def take_for(self, receiver: Member | None) -> tuple[Member, ...]:
+        """Return the records to add to a message.
+
+        What is believed of the receiver is added if its own record says otherwise,
+        so that it can object.
+        """
+        names = self._queue.take(MAX_MEMBERS_PER_MESSAGE, len(self._members.table))
+        members = self._members.records(names)
+        if receiver is None:
+            return members
+        known = self._members.table.get(receiver.instance)
+        if known is None or known == receiver or known in members:
+            return members
+        return (*members, known)
+
+    def _send_fresh(self) -> None:
+        fresh = sorted(self._fresh)[:MAX_MEMBERS_PER_MESSAGE]
+        members = self._members.records(fresh)
+        self._fresh.clear()
+        targets = self._members.sample_others(self._random, EAGER_FANOUT)
+        if not targets or self._budget < len(targets):
+            return
+        self._budget -= len(targets)
+        for target in targets:
+            self._outbox.send(target.peer_address, Rumour(members))
