Remember the entries of a workspace until the instances change

Cause: an address answer ranks all instances: 0.56 ms at 330 (python -m bench.capacity.address_cost: 1.67 us an instance, residual 5.3%), repeated for each caller of the same workspace.

--- /dev/null
+++ b/bench/capacity/address_cost.py
@@ -0,0 +1,141 @@
+"""Cost and evenness of the addresses against the number of instances.
+
+Run ``python -m bench.capacity.address_cost``.
+"""
+
+import tracemalloc
+from collections import Counter
+from dataclasses import dataclass
+from statistics import mean
+
+from banyanswitch.components.addresses.coordinator import AddressCoordinator
+from banyanswitch.identifiers import FailureDomainId, InstanceId, WorkspaceId
+from banyanswitch.interfaces import Peer
+from bench.capacity.slopes import fit_fields, save
+from bench.capacity.virtual import ProcessorClock
+
+SEED = 0
+INSTANCES = (8, 16, 32, 64, 128, 330)
+FAILURE_DOMAINS = 6
+WORKSPACES = 35_000
+TIMED_ANSWERS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class AddressPoint:
+    """Answers among ``instances``.
+
+    Parameters
+    ----------
+    answer_s : float
+        Processor time of an answer not given before.
+    repeated_answer_s : float
+        Processor time of an answer given before.
+    busiest_ratio : float
+        Workspaces whose preferred entry is the busiest one, divided by the mean.
+    moved_share : float
+        Share of workspaces with another preferred entry after the loss of a failure
+        domain.
+    """
+
+    instances: int
+    answer_s: float
+    repeated_answer_s: float
+    busiest_ratio: float
+    busiest_ratio_after_loss: float
+    moved_share: float
+    size_bytes: float
+
+
+class Directory:
+    """Fixed live instances."""
+
+    def __init__(self, peers: tuple[Peer, ...]) -> None:
+        self._peers = peers
+
+    def this_instance(self) -> Peer:
+        """Return the first instance."""
+        return self._peers[0]
+
+    def peers(self) -> tuple[Peer, ...]:
+        """Return all instances."""
+        return self._peers
+
+
+def make_peer(number: int) -> Peer:
+    """Return one instance."""
+    return Peer(
+        InstanceId(f"entry-{number:04d}"),
+        FailureDomainId(f"domain-{number % FAILURE_DOMAINS}"),
+        f"tcp://10.0.0.{number}:7080",
+        f"http://10.0.0.{number}:8080",
+        1,
+    )
+
+
+def preferred(peers: tuple[Peer, ...], count: int) -> list[InstanceId]:
+    """Return the preferred entry of each workspace."""
+    coordinator = AddressCoordinator(Directory(peers), 10.0)
+    return [
+        coordinator.addresses(WorkspaceId(f"workspace-{number}")).addresses[0].instance
+        for number in range(count)
+    ]
+
+
+def busiest_ratio(chosen: list[InstanceId], instances: int) -> float:
+    """Return the workspaces of the busiest entry divided by the mean."""
+    return max(Counter(chosen).values()) / (len(chosen) / instances)
+
+
+def measure(count: int) -> AddressPoint:
+    """Measure one number of instances."""
+    peers = tuple(make_peer(number) for number in range(count))
+    workspaces = WORKSPACES * count // max(INSTANCES)
+    left = tuple(peer for peer in peers if peer.failure_domain != "domain-0")
+    before = preferred(peers, workspaces)
+    after = preferred(left, workspaces)
+    moved = mean(a != b for a, b in zip(before, after, strict=True))
+
+    tracemalloc.start()
+    coordinator = AddressCoordinator(Directory(peers), 10.0)
+    names = [WorkspaceId(f"workspace-{number}") for number in range(TIMED_ANSWERS)]
+    start_bytes, _ = tracemalloc.get_traced_memory()
+    for name in names:
+        coordinator.addresses(name)
+    size_bytes = tracemalloc.get_traced_memory()[0] - start_bytes
+    tracemalloc.stop()
+    return AddressPoint(
+        instances=count,
+        answer_s=timed(AddressCoordinator(Directory(peers), 10.0), names),
+        repeated_answer_s=timed(coordinator, names[-200:] * 10),
+        busiest_ratio=busiest_ratio(before, count),
+        busiest_ratio_after_loss=busiest_ratio(after, len(left)),
+        moved_share=moved,
+        size_bytes=size_bytes,
+    )
+
+
+def timed(coordinator: AddressCoordinator, names: list[WorkspaceId]) -> float:
+    """Return the processor time of one answer."""
+    clock = ProcessorClock()
+    for name in names:
+        coordinator.addresses(name)
+    return clock.elapsed_s() / len(names)
+
+
+def main() -> None:
+    """Measure all points and write them."""
+    points = [measure(count) for count in INSTANCES]
+    for point in points:
+        print(point)
+    save(
+        "addresses",
+        command="python -m bench.capacity.address_cost",
+        seed=SEED,
+        series={"points": points},
+        fits=fit_fields(points, "instances", ("answer_s", "repeated_answer_s")),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity/entry_cost.py
@@ -0,0 +1,114 @@
+"""Idle cost of real entry processes against their number.
+
+Run ``python -m bench.capacity.entry_cost``. No caller sends requests, so what the
+entries use is control: membership, load reports, configuration, leases.
+"""
+
+import time
+from dataclasses import dataclass
+from statistics import mean
+
+import psutil
+
+from bench.capacity.slopes import fit_fields, save
+from bench.fleet import Fleet, FleetPlan
+from bench.processes import ProcessGroup
+
+SEED = 0
+ENTRIES = (4, 8, 16, 32, 64)
+ENGINES = 8
+SETTLE_S = 10.0
+MEASURE_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPoint:
+    """Cost of one entry among ``entries``.
+
+    Parameters
+    ----------
+    private_bytes : float
+        Memory of one entry that it shares with no other process.
+    table_requests_per_s : float
+        Requests of all entries to the table service.
+    """
+
+    entries: int
+    processor_share: float
+    max_processor_share: float
+    resident_bytes: float
+    private_bytes: float
+    threads: float
+    table_requests_per_s: float
+    list_requests_per_s: float
+
+
+def requests_of(stats: dict[str, int]) -> int:
+    """Return the requests that a stand-in has counted, over all routes."""
+    return sum(n for name, n in stats.items() if name.startswith("requests "))
+
+
+def measure(count: int) -> EntryPoint:
+    """Measure one number of entries."""
+    with ProcessGroup() as group:
+        fleet = Fleet(group, FleetPlan(entries=count, engines=ENGINES))
+        fleet.apply()
+        fleet.start_entries()
+        time.sleep(SETTLE_S)
+        processes = [psutil.Process(entry.process.pid) for entry in fleet.entries]
+        table = requests_of(fleet.table.get("/stats"))
+        listed = requests_of(fleet.instances.get("/stats"))
+        before = [processor_s(process) for process in processes]
+        start_s = time.monotonic()
+        time.sleep(MEASURE_S)
+        elapsed_s = time.monotonic() - start_s
+        used = [
+            (processor_s(process) - base) / elapsed_s
+            for process, base in zip(processes, before, strict=True)
+        ]
+        return EntryPoint(
+            entries=count,
+            processor_share=mean(used),
+            max_processor_share=max(used),
+            resident_bytes=mean(p.memory_info().rss for p in processes),
+            private_bytes=mean(p.memory_full_info().uss for p in processes),
+            threads=mean(p.num_threads() for p in processes),
+            table_requests_per_s=(requests_of(fleet.table.get("/stats")) - table)
+            / elapsed_s,
+            list_requests_per_s=(requests_of(fleet.instances.get("/stats")) - listed)
+            / elapsed_s,
+        )
+
+
+def processor_s(process: psutil.Process) -> float:
+    """Return the processor time of a process."""
+    times = process.cpu_times()
+    return float(times.user + times.system)
+
+
+def main() -> None:
+    """Measure all points and write them."""
+    points = [measure(count) for count in ENTRIES]
+    for point in points:
+        print(point)
+    save(
+        "entry",
+        command="python -m bench.capacity.entry_cost",
+        seed=SEED,
+        series={"points": points},
+        fits=fit_fields(
+            points,
+            "entries",
+            (
+                "processor_share",
+                "resident_bytes",
+                "private_bytes",
+                "table_requests_per_s",
+                "list_requests_per_s",
+            ),
+        ),
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/banyanswitch/components/addresses/coordinator.py
+++ b/src/banyanswitch/components/addresses/coordinator.py
@@ -1,6 +1,9 @@
 """Entries that the callers of a workspace should use."""
 
-from banyanswitch.components.addresses.const import ENTRIES_PER_WORKSPACE
+from banyanswitch.components.addresses.const import (
+    ENTRIES_PER_WORKSPACE,
+    MAX_KEPT_CHOICES,
+)
 from banyanswitch.components.addresses.models import AddressAnswer, EntryAddress
 from banyanswitch.core import callback
 from banyanswitch.decisions.address_choice import (
@@ -37,6 +40,7 @@
         self._peers: tuple[Peer, ...] = ()
         self._views: tuple[EntryView, ...] = ()
         self._by_instance: dict[InstanceId, Peer] = {}
+        self._chosen: dict[WorkspaceId, tuple[InstanceId, ...]] = {}
 
     @callback
     def addresses(
@@ -48,18 +52,28 @@
         until they end.
         """
         self._refresh()
-        chosen = choose_entries(workspace, self._views, self._entries_per_workspace)
+        chosen = self._choose(workspace)
         if conversation is not None:
             chosen = order_for_conversation(conversation, chosen)
         addresses = tuple(self._address(instance) for instance in chosen)
         return AddressAnswer(addresses, self._time_to_live_s)
 
+    def _choose(self, workspace: WorkspaceId) -> tuple[InstanceId, ...]:
+        chosen = self._chosen.get(workspace)
+        if chosen is None:
+            if len(self._chosen) >= MAX_KEPT_CHOICES:
+                self._chosen.clear()
+            chosen = choose_entries(workspace, self._views, self._entries_per_workspace)
+            self._chosen[workspace] = chosen
+        return chosen
+
     def _refresh(self) -> None:
         peers = self._directory.peers()
         if peers is self._peers:
             return
         is_none_staying = all(peer.is_leaving for peer in peers)
         self._peers = peers
+        self._chosen.clear()
         self._by_instance = {peer.instance: peer for peer in peers}
         self._views = tuple(
             EntryView(
