Notice slow links early and give up imports that take too long

Cause: with links at a tenth, transfers that had been ordered at the old rate were waited for, whatever they took, and exports went on by the declared rate. Ruled out: the reading of finished transfers alone (each takes ten times as long to be seen). Change: a transfer that is overdue lowers the expected rate before it ends; exports stop while own transfers need more than 5 s; an import is given up after its expected time and the time that the recomputation takes.

--- a/bench/decisions/entry.py
+++ b/bench/decisions/entry.py
@@ -214,10 +214,20 @@
             self._update_stores()
             self._send(call)
 
-        store.link.transfer(
+        item = store.link.transfer(
             order.size_bytes, is_export=False, on_done=done, on_failed=failed
         )
 
+        def give_up() -> None:
+            if not store.link.cancel(item):
+                return
+            elapsed_s = order.give_up_after_s
+            budget.on_cancelled(order.size_bytes, elapsed_s, self._simulator.now_s)
+            self._update_stores()
+            self._send(call)
+
+        self._simulator.call_later(order.give_up_after_s, give_up)
+
     def _lost(self, call: _Call) -> None:
         if call.placement is None:
             return
--- a/bench/decisions/runs.py
+++ b/bench/decisions/runs.py
@@ -167,13 +167,18 @@
 
 
 def normal_load(deployment: Deployment) -> float:
-    """Return the normal prefill work as a share of capacity, nothing reused."""
-    pieces = sum(deployment.first_pieces) / 2
+    """Return the normal prefill work as a share of capacity.
+
+    Only work that nobody has done before counts: the pieces of a new prompt, and
+    the growth and the rest after the last whole piece of one that returns.
+    """
+    new_per_s = deployment.long_per_s / (1.0 + deployment.mean_returns)
+    return_per_s = deployment.long_per_s - new_per_s
     growth = sum(deployment.growth_pieces) / 2
-    mean_pieces = pieces + growth * deployment.mean_returns
-    long_tokens = mean_pieces * deployment.piece_tokens
-    short_tokens = sum(deployment.short_tokens) / 2
-    work = deployment.long_per_s * long_tokens + deployment.short_per_s * short_tokens
+    new_pieces = new_per_s * sum(deployment.first_pieces) / 2 + return_per_s * growth
+    pieces = new_pieces + 0.5 * deployment.long_per_s
+    short_tokens = deployment.short_per_s * sum(deployment.short_tokens) / 2
+    work = pieces * deployment.piece_tokens + short_tokens
     return work / (deployment.upstreams * deployment.prefill_tokens_per_s)
 
 
--- a/bench/decisions/storage.py
+++ b/bench/decisions/storage.py
@@ -43,14 +43,23 @@
         is_export: bool,
         on_done: Callable[[float], None],
         on_failed: Callable[[], None],
-    ) -> None:
+    ) -> Transfer:
         """Move bytes, and tell the time it took or that it failed."""
+        item = Transfer(size_bytes, self.simulator.now_s, on_done, on_failed)
         if not self.is_up:
             self.simulator.call_later(ERROR_DELAY_S, on_failed)
-            return
-        item = Transfer(size_bytes, self.simulator.now_s, on_done, on_failed)
+            return item
         (self._exports if is_export else self._imports).append(item)
         self._next()
+        return item
+
+    def cancel(self, item: Transfer) -> bool:
+        """Drop a transfer; false if it has ended."""
+        for queue in (self._imports, self._exports):
+            if item in queue:
+                queue.remove(item)
+                return True
+        return False
 
     def fail(self) -> None:
         """Lose all transfers."""
--- a/src/banyanswitch/decisions/link_budget.py
+++ b/src/banyanswitch/decisions/link_budget.py
@@ -19,6 +19,9 @@
 RATE_HALF_LIFE_S: Final = 60.0
 """Time in which the mean rate goes half of the way back to the declared one."""
 
+LONGEST_QUEUE_S: Final = 5.0
+"""Time that this instance's transfers may need before no export is added."""
+
 FIRST_RETRY_S: Final = 2.0
 LONGEST_RETRY_S: Final = 60.0
 
@@ -50,6 +53,12 @@
         """Return the share, from 0 to 1."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Queued:
+    size_bytes: int
+    started_at_s: float
+
+
 class LinkBudget:
     """Budget of one link, for each workspace and for background work.
 
@@ -73,6 +82,7 @@
         )
         self._observed_bytes_per_s = settings.bytes_per_s
         self._observed_at_s = now_s
+        self._queued: list[_Queued] = []
         self._queued_bytes = 0
         self._failures = 0
         self._retry_at_s = now_s
@@ -94,6 +104,9 @@
         """Return how much a workspace may export now, in bytes."""
         if now_s < self._retry_at_s:
             return 0.0
+        queue_s = self._queued_bytes / self._expected_bytes_per_s(now_s)
+        if queue_s > LONGEST_QUEUE_S:
+            return 0.0
         return min(
             self._bucket_of(workspace, now_s).level(now_s),
             self._background.level(now_s),
@@ -105,6 +118,7 @@
         """Take the budget for an import; the caller recomputes if it is spent."""
         if not self._bucket_of(workspace, now_s).try_spend(size_bytes, now_s):
             return False
+        self._queued.append(_Queued(size_bytes, now_s))
         self._queued_bytes += size_bytes
         return True
 
@@ -123,30 +137,56 @@
         Its time while other transfers of this instance ended does not count, so
         that several at once give the rate of the link and not a part of it.
         """
-        self._queued_bytes = max(0, self._queued_bytes - size_bytes)
         self._failures = 0
+        self._learn(size_bytes, elapsed_s, now_s)
+        self._forget(size_bytes)
+
+    def on_cancelled(self, size_bytes: int, elapsed_s: float, now_s: float) -> None:
+        """Learn from a transfer that was given up because it took too long."""
+        self._learn(size_bytes, elapsed_s, now_s)
+        self._forget(size_bytes)
+
+    def on_failed(self, size_bytes: int, now_s: float) -> None:
+        """Stop using the store for a time that doubles with each failure."""
+        self._forget(size_bytes)
+        wait_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2.0**self._failures)
+        self._failures += 1
+        self._retry_at_s = max(self._retry_at_s, now_s + wait_s)
+
+    def _learn(self, size_bytes: int, elapsed_s: float, now_s: float) -> None:
         alone_s = min(elapsed_s, now_s - self._observed_at_s)
         if size_bytes <= 0 or alone_s <= 0:
             return
         rate = min(size_bytes / alone_s, self._settings.bytes_per_s)
-        expected = self._expected_bytes_per_s(now_s)
+        expected = self._recovered_bytes_per_s(now_s)
         self._observed_bytes_per_s = expected + RATE_SMOOTHING * (rate - expected)
         self._observed_at_s = now_s
 
-    def on_failed(self, size_bytes: int, now_s: float) -> None:
-        """Stop using the store for a time that doubles with each failure."""
-        self._queued_bytes = max(0, self._queued_bytes - size_bytes)
-        wait_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * 2.0**self._failures)
-        self._failures += 1
-        self._retry_at_s = max(self._retry_at_s, now_s + wait_s)
+    def _forget(self, size_bytes: int) -> None:
+        for index, queued in enumerate(self._queued):
+            if queued.size_bytes == size_bytes:
+                del self._queued[index]
+                self._queued_bytes -= size_bytes
+                return
 
-    def _expected_bytes_per_s(self, now_s: float) -> float:
+    def _recovered_bytes_per_s(self, now_s: float) -> float:
         # Without new transfers a low rate would never be measured again.
         age_s = max(0.0, now_s - self._observed_at_s)
         weight = 0.5 ** (age_s / RATE_HALF_LIFE_S)
         declared = self._settings.bytes_per_s
         return float(declared + weight * (self._observed_bytes_per_s - declared))
 
+    def _expected_bytes_per_s(self, now_s: float) -> float:
+        expected = self._recovered_bytes_per_s(now_s)
+        if not self._queued:
+            return expected
+        # A transfer that is overdue shows a slow link before it ends.
+        first = self._queued[0]
+        running_s = now_s - max(first.started_at_s, self._observed_at_s)
+        if running_s * expected <= first.size_bytes:
+            return expected
+        return first.size_bytes / running_s
+
     def _bucket_of(self, workspace: WorkspaceId, now_s: float) -> TokenBucket:
         bucket = self._workspaces.get(workspace)
         if bucket is None:
--- a/src/banyanswitch/decisions/placement.py
+++ b/src/banyanswitch/decisions/placement.py
@@ -66,6 +66,7 @@
     prefill_tokens: int
     import_bytes: int = 0
     import_s: float = 0.0
+    saved_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -294,9 +295,10 @@
     cost = request.reuse.first_token_weight * (first_token_s + queue.cost_s)
     cost += request.reuse.link_weight * link_s
     cost += request.reuse.recompute_weight * redone_tokens / rate
-    option = _Option(
-        view.upstream, cost, first_token_s, pieces, tokens, size_bytes, import_s
-    )
+    option = _Option(view.upstream, cost, first_token_s, pieces, tokens)
+    option.import_bytes = size_bytes
+    option.import_s = import_s
+    option.saved_s = missing * request.piece_tokens / rate
     return (option,)
 
 
@@ -311,6 +313,7 @@
             pieces=option.cached_pieces,
             size_bytes=option.import_bytes,
             expected_s=option.import_s,
+            give_up_after_s=option.import_s + option.saved_s,
         )
     return Place(
         run=request.run,
--- a/src/banyanswitch/decisions/placement_models.py
+++ b/src/banyanswitch/decisions/placement_models.py
@@ -52,13 +52,22 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ImportFirst:
-    """Command: import a stored prefix before the request is sent."""
+    """Command: import a stored prefix before the request is sent.
+
+    Parameters
+    ----------
+    pieces : int
+        Leading pieces that are at hand after the import.
+    give_up_after_s : float
+        Time after which the import is cancelled and the request sent without it.
+    """
 
     store: StoreId
     manifest: str
     pieces: int
     size_bytes: int
     expected_s: float
+    give_up_after_s: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
