--- a/tests/components/weights/test_night.py
+++ b/tests/components/weights/test_night.py
@@ -7,7 +7,7 @@
 
 from banyanswitch.components.weights import OrderResult
 from tests.components.lease.conftest import LEASE_S
-from tests.components.weights.night import NEW, OLD, Holder, Night
+from tests.components.weights.night import NEW, OLD, SERVICE, Holder, Night
 
 pytestmark = pytest.mark.looptime(noop_cycles=1)
 
@@ -108,6 +108,30 @@
     assert_orderly(night)
 
 
+async def test_planned_handover_with_orders_on_their_way(night: Night) -> None:
+    holder = await async_start_swap(night)
+    await night.async_until_sent(1)
+    holder.sender.delay_s = 0.9 * night.configuration.service_in_force.swap.load_s
+    await asyncio.sleep(4.0)
+    holder.kill()
+    await holder.leases.async_release_all()
+    await night.async_until_swapped(NEW, limit_s=NIGHT_S)
+    await asyncio.sleep(60.0)
+    assert_orderly(night)
+
+
+async def test_order_is_not_sent_after_the_lease_was_lost(night: Night) -> None:
+    """The holder freezes between its plan and the order."""
+    holder = await async_start_swap(night)
+    await asyncio.sleep(0.0)
+    lease = holder.leases.held(f"weights/{SERVICE}")
+    assert lease is not None
+    holder.weights.step()
+    holder.leases.held = lambda name: None
+    await asyncio.sleep(1.0)
+    assert holder.sender.sent == 0
+
+
 async def test_table_outage_stops_orders_and_the_swap_goes_on_after_it(
     night: Night,
 ) -> None:
