Export, import and free prefixes in stores, checked at the data

Blocks are written under names unique per generation, then their digests are known, then the manifest is written; an import compares the digests that the engine computed with the manifest's and drops the pieces if they differ. Freeing deletes the manifest, waits longer than any import may take, then deletes the blocks.

--- /dev/null
+++ b/src/banyanswitch/components/kv_cache/manifests.py
@@ -0,0 +1,86 @@
+"""Encoding and checks of manifests."""
+
+from typing import Final
+
+import msgspec
+
+from banyanswitch.components.kv_cache.const import DIGEST_HEX_CHARACTERS
+from banyanswitch.components.kv_cache.errors import (
+    ManifestRefusedError,
+    StoredPrefixLostError,
+    UpstreamTransferError,
+)
+from banyanswitch.components.kv_cache.models import ImportOrder, Manifest, PieceBlock
+from banyanswitch.decisions.prefix import cache_salt
+from banyanswitch.identifiers import PrefixHash
+
+_DECODER: Final = msgspec.json.Decoder(Manifest)
+
+
+def manifest_name(last_piece: str) -> str:
+    """Return the name of the manifest of the prefix that ends with a piece.
+
+    The hash of a piece is chained from the salt of workspace and weight version,
+    so that prefixes of another workspace or version have other names.
+    """
+    return f"prefix-{last_piece}"
+
+
+def encode_manifest(manifest: Manifest) -> bytes:
+    """Return the JSON form of a manifest."""
+    return msgspec.json.encode(manifest)
+
+
+def decode_manifest(content: bytes) -> Manifest:
+    """Return the manifest of a stored document.
+
+    Raises
+    ------
+    StoredPrefixLostError
+        If the document is cut off or damaged.
+    """
+    try:
+        return _DECODER.decode(content)
+    except msgspec.MsgspecError as error:
+        raise StoredPrefixLostError("the manifest is damaged") from error
+
+
+def check_manifest(manifest: Manifest, order: ImportOrder) -> tuple[PieceBlock, ...]:
+    """Return the blocks to import for an order.
+
+    Raises
+    ------
+    ManifestRefusedError
+        If the manifest is of another workspace, weight version or prompt.
+    """
+    if manifest.workspace != order.workspace:
+        raise ManifestRefusedError("the manifest is of another workspace")
+    if manifest.weight_version != order.weight_version:
+        raise ManifestRefusedError("the manifest is of another weight version")
+    if manifest.cache_salt != cache_salt(order.workspace, order.weight_version):
+        raise ManifestRefusedError("the manifest has another salt")
+    pieces = manifest.pieces[: order.pieces]
+    keys = tuple(piece.key for piece in pieces)
+    if not keys or keys != order.piece_hashes[: len(keys)]:
+        raise ManifestRefusedError("the manifest is of another prompt")
+    return pieces
+
+
+def check_exported(
+    blocks: tuple[PieceBlock, ...], keys: tuple[PrefixHash, ...]
+) -> tuple[PieceBlock, ...]:
+    """Return the blocks that an upstream exported, in the order of the prompt.
+
+    Raises
+    ------
+    UpstreamTransferError
+        If a key is missing, or a block lacks its digest.
+    """
+    by_key = {block.key: block for block in blocks}
+    if any(key not in by_key for key in keys):
+        raise UpstreamTransferError("the upstream no longer holds the whole prefix")
+    ordered = tuple(by_key[key] for key in keys)
+    for block in ordered:
+        if len(block.digest) != DIGEST_HEX_CHARACTERS or block.size_bytes <= 0:
+            raise UpstreamTransferError(f"block {block.block} has no digest")
+    return ordered
--- /dev/null
+++ b/src/banyanswitch/components/kv_cache/models.py
@@ -0,0 +1,84 @@
+"""Manifests, orders and messages of the KV cache component."""
+
+from dataclasses import dataclass
+
+from banyanswitch.decisions.cache_view import StoredPrefix
+from banyanswitch.identifiers import (
+    PrefixHash,
+    StoreId,
+    UpstreamId,
+    WeightVersion,
+    WorkspaceId,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class PieceBlock:
+    """Block of a store that holds the KV cache of one piece.
+
+    Parameters
+    ----------
+    key : PrefixHash
+        Chained hash of the prompt up to this piece.
+    block : str
+        Name of the block in the store.
+    digest : str
+        SHA-256 digest of the content in hexadecimal.
+    """
+
+    key: PrefixHash
+    block: str
+    digest: str
+    size_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """All blocks of one stored prefix; written after the last block.
+
+    Parameters
+    ----------
+    generation : str
+        Distinguishes this writing of the prefix from all others.
+    """
+
+    workspace: WorkspaceId
+    weight_version: WeightVersion
+    cache_salt: str
+    generation: str
+    pieces: tuple[PieceBlock, ...]
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of all blocks."""
+        return sum(piece.size_bytes for piece in self.pieces)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ImportOrder:
+    """Order to bring a stored prefix to an upstream.
+
+    Parameters
+    ----------
+    manifest : str
+        Last piece hash of the stored prefix.
+    pieces : int
+        Leading pieces to import.
+    piece_hashes : tuple of PrefixHash
+        Pieces of the prompt that the import is for.
+    """
+
+    workspace: WorkspaceId
+    weight_version: WeightVersion
+    upstream: UpstreamId
+    store: StoreId
+    manifest: str
+    pieces: int
+    piece_hashes: tuple[PrefixHash, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixesStored:
+    """Message to other instances: stores hold these prefixes whole."""
+
+    prefixes: tuple[StoredPrefix, ...]
--- /dev/null
+++ b/src/banyanswitch/components/kv_cache/store_client.py
@@ -0,0 +1,87 @@
+"""Client of KV stores: manifests, deletion of blocks and free space."""
+
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from banyanswitch.components.kv_cache.const import CONTROL_TIMEOUT_S
+from banyanswitch.components.kv_cache.errors import StoreUnavailableError
+from banyanswitch.components.kv_cache.http_calls import (
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    HttpAnswer,
+    async_call,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreStatus:
+    """Sizes of the tiers of a store, in bytes."""
+
+    memory_used_bytes: int
+    memory_bytes: int
+    disk_used_bytes: int
+    disk_bytes: int
+
+
+class KvStoreClient:
+    """Make calls to KV stores.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session of the component; not closed here.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def async_put_manifest(self, url: str, name: str, content: bytes) -> None:
+        """Write a manifest."""
+        answer = await self._async_call("PUT", f"{url}/manifests/{name}", content)
+        _require(answer, STATUS_OK)
+
+    async def async_get_manifest(self, url: str, name: str) -> bytes | None:
+        """Return a manifest, or ``None`` if there is none."""
+        answer = await self._async_call("GET", f"{url}/manifests/{name}")
+        if answer.status == STATUS_NOT_FOUND:
+            return None
+        _require(answer, STATUS_OK)
+        return answer.body
+
+    async def async_delete_manifest(self, url: str, name: str) -> None:
+        """Delete a manifest; it need not exist."""
+        answer = await self._async_call("DELETE", f"{url}/manifests/{name}")
+        _require(answer, STATUS_OK, STATUS_NOT_FOUND)
+
+    async def async_delete_block(self, url: str, name: str) -> None:
+        """Delete a block; it need not exist."""
+        answer = await self._async_call("DELETE", f"{url}/blocks/{name}")
+        _require(answer, STATUS_OK, STATUS_NOT_FOUND)
+
+    async def async_status(self, url: str) -> StoreStatus:
+        """Return how full a store is."""
+        answer = await self._async_call("GET", f"{url}/status")
+        _require(answer, STATUS_OK)
+        try:
+            return msgspec.json.decode(answer.body, type=StoreStatus)
+        except msgspec.MsgspecError as error:
+            raise StoreUnavailableError("the store's status is unreadable") from error
+
+    async def _async_call(
+        self, method: str, url: str, body: bytes | None = None
+    ) -> HttpAnswer:
+        return await async_call(
+            self._session,
+            method,
+            url,
+            body=body,
+            timeout_s=CONTROL_TIMEOUT_S,
+            error_type=StoreUnavailableError,
+        )
+
+
+def _require(answer: HttpAnswer, *statuses: int) -> None:
+    if answer.status not in statuses:
+        raise StoreUnavailableError(f"the store answered with status {answer.status}")
--- /dev/null
+++ b/src/banyanswitch/components/kv_cache/stored_prefixes.py
@@ -0,0 +1,86 @@
+"""Announcement of stored prefixes to the instances that may need them."""
+
+import asyncio
+from collections import defaultdict
+
+import structlog
+
+from banyanswitch.components.kv_cache.const import (
+    ANNOUNCE_INTERVAL_S,
+    MAX_ANNOUNCED_PREFIXES,
+    SERVING_ENTRIES,
+)
+from banyanswitch.components.kv_cache.models import PrefixesStored
+from banyanswitch.core import callback
+from banyanswitch.decisions.address_choice import EntryView, choose_entries
+from banyanswitch.decisions.cache_view import CacheView, StoredPrefix
+from banyanswitch.exceptions import PeerError
+from banyanswitch.identifiers import PrefixHash, WorkspaceId
+from banyanswitch.interfaces import Peer, PeerDirectory, PeerTransport
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class StoredPrefixAnnouncer:
+    """Tell the other instances that serve a workspace what stores hold for it.
+
+    Callers of a workspace use a few instances only, so that the messages don't
+    grow with the number of instances. What is announced is a hint: an import reads
+    the manifest and checks whose it is.
+    """
+
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        transport: PeerTransport,
+        cache_view: CacheView,
+    ) -> None:
+        self._directory = directory
+        self._transport = transport
+        self._cache_view = cache_view
+        self._waiting: dict[WorkspaceId, list[StoredPrefix]] = defaultdict(list)
+        transport.subscribe(PrefixesStored, self._on_stored)
+
+    @callback
+    def add(self, workspace: WorkspaceId, stored: StoredPrefix) -> None:
+        """Announce a prefix with the next messages."""
+        self._waiting[workspace].append(stored)
+
+    async def async_run(self) -> None:
+        """Announce until cancelled."""
+        while True:
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+            await self.async_flush()
+
+    async def async_flush(self) -> None:
+        """Send what waits, one message to each instance that serves it."""
+        by_address: dict[str, list[StoredPrefix]] = defaultdict(list)
+        for workspace, prefixes in self._waiting.items():
+            for peer in self._serving_peers(workspace):
+                by_address[peer.peer_address] += prefixes
+        self._waiting.clear()
+        for address, prefixes in by_address.items():
+            message = PrefixesStored(tuple(prefixes[:MAX_ANNOUNCED_PREFIXES]))
+            try:
+                await self._transport.async_send(address, message)
+            except PeerError as error:
+                LOGGER.debug("stored_prefixes_not_sent", reason=str(error))
+
+    def _serving_peers(self, workspace: WorkspaceId) -> list[Peer]:
+        peers = self._directory.peers()
+        entries = [
+            EntryView(peer.instance, peer.failure_domain, peer.is_leaving)
+            for peer in peers
+        ]
+        chosen = choose_entries(workspace, entries, SERVING_ENTRIES)
+        this_instance = self._directory.this_instance().instance
+        return [
+            peer
+            for peer in peers
+            if peer.instance in chosen and peer.instance != this_instance
+        ]
+
+    @callback
+    def _on_stored(self, message: PrefixesStored) -> None:
+        for stored in message.prefixes:
+            self._cache_view.add_stored(PrefixHash(stored.manifest), stored)
