Pass on load in one digest a service and bound the polls of a gatherer

Cause: the header of a digest is about 290 bytes, more than its 11 loads of 15 bytes. Ruled out: digests every 8 s (loads too old for the placement, a node sees an answer of one upstream every two minutes only); one tree for all digests (inner nodes would send three times the stream). Change: groups of at most 40 upstreams, so one digest a service at the target size; a group is polled less often when it is larger, at most 16 polls a second a gatherer.

--- a/src/banyanswitch/components/upstream_load/const.py
+++ b/src/banyanswitch/components/upstream_load/const.py
@@ -4,7 +4,7 @@
 
 DOMAIN: Final = "upstream_load"
 
-GROUP_UPSTREAMS: Final = 16
+GROUP_UPSTREAMS: Final = 40
 """Most upstreams of one service that are polled by the same gatherers."""
 
 GATHERERS_PER_GROUP: Final = 2
@@ -34,7 +34,13 @@
 
 POLL_TIMEOUT_S: Final = 1.0
 
+MAX_POLLS_PER_S: Final = 16.0
+"""Polls a second of one gatherer in one group; larger groups are polled less often."""
+
 MAX_CONCURRENT_POLLS: Final = 16
 
 TOKENS_PER_UNIT: Final = 64
 """Queued prefill tokens are passed on in units of this many."""
+
+TIMER_S: Final = 0.05
+"""Time by which a poll may come early, in seconds."""
--- a/src/banyanswitch/components/upstream_load/coordinator.py
+++ b/src/banyanswitch/components/upstream_load/coordinator.py
@@ -9,7 +9,9 @@
     CHANGE_REPEATS,
     DIGEST_INTERVAL_S,
     GATHERERS_PER_GROUP,
+    MAX_POLLS_PER_S,
     STAND_IN_INTERVALS,
+    TIMER_S,
 )
 from banyanswitch.components.upstream_load.digests import (
     decode_loads,
@@ -60,8 +62,8 @@
     poller : LoadPoller
         Asks an upstream for its load.
     poll_interval_s : float
-        Time between two reports of one upstream, in seconds; its gatherers take
-        turns.
+        Time between two reports of one upstream, in seconds; each of its gatherers
+        polls in a multiple of it.
     on_change : callable
         Called with the upstream when it begins or stops to leave or to load.
     """
@@ -88,6 +90,7 @@
         self._table = LoadTable(self._note_change)
         self._used = UsedServices()
         self._changed_groups: set[UpstreamGroup] = set()
+        self._polled_at_s: dict[UpstreamGroup, float] = {}
         self._sent_at_s: dict[UpstreamGroup, float] = {}
         self._heard_at_s: dict[UpstreamGroup, float] = {}
         self._last_number: dict[tuple[UpstreamGroup, str], tuple[int, int]] = {}
@@ -128,32 +131,37 @@
     async def _async_gather(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            interval_s = self._poll_interval_s
-            turn_s = interval_s / GATHERERS_PER_GROUP
-            for rank in range(GATHERERS_PER_GROUP):
-                wake_at_s = loop.time() + turn_s
-                await self._async_gather_rank(rank)
-                await asyncio.sleep(max(0.0, wake_at_s - loop.time()))
+            wake_at_s = loop.time() + self._poll_interval_s / GATHERERS_PER_GROUP
+            due = [g for g in self._groups.groups() if self._is_poll_due(g)]
+            await asyncio.gather(*(self._async_gather_group(g) for g in due))
             if self._used.expire(loop.time()):
                 self._interest.declare_services(self._used.services())
+            await asyncio.sleep(max(0.0, wake_at_s - loop.time()))
 
-    async def _async_gather_rank(self, rank: int) -> None:
-        groups = [g for g in self._groups.groups() if self._choice.rank(g) == rank]
-        await asyncio.gather(*(self._async_gather_group(g, rank) for g in groups))
+    def _is_poll_due(self, group: UpstreamGroup) -> bool:
+        if self._choice.rank(group) is None:
+            return False
+        size = len(self._groups.members(group))
+        interval_s = max(self._poll_interval_s, size / MAX_POLLS_PER_S)
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self._polled_at_s.get(group, -interval_s) + interval_s - TIMER_S:
+            return False
+        self._polled_at_s[group] = now_s
+        return True
 
-    async def _async_gather_group(self, group: UpstreamGroup, rank: int) -> None:
+    async def _async_gather_group(self, group: UpstreamGroup) -> None:
         for load in await self._gatherer.async_gather(self._groups.members(group)):
             self._table.put(load)
         now_s = asyncio.get_running_loop().time()
-        if group in self._changed_groups or self._is_digest_due(group, rank, now_s):
+        if group in self._changed_groups or self._is_digest_due(group, now_s):
             self._send_digest(group)
         elif self._repeats.get(group, 0) > 0:
             self._repeats[group] -= 1
             self._relay(self._digest(group, is_relayed=True))
 
-    def _is_digest_due(self, group: UpstreamGroup, rank: int, now_s: float) -> bool:
+    def _is_digest_due(self, group: UpstreamGroup, now_s: float) -> bool:
         sent_s = self._sent_at_s.get(group, 0.0)
-        if rank == 0:
+        if self._choice.rank(group) == 0:
             return now_s - sent_s >= DIGEST_INTERVAL_S
         last_s = max(sent_s, self._heard_at_s.get(group, 0.0))
         return now_s - last_s >= STAND_IN_INTERVALS * DIGEST_INTERVAL_S
