--- a/src/banyanswitch/components/configuration/store_watcher.py
+++ b/src/banyanswitch/components/configuration/store_watcher.py
@@ -19,7 +19,8 @@
 from banyanswitch.components.configuration.repository import ConfigurationRepository
 from banyanswitch.components.configuration.watchers import choose_watchers
 from banyanswitch.exceptions import PlatformError
-from banyanswitch.interfaces import PeerDirectory
+from banyanswitch.identifiers import InstanceId
+from banyanswitch.interfaces import Peer, PeerDirectory
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -57,6 +58,8 @@
         self._is_platform_readable = True
         self._peers_first_until_s = 0.0
         self._alone_until_s = 0.0
+        self._last_peers: tuple[Peer, ...] = ()
+        self._watchers: tuple[InstanceId, ...] = ()
 
     async def async_run(self) -> None:
         """Watch until cancelled."""
@@ -108,7 +111,10 @@
     def _is_read_due(self) -> bool:
         peers = self._directory.peers()
         this_instance = self._directory.this_instance().instance
-        if this_instance in choose_watchers(peers, WATCHER_COUNT):
+        if peers is not self._last_peers:
+            self._last_peers = peers
+            self._watchers = choose_watchers(peers, WATCHER_COUNT)
+        if this_instance in self._watchers:
             return True
         now_s = asyncio.get_running_loop().time()
         if self._coordinator.content.revision == 0:
--- /dev/null
+++ b/tests/components/kv_cache/test_cache_events.py
@@ -0,0 +1,89 @@
+"""The cache view follows events that are late, missing or start again."""
+
+import pytest
+
+from banyanswitch.components.configuration.packed_records import PackedRecords
+from banyanswitch.components.configuration.view import HeldConfiguration
+from banyanswitch.components.kv_cache.cache_events import CacheEventPoller
+from banyanswitch.components.kv_cache.engine_client import EngineCacheEvent
+from banyanswitch.config.records import to_records
+from banyanswitch.decisions.cache_view import CacheEventKind, CacheView
+from banyanswitch.decisions.prefix import cache_salt, chained_piece_hashes
+from tests.config.test_validation import UPSTREAM, VALID
+from tests.fakes.kv import FakeEngine, FakeKvStore
+
+KEYS = chained_piece_hashes(b"x" * 30, 10, cache_salt("shop", "v1"))
+
+
+@pytest.fixture
+def engine() -> FakeEngine:
+    engine = FakeEngine(FakeKvStore())
+    for sequence, key in enumerate(KEYS, start=1):
+        add_event(engine, sequence, CacheEventKind.STORED, key)
+    return engine
+
+
+def add_event(
+    engine: FakeEngine, sequence: int, kind: CacheEventKind, key: str
+) -> None:
+    engine.events.append(EngineCacheEvent(sequence, kind, key, "v1"))
+    if kind is CacheEventKind.STORED:
+        engine.compute(key)
+    else:
+        engine.cache.pop(key, None)
+
+
+def make_poller(engine: FakeEngine, view: CacheView) -> CacheEventPoller:
+    held = HeldConfiguration()
+    held.replace(1, PackedRecords.from_records(to_records(VALID)))
+    return CacheEventPoller(held, engine, view)
+
+
+def cached_pieces(view: CacheView) -> int:
+    matches = view.matches(KEYS)
+    return matches[0].pieces if matches else 0
+
+
+async def test_events_are_taken_over_once(engine: FakeEngine) -> None:
+    view = CacheView()
+    poller = make_poller(engine, view)
+    await poller.async_poll(UPSTREAM)
+    assert (cached_pieces(view), engine.list_reads) == (3, 0)
+    add_event(engine, 4, CacheEventKind.EVICTED, KEYS[2])
+    await poller.async_poll(UPSTREAM)
+    assert (cached_pieces(view), engine.list_reads) == (2, 0)
+
+
+@pytest.mark.parametrize("lost", [[0], [1], [0, 1]])
+async def test_missing_events_lead_to_a_read_of_all_keys(
+    engine: FakeEngine, lost: list[int]
+) -> None:
+    view = CacheView()
+    poller = make_poller(engine, view)
+    for index in reversed(lost):
+        del engine.events[index]
+    await poller.async_poll(UPSTREAM)
+    assert (cached_pieces(view), engine.list_reads) == (3, 1)
+    add_event(engine, 4, CacheEventKind.EVICTED, KEYS[2])
+    await poller.async_poll(UPSTREAM)
+    assert (cached_pieces(view), engine.list_reads) == (2, 1)
+
+
+async def test_engine_that_started_again_is_read_anew(engine: FakeEngine) -> None:
+    view = CacheView()
+    poller = make_poller(engine, view)
+    await poller.async_poll(UPSTREAM)
+    engine.events.clear()
+    engine.cache.clear()
+    add_event(engine, 1, CacheEventKind.STORED, KEYS[0])
+    await poller.async_poll(UPSTREAM)
+    assert (cached_pieces(view), engine.list_reads) == (1, 1)
+
+
+async def test_engine_that_does_not_answer_changes_nothing(engine: FakeEngine) -> None:
+    view = CacheView()
+    poller = make_poller(engine, view)
+    await poller.async_poll(UPSTREAM)
+    engine.is_down = True
+    await poller.async_poll(UPSTREAM)
+    assert cached_pieces(view) == 3
--- /dev/null
+++ b/tests/components/kv_cache/test_transfers.py
@@ -0,0 +1,262 @@
+"""No reader gets a block that is freed, partly written or someone else's."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import pytest
+
+from banyanswitch.components.kv_cache.const import FREE_GRACE_S, IMPORT_DEADLINE_S
+from banyanswitch.components.kv_cache.errors import (
+    ManifestRefusedError,
+    StoredPrefixLostError,
+    StoreUnavailableError,
+    TransferError,
+    UpstreamTransferError,
+)
+from banyanswitch.components.kv_cache.manifests import (
+    decode_manifest,
+    encode_manifest,
+    manifest_name,
+)
+from banyanswitch.components.kv_cache.models import ImportOrder, Manifest
+from banyanswitch.components.kv_cache.pins import PinTable
+from banyanswitch.components.kv_cache.transfers import (
+    PrefixTransferrer,
+    TransferRoute,
+)
+from banyanswitch.decisions.prefix import cache_salt, chained_piece_hashes
+from banyanswitch.decisions.reuse_models import Export, StoreTier
+from tests.fakes.kv import FakeEngine, FakeKvStore
+
+ROUTE = TransferRoute("http://engine", "http://store")
+KEYS = chained_piece_hashes(b"x" * 40, 10, cache_salt("shop", "v1"))
+NAME = manifest_name(KEYS[-1])
+EXPORT = Export(
+    workspace="shop",
+    weight_version="v1",
+    upstream="r1",
+    store="s1",
+    tier=StoreTier.MEMORY,
+    manifest=KEYS[-1],
+    piece_hashes=KEYS,
+    stored_pieces=0,
+    size_bytes=40,
+)
+ORDER = ImportOrder(
+    workspace="shop",
+    weight_version="v1",
+    upstream="r2",
+    store="s1",
+    manifest=KEYS[-1],
+    pieces=len(KEYS),
+    piece_hashes=KEYS,
+)
+
+
+@dataclass
+class Bed:
+    store: FakeKvStore
+    source: FakeEngine
+    target: FakeEngine
+    exporter: PrefixTransferrer
+    importer: PrefixTransferrer
+    other_instance: PrefixTransferrer
+
+
+@pytest.fixture
+def bed() -> Bed:
+    store = FakeKvStore()
+    source, target = FakeEngine(store), FakeEngine(store)
+    source.compute(*KEYS)
+    pins = PinTable()
+    return Bed(
+        store,
+        source,
+        target,
+        PrefixTransferrer(store, source, pins, "a"),
+        PrefixTransferrer(store, target, pins, "b"),
+        PrefixTransferrer(store, target, PinTable(), "c"),
+    )
+
+
+def change_manifest(bed: Bed, change: Callable[[Manifest], Manifest]) -> None:
+    manifest = decode_manifest(bed.store.manifests[NAME])
+    bed.store.manifests[NAME] = encode_manifest(change(manifest))
+
+
+async def test_manifest_is_written_after_the_last_block(bed: Bed) -> None:
+    manifest = await bed.exporter.async_export(EXPORT, ROUTE)
+    assert bed.store.log.index("put_manifest") > max(
+        index for index, call in enumerate(bed.store.log) if call == "put_block"
+    )
+    assert [piece.key for piece in manifest.pieces] == list(KEYS)
+    assert await bed.importer.async_import(ORDER, ROUTE) == len(KEYS)
+    assert bed.target.cache == bed.source.cache
+
+
+async def test_blocks_of_two_generations_have_different_names(bed: Bed) -> None:
+    first = await bed.exporter.async_export(EXPORT, ROUTE)
+    bed.store.manifests.clear()
+    second = await bed.exporter.async_export(EXPORT, ROUTE)
+    names = {piece.block for piece in first.pieces + second.pieces}
+    assert len(names) == 2 * len(KEYS)
+
+
+async def test_prefix_that_is_stored_already_is_not_written_again(bed: Bed) -> None:
+    first = await bed.exporter.async_export(EXPORT, ROUTE)
+    assert await bed.importer.async_export(EXPORT, ROUTE) == first
+    assert len(bed.store.blocks) == len(KEYS)
+
+
+async def test_longer_prefix_keeps_the_blocks_of_the_shorter_one(bed: Bed) -> None:
+    short = replace(EXPORT, manifest=KEYS[1], piece_hashes=KEYS[:2])
+    shorter = await bed.exporter.async_export(short, ROUTE)
+    longer = await bed.exporter.async_export(
+        replace(EXPORT, stored_pieces=2, replaces=KEYS[1]), ROUTE
+    )
+    assert longer.pieces[:2] == shorter.pieces
+    assert set(bed.store.manifests) == {NAME}
+    assert len(bed.store.blocks) == len(KEYS)
+    assert await bed.importer.async_import(ORDER, ROUTE) == len(KEYS)
+
+
+@pytest.mark.parametrize("broken_after", [0, 2, 3])
+async def test_engine_that_dies_in_an_export_leaves_no_manifest(
+    bed: Bed, broken_after: int
+) -> None:
+    bed.source.breaks_after_blocks = broken_after
+    with pytest.raises(UpstreamTransferError):
+        await bed.exporter.async_export(EXPORT, ROUTE)
+    assert (bed.store.manifests, bed.store.blocks) == ({}, {})
+
+
+async def test_prefix_evicted_in_part_is_not_published(bed: Bed) -> None:
+    del bed.source.cache[KEYS[2]]
+    with pytest.raises(UpstreamTransferError):
+        await bed.exporter.async_export(EXPORT, ROUTE)
+    assert (bed.store.manifests, bed.store.blocks) == ({}, {})
+
+
+@pytest.mark.parametrize("call", ["put_block", "put_manifest"])
+async def test_store_that_dies_in_an_export_holds_nothing_readable(
+    bed: Bed, call: str
+) -> None:
+    bed.store.failing_calls = {call}
+    with pytest.raises(StoreUnavailableError):
+        await bed.exporter.async_export(EXPORT, ROUTE)
+    bed.store.failing_calls.clear()
+    with pytest.raises(StoredPrefixLostError):
+        await bed.importer.async_import(ORDER, ROUTE)
+    assert bed.target.cache == {}
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [lambda block: block[:-1], lambda block: b"", lambda block: block[::-1]],
+    ids=["torn", "empty", "corrupt"],
+)
+@pytest.mark.parametrize("position", [0, 3])
+async def test_damaged_block_is_not_imported(
+    bed: Bed, damage: Callable[[bytes], bytes], position: int
+) -> None:
+    manifest = await bed.exporter.async_export(EXPORT, ROUTE)
+    name = manifest.pieces[position].block
+    bed.store.blocks[name] = damage(bed.store.blocks[name])
+    with pytest.raises(StoredPrefixLostError):
+        await bed.importer.async_import(ORDER, ROUTE)
+    assert bed.target.cache == {}
+
+
+async def test_cut_off_manifest_is_not_read(bed: Bed) -> None:
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    bed.store.manifests[NAME] = bed.store.manifests[NAME][:-10]
+    with pytest.raises(StoredPrefixLostError):
+        await bed.importer.async_import(ORDER, ROUTE)
+
+
+async def test_pieces_whose_digest_differs_are_dropped(bed: Bed) -> None:
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    bed.target.echoes_other_digests = True
+    with pytest.raises(StoredPrefixLostError):
+        await bed.importer.async_import(ORDER, ROUTE)
+    assert bed.target.cache == {}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda manifest: replace(manifest, workspace="other"),
+        lambda manifest: replace(manifest, weight_version="v2"),
+        lambda manifest: replace(manifest, cache_salt=cache_salt("other", "v1")),
+        lambda manifest: replace(manifest, pieces=manifest.pieces[1:]),
+        lambda manifest: replace(manifest, pieces=manifest.pieces[::-1]),
+        lambda manifest: replace(manifest, pieces=()),
+    ],
+    ids=["workspace", "version", "salt", "first_missing", "reordered", "empty"],
+)
+async def test_manifest_of_something_else_is_refused(
+    bed: Bed, change: Callable[[Manifest], Manifest]
+) -> None:
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    change_manifest(bed, change)
+    with pytest.raises(ManifestRefusedError):
+        await bed.importer.async_import(ORDER, ROUTE)
+    assert bed.target.cache == {}
+
+
+def test_names_of_workspaces_and_versions_differ() -> None:
+    salts = [("shop", "v1"), ("shop", "v2"), ("shopv", "1"), ("other", "v1")]
+    names = {
+        manifest_name(chained_piece_hashes(b"x" * 40, 10, cache_salt(*salt))[-1])
+        for salt in salts
+    }
+    assert len(names) == len(salts)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("reader", ["importer", "other_instance"])
+async def test_prefix_freed_while_it_is_read(bed: Bed, reader: str) -> None:
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    bed.target.read_s = IMPORT_DEADLINE_S / (len(KEYS) + 1)
+    transferrer: PrefixTransferrer = getattr(bed, reader)
+    reading = asyncio.create_task(transferrer.async_import(ORDER, ROUTE))
+    await asyncio.sleep(0.1)
+    freeing = asyncio.create_task(bed.exporter.async_free(ROUTE.store_url, NAME))
+    await asyncio.sleep(0.1)
+    with pytest.raises(StoredPrefixLostError):
+        await transferrer.async_import(ORDER, ROUTE)
+    assert await reading == len(KEYS)
+    assert bed.target.cache == bed.source.cache
+    assert await freeing
+    assert (bed.store.manifests, bed.store.blocks) == ({}, {})
+
+
+@pytest.mark.looptime
+async def test_prefix_exported_again_while_it_is_freed_is_kept(bed: Bed) -> None:
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    freeing = asyncio.create_task(bed.exporter.async_free(ROUTE.store_url, NAME))
+    await asyncio.sleep(1.0)
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    assert await freeing
+    assert await bed.importer.async_import(ORDER, ROUTE) == len(KEYS)
+
+
+@pytest.mark.looptime
+async def test_blocks_stay_if_the_manifest_can_not_be_deleted(bed: Bed) -> None:
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    bed.store.failing_calls = {"delete_manifest"}
+    assert not await bed.exporter.async_free(ROUTE.store_url, NAME)
+    await asyncio.sleep(2 * FREE_GRACE_S)
+    assert await bed.importer.async_import(ORDER, ROUTE) == len(KEYS)
+
+
+@pytest.mark.looptime
+async def test_import_that_takes_too_long_is_dropped(bed: Bed) -> None:
+    await bed.exporter.async_export(EXPORT, ROUTE)
+    bed.target.read_s = IMPORT_DEADLINE_S
+    started_at_s = asyncio.get_running_loop().time()
+    with pytest.raises(TransferError):
+        await bed.importer.async_import(ORDER, ROUTE, deadline_s=1.0)
+    assert asyncio.get_running_loop().time() - started_at_s == pytest.approx(1.0)
+    assert bed.target.cache == {}
--- /dev/null
+++ b/tests/fakes/kv.py
@@ -0,0 +1,132 @@
+"""KV stores and engines in memory, with scripted faults."""
+
+import asyncio
+import hashlib
+from dataclasses import dataclass, field
+
+from banyanswitch.components.kv_cache.engine_client import (
+    EngineCacheEvent,
+    EngineEvents,
+    EngineKeys,
+    ExportCall,
+    ImportCall,
+    ImportedPiece,
+)
+from banyanswitch.components.kv_cache.errors import (
+    StoredPrefixLostError,
+    StoreUnavailableError,
+    UpstreamTransferError,
+)
+from banyanswitch.components.kv_cache.models import PieceBlock
+from banyanswitch.components.kv_cache.store_client import StoreStatus
+
+
+def digest_of(content: bytes) -> str:
+    return hashlib.sha256(content).hexdigest()
+
+
+@dataclass
+class FakeKvStore:
+    """Stands in for ``KvStoreClient``; one store whatever the URL."""
+
+    blocks: dict[str, bytes] = field(default_factory=dict)
+    manifests: dict[str, bytes] = field(default_factory=dict)
+    log: list[str] = field(default_factory=list)
+    is_down: bool = False
+    failing_calls: set[str] = field(default_factory=set)
+
+    def check(self, call: str) -> None:
+        if self.is_down or call in self.failing_calls:
+            raise StoreUnavailableError("store is down")
+
+    def put_block(self, name: str, content: bytes) -> None:
+        self.check("put_block")
+        self.log.append("put_block")
+        self.blocks[name] = content
+
+    async def async_put_manifest(self, url: str, name: str, content: bytes) -> None:
+        self.check("put_manifest")
+        self.log.append("put_manifest")
+        self.manifests[name] = content
+
+    async def async_get_manifest(self, url: str, name: str) -> bytes | None:
+        self.check("get_manifest")
+        return self.manifests.get(name)
+
+    async def async_delete_manifest(self, url: str, name: str) -> None:
+        self.check("delete_manifest")
+        self.log.append("delete_manifest")
+        self.manifests.pop(name, None)
+
+    async def async_delete_block(self, url: str, name: str) -> None:
+        self.check("delete_block")
+        self.log.append("delete_block")
+        self.blocks.pop(name, None)
+
+    async def async_status(self, url: str) -> StoreStatus:
+        self.check("status")
+        used = sum(map(len, self.blocks.values()))
+        return StoreStatus(used, 1000, 0, 1000)
+
+
+@dataclass
+class FakeEngine:
+    """Stands in for ``EngineCacheClient``; one engine whatever the URL."""
+
+    store: FakeKvStore
+    cache: dict[str, bytes] = field(default_factory=dict)
+    events: list[EngineCacheEvent] = field(default_factory=list)
+    read_s: float = 0.0
+    echoes_other_digests: bool = False
+    breaks_after_blocks: int | None = None
+    is_down: bool = False
+    list_reads: int = 0
+
+    def compute(self, *keys: str) -> None:
+        for key in keys:
+            self.cache[key] = f"kv of {key}".encode()
+
+    async def async_export(self, url: str, call: ExportCall) -> tuple[PieceBlock, ...]:
+        written: list[PieceBlock] = []
+        for number, key in enumerate(call.keys):
+            if number == self.breaks_after_blocks:
+                raise UpstreamTransferError("engine died")
+            if key not in self.cache:
+                continue
+            name = f"{call.block_prefix}{key}"
+            content = self.cache[key]
+            self.store.put_block(name, content)
+            written.append(PieceBlock(key, name, digest_of(content), len(content)))
+        return tuple(written)
+
+    async def async_import(
+        self, url: str, call: ImportCall
+    ) -> tuple[ImportedPiece, ...]:
+        fetched: dict[str, bytes] = {}
+        for piece in call.pieces:
+            await asyncio.sleep(self.read_s)
+            content = self.store.blocks.get(piece.block)
+            if content is None or digest_of(content) != piece.digest:
+                raise StoredPrefixLostError("missing or corrupt block")
+            fetched[piece.key] = content
+        self.cache.update(fetched)
+        if self.echoes_other_digests:
+            return tuple(ImportedPiece(key, "0" * 64) for key in fetched)
+        return tuple(ImportedPiece(key, digest_of(c)) for key, c in fetched.items())
+
+    async def async_drop(self, url: str, keys: tuple[str, ...]) -> None:
+        for key in keys:
+            self.cache.pop(key, None)
+
+    async def async_events(self, url: str, after: int) -> EngineEvents:
+        if self.is_down:
+            raise UpstreamTransferError("engine is down")
+        events = tuple(event for event in self.events if event.sequence > after)
+        newest = self.events[-1].sequence if self.events else 0
+        oldest = self.events[0].sequence if self.events else 0
+        return EngineEvents(events, oldest, newest)
+
+    async def async_keys(self, url: str) -> EngineKeys:
+        self.list_reads += 1
+        newest = self.events[-1].sequence if self.events else 0
+        return EngineKeys(tuple(self.cache), newest)
--- a/tests/fakes/peers.py
+++ b/tests/fakes/peers.py
@@ -35,6 +35,7 @@
 
     def __post_init__(self) -> None:
         self.random = random.Random(self.seed)
+        self._live_peers: tuple[Peer, ...] = ()
 
     def add(self, number: int, domain: str = "") -> "FakeNode":
         name = f"i{number:03d}"
@@ -47,10 +48,18 @@
         )
         node = FakeNode(self, peer)
         self.nodes[peer.peer_address] = node
+        self._live_peers = ()
         return node
 
     def remove(self, node: "FakeNode") -> None:
         del self.nodes[node.peer.peer_address]
+        self._live_peers = ()
+
+    def live_peers(self) -> tuple[Peer, ...]:
+        if not self._live_peers:
+            nodes = sorted(self.nodes.items())
+            self._live_peers = tuple(node.peer for _, node in nodes)
+        return self._live_peers
 
     def is_reachable(self, sender: str, receiver: str) -> bool:
         return all((sender in part) == (receiver in part) for part in self.partitions)
@@ -102,4 +111,4 @@
     def peers(self) -> tuple[Peer, ...]:
         if not self.network.is_discovered:
             return (self.peer,)
-        return tuple(node.peer for _, node in sorted(self.network.nodes.items()))
+        return self.network.live_peers()
