Keep an undecodable record from ending the handling of messages

Cause: decoding happened while the view was being changed, and its error ended the task that handles messages; seen by taking the check of digests out: a forged record did not get in, but only since the task died (test_content_that_does_not_match... passed for the wrong reason; its forged record is a decodable one now). Change: all changes are decoded before anything is replaced; a content that can't be decoded is refused with an error in the log.

--- a/src/banyanswitch/components/configuration/catalog.py
+++ b/src/banyanswitch/components/configuration/catalog.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Any, cast
 
+from banyanswitch.components.configuration.decoded_changes import DecodedChange
 from banyanswitch.config.models import (
     KvStore,
     Link,
@@ -14,9 +15,7 @@
 )
 from banyanswitch.config.records import (
     RETENTION_KEY,
-    RecordChange,
     RecordKind,
-    decode_record,
     record_kind,
 )
 from banyanswitch.identifiers import ServiceName, UpstreamId
@@ -35,7 +34,7 @@
         self._stores: tuple[KvStore, ...] = ()
         self._links: tuple[Link, ...] = ()
 
-    def apply(self, changes: Iterable[RecordChange]) -> None:
+    def apply(self, changes: Iterable[DecodedChange]) -> None:
         """Take over changes; those of workspaces are passed by."""
         is_changed = False
         for change in changes:
@@ -43,11 +42,10 @@
             if kind is RecordKind.WORKSPACE:
                 continue
             is_changed = True
-            if change.value is None:
+            if change.after is None:
                 self._records[kind].pop(change.key, None)
                 continue
-            record = decode_record(change.key, change.value)
-            self._records[kind][change.key] = record
+            self._records[kind][change.key] = change.after
         if is_changed:
             self._index()
 
--- a/src/banyanswitch/components/configuration/coordinator.py
+++ b/src/banyanswitch/components/configuration/coordinator.py
@@ -18,6 +18,7 @@
     REQUEST_TIMEOUT_S,
 )
 from banyanswitch.components.configuration.delta_log import DeltaLog
+from banyanswitch.components.configuration.errors import ContentError
 from banyanswitch.components.configuration.models import (
     Bucket,
     BucketsDelivered,
@@ -293,7 +294,16 @@
         return True
 
     def _replace(self, content: Content) -> bool:
-        if not self._held.replace(content.revision, content.records):
+        try:
+            is_replaced = self._held.replace(content.revision, content.records)
+        except ContentError as error:
+            LOGGER.error(
+                "configuration_not_usable",
+                revision=content.revision,
+                reason=str(error),
+            )
+            return False
+        if not is_replaced:
             return False
         LOGGER.info("configuration_in_force", revision=content.revision)
         self._bus.publish(ConfigurationChanged(content.revision))
--- a/src/banyanswitch/components/configuration/view.py
+++ b/src/banyanswitch/components/configuration/view.py
@@ -5,11 +5,12 @@
 
 from banyanswitch.components.configuration.catalog import Catalog
 from banyanswitch.components.configuration.const import DECODED_WORKSPACES
-from banyanswitch.components.configuration.key_index import KeyEntry, KeyIndex
-from banyanswitch.components.configuration.packed_records import (
-    PackedRecords,
-    bucket_index,
+from banyanswitch.components.configuration.decoded_changes import (
+    DecodedChange,
+    decoded_changes,
 )
+from banyanswitch.components.configuration.key_index import KeyEntry, KeyIndex
+from banyanswitch.components.configuration.packed_records import PackedRecords
 from banyanswitch.components.configuration.workspace_cache import (
     WorkspaceCache,
     has_key,
@@ -23,12 +24,7 @@
     WeightRelease,
     Workspace,
 )
-from banyanswitch.config.records import (
-    RecordChange,
-    RecordKind,
-    decode_record,
-    difference,
-)
+from banyanswitch.config.records import RecordKind, decode_record
 from banyanswitch.core import callback
 from banyanswitch.identifiers import ServiceName, UpstreamId, WorkspaceId
 
@@ -73,14 +69,15 @@
         is_replaced : bool
             Whether the revision is later than the one in force; an earlier one
             has no effect.
+
+        Raises
+        ------
+        ContentError
+            If a record can't be decoded; nothing has changed then.
         """
         if revision <= self._revision:
             return False
-        changes: list[RecordChange] = []
-        for index in self._records.differing_buckets(records):
-            before = dict(self._records.bucket_items(index))
-            after = dict(records.bucket_items(index))
-            changes += difference(before, after)
+        changes = decoded_changes(self._records, records)
         self._update_workspaces(changes)
         self._catalog.apply(changes)
         self._revision = revision
@@ -153,21 +150,19 @@
                 return workspace
         return None
 
-    def _update_workspaces(self, changes: Sequence[RecordChange]) -> None:
+    def _update_workspaces(self, changes: Sequence[DecodedChange]) -> None:
         removed: list[KeyEntry] = []
         added: list[KeyEntry] = []
         for change in changes:
             if not change.key.startswith(_WORKSPACE_PREFIX):
                 continue
             self._cache.remove(change.key)
-            removed += _key_entries(change.key, self._records.get(change.key))
-            added += _key_entries(change.key, change.value)
+            removed += _key_entries(change.bucket, change.before)
+            added += _key_entries(change.bucket, change.after)
         self._key_index.update(removed, added)
 
 
-def _key_entries(key: str, value: bytes | None) -> list[KeyEntry]:
-    if value is None:
+def _key_entries(bucket: int, workspace: Workspace | None) -> list[KeyEntry]:
+    if workspace is None:
         return []
-    workspace = cast(Workspace, decode_record(key, value))
-    bucket = bucket_index(key)
     return [KeyEntry(key_digest, bucket) for key_digest in workspace.key_digests]
--- a/tests/components/configuration/test_spread.py
+++ b/tests/components/configuration/test_spread.py
@@ -15,6 +15,7 @@
 )
 from banyanswitch.components.configuration.repository import ConfigurationRepository
 from banyanswitch.config import Configuration
+from banyanswitch.config.records import RecordChange, encode_record
 from banyanswitch.interfaces import ConfigurationChanged
 from tests.components.configuration.builders import (
     Cluster,
@@ -194,10 +195,39 @@
     node = cluster.nodes[0]
     delta = await make_delta(cluster, limited(FEW, 0, 7))
     assert delta.changes is not None
-    forged_change = replace(delta.changes[0], value=b"\x80")
+    other_value = encode_record(replace(FEW.workspaces[0], key_digests=("f" * 64,)))
+    forged_change = replace(delta.changes[0], value=other_value)
     node.node.receive(DeltasDelivered((replace(delta, changes=(forged_change,)),)))
     wrong_base = replace(delta, base_digest=b"0" * 32)
     node.node.receive(DeltasDelivered((wrong_base,)))
     node.node.receive(ManifestDelivered("tcp://i001", 2, b"short"))
     await asyncio.sleep(1.0)
     assert node.held.revision == 1
+
+
+@pytest.mark.looptime
+async def test_record_that_can_not_be_decoded_stops_nothing_else(
+    cluster: Cluster,
+) -> None:
+    await start_with(cluster, 2)
+    node = cluster.nodes[0]
+    content = node.coordinator.content
+    change = RecordChange("workspace/newer", b"\x80")
+    records = content.records.changed([change])
+    newer = Delta(
+        revision=2,
+        base_digest=content.records.digest,
+        digest=records.digest,
+        operator="lan",
+        attempt="a",
+        accepted_at_unix_s=0.0,
+        change_count=1,
+        changes=(change,),
+    )
+    node.node.receive(DeltasDelivered((newer,)))
+    await asyncio.sleep(1.0)
+    assert node.held.revision == 1
+    old = cluster.start_one()
+    await seconds_until(lambda: old.held.revision == 1)
+    await apply(cluster.table, limited(FEW, 0, 7))
+    await seconds_until(lambda: cluster.revisions() == {2})
