Cut a caller that does not read its stream for a minute

Cause (found by reading): a caller that stopped to read held its place at the upstream and in admission for ever; buffers were bounded, the time was not. The watchdog of reads now watches writes as well. A first test over real sockets was dropped before it was committed: the kernel's buffers take a whole answer, so it showed nothing.

--- a/src/banyanswitch/components/gateway/relay.py
+++ b/src/banyanswitch/components/gateway/relay.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from banyanswitch.components.gateway.problems import problem_document
+from banyanswitch.components.gateway.slow_reader import CallerWrites
 from banyanswitch.components.metrics.const import Counter, Timing
 from banyanswitch.components.metrics.recorder import MetricRecorder
 from banyanswitch.components.routing.calls import ModelCall, ResumeCall
@@ -14,6 +15,7 @@
 from banyanswitch.components.routing.model_runs import ModelRuns
 from banyanswitch.components.routing.models import OpenRun, RunLostError
 from banyanswitch.components.routing.run_stream import RunStream
+from banyanswitch.components.routing.watchdog import StreamWatchdog
 from banyanswitch.components.streams.verifier import VerifiedChunk
 from banyanswitch.const import (
     CONTENT_TYPE_EVENT_STREAM,
@@ -43,6 +45,7 @@
         self._configuration = kernel.require(ConfigurationView)
         self._runs = runs
         self._metrics = kernel.require(MetricRecorder)
+        self._watchdog = kernel.require(StreamWatchdog)
 
     async def async_relay_call(
         self, request: web.Request, call: ModelCall
@@ -109,11 +112,13 @@
         first: VerifiedChunk | None,
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=_headers(stream))
+        writes = CallerWrites(request, response)
+        self._watchdog.add(writes)
         try:
             await response.prepare(request)
             chunk = first
             while chunk is not None:
-                await response.write(chunk.content)
+                await writes.async_write(chunk.content)
                 chunk = await stream.async_next()
         except RunLostError as error:
             self._metrics.count(Counter.STREAMS_LOST)
@@ -122,6 +127,7 @@
             self._abandon(stream)
             raise
         finally:
+            self._watchdog.discard(writes)
             stream.release()
         await response.write_eof()
         return response
--- a/src/banyanswitch/components/routing/__init__.py
+++ b/src/banyanswitch/components/routing/__init__.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.routing.pools import UpstreamPools
 from banyanswitch.components.routing.retries import Retries
 from banyanswitch.components.routing.upstream_client import UpstreamClient
+from banyanswitch.components.routing.watchdog import StreamWatchdog
 from banyanswitch.core import REGISTRY, Kernel
 from banyanswitch.helpers.run_identity import RunIdentityCodec
 from banyanswitch.interfaces import ConfigurationView, IdempotencyStore
@@ -28,11 +29,21 @@
         kernel.require(RunIdentityCodec),
         generator,
     )
+    watchdog = StreamWatchdog(kernel)
+    kernel.provide(StreamWatchdog, watchdog)
     kernel.on_stop(DOMAIN, client.async_close)
     kernel.provide(UpstreamPools, pools)
     kernel.provide(Placements, placements)
     kernel.provide(
-        ModelRuns, ModelRuns(kernel, placements, client, health=health, retries=retries)
+        ModelRuns,
+        ModelRuns(
+            kernel,
+            placements,
+            client,
+            health=health,
+            retries=retries,
+            watchdog=watchdog,
+        ),
     )
     kernel.provide(
         PlainCalls,
--- a/src/banyanswitch/components/routing/model_runs.py
+++ b/src/banyanswitch/components/routing/model_runs.py
@@ -30,7 +30,7 @@
     UpstreamClient,
     async_read_answer,
 )
-from banyanswitch.components.routing.watchdog import ReadWatchdog
+from banyanswitch.components.routing.watchdog import StreamWatchdog
 from banyanswitch.components.streams.verifier import VerifiedChunk
 from banyanswitch.const import (
     HEADER_CACHE_SALT,
@@ -70,6 +70,8 @@
         Told which upstreams fail.
     retries : Retries
         Bounds the repeated attempts.
+    watchdog : StreamWatchdog
+        Interrupts transfers that take too long.
     """
 
     def __init__(
@@ -80,13 +82,14 @@
         *,
         health: UpstreamHealth,
         retries: Retries,
+        watchdog: StreamWatchdog,
     ) -> None:
+        self._watchdog = watchdog
         self._kernel = kernel
         self._placements = placements
         self._client = client
         self._health = health
         self._retries = retries
-        self._watchdog = ReadWatchdog(kernel)
         self._importer: PrefixImporter | None = None
 
     @callback
--- a/src/banyanswitch/components/routing/run_stream.py
+++ b/src/banyanswitch/components/routing/run_stream.py
@@ -17,7 +17,7 @@
     UpstreamRejectedError,
 )
 from banyanswitch.components.routing.upstream_client import UpstreamClient
-from banyanswitch.components.routing.watchdog import ReadWatchdog
+from banyanswitch.components.routing.watchdog import StreamWatchdog
 from banyanswitch.components.streams.verifier import (
     EventVerifier,
     StreamFault,
@@ -36,7 +36,7 @@
     ----------
     client : UpstreamClient
         Opens further connections.
-    watchdog : ReadWatchdog
+    watchdog : StreamWatchdog
         Interrupts reads that take too long.
     target : StreamTarget
         The run and the upstream that has it.
@@ -51,7 +51,7 @@
     def __init__(
         self,
         client: UpstreamClient,
-        watchdog: ReadWatchdog,
+        watchdog: StreamWatchdog,
         target: StreamTarget,
         *,
         next_offset: int = 0,
--- a/src/banyanswitch/components/routing/watchdog.py
+++ b/src/banyanswitch/components/routing/watchdog.py
@@ -1,7 +1,7 @@
-"""Watchdog that interrupts reads which take too long.
+"""Watchdog that interrupts reads and writes of streams which take too long.
 
-One timer for all streams costs less than a timeout for each read, of which there is
-one a token.
+One timer for all streams costs less than a timeout for each read and write, of which
+there is one a token.
 """
 
 import asyncio
@@ -12,18 +12,18 @@
 CHECK_S = 0.5
 
 
-class WatchedRead(Protocol):
-    """A reader that the watchdog may interrupt."""
+class WatchedTransfer(Protocol):
+    """A reader or writer that the watchdog may interrupt."""
 
     def is_overdue(self, now_s: float) -> bool:
-        """Return whether the present read has taken too long."""
+        """Return whether the present transfer has taken too long."""
 
     def interrupt(self) -> None:
-        """Let the present read fail."""
+        """Let the present transfer fail."""
 
 
-class ReadWatchdog:
-    """Check all registered readers regularly.
+class StreamWatchdog:
+    """Check all registered transfers regularly.
 
     Parameters
     ----------
@@ -33,23 +33,23 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
-        self._reads: set[WatchedRead] = set()
-        kernel.create_task(self._async_run(), "watch reads of streams")
+        self._transfers: set[WatchedTransfer] = set()
+        kernel.create_task(self._async_run(), "watch streams")
 
     @callback
-    def add(self, read: WatchedRead) -> None:
-        """Watch a reader."""
-        self._reads.add(read)
+    def add(self, transfer: WatchedTransfer) -> None:
+        """Watch a transfer."""
+        self._transfers.add(transfer)
 
     @callback
-    def discard(self, read: WatchedRead) -> None:
-        """Stop to watch a reader."""
-        self._reads.discard(read)
+    def discard(self, transfer: WatchedTransfer) -> None:
+        """Stop to watch a transfer."""
+        self._transfers.discard(transfer)
 
     async def _async_run(self) -> None:
         while True:
             await asyncio.sleep(CHECK_S)
             now_s = self._kernel.now_s
-            for read in tuple(self._reads):
-                if read.is_overdue(now_s):
-                    read.interrupt()
+            for transfer in tuple(self._transfers):
+                if transfer.is_overdue(now_s):
+                    transfer.interrupt()
