--- a/bench/demo/steps.py
+++ b/bench/demo/steps.py
@@ -48,11 +48,12 @@
 
 async def async_address(state: DemoState) -> str:
     """Ask an entry which address to use."""
-    urls = await state.caller.async_addresses(state.url)
+    addresses = await state.caller.async_addresses(state.url)
     known = {entry.url for entry in state.fleet.entries}
+    urls = addresses.urls
     require(bool(urls) and set(urls) <= known, f"addresses: {urls}")
     state.url = urls[0]
-    return f"{len(urls)} addresses, first {urls[0]}"
+    return f"{len(urls)} addresses for {addresses.ttl_s:g} s, first {urls[0]}"
 
 
 async def async_long_prompt(state: DemoState) -> str:
@@ -146,7 +147,10 @@
     await asyncio.gather(*callers)
     require(not report.failures, f"cut or wrong: {report.failures[:3]}")
     require(status == 0, f"exit status {status}")
-    return f"{report.answered} requests, 0 cut, exit status {status}"
+    return (
+        f"{report.answered} requests answered, {report.refused.total()} refused, 0 cut, "
+        f"exit status {status}"
+    )
 
 
 async def async_wait(condition: Callable[[], bool], what: str) -> None:
--- a/bench/faults/__main__.py
+++ b/bench/faults/__main__.py
@@ -36,6 +36,7 @@
         "slots": 32,
         "keep_runs_s": 20.0,
     },
+    plain_options={"work_s": 0.02},
     entry_settings={
         "address_ttl_s": 1.0,
         "lease_s": 3.0,
@@ -90,8 +91,8 @@
         asyncio.timeout(RUN_TIMEOUT_S),
     ):
         callers = [Caller(session, key) for key in KEYS]
-        context = CallerContext(callers, urls, ledger, requests)
         faults = asyncio.create_task(async_run_faults(run, ledger, requests))
+        context = CallerContext(callers, urls, ledger, requests, faults.done)
         await asyncio.gather(
             *(async_call_until_done(context, seed + i) for i in range(CALLERS))
         )
