--- a/src/banyanswitch/components/shutdown/coordinator.py
+++ b/src/banyanswitch/components/shutdown/coordinator.py
@@ -11,6 +11,8 @@
 from banyanswitch.settings import EntrySettings
 
 LOGGER = structlog.get_logger(__name__)
+SPREAD_HEARTBEATS = 3.0
+"""Time in which all peers hear that this instance is leaving, in heartbeats."""
 
 
 class ShutdownCoordinator:
@@ -43,14 +45,16 @@
     async def async_run(self) -> None:
         """Return when the stop was requested and no request is in progress.
 
-        Callers may use the addresses that they hold until these have run out, so the
+        Callers may use the addresses that they hold until these have run out, and
+        peers that have not heard of the stop yet still give them out, so the
         instance goes on serving for that long.
         """
         await self._requested.wait()
         LOGGER.info("stop_requested", in_progress=self._server.activity.count)
         self._membership.begin_leaving()
         self._kernel.bus.publish(ShutdownStarted())
-        await asyncio.sleep(self._settings.address_ttl_s)
+        spread_s = SPREAD_HEARTBEATS * self._settings.heartbeat_s
+        await asyncio.sleep(self._settings.address_ttl_s + spread_s)
         is_idle = await self._server.async_drain(self._settings.drain_timeout_s)
         LOGGER.info(
             "stop_drained", is_idle=is_idle, in_progress=self._server.activity.count
--- a/src/banyanswitch/composition.py
+++ b/src/banyanswitch/composition.py
@@ -22,6 +22,7 @@
     "addresses",
     "admission",
     "routing",
+    "kv_cache",
     "weights",
     "metrics",
     "gateway",
