--- a/tests/fakes/table.py
+++ b/tests/fakes/table.py
@@ -35,9 +35,11 @@
     """Implements ``TableStore`` and ``ObjectStore``.
 
     Faults are taken from ``write_faults``, one a transaction; ``None`` is no fault.
+    ``latency_s`` passes before an effect, ``answer_latency_s`` after it.
     """
 
     latency_s: float = 0.0
+    answer_latency_s: float = 0.0
     late_s: float = 5.0
     is_down: bool = False
     write_faults: list[TableFault | None] = field(default_factory=list)
@@ -81,6 +83,8 @@
             self.late_tasks.append(late)
             raise PlatformOutcomeUnknownError("no answer in time")
         revisions = self.apply(writes)
+        if self.answer_latency_s:
+            await asyncio.sleep(self.answer_latency_s)
         if fault is TableFault.LOSE_ANSWER:
             raise PlatformOutcomeUnknownError("answer lost")
         return revisions
--- /dev/null
+++ b/tests/models/test_claim_model.py
@@ -0,0 +1,115 @@
+"""The claim protocol holds, and the model finds faults planted in it."""
+
+import pytest
+from hypothesis.stateful import run_state_machine_as_test
+
+from banyanswitch.components.idempotency import TableClaimStore
+from banyanswitch.components.idempotency.models import (
+    OpenClaim,
+    Settlement,
+)
+from banyanswitch.components.idempotency.settler import ClaimSettler
+from banyanswitch.exceptions import PlatformOutcomeUnknownError
+from banyanswitch.identifiers import WorkspaceId
+from banyanswitch.interfaces import ClaimResult, ClaimState, Item
+from tests.models.claim_machine import ClaimMachine
+from tests.models.machine import MODEL_SETTINGS, PLANTED_SETTINGS
+
+
+class TrustsUnknownOutcome(TableClaimStore):
+    """Takes a claim whose write got no answer for its own."""
+
+    async def _async_claim_absent(self, claim: OpenClaim) -> ClaimResult:
+        try:
+            return await super()._async_claim_absent(claim)
+        except PlatformOutcomeUnknownError:
+            return self._claimed(claim, 1)
+
+
+class WritesUnconditionally(TableClaimStore):
+    """Claims a key whatever its record says."""
+
+    async def _async_write_claim(
+        self, claim: OpenClaim, expected_revision: int | None
+    ) -> ClaimResult:
+        return await super()._async_write_claim(claim, expected_revision=None)
+
+
+class TakesOverSilentClaims(TableClaimStore):
+    """Claims a key anew when its claimant has been silent."""
+
+    async def _async_claim_present(self, claim: OpenClaim, item: Item) -> ClaimResult:
+        result = await super()._async_claim_present(claim, item)
+        if result.state is ClaimState.OUTCOME_UNKNOWN:
+            return await self._async_take_over(claim, item.revision)
+        return result
+
+
+class ForgetsExpiredKeys(TableClaimStore):
+    """Takes an expired key for a new call."""
+
+    async def _async_claim_present(self, claim: OpenClaim, item: Item) -> ClaimResult:
+        result = await super()._async_claim_present(claim, item)
+        if result.state is ClaimState.EXPIRED:
+            return await self._async_take_over(claim, item.revision)
+        return result
+
+
+class RemembersUnsentTooEarly(TableClaimStore):
+    """Lets another claim take over before the first one has given up."""
+
+    def _new_claim(self, record_key: str, request_digest: str) -> OpenClaim:
+        claim = super()._new_claim(record_key, request_digest)
+        self._remember_unsent(claim.record.attempt)
+        return claim
+
+
+class AbandonDeletes(TableClaimStore):
+    """Frees the key of a call that was sent."""
+
+    async def async_abandon(
+        self, workspace: WorkspaceId, key: str, attempt: str
+    ) -> None:
+        await self.async_release(workspace, key, attempt)
+
+
+class SettlesForeignRecords(TableClaimStore):
+    """Deletes a record without comparing its attempt."""
+
+    def __init__(self, **parameters: object) -> None:
+        super().__init__(**parameters)
+        self._settler = _CarelessSettler(self._table, self._objects, self._batcher)
+
+
+class _CarelessSettler(ClaimSettler):
+    async def _async_read_revision(
+        self, claim: OpenClaim, settlement: Settlement
+    ) -> int | None:
+        items = await self._table.async_get([claim.record_key])
+        return items[0].revision if items else None
+
+
+VIOLATIONS = "claimed again|two attempts hold|executed twice|another answer"
+PLANTED = [
+    TrustsUnknownOutcome,
+    WritesUnconditionally,
+    TakesOverSilentClaims,
+    ForgetsExpiredKeys,
+    RemembersUnsentTooEarly,
+    AbandonDeletes,
+    SettlesForeignRecords,
+]
+
+
+def machine_of(store: type[TableClaimStore]) -> type[ClaimMachine]:
+    return type("Machine", (ClaimMachine,), {"store_type": store})
+
+
+def test_claim_protocol() -> None:
+    run_state_machine_as_test(machine_of(TableClaimStore), settings=MODEL_SETTINGS)
+
+
+@pytest.mark.parametrize("store", PLANTED)
+def test_planted_fault_is_found(store: type[TableClaimStore]) -> None:
+    with pytest.raises(AssertionError, match=VIOLATIONS):
+        run_state_machine_as_test(machine_of(store), settings=PLANTED_SETTINGS)
--- /dev/null
+++ b/tests/models/test_lease_model.py
@@ -0,0 +1,95 @@
+"""The lease protocol holds, and the model finds faults planted in it."""
+
+import pytest
+from hypothesis.stateful import run_state_machine_as_test
+
+from banyanswitch.components.lease.duty import Duty
+from banyanswitch.components.lease.models import Observation
+from banyanswitch.interfaces import Item, Lease, Write
+from tests.components.lease.conftest import LEASE_S
+from tests.models.lease_machine import LeaseMachine
+from tests.models.machine import MODEL_SETTINGS, PLANTED_SETTINGS
+
+
+class CountsTooLong(Duty):
+    """Counts its lease half a duration too long, as if from a late answer."""
+
+    def on_written(self, write: Write, revision: int, sent_at_s: float) -> None:
+        super().on_written(write, revision, sent_at_s)
+        assert self._lease is not None
+        late_s = LEASE_S / 2
+        self._lease = Lease(
+            self.name, self._lease.fencing_token, self._lease.expires_at_s + late_s
+        )
+
+
+class TakesAtOnce(Duty):
+    """Takes a lease without waiting for its end."""
+
+    def _is_free(self, seen: Observation, now_s: float) -> bool:
+        return True
+
+
+class IgnoresRevisions(Duty):
+    """Writes whatever the record's revision is."""
+
+    def _write(self, fencing_token: int, renewal: int, revision: int) -> Write:
+        write = super()._write(fencing_token, renewal, revision)
+        return Write(write.key, write.value, None)
+
+
+class KeepsToken(Duty):
+    """Takes a lease under the token of the holder before."""
+
+    def _write(self, fencing_token: int, renewal: int, revision: int) -> Write:
+        is_taking = renewal == 0 and revision > 0
+        token = fencing_token - 1 if is_taking else fencing_token
+        return super()._write(token, renewal, revision)
+
+
+class CountsFromFirstSight(Duty):
+    """Waits from when it saw the record first, not its last renewal."""
+
+    def observe(self, item: Item | None, now_s: float) -> None:
+        before = self._seen
+        super().observe(item, now_s)
+        if before is None or self._seen is None:
+            return
+        self._seen = Observation(
+            self._seen.revision, self._seen.record, before.seen_at_s
+        )
+
+
+class GivesBackLate(Duty):
+    """Goes on holding what it has given back."""
+
+    def release_write(self) -> Write | None:
+        lease = self._lease
+        write = super().release_write()
+        self._lease = lease
+        return write
+
+
+VIOLATIONS = "two holders|token shared|token went down"
+PLANTED = [
+    CountsTooLong,
+    TakesAtOnce,
+    IgnoresRevisions,
+    KeepsToken,
+    CountsFromFirstSight,
+    GivesBackLate,
+]
+
+
+def machine_of(duty: type[Duty]) -> type[LeaseMachine]:
+    return type("Machine", (LeaseMachine,), {"duty_type": duty})
+
+
+def test_lease_protocol() -> None:
+    run_state_machine_as_test(machine_of(Duty), settings=MODEL_SETTINGS)
+
+
+@pytest.mark.parametrize("duty", PLANTED)
+def test_planted_fault_is_found(duty: type[Duty]) -> None:
+    with pytest.raises(AssertionError, match=VIOLATIONS):
+        run_state_machine_as_test(machine_of(duty), settings=PLANTED_SETTINGS)
