--- a/bench/capacity/entry_cost.py
+++ b/bench/capacity/entry_cost.py
@@ -12,13 +12,14 @@
 
 from bench.capacity.slopes import fit_fields, save
 from bench.fleet import Fleet, FleetPlan
-from bench.processes import ProcessGroup
+from bench.processes import ProcessError, ProcessGroup
 
 SEED = 0
 ENTRIES = (4, 8, 16, 32, 64)
 ENGINES = 8
 SETTLE_S = 10.0
 MEASURE_S = 15.0
+STARTS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +50,17 @@
 
 
 def measure(count: int) -> EntryPoint:
-    """Measure one number of entries."""
+    """Measure one number of entries; start anew if a port was taken meanwhile."""
+    for _ in range(STARTS - 1):
+        try:
+            return measure_once(count)
+        except ProcessError as error:
+            print(f"{count} entries did not start: {str(error)[-80:]}")
+    return measure_once(count)
+
+
+def measure_once(count: int) -> EntryPoint:
+    """Start entries, let them settle and measure them."""
     with ProcessGroup() as group:
         fleet = Fleet(group, FleetPlan(entries=count, engines=ENGINES))
         fleet.apply()
--- /dev/null
+++ b/bench/capacity/loss_cost.py
@@ -0,0 +1,109 @@
+"""Membership when a failure domain is lost and when two regions lose each other.
+
+Run ``python -m bench.capacity.loss_cost``.
+"""
+
+import asyncio
+import sys
+from dataclasses import dataclass
+
+from bench.capacity.membership_cost import (
+    FAILURE_DOMAINS,
+    SETTLE_S,
+    Instances,
+    async_until,
+    make_member,
+)
+from bench.capacity.slopes import fit_fields, save
+from bench.capacity.virtual import run_virtual
+
+SEED = 1
+INSTANCES = (16, 32, 64, 128, 330)
+CUT_S = 180.0
+REGIONS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class LossPoint:
+    """What all instances together went through.
+
+    Parameters
+    ----------
+    domain_known_s : float
+        Time until all others knew that a sixth died at once.
+    domain_bytes_per_s : float
+        Bytes a second of the busiest instance during that time.
+    cut_known_s : float
+        Time until each region had only itself as live.
+    heal_s : float
+        Time from the end of the cut until all knew all.
+    heal_bytes_per_s : float
+        Bytes a second of the busiest instance during that time.
+    """
+
+    instances: int
+    domain_known_s: float
+    domain_bytes_per_s: float
+    cut_known_s: float
+    heal_s: float
+    heal_bytes_per_s: float
+
+
+async def async_measure(count: int) -> LossPoint:
+    """Measure one number of instances."""
+    instances = Instances(count)
+    network = instances.network
+    for number in range(count):
+        instances.start(number)
+    await asyncio.sleep(SETTLE_S)
+
+    network.clear()
+    lost = [number for number in range(count) if number % FAILURE_DOMAINS == 1]
+    for number in lost:
+        await instances.async_kill(number)
+    domain_known_s = await async_until(lambda: instances.all_know(count - len(lost)))
+    domain_bytes = max(network.totals()) / domain_known_s
+    for number in lost:
+        instances.start(number, incarnation=2)
+    await asyncio.sleep(SETTLE_S)
+
+    for number in range(count):
+        network.group_of[make_member(number).peer_address] = number % REGIONS
+    cut_known_s = await async_until(lambda: instances.all_know(count // REGIONS))
+    await asyncio.sleep(CUT_S - cut_known_s)
+    network.clear()
+    network.group_of.clear()
+    heal_s = await async_until(lambda: instances.all_know(count))
+    heal_bytes = max(network.totals()) / heal_s
+    await instances.async_close()
+    return LossPoint(
+        instances=count,
+        domain_known_s=domain_known_s,
+        domain_bytes_per_s=domain_bytes,
+        cut_known_s=cut_known_s,
+        heal_s=heal_s,
+        heal_bytes_per_s=heal_bytes,
+    )
+
+
+def main() -> None:
+    """Measure all points and write them."""
+    counts = [int(argument) for argument in sys.argv[1:]] or INSTANCES
+    points = [run_virtual(async_measure(count)) for count in counts]
+    for point in points:
+        print(point)
+    save(
+        "loss",
+        command="python -m bench.capacity.loss_cost",
+        seed=SEED,
+        series={"points": points},
+        fits=fit_fields(
+            points,
+            "instances",
+            ("domain_known_s", "domain_bytes_per_s", "heal_s", "heal_bytes_per_s"),
+        ),
+    )
+
+
+if __name__ == "__main__":
+    main()
