Show the import of an evicted prefix in the demo

Cause: the model service of the small fleet had the default size of a piece, 256 MB, at which a link of 50 MB/s rightly exports nothing.

--- a/bench/demo/steps.py
+++ b/bench/demo/steps.py
@@ -23,6 +23,11 @@
 SLOW_ANSWER_TOKENS: Final = 400
 STEP_TIMEOUT_S: Final = 15.0
 CALLERS: Final = 8
+MANIFEST_S: Final = 1.0
+"""Time from the first stored block to the manifest, in seconds."""
+
+CACHE_EVENTS_S: Final = 2.0
+"""Time in which entries hear of evictions, in seconds."""
 
 Step = Callable[["DemoState"], Awaitable[str]]
 
@@ -69,8 +74,10 @@
 async def async_evicted_prompt(state: DemoState) -> str:
     """Send the prompt again after the engines lost its prefix."""
     await async_wait(lambda: _stored_bytes(state.fleet) > 0, "the prefix is stored")
+    await asyncio.sleep(MANIFEST_S)
     stored_bytes = _stored_bytes(state.fleet)
     await asyncio.to_thread(_evict_all, state.fleet)
+    await asyncio.sleep(CACHE_EVENTS_S)
     answer, recomputed_tokens = await _async_long(state)
     require(
         recomputed_tokens < PROMPT_TOKENS / 2,
@@ -148,8 +155,8 @@
     require(not report.failures, f"cut or wrong: {report.failures[:3]}")
     require(status == 0, f"exit status {status}")
     return (
-        f"{report.answered} requests answered, {report.refused.total()} refused, 0 cut, "
-        f"exit status {status}"
+        f"{report.answered} requests answered, {report.refused.total()} refused, "
+        f"0 cut, exit status {status}"
     )
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -47,6 +47,7 @@
 KEYS: Final = ("key-of-the-first-workspace", "key-of-the-second-workspace")
 STORE_BYTES: Final = 64 * 1024 * 1024
 LINK_BYTES_PER_S: Final = 50_000_000.0
+PIECE_SIZE_BYTES: Final = 16_384
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -228,6 +229,7 @@
                     name=MODEL,
                     kind=ServiceKind.MODEL,
                     weight_version=FIRST_VERSION,
+                    piece_size_bytes=PIECE_SIZE_BYTES,
                     swap=SwapPolicy(loads_at_once=1),
                 ),
                 Service(name=PLAIN, kind=ServiceKind.PLAIN),
