Keep batch work in the entry's queue and refuse by what came true

Cause: in the surge (three times capacity) batch work was piled up at the upstreams by all entries within one lag of the load reports, its expected time was exceeded (mean expected 15 s, seen 24 to 30 s), and long first tokens came just after their target; batch work in slots also kept short requests waiting. Change: batch requests go only to upstreams with less than 5 s of queue and wait in the entry, in the order of arrival, after a check that the expected wait times a margin fits; starts are spaced by the lag of the reports; expected times are multiplied by how late first tokens came of late. Left: refusals of queued requests come up to 36 s late.

--- a/bench/decisions/entry.py
+++ b/bench/decisions/entry.py
@@ -55,7 +55,13 @@
 )
 from bench.decisions.baselines import reported_at_s
 from bench.decisions.engine import Engine
-from bench.decisions.fleet import EVENT_LAG_S, REPORT_LAG_S, Dispatch, Fleet
+from bench.decisions.fleet import (
+    EVENT_LAG_S,
+    REPORT_EVERY_S,
+    REPORT_LAG_S,
+    Dispatch,
+    Fleet,
+)
 from bench.decisions.recorder import LONG_TARGET_S, SHORT_TARGET_S, Outcome
 from bench.decisions.storage import Store
 from bench.decisions.workload import Request, hashes_of
@@ -102,10 +108,11 @@
         self.planner = ReusePlanner(
             self._reuse_settings(), self.view, self._links, self._generator
         )
-        self._admission = Admission(AdmissionPolicy(capacity=self._capacity()))
+        self._admission = Admission(self._admission_policy())
         self._retrier = Retrier(RetryPolicy(), self._generator, 0.0)
         self._ejector = Ejector(EjectionPolicy(), self._generator)
         self._waiting: dict[RunId, _Call] = {}
+        self._is_advance_due = False
         self._reported_at_s = -1.0
         self._sequences: dict[UpstreamId, int] = {}
         for store in fleet.stores.values():
@@ -131,7 +138,7 @@
                 limits=LIMITS,
                 serving_entries=self._deployment.entries_per_workspace,
                 priority=request.priority,
-                latest_start_s=call.latest_first_token_s,
+                latest_start_s=self._latest_start_s(call),
             ),
             now_s,
         )
@@ -142,6 +149,15 @@
             self._place(call)
             return
         self._waiting[call.run] = call
+        self._advance_later()
+
+    def _latest_start_s(self, call: _Call) -> float:
+        rate = self._deployment.prefill_tokens_per_s
+        service_s = call.request.prompt_tokens / rate
+        if call.request.is_long:
+            service_s += PlacementPolicy().batch_backlog_s
+        service_s *= self._placer.lateness(call.request.priority)
+        return call.latest_first_token_s - service_s
 
     def _place(self, call: _Call) -> None:
         self._refresh()
@@ -172,18 +188,35 @@
         call.placement = placement
         call.attempts += 1
         self._placer.on_sent(decision, now_s)
+        if self._waiting:
+            self._simulator.call_later(0.0, self._advance)
         if decision.import_first is None:
             self._send(call)
             return
         self._import(call, decision)
 
     def _not_placed(self, call: _Call, refuse: Refuse) -> None:
-        retry_at_s = self._simulator.now_s + BUSY_RETRY_S
-        may_wait = refuse.reason is RefuseReason.BUSY
-        if may_wait and retry_at_s < call.latest_first_token_s:
-            self._simulator.call_at(retry_at_s, lambda: self._place(call))
+        if refuse.reason is not RefuseReason.BUSY:
+            self._end_refused(call)
             return
-        self._end_refused(call)
+        answer = self._admission.on_busy(call.run, self._simulator.now_s)
+        if isinstance(answer, NotAdmitted):
+            self._refuse(call)
+            return
+        self._waiting[call.run] = call
+        self._advance_later()
+
+    def _advance_later(self) -> None:
+        if self._is_advance_due:
+            return
+        self._is_advance_due = True
+        self._simulator.call_later(BUSY_RETRY_S, self._advance_now)
+
+    def _advance_now(self) -> None:
+        self._is_advance_due = False
+        self._advance()
+        if self._waiting:
+            self._advance_later()
 
     def _import(self, call: _Call, place: Place) -> None:
         order = place.import_first
@@ -429,8 +462,13 @@
         }
         return choose_version(request.conversation, self._fleet.desired, serving)
 
-    def _capacity(self) -> int:
-        return self._deployment.slots * self._deployment.upstreams
+    def _admission_policy(self) -> AdmissionPolicy:
+        deployment = self._deployment
+        lag_s = REPORT_LAG_S + REPORT_EVERY_S
+        return AdmissionPolicy(
+            capacity=deployment.slots * deployment.upstreams,
+            batch_spacing_s=lag_s * deployment.entries / deployment.upstreams,
+        )
 
     def _reuse_settings(self) -> ReuseSettings:
         deployment = self._deployment
--- a/src/banyanswitch/decisions/admission.py
+++ b/src/banyanswitch/decisions/admission.py
@@ -12,8 +12,8 @@
 
 MIN_RETRY_AFTER_S: Final = 0.5
 MAX_RETRY_AFTER_S: Final = 60.0
-FINISH_TIME_SMOOTHING: Final = 0.1
-"""Weight of the latest interval between two finished requests in the mean."""
+START_SMOOTHING: Final = 0.2
+"""Weight of the latest interval between two starts from a queue in the mean."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,6 +32,14 @@
         Most requests that wait, for each priority.
     burst_s : float
         Time for which a workspace may save up its rate, in seconds.
+    wait_margin : float
+        A request is queued only if this many times its expected wait fits.
+    busy_s : float
+        Time without starts after all upstreams were full, in seconds.
+    batch_spacing_s : float
+        Least time between two batch starts after that. The instances together
+        should not start more, until load reports show it, than one request for
+        each upstream.
     """
 
     capacity: int = 64
@@ -39,6 +47,9 @@
     batch_every: int = 4
     max_queued: int = 256
     burst_s: float = 2.0
+    wait_margin: float = 1.25
+    busy_s: float = 0.05
+    batch_spacing_s: float = 0.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,14 +128,16 @@
 @dataclass(slots=True)
 class _Waiting:
     request: AdmissionRequest
+    number: int
     is_gone: bool = False
 
 
 class Admission:
     """Admit, queue or refuse the requests of one instance.
 
-    A request is queued only if it is expected to start in time, and a queued one
-    that can't any more is given up at once.
+    The queue of a priority keeps the order of arrival, so that a later request
+    can't delay one that was promised its start. A request is queued only if it is
+    expected to start in time, and one that can't any more is given up at once.
     """
 
     def __init__(self, policy: AdmissionPolicy) -> None:
@@ -133,14 +146,18 @@
         self._running: dict[RunId, AdmissionRequest] = {}
         self._running_batch = 0
         self._waiting: dict[RunId, _Waiting] = {}
-        self._queues: dict[Priority, list[tuple[float, int, _Waiting]]] = {
+        self._queues: dict[Priority, list[tuple[int, int, _Waiting]]] = {
             priority: [] for priority in Priority
         }
         self._queued = dict.fromkeys(Priority, 0)
+        self._numbers: dict[RunId, int] = {}
         self._arrivals = 0
+        self._pushes = 0
         self._grants = 0
-        self._finish_interval_s = 0.0
-        self._last_finish_s: float | None = None
+        self._start_interval_s = dict.fromkeys(Priority, 0.0)
+        self._last_start_s: dict[Priority, float | None] = dict.fromkeys(Priority)
+        self._closed_until_s = dict.fromkeys(Priority, 0.0)
+        self._is_probing = dict.fromkeys(Priority, False)
 
     @property
     def running_count(self) -> int:
@@ -159,28 +176,54 @@
         refusal = self._over_limit(request, use, now_s)
         if refusal is not None:
             return refusal
-        if self._has_room(request.priority) and not self._queued[request.priority]:
+        has_queue = self._queued[request.priority] > 0
+        if not has_queue and self._has_room(request.priority, now_s):
             use.bucket.try_spend(1.0, now_s)
+            self._last_start_s[request.priority] = None
             self._start(request, use)
             return Admitted(request.run)
         wait_s = self._expected_wait_s(request.priority)
         is_full = self._queued[request.priority] >= self._policy.max_queued
-        if is_full or now_s + wait_s > request.latest_start_s:
+        margin_s = self._policy.wait_margin * wait_s
+        if is_full or now_s + margin_s > request.latest_start_s:
             return _overloaded(request, wait_s)
         use.bucket.try_spend(1.0, now_s)
-        self._enqueue(request, use)
+        self._arrivals += 1
+        self._enqueue(request, use, self._arrivals)
         return Queued(request.run, wait_s)
 
+    def on_busy(self, run: RunId, now_s: float) -> Queued | NotAdmitted:
+        """Take back an admitted request for which all upstreams are full.
+
+        Its priority gets no starts for ``busy_s``, then one with each `advance`
+        until its queue is empty.
+        """
+        request = self._running.pop(run)
+        use = self._workspaces[request.workspace]
+        use.running -= 1
+        if request.priority is Priority.BATCH:
+            self._running_batch -= 1
+        busy_until_s = now_s + self._policy.busy_s
+        self._closed_until_s[request.priority] = busy_until_s
+        self._is_probing[request.priority] = True
+        wait_s = self._expected_wait_s(request.priority)
+        if now_s > request.latest_start_s:
+            return _overloaded(request, wait_s)
+        self._arrivals += 1
+        number = self._numbers.get(run, self._arrivals)
+        self._enqueue(request, use, number)
+        return Queued(run, wait_s)
+
     def on_finished(self, run: RunId, now_s: float) -> None:
         """Free the place of an admitted request, or drop a queued one."""
         request = self._running.pop(run, None)
+        self._numbers.pop(run, None)
         if request is None:
             self._cancel(run)
             return
         self._workspaces[request.workspace].running -= 1
         if request.priority is Priority.BATCH:
             self._running_batch -= 1
-        self._note_finish(now_s)
 
     def advance(self, now_s: float) -> tuple[Admitted | NotAdmitted, ...]:
         """Start queued requests that fit and give up those that are too late.
@@ -190,12 +233,18 @@
         results: list[Admitted | NotAdmitted] = []
         for priority in Priority:
             results.extend(self._give_up_late(priority, now_s))
+        probed: set[Priority] = set()
         while True:
-            waiting = self._next_waiting()
+            waiting = self._next_waiting(now_s, probed)
             if waiting is None:
                 return tuple(results)
             request = waiting.request
+            if self._is_probing[request.priority]:
+                probed.add(request.priority)
+                self._space_out(request.priority, now_s)
             self._remove(waiting)
+            self._numbers[request.run] = waiting.number
+            self._note_start(request.priority, now_s)
             self._start(request, self._workspaces[request.workspace])
             results.append(Admitted(request.run))
 
@@ -219,7 +268,7 @@
             return NotAdmitted(
                 request.run,
                 AdmissionRefusal.TOO_MANY_CONCURRENT,
-                _bounded_retry_s(self._finish_interval_s),
+                _bounded_retry_s(self._start_interval_s[request.priority]),
             )
         if use.bucket.level(now_s) >= 1.0:
             return None
@@ -229,7 +278,9 @@
             _bounded_retry_s(use.bucket.wait_s(1.0, now_s)),
         )
 
-    def _has_room(self, priority: Priority) -> bool:
+    def _has_room(self, priority: Priority, now_s: float) -> bool:
+        if now_s < self._closed_until_s[priority]:
+            return False
         if len(self._running) >= self._policy.capacity:
             return False
         if priority is Priority.INTERACTIVE:
@@ -243,13 +294,15 @@
         if request.priority is Priority.BATCH:
             self._running_batch += 1
 
-    def _enqueue(self, request: AdmissionRequest, use: _WorkspaceUse) -> None:
-        self._arrivals += 1
-        waiting = _Waiting(request)
+    def _enqueue(
+        self, request: AdmissionRequest, use: _WorkspaceUse, number: int
+    ) -> None:
+        waiting = _Waiting(request, number)
         use.queued += 1
         self._queued[request.priority] += 1
         self._waiting[request.run] = waiting
-        item = (request.latest_start_s, self._arrivals, waiting)
+        self._pushes += 1
+        item = (number, self._pushes, waiting)
         heapq.heappush(self._queues[request.priority], item)
 
     def _remove(self, waiting: _Waiting) -> None:
@@ -270,13 +323,13 @@
             heapq.heappop(queue)
         return queue[0][2] if queue else None
 
-    def _next_waiting(self) -> _Waiting | None:
-        interactive = self._head(Priority.INTERACTIVE)
-        batch = self._head(Priority.BATCH)
-        if batch is not None and not self._has_room(Priority.BATCH):
-            batch = None
-        if interactive is not None and not self._has_room(Priority.INTERACTIVE):
-            interactive = None
+    def _next_waiting(self, now_s: float, probed: set[Priority]) -> _Waiting | None:
+        heads: dict[Priority, _Waiting | None] = dict.fromkeys(Priority)
+        for priority in Priority:
+            if priority not in probed and self._has_room(priority, now_s):
+                heads[priority] = self._head(priority)
+        interactive = heads[Priority.INTERACTIVE]
+        batch = heads[Priority.BATCH]
         if interactive is None or batch is None:
             return interactive or batch
         self._grants += 1
@@ -284,27 +337,33 @@
 
     def _give_up_late(self, priority: Priority, now_s: float) -> list[NotAdmitted]:
         results: list[NotAdmitted] = []
-        while True:
-            head = self._head(priority)
-            if head is None or head.request.latest_start_s >= now_s:
-                return results
-            self._remove(head)
-            wait_s = self._expected_wait_s(priority)
-            results.append(_overloaded(head.request, wait_s))
+        for _, _, waiting in self._queues[priority]:
+            request = waiting.request
+            if waiting.is_gone or request.latest_start_s >= now_s:
+                continue
+            self._remove(waiting)
+            results.append(_overloaded(request, self._expected_wait_s(priority)))
+        return results
 
     def _expected_wait_s(self, priority: Priority) -> float:
-        ahead = self._queued[Priority.INTERACTIVE] + 1
-        if priority is Priority.BATCH:
-            ahead += self._queued[Priority.BATCH]
-        return ahead * self._finish_interval_s
+        return (self._queued[priority] + 1) * self._start_interval_s[priority]
 
-    def _note_finish(self, now_s: float) -> None:
-        last_s = self._last_finish_s
-        self._last_finish_s = now_s
-        if last_s is None or not self._waiting:
+    def _space_out(self, priority: Priority, now_s: float) -> None:
+        if priority is Priority.BATCH:
+            self._closed_until_s[priority] = now_s + self._policy.batch_spacing_s
+
+    def _note_start(self, priority: Priority, now_s: float) -> None:
+        last_s = self._last_start_s[priority]
+        self._last_start_s[priority] = now_s
+        if not self._queued[priority]:
+            self._is_probing[priority] = False
+        if last_s is None:
+            return
+        if self._start_interval_s[priority] == 0.0:
+            self._start_interval_s[priority] = now_s - last_s
             return
-        change_s = now_s - last_s - self._finish_interval_s
-        self._finish_interval_s += FINISH_TIME_SMOOTHING * change_s
+        change_s = now_s - last_s - self._start_interval_s[priority]
+        self._start_interval_s[priority] += START_SMOOTHING * change_s
 
 
 def _overloaded(request: AdmissionRequest, wait_s: float) -> NotAdmitted:
--- a/src/banyanswitch/decisions/in_flight.py
+++ b/src/banyanswitch/decisions/in_flight.py
@@ -79,6 +79,11 @@
         if not left:
             del self._by_upstream[sent.upstream]
 
+    def sent_at_s(self, run: RunId) -> float | None:
+        """Return the time at which a request was sent."""
+        sent = self._runs.get(run)
+        return sent.sent_at_s if sent is not None else None
+
     def estimate(
         self, view: UpstreamView, now_s: float, report_lag_s: float
     ) -> LoadEstimate:
--- a/src/banyanswitch/decisions/placement.py
+++ b/src/banyanswitch/decisions/placement.py
@@ -33,6 +33,12 @@
 
 HOME_PIECES: Final = 2
 MIN_WEIGHT: Final = 0.05
+MIN_LEARNT_S: Final = 1.0
+"""Shorter expected times say little about the load of the upstreams."""
+
+MOST_LATENESS: Final = 4.0
+LATENESS_SMOOTHING: Final = 0.1
+"""Weight of the latest first token in the mean."""
 
 
 @dataclass(slots=True)
@@ -108,6 +114,7 @@
         self._rng = rng
         self._policy = policy or PlacementPolicy()
         self._links = links
+        self._lateness = dict.fromkeys(Priority, 1.0)
 
     def place(
         self, request: PlacementRequest, pool: UpstreamPool, now_s: float
@@ -130,26 +137,28 @@
             known_pieces = max(known_pieces, source.stored.pieces)
         home = self._home(request, pool)
         options: list[_Option] = []
-        has_candidate = False
+        full: list[_Option] = []
         for upstream in self._candidates(request, pool, matches, home):
             view = pool.get(upstream)
             if view is None or not _may_serve(view, request):
                 continue
-            has_candidate = True
             load = self.in_flight.estimate(view, now_s, self._policy.report_lag_s)
-            if self._is_full(view, request, load):
-                continue
             cached = matches.get(upstream, 0)
             if cached:
                 cached = round(cached * self.cache_view.confidence(upstream, now_s))
             queue = self._queue(request, view, load)
-            options.append(_compute(request, view, queue, cached, known_pieces))
+            option = _compute(request, view, queue, cached, known_pieces)
+            if self._is_full(view, request, load):
+                full.append(option)
+                continue
+            options.append(option)
             if source is not None and source.stored.pieces > cached:
                 options.extend(_import(request, view, queue, cached, source))
         if not options:
-            return self._refusal(request, has_candidate)
+            return self._refusal(request, full, now_s)
         best = self._best(options, home)
-        if now_s + best.first_token_s > request.deadline_s:
+        late = self._lateness[request.priority]
+        if now_s + late * best.first_token_s > request.deadline_s:
             return Refuse(
                 run=request.run,
                 reason=RefuseReason.DEADLINE,
@@ -169,13 +178,27 @@
 
     def on_first_token(self, place: Place, now_s: float) -> None:
         """Note that the upstream has computed the whole prompt."""
+        self._note_lateness(place, now_s)
         self.in_flight.finish_prefill(place.run, now_s)
         self.cache_view.add(place.upstream, place.piece_hashes)
 
+    def lateness(self, priority: Priority) -> float:
+        """Return how many times the expected time first tokens took of late."""
+        return self._lateness[priority]
+
     def on_finished(self, place: Place, now_s: float) -> None:
         """Note that a request has ended, whatever its outcome."""
         self.in_flight.remove(place.run, now_s)
 
+    def _note_lateness(self, place: Place, now_s: float) -> None:
+        sent_at_s = self.in_flight.sent_at_s(place.run)
+        if sent_at_s is None or place.expected_first_token_s < MIN_LEARNT_S:
+            return
+        ratio = (now_s - sent_at_s) / place.expected_first_token_s
+        ratio = min(MOST_LATENESS, max(1.0, ratio))
+        change = ratio - self._lateness[place.priority]
+        self._lateness[place.priority] += LATENESS_SMOOTHING * change
+
     def _source(
         self, request: PlacementRequest, pool: UpstreamPool, now_s: float
     ) -> _Source | None:
@@ -219,6 +242,9 @@
         bound = view.slots * self._policy.queue_factor * view.weight
         if request.priority is Priority.BATCH:
             bound *= self._policy.batch_slot_share
+            backlog_s = load.prefill_tokens / view.prefill_tokens_per_s
+            if backlog_s > self._policy.batch_backlog_s:
+                return True
         return load.requests >= max(1.0, bound)
 
     def _queue(
@@ -245,11 +271,23 @@
                 return option
         return best
 
-    def _refusal(self, request: PlacementRequest, has_candidate: bool) -> Refuse:
-        reason = RefuseReason.BUSY if has_candidate else RefuseReason.NO_UPSTREAM
-        return Refuse(
-            run=request.run, reason=reason, retry_after_s=self._policy.retry_after_s
-        )
+    def _refusal(
+        self, request: PlacementRequest, full: list[_Option], now_s: float
+    ) -> Refuse:
+        retry_after_s = self._policy.retry_after_s
+        if not full:
+            return Refuse(
+                run=request.run,
+                reason=RefuseReason.NO_UPSTREAM,
+                retry_after_s=retry_after_s,
+            )
+        soonest_s = min(option.first_token_s for option in full)
+        soonest_s *= self._lateness[request.priority]
+        reason = RefuseReason.BUSY
+        if now_s + soonest_s > request.deadline_s:
+            reason = RefuseReason.DEADLINE
+            retry_after_s = max(retry_after_s, soonest_s)
+        return Refuse(run=request.run, reason=reason, retry_after_s=retry_after_s)
 
 
 def _compute(
--- a/src/banyanswitch/decisions/placement_models.py
+++ b/src/banyanswitch/decisions/placement_models.py
@@ -139,6 +139,9 @@
         Tokens that an engine computes before it turns to a request that goes first.
     unsure_wait_weight : float
         Cost of a second of queued work whose priority is not known.
+    batch_backlog_s : float
+        Longest queue at an upstream to which batch requests are added, in seconds;
+        the others wait here, where their order and deadlines are known.
     """
 
     samples: int = DEFAULT_SAMPLES
@@ -150,3 +153,4 @@
     retry_after_s: float = 1.0
     chunk_tokens: int = 1000
     unsure_wait_weight: float = 0.5
+    batch_backlog_s: float = 5.0
