Slow claims down when the table refuses writes

Cause: each instance's budget keeps claims from starving its own leases, but 20 instances whose budgets add up to twice the table's rate fill it with claims, and the table refuses leases with the rest. Change: after a 429 an instance halves the rate of its claims, at most once a second, and gains back 1% of the full rate a second.

--- a/src/banyanswitch/components/platform/const.py
+++ b/src/banyanswitch/components/platform/const.py
@@ -28,6 +28,15 @@
 CONFIGURATION_SHARE: Final = 0.1
 """Share of the write budget that configuration has for itself."""
 
+SLOWDOWN_INTERVAL_S: Final = 1.0
+"""Shortest time between two slowdowns of the claims, in seconds."""
+
+SPEED_UP_SHARE_PER_S: Final = 0.01
+"""Share of the claims' full rate that they gain back each second."""
+
+MIN_CLAIM_SPEED: Final = 0.02
+"""Share of the claims' full rate that they always keep."""
+
 BUDGET_BURST_S: Final = 2.0
 """Time for which unused write budget is kept, in seconds."""
 
--- a/src/banyanswitch/components/platform/table_store.py
+++ b/src/banyanswitch/components/platform/table_store.py
@@ -23,6 +23,7 @@
     PlatformError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
+    WriteBudgetExceededError,
 )
 from banyanswitch.interfaces import Item, Write, WriteClass
 
@@ -74,7 +75,11 @@
         now_s = asyncio.get_running_loop().time()
         self._budget.admit(write_class, len(writes), now_s)
         body = msgspec.json.encode(TransactRequest(list(writes)))
-        answer = await self._client.async_write("POST", "/table/transact", body)
+        try:
+            answer = await self._client.async_write("POST", "/table/transact", body)
+        except WriteBudgetExceededError:
+            self._budget.on_refused(asyncio.get_running_loop().time())
+            raise
         if answer.status == STATUS_CONFLICT:
             failed_keys = _decode_write_answer(answer, FailedKeysAnswer).failed_keys
             raise ConditionFailedError(failed_keys)
--- a/src/banyanswitch/components/platform/write_budget.py
+++ b/src/banyanswitch/components/platform/write_budget.py
@@ -1,5 +1,6 @@
 """Budget of table writes that the parts of one instance share."""
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -8,6 +9,9 @@
     CLAIM_SHARE,
     CONFIGURATION_SHARE,
     LEASE_SHARE,
+    MIN_CLAIM_SPEED,
+    SLOWDOWN_INTERVAL_S,
+    SPEED_UP_SHARE_PER_S,
 )
 from banyanswitch.exceptions import WriteBudgetExceededError
 from banyanswitch.interfaces import WriteClass
@@ -36,6 +40,11 @@
     def time_until_one_s(self) -> float:
         return max(0.0, (1.0 - self.level) / self.writes_per_s)
 
+    def slow_down(self, writes_per_s: float) -> None:
+        """Go on at another rate, without what was saved up."""
+        self.writes_per_s = writes_per_s
+        self.level = min(self.level, 0.0)
+
 
 class WriteBudget:
     """Admit transactions within a rate of written items, by class.
@@ -44,10 +53,14 @@
     classes may use what claims leave when their own share is spent, so that load
     can't cost an instance its leases.
 
+    The table's rate is shared with other instances that are not asked. When the
+    table refuses a write, claims go on at half their rate, and then a little faster
+    each second, so that the instances together stay near what the table takes.
+
     Parameters
     ----------
     writes_per_s : float
-        Items that all classes together may write, per second.
+        Items that all classes together may write at most, per second.
     now_s : float
         Loop time at which the budget starts, full.
     """
@@ -58,6 +71,9 @@
             rate = share * writes_per_s
             capacity = max(1.0, rate * BUDGET_BURST_S)
             self._buckets[write_class] = _Bucket(rate, capacity, capacity, now_s)
+        self._full_claims_per_s = CLAIM_SHARE * writes_per_s
+        self._slowed_at_s = -math.inf
+        self._sped_up_at_s = now_s
 
     def admit(self, write_class: WriteClass, writes: int, now_s: float) -> None:
         """Take one transaction out of the budget.
@@ -67,6 +83,7 @@
         WriteBudgetExceededError
             If what the class may use is spent; nothing is taken.
         """
+        self._speed_up(now_s)
         for bucket in self._buckets.values():
             bucket.fill(now_s)
         own = self._buckets[write_class]
@@ -77,3 +94,21 @@
         if claims.level < 1.0:
             raise WriteBudgetExceededError(own.time_until_one_s())
         claims.level -= writes
+
+    def on_refused(self, now_s: float) -> None:
+        """Take in that the table refused a write as too many."""
+        if now_s < self._slowed_at_s + SLOWDOWN_INTERVAL_S:
+            return
+        self._slowed_at_s = now_s
+        claims = self._buckets[WriteClass.CLAIM]
+        least_per_s = self._full_claims_per_s * MIN_CLAIM_SPEED
+        claims.slow_down(max(least_per_s, claims.writes_per_s / 2.0))
+        self._sped_up_at_s = now_s
+
+    def _speed_up(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._sped_up_at_s)
+        self._sped_up_at_s = now_s
+        gained_per_s = self._full_claims_per_s * SPEED_UP_SHARE_PER_S * elapsed_s
+        claims = self._buckets[WriteClass.CLAIM]
+        faster_per_s = claims.writes_per_s + gained_per_s
+        claims.writes_per_s = min(self._full_claims_per_s, faster_per_s)
