Delete what no configuration needs any more

content that returns would use an object that is about to be deleted; names now carry the attempt and are never used twice. Before: 3 whole contents leave 3 sets of objects; after: 1 (test_cleanup).

--- a/src/banyanswitch/components/configuration/__init__.py
+++ b/src/banyanswitch/components/configuration/__init__.py
@@ -2,14 +2,17 @@
 
 import random
 
+from banyanswitch.components.configuration.cleanup import ConfigurationCleanup
 from banyanswitch.components.configuration.const import DOMAIN
 from banyanswitch.components.configuration.coordinator import ConfigurationCoordinator
 from banyanswitch.components.configuration.repository import ConfigurationRepository
 from banyanswitch.components.configuration.store_watcher import StoreWatcher
 from banyanswitch.components.configuration.view import HeldConfiguration
 from banyanswitch.core import REGISTRY, Kernel
+from banyanswitch.helpers.wall_clock import WallClock
 from banyanswitch.interfaces import (
     ConfigurationView,
+    LeaseManager,
     ObjectStore,
     PeerDirectory,
     PeerTransport,
@@ -31,12 +34,22 @@
         kernel.require(TableStore), kernel.require(ObjectStore)
     )
     watcher = StoreWatcher(repository, coordinator, directory, generator)
+    cleanup = ConfigurationCleanup(
+        kernel.require(TableStore),
+        kernel.require(ObjectStore),
+        kernel.require(LeaseManager),
+        held,
+        kernel.require(WallClock),
+    )
     kernel.provide(ConfigurationView, held)
     kernel.create_task(coordinator.async_run_messages(), "configuration_messages")
     kernel.create_task(
         coordinator.async_run_announcements(), "configuration_announcements"
     )
     kernel.create_task(watcher.async_run(), "configuration_watcher")
+    kernel.create_task(cleanup.async_run(), "configuration_cleanup")
 
 
-REGISTRY.register(DOMAIN, async_setup, depends_on=("platform", "peers", "membership"))
+REGISTRY.register(
+    DOMAIN, async_setup, depends_on=("platform", "peers", "membership", "lease")
+)
--- a/src/banyanswitch/components/configuration/acceptance.py
+++ b/src/banyanswitch/components/configuration/acceptance.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import msgspec
+import structlog
 
 from banyanswitch.components.audit.codec import batch_key, encode_batch
 from banyanswitch.components.audit.models import AuditKind, AuditRecord
@@ -12,6 +13,8 @@
     delta_key,
     encode_delta,
     encode_head,
+    encode_superseded,
+    superseded_key,
 )
 from banyanswitch.components.configuration.const import (
     HEAD_KEY,
@@ -22,17 +25,20 @@
     AcceptanceUnknownError,
     RevisionConflictError,
 )
-from banyanswitch.components.configuration.models import Delta, Head
-from banyanswitch.components.configuration.packed_records import PackedRecords
+from banyanswitch.components.configuration.models import (
+    Delta,
+    Head,
+    SupersededObjects,
+)
 from banyanswitch.components.configuration.repository import (
-    EMPTY_BUCKET_DIGEST,
     EMPTY_CONTENT,
-    OBJECTS_AT_ONCE,
     AcceptedHead,
     ConfigurationRepository,
     Content,
-    bucket_name,
-    manifest_name,
+)
+from banyanswitch.components.configuration.snapshots import (
+    SnapshotWriter,
+    StoredSnapshot,
 )
 from banyanswitch.config.models import Configuration
 from banyanswitch.config.records import RecordChange, difference, to_records
@@ -44,6 +50,8 @@
 )
 from banyanswitch.interfaces import ObjectStore, TableStore, Write, WriteClass
 
+LOGGER = structlog.get_logger(__name__)
+
 MAX_TRIES: Final = 5
 RETRY_INTERVAL_S: Final = 0.5
 
@@ -74,15 +82,17 @@
 class ConfigurationAcceptor:
     """Put a configuration in force: all of it, or nothing.
 
-    Whatever the size of a change, the transaction writes the head, one delta and
-    the audit record. A change that is too large for a delta is stored as objects
-    before, which nothing refers to until the head does.
+    Whatever the size of a change, the transaction writes the head, one delta, the
+    audit record and sometimes a list of superseded objects. A change that is too
+    large for a delta is stored as objects before, which nothing refers to until the
+    head does.
     """
 
     def __init__(self, table: TableStore, objects: ObjectStore) -> None:
         self._table = table
         self._objects = objects
         self._repository = ConfigurationRepository(table, objects)
+        self._snapshots = SnapshotWriter(objects, self._repository)
 
     async def async_apply(
         self,
@@ -114,8 +124,13 @@
             return Acceptance(before.revision, ())
         after = Content(before.revision + 1, before.records.changed(changes))
         delta = _make_delta(before, after, changes, author)
-        head = await self._async_make_head(accepted.head, after, delta)
-        await self._async_commit(accepted, head, delta)
+        snapshot = await self._async_store_snapshot(accepted.head, after, delta)
+        head = _make_head(accepted.head, after, delta, snapshot)
+        try:
+            await self._async_commit(accepted, head, delta, snapshot)
+        except RevisionConflictError:
+            await self._async_delete_objects(snapshot)
+            raise
         return Acceptance(after.revision, changes)
 
     async def _async_content(self, head: Head | None) -> Content:
@@ -123,59 +138,39 @@
             return EMPTY_CONTENT
         return await self._repository.async_content(head, EMPTY_CONTENT)
 
-    async def _async_make_head(
-        self, before: Head | None, after: Content, delta: Delta
-    ) -> Head:
-        snapshot_revision = before.snapshot_revision if before else 0
-        snapshot_digest = before.snapshot_digest if before else b""
-        is_due = after.revision - snapshot_revision >= REVISIONS_PER_SNAPSHOT
-        if delta.changes is None or is_due:
-            await self._async_store_snapshot(before, after.records)
-            snapshot_revision = after.revision
-            snapshot_digest = after.records.digest
-        return Head(
-            revision=after.revision,
-            digest=after.records.digest,
-            operator=delta.operator,
-            attempt=delta.attempt,
-            accepted_at_unix_s=delta.accepted_at_unix_s,
-            snapshot_revision=snapshot_revision,
-            snapshot_digest=snapshot_digest,
-        )
-
     async def _async_store_snapshot(
-        self, before: Head | None, records: PackedRecords
-    ) -> None:
-        stored = {EMPTY_BUCKET_DIGEST}
-        if before is not None and before.snapshot_revision > 0:
-            manifest = await self._repository.async_manifest(before.snapshot_digest)
-            stored.update(manifest)
-        limit = asyncio.Semaphore(OBJECTS_AT_ONCE)
-        missing = [
-            index
-            for index in records.bucket_indexes()
-            if records.bucket_digest(index) not in stored
-        ]
-        await asyncio.gather(
-            *(self._async_store_bucket(records, index, limit) for index in missing)
-        )
-        await self._objects.async_put(manifest_name(records.digest), records.manifest)
+        self, head: Head | None, after: Content, delta: Delta
+    ) -> StoredSnapshot | None:
+        latest_revision = head.snapshot_revision if head is not None else 0
+        is_due = after.revision - latest_revision >= REVISIONS_PER_SNAPSHOT
+        if delta.changes is not None and not is_due:
+            return None
+        return await self._snapshots.async_write(head, after.records, delta.attempt)
 
-    async def _async_store_bucket(
-        self, records: PackedRecords, index: int, limit: asyncio.Semaphore
-    ) -> None:
-        name = bucket_name(records.bucket_digest(index))
-        async with limit:
-            await self._objects.async_put(name, records.packed_bucket(index))
+    async def _async_delete_objects(self, snapshot: StoredSnapshot | None) -> None:
+        """Delete what was written for a change that lost."""
+        if snapshot is None:
+            return
+        try:
+            for name in snapshot.written:
+                await self._objects.async_delete_object(name)
+        except PlatformError as error:
+            LOGGER.warning("objects_not_deleted", reason=str(error))
 
     async def _async_commit(
-        self, accepted: AcceptedHead, head: Head, delta: Delta
+        self,
+        accepted: AcceptedHead,
+        head: Head,
+        delta: Delta,
+        snapshot: StoredSnapshot | None,
     ) -> None:
-        writes = (
+        writes = [
             Write(HEAD_KEY, encode_head(head), accepted.item_revision),
             Write(delta_key(delta.revision), encode_delta(delta), 0),
             _audit_write(delta),
-        )
+        ]
+        if snapshot is not None and snapshot.superseded:
+            writes.append(_superseded_write(delta, snapshot))
         is_outcome_open = False
         for try_number in range(MAX_TRIES):
             if try_number > 0:
@@ -239,6 +234,36 @@
     )
 
 
+def _make_head(
+    before: Head | None,
+    after: Content,
+    delta: Delta,
+    snapshot: StoredSnapshot | None,
+) -> Head:
+    snapshot_revision = before.snapshot_revision if before else 0
+    snapshot_digest = before.snapshot_digest if before else b""
+    snapshot_name = before.snapshot_name if before else ""
+    if snapshot is not None:
+        snapshot_revision = after.revision
+        snapshot_digest = after.records.digest
+        snapshot_name = snapshot.name
+    return Head(
+        revision=after.revision,
+        digest=after.records.digest,
+        operator=delta.operator,
+        attempt=delta.attempt,
+        accepted_at_unix_s=delta.accepted_at_unix_s,
+        snapshot_revision=snapshot_revision,
+        snapshot_digest=snapshot_digest,
+        snapshot_name=snapshot_name,
+    )
+
+
+def _superseded_write(delta: Delta, snapshot: StoredSnapshot) -> Write:
+    superseded = SupersededObjects(delta.accepted_at_unix_s, snapshot.superseded)
+    return Write(superseded_key(delta.revision), encode_superseded(superseded))
+
+
 def _audit_write(delta: Delta) -> Write:
     record = AuditRecord(
         at_unix_s=delta.accepted_at_unix_s,
--- a/src/banyanswitch/components/configuration/const.py
+++ b/src/banyanswitch/components/configuration/const.py
@@ -6,7 +6,8 @@
 
 HEAD_KEY: Final = "config/head"
 DELTA_PREFIX: Final = "config/delta/"
-MANIFEST_OBJECT_PREFIX: Final = "config-manifest-"
+SUPERSEDED_PREFIX: Final = "config/superseded/"
+SNAPSHOT_OBJECT_PREFIX: Final = "config-snapshot-"
 BUCKET_OBJECT_PREFIX: Final = "config-bucket-"
 
 BUCKET_COUNT: Final = 256
@@ -63,3 +64,13 @@
 """Revisions whose digest is remembered, to refuse other content for them."""
 
 MAX_QUEUED_MESSAGES: Final = 256
+
+CLEANUP_LEASE: Final = "configuration/cleanup"
+CLEANUP_INTERVAL_S: Final = 3600.0
+SUPERSEDED_GRACE_S: Final = 3600.0
+"""Time for which objects stay after a head no longer refers to them.
+
+An instance that read the head before has read the objects by then.
+"""
+
+MAX_CLEANED_ITEMS: Final = 100
--- a/src/banyanswitch/components/configuration/models.py
+++ b/src/banyanswitch/components/configuration/models.py
@@ -20,6 +20,8 @@
         Latest revision whose content is stored as objects.
     snapshot_digest : bytes
         Digest of that revision's manifest.
+    snapshot_name : str
+        Object that holds its ``Snapshot``; empty if there is none.
     """
 
     revision: int
@@ -29,6 +31,32 @@
     accepted_at_unix_s: float
     snapshot_revision: int
     snapshot_digest: bytes
+    snapshot_name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Object that names the objects of one whole content.
+
+    Parameters
+    ----------
+    manifest : bytes
+        Digests of all buckets.
+    objects : tuple of str
+        Object of each bucket; empty for a bucket without records. No name is used
+        twice, so that an object that was given up can be deleted.
+    """
+
+    manifest: bytes
+    objects: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SupersededObjects:
+    """Item that names objects which no later head refers to."""
+
+    superseded_at_unix_s: float
+    names: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/banyanswitch/components/configuration/repository.py
+++ b/src/banyanswitch/components/configuration/repository.py
@@ -5,19 +5,20 @@
 from dataclasses import dataclass
 from typing import Final
 
+import msgspec
+
 from banyanswitch.components.configuration.codec import (
     decode_delta,
     decode_head,
+    decode_snapshot,
     delta_key,
 )
 from banyanswitch.components.configuration.const import (
-    BUCKET_OBJECT_PREFIX,
     DELTA_PREFIX,
     HEAD_KEY,
-    MANIFEST_OBJECT_PREFIX,
 )
 from banyanswitch.components.configuration.errors import ContentError
-from banyanswitch.components.configuration.models import Delta, Head
+from banyanswitch.components.configuration.models import Delta, Head, Snapshot
 from banyanswitch.components.configuration.packed_records import (
     BucketError,
     PackedRecords,
@@ -106,16 +107,28 @@
             content = _after_deltas(content, deltas)
         return content
 
-    async def async_manifest(self, digest: bytes) -> tuple[bytes, ...]:
-        """Return the digests of the buckets of stored content."""
-        name = manifest_name(digest)
-        manifest = await self._objects.async_get_object(name)
-        if manifest is None or hashlib.sha256(manifest).digest() != digest:
-            raise ContentError(f"object {name} is missing or damaged")
-        return split_manifest(manifest)
+    async def async_snapshot(self, head: Head) -> Snapshot:
+        """Return the snapshot that a head refers to.
+
+        Raises
+        ------
+        ContentError
+            If it is missing or does not match its digest.
+        """
+        content = await self._objects.async_get_object(head.snapshot_name)
+        if content is None:
+            raise ContentError(f"object {head.snapshot_name} is missing")
+        try:
+            snapshot = decode_snapshot(content)
+        except msgspec.MsgspecError as error:
+            raise ContentError(f"object {head.snapshot_name} is damaged") from error
+        if hashlib.sha256(snapshot.manifest).digest() != head.snapshot_digest:
+            raise ContentError(f"object {head.snapshot_name} is damaged")
+        return snapshot
 
     async def _async_snapshot(self, head: Head, held: Content) -> Content:
-        digests = await self.async_manifest(head.snapshot_digest)
+        snapshot = await self.async_snapshot(head)
+        digests = split_manifest(snapshot.manifest)
         differing = [
             index
             for index, digest in enumerate(digests)
@@ -123,16 +136,20 @@
         ]
         limit = asyncio.Semaphore(OBJECTS_AT_ONCE)
         buckets = await asyncio.gather(
-            *(self._async_bucket(digests[index], limit) for index in differing)
+            *(
+                self._async_bucket(snapshot.objects[index], digests[index], limit)
+                for index in differing
+            )
         )
         replacements = dict(zip(differing, buckets, strict=True))
         records = held.records.with_buckets(replacements)
         return Content(head.snapshot_revision, records)
 
-    async def _async_bucket(self, digest: bytes, limit: asyncio.Semaphore) -> bytes:
-        if digest == EMPTY_BUCKET_DIGEST:
+    async def _async_bucket(
+        self, name: str, digest: bytes, limit: asyncio.Semaphore
+    ) -> bytes:
+        if not name and digest == EMPTY_BUCKET_DIGEST:
             return b""
-        name = bucket_name(digest)
         async with limit:
             packed = await self._objects.async_get_object(name)
         if packed is None or not _is_bucket(packed, digest):
@@ -143,16 +160,6 @@
 EMPTY_BUCKET_DIGEST: Final = hashlib.sha256(b"").digest()
 
 
-def manifest_name(digest: bytes) -> str:
-    """Return the name of the object that holds a manifest."""
-    return MANIFEST_OBJECT_PREFIX + digest.hex()
-
-
-def bucket_name(digest: bytes) -> str:
-    """Return the name of the object that holds a bucket."""
-    return BUCKET_OBJECT_PREFIX + digest.hex()
-
-
 def _is_bucket(packed: bytes, digest: bytes) -> bool:
     try:
         return packed_digest(packed) == digest
--- /dev/null
+++ b/tests/components/configuration/test_cleanup.py
@@ -0,0 +1,107 @@
+"""Objects and deltas go when nothing needs them, and not before."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from banyanswitch.components.configuration.cleanup import ConfigurationCleanup
+from banyanswitch.components.configuration.const import (
+    REVISIONS_PER_SNAPSHOT,
+    SUPERSEDED_GRACE_S,
+)
+from banyanswitch.components.configuration.errors import RevisionConflictError
+from banyanswitch.components.configuration.view import HeldConfiguration
+from banyanswitch.config import Limits
+from banyanswitch.config.records import from_records
+from tests.components.audit.test_coordinator import Clock, Leases
+from tests.components.configuration.builders import (
+    apply,
+    limited,
+    make_configuration,
+)
+from tests.components.configuration.test_acceptance import read
+from tests.fakes.table import FakeTable
+
+MANY = make_configuration(2000)
+CHANGED = replace(
+    MANY,
+    workspaces=tuple(
+        replace(workspace, limits=Limits(concurrent_requests=7))
+        for workspace in MANY.workspaces
+    ),
+)
+ACCEPTED_AT_UNIX_S = 1000.0
+
+
+async def make_cleanup(
+    table: FakeTable, age_s: float, is_held: bool = True
+) -> ConfigurationCleanup:
+    held = HeldConfiguration()
+    content = await read(table)
+    held.replace(content.revision, content.records)
+    clock = Clock(ACCEPTED_AT_UNIX_S + age_s)
+    return ConfigurationCleanup(table, table, Leases(is_held), held, clock)
+
+
+@pytest.mark.parametrize(
+    ("age_s", "is_held", "snapshots"),
+    [
+        (SUPERSEDED_GRACE_S + 1, True, 1),
+        (SUPERSEDED_GRACE_S - 1, True, 3),
+        (SUPERSEDED_GRACE_S + 1, False, 3),
+    ],
+)
+async def test_superseded_objects_go_after_their_grace(
+    age_s: float, is_held: bool, snapshots: int
+) -> None:
+    table = FakeTable()
+    for configuration in (MANY, CHANGED, MANY):
+        await apply(table, configuration)
+    objects = len(table.objects) // 3
+    cleanup = await make_cleanup(table, age_s, is_held)
+    await cleanup.async_clean()
+    assert len(table.objects) == snapshots * objects
+    assert from_records((await read(table)).records.items()) == MANY
+
+
+async def test_unchanged_buckets_are_stored_once() -> None:
+    table = FakeTable()
+    await apply(table, MANY)
+    count = len(table.objects)
+    for number in range(REVISIONS_PER_SNAPSHOT):
+        await apply(table, limited(MANY, 0, number + 100))
+    assert len(table.objects) == count + 2
+    cleanup = await make_cleanup(table, SUPERSEDED_GRACE_S + 1)
+    await cleanup.async_clean()
+    assert len(table.objects) == count
+    last = limited(MANY, 0, REVISIONS_PER_SNAPSHOT + 99)
+    assert from_records((await read(table)).records.items()) == last
+
+
+@pytest.mark.looptime
+async def test_loser_of_a_race_deletes_its_objects() -> None:
+    table = FakeTable(latency_s=0.001)
+    results = await asyncio.gather(
+        apply(table, MANY), apply(table, CHANGED), return_exceptions=True
+    )
+    assert sum(isinstance(r, RevisionConflictError) for r in results) == 1
+    referred = len((await read(table)).records.manifest) // 32
+    assert len(table.objects) <= referred + 1
+    assert from_records((await read(table)).records.items()) in (MANY, CHANGED)
+
+
+@pytest.mark.parametrize(("is_old", "kept"), [(False, 66), (True, 2)])
+async def test_old_deltas_go_once_a_snapshot_holds_them(
+    is_old: bool, kept: int
+) -> None:
+    table = FakeTable()
+    few = make_configuration(3)
+    for number in range(REVISIONS_PER_SNAPSHOT + 2):
+        await apply(table, limited(few, 0, number + 100))
+    age_s = few.retention.audit_s + 1 if is_old else 0.0
+    cleanup = await make_cleanup(table, age_s)
+    await cleanup.async_clean()
+    deltas = [key for key in table.items if key.startswith("config/delta/")]
+    assert len(deltas) == kept
+    assert (await read(table)).revision == REVISIONS_PER_SNAPSHOT + 2
