--- a/src/banyanswitch/components/idempotency/claim_store.py
+++ b/src/banyanswitch/components/idempotency/claim_store.py
@@ -13,6 +13,7 @@
     PENDING_RETRY_AFTER_S,
 )
 from banyanswitch.components.idempotency.models import (
+    AnswerObject,
     ClaimRecord,
     OpenClaim,
     RecordState,
@@ -276,4 +277,4 @@
     record = msgspec.structs.replace(
         claim.record, state=RecordState.ANSWERED, answer_object=name
     )
-    return Settlement(record, encode_answer(answer))
+    return Settlement(record, AnswerObject(name, encode_answer(answer)))
--- a/src/banyanswitch/components/idempotency/models.py
+++ b/src/banyanswitch/components/idempotency/models.py
@@ -67,6 +67,14 @@
     may_stand: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerObject:
+    """An answer that is too large for a record."""
+
+    name: str
+    content: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Settlement:
     """What the record of a claim is to become.
@@ -75,12 +83,12 @@
     ----------
     record : ClaimRecord or None
         New content; ``None`` deletes the record.
-    answer_object : bytes, optional
-        Content of the object named in the record, stored before it.
+    answer_object : AnswerObject, optional
+        Object that the record names; it is stored before the record.
     """
 
     record: ClaimRecord | None
-    answer_object: bytes | None = None
+    answer_object: AnswerObject | None = None
 
 
 def claim_key(workspace: WorkspaceId, key: str) -> str:
--- a/src/banyanswitch/components/idempotency/settler.py
+++ b/src/banyanswitch/components/idempotency/settler.py
@@ -101,12 +101,10 @@
             claim.revision = await self._async_read_revision(claim, settlement)
         if claim.revision is None:
             return
+        answer_object = settlement.answer_object
+        if answer_object is not None:
+            await self._objects.async_put(answer_object.name, answer_object.content)
         record = settlement.record
-        if settlement.answer_object is not None and record is not None:
-            assert record.answer_object is not None
-            await self._objects.async_put(
-                record.answer_object, settlement.answer_object
-            )
         content = encode_record(record) if record is not None else None
         write = Write(claim.record_key, content, claim.revision)
         try:
--- a/src/banyanswitch/components/platform/const.py
+++ b/src/banyanswitch/components/platform/const.py
@@ -7,9 +7,6 @@
 MAX_TRANSACTION_WRITES: Final = 100
 """Most writes that the table service takes in one transaction."""
 
-MAX_ITEM_BYTES: Final = 256 * 1024
-"""Largest content of one item of the table service."""
-
 FAILURES_BEFORE_PAUSE: Final = 3
 """Failures in a row after which calls are refused without being sent."""
 
--- a/src/banyanswitch/components/platform/write_batcher.py
+++ b/src/banyanswitch/components/platform/write_batcher.py
@@ -66,11 +66,6 @@
             self._sender = loop.create_task(self._async_send_all())
         return await waiting.result
 
-    async def async_stop(self) -> None:
-        """Wait until the writes that were handed over are settled."""
-        if self._sender is not None:
-            await asyncio.wait({self._sender})
-
     async def _async_send_all(self) -> None:
         try:
             while self._waiting:
--- a/tests/components/idempotency/test_claim_store.py
+++ b/tests/components/idempotency/test_claim_store.py
@@ -16,6 +16,7 @@
 SHOP = WorkspaceId("shop")
 OTHER_SHOP = WorkspaceId("other-shop")
 ANSWER = StoredAnswer(201, "application/json", b'{"paid":true}')
+LARGE_ANSWER = StoredAnswer(200, "text/plain", b"x" * (MAX_INLINE_ANSWER_BYTES + 1))
 
 
 async def test_second_call_gets_the_stored_answer(make_store: StoreFactory) -> None:
@@ -177,18 +178,19 @@
     assert caught.value.retry_after_s is not None
 
 
-async def test_answer_outlives_an_outage_of_the_table(
-    make_store: StoreFactory, table: FakeTable
+@pytest.mark.parametrize("answer", [ANSWER, LARGE_ANSWER], ids=["small", "large"])
+async def test_answer_outlives_an_outage_of_the_platform(
+    make_store: StoreFactory, table: FakeTable, answer: StoredAnswer
 ) -> None:
     first, second = make_store("a"), make_store("b")
     claim = await first.async_claim(SHOP, "k", "digest")
     table.is_down = True
-    await first.async_complete(SHOP, "k", claim.attempt, ANSWER)
+    await first.async_complete(SHOP, "k", claim.attempt, answer)
     await asyncio.sleep(20.0)
     table.is_down = False
     await asyncio.sleep(20.0)
     result = await second.async_claim(SHOP, "k", "digest")
-    assert result.answer == ANSWER
+    assert result.answer == answer
 
 
 @pytest.mark.parametrize("fault", list(TableFault))
@@ -207,12 +209,11 @@
 async def test_large_answer_is_kept_in_the_object_store(
     make_store: StoreFactory, table: FakeTable
 ) -> None:
-    answer = StoredAnswer(200, "text/plain", b"x" * (MAX_INLINE_ANSWER_BYTES + 1))
     store = make_store("a")
     claim = await store.async_claim(SHOP, "k", "digest")
-    await store.async_complete(SHOP, "k", claim.attempt, answer)
+    await store.async_complete(SHOP, "k", claim.attempt, LARGE_ANSWER)
     result = await make_store("b").async_claim(SHOP, "k", "digest")
-    assert result.answer == answer
+    assert result.answer == LARGE_ANSWER
     assert all(len(i.value) < MAX_INLINE_ANSWER_BYTES for i in table.items.values())
 
 
