--- a/src/banyanswitch/decisions/admission.py
+++ b/src/banyanswitch/decisions/admission.py
@@ -47,7 +47,7 @@
     batch_every: int = 4
     max_queued: int = 256
     burst_s: float = 2.0
-    wait_margin: float = 1.25
+    wait_margin: float = 1.6
     busy_s: float = 0.05
     batch_spacing_s: float = 0.5
 
@@ -132,6 +132,22 @@
     is_gone: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Pace:
+    """How fast a queue moves.
+
+    Parameters
+    ----------
+    interval_s : float
+        Mean time between two starts from the queue, in seconds.
+    last_start_s : float, optional
+        Loop time of the last one, if the queue has been in use since.
+    """
+
+    interval_s: float
+    last_start_s: float | None
+
+
 class Admission:
     """Admit, queue or refuse the requests of one instance.
 
@@ -154,8 +170,8 @@
         self._arrivals = 0
         self._pushes = 0
         self._grants = 0
-        self._start_interval_s = dict.fromkeys(Priority, 0.0)
-        self._last_start_s: dict[Priority, float | None] = dict.fromkeys(Priority)
+        self._pace = dict.fromkeys(Priority, _Pace(0.0, None))
+        self._paces: dict[RunId, _Pace] = {}
         self._closed_until_s = dict.fromkeys(Priority, 0.0)
         self._is_probing = dict.fromkeys(Priority, False)
 
@@ -179,7 +195,8 @@
         has_queue = self._queued[request.priority] > 0
         if not has_queue and self._has_room(request.priority, now_s):
             use.bucket.try_spend(1.0, now_s)
-            self._last_start_s[request.priority] = None
+            pace = self._pace[request.priority]
+            self._pace[request.priority] = _Pace(pace.interval_s, None)
             self._start(request, use)
             return Admitted(request.run)
         wait_s = self._expected_wait_s(request.priority)
@@ -199,6 +216,9 @@
         until its queue is empty.
         """
         request = self._running.pop(run)
+        pace = self._paces.pop(run, None)
+        if pace is not None:
+            self._pace[request.priority] = pace
         use = self._workspaces[request.workspace]
         use.running -= 1
         if request.priority is Priority.BATCH:
@@ -218,6 +238,7 @@
         """Free the place of an admitted request, or drop a queued one."""
         request = self._running.pop(run, None)
         self._numbers.pop(run, None)
+        self._paces.pop(run, None)
         if request is None:
             self._cancel(run)
             return
@@ -244,6 +265,7 @@
                 self._space_out(request.priority, now_s)
             self._remove(waiting)
             self._numbers[request.run] = waiting.number
+            self._paces[request.run] = self._pace[request.priority]
             self._note_start(request.priority, now_s)
             self._start(request, self._workspaces[request.workspace])
             results.append(Admitted(request.run))
@@ -268,7 +290,7 @@
             return NotAdmitted(
                 request.run,
                 AdmissionRefusal.TOO_MANY_CONCURRENT,
-                _bounded_retry_s(self._start_interval_s[request.priority]),
+                _bounded_retry_s(self._pace[request.priority].interval_s),
             )
         if use.bucket.level(now_s) >= 1.0:
             return None
@@ -346,24 +368,22 @@
         return results
 
     def _expected_wait_s(self, priority: Priority) -> float:
-        return (self._queued[priority] + 1) * self._start_interval_s[priority]
+        return (self._queued[priority] + 1) * self._pace[priority].interval_s
 
     def _space_out(self, priority: Priority, now_s: float) -> None:
         if priority is Priority.BATCH:
             self._closed_until_s[priority] = now_s + self._policy.batch_spacing_s
 
     def _note_start(self, priority: Priority, now_s: float) -> None:
-        last_s = self._last_start_s[priority]
-        self._last_start_s[priority] = now_s
+        pace = self._pace[priority]
         if not self._queued[priority]:
             self._is_probing[priority] = False
-        if last_s is None:
-            return
-        if self._start_interval_s[priority] == 0.0:
-            self._start_interval_s[priority] = now_s - last_s
-            return
-        change_s = now_s - last_s - self._start_interval_s[priority]
-        self._start_interval_s[priority] += START_SMOOTHING * change_s
+        interval_s = pace.interval_s
+        if pace.last_start_s is not None:
+            latest_s = now_s - pace.last_start_s
+            smoothing = START_SMOOTHING if interval_s > 0 else 1.0
+            interval_s += smoothing * (latest_s - interval_s)
+        self._pace[priority] = _Pace(interval_s, now_s)
 
 
 def _overloaded(request: AdmissionRequest, wait_s: float) -> NotAdmitted:
