Drop what stores hold of a weight version that no run can use any more

Cause: after a swap the prefixes of the old version stayed until a store was full. Change: when the declared version changes, they are dropped after the longest time that a run may last and a minute. The new test failed before at its last line (all blocks still there).

--- a/src/banyanswitch/components/kv_cache/const.py
+++ b/src/banyanswitch/components/kv_cache/const.py
@@ -41,3 +41,6 @@
 ANNOUNCE_INTERVAL_S: Final = 1.0
 MAX_ANNOUNCED_PREFIXES: Final = 256
 """Stored prefixes that one message names."""
+
+RETIRE_GRACE_S: Final = 60.0
+"""Time after the longest run on an old weight version before it is dropped."""
--- a/src/banyanswitch/components/kv_cache/coordinator.py
+++ b/src/banyanswitch/components/kv_cache/coordinator.py
@@ -8,6 +8,7 @@
 from banyanswitch.components.kv_cache.const import (
     EXPORT_INTERVAL_S,
     MAX_EXPORTS_AT_ONCE,
+    RETIRE_GRACE_S,
     STATUS_INTERVAL_S,
 )
 from banyanswitch.components.kv_cache.errors import TransferError
@@ -32,8 +33,8 @@
     StoreTier,
 )
 from banyanswitch.decisions.upstream_pool import UpstreamPool
-from banyanswitch.identifiers import ServiceName
-from banyanswitch.interfaces import ConfigurationView
+from banyanswitch.identifiers import ServiceName, WeightVersion
+from banyanswitch.interfaces import ConfigurationChanged, ConfigurationView
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -69,7 +70,9 @@
         self._pool = pool
         self._planners: dict[ServiceName, ReusePlanner] = {}
         self._exports_running = 0
+        self._versions: dict[ServiceName, WeightVersion | None] = {}
         kernel.bus.subscribe(PromptServed, self._on_prompt_served)
+        kernel.bus.subscribe(ConfigurationChanged, self._on_configuration_changed)
 
     @callback
     def on_lost(self, attempt: Attempt, stored: StoredPrefix) -> None:
@@ -116,6 +119,25 @@
         )
         self._planner(service, upstream).on_used(use, self._kernel.now_s)
 
+    @callback
+    def _on_configuration_changed(self, _message: ConfigurationChanged) -> None:
+        for service in self._configuration.services():
+            old = self._versions.get(service.name)
+            self._versions[service.name] = service.weight_version
+            if old is not None and old != service.weight_version:
+                self._kernel.create_task(
+                    self._async_retire(service, old), f"retire {old}"
+                )
+
+    async def _async_retire(self, service: Service, version: WeightVersion) -> None:
+        """Drop what stores hold of a version once no run can use it any more."""
+        await asyncio.sleep(service.request_timeout_s + RETIRE_GRACE_S)
+        planner = self._planners.get(service.name)
+        if planner is None or self._versions.get(service.name) == version:
+            return
+        for drop in planner.retire_version(version):
+            self._start_drop(drop)
+
     def _planner(self, service: Service, upstream: Upstream) -> ReusePlanner:
         planner = self._planners.get(service.name)
         if planner is None:
@@ -175,9 +197,10 @@
             for planner in self._planners.values():
                 now_s = self._kernel.now_s
                 for drop in planner.next_drops(space.store, missing_bytes, now_s):
-                    self._kernel.create_task(
-                        self._async_drop(drop), f"drop {drop.manifest}"
-                    )
+                    self._start_drop(drop)
+
+    def _start_drop(self, drop: Drop) -> None:
+        self._kernel.create_task(self._async_drop(drop), f"drop {drop.manifest}")
 
     async def _async_drop(self, drop: Drop) -> None:
         store_url = self._stores.url(drop.store)
--- a/tests/components/kv_cache/test_coordinator.py
+++ b/tests/components/kv_cache/test_coordinator.py
@@ -9,6 +9,7 @@
 
 from banyanswitch.components.configuration.packed_records import PackedRecords
 from banyanswitch.components.configuration.view import HeldConfiguration
+from banyanswitch.components.kv_cache.const import FREE_GRACE_S, RETIRE_GRACE_S
 from banyanswitch.components.kv_cache.coordinator import ReuseCoordinator
 from banyanswitch.components.kv_cache.pins import PinTable
 from banyanswitch.components.kv_cache.stored_prefixes import StoredPrefixAnnouncer
@@ -20,7 +21,7 @@
 from banyanswitch.core import Kernel
 from banyanswitch.decisions.cache_view import CacheView
 from banyanswitch.decisions.upstream_pool import UpstreamPool
-from banyanswitch.interfaces import ConfigurationView
+from banyanswitch.interfaces import ConfigurationChanged, ConfigurationView
 from tests.components.kv_cache.test_importer import make_attempt
 from tests.components.kv_cache.test_transfers import KEYS, NAME
 from tests.config.test_validation import SERVICE, VALID
@@ -41,8 +42,7 @@
         self.engine = FakeEngine(self.store)
         self.view = CacheView()
         self.pool = UpstreamPool()
-        held = HeldConfiguration()
-        held.replace(1, PackedRecords.from_records(to_records(CONFIGURATION)))
+        self.held = held = HeldConfiguration()
         self.kernel.provide(ConfigurationView, held)
         self.kernel.provide(random.Random, random.Random(1))
         node = FakeNetwork().add(0)
@@ -58,9 +58,16 @@
 
     def start(self) -> None:
         """Start in the test, since its clock differs from the fixture's."""
+        self.configure(CONFIGURATION)
         self.kernel.create_task(self.coordinator.async_run_exports(), "exports")
         self.kernel.create_task(self.coordinator.async_run_stores(), "stores")
 
+    def configure(self, configuration: Configuration) -> None:
+        revision = self.held.revision + 1
+        records = PackedRecords.from_records(to_records(configuration))
+        self.held.replace(revision, records)
+        self.kernel.bus.publish(ConfigurationChanged(revision))
+
     def serve(self) -> None:
         self.engine.compute(*KEYS)
         self.view.add("r1", KEYS)
@@ -133,3 +140,17 @@
     view = bed.pool.store("s1")
     assert view is not None
     assert not view.is_available
+
+
+@pytest.mark.looptime
+async def test_prefixes_of_a_version_go_when_no_run_can_use_them(bed: Bed) -> None:
+    bed.start()
+    bed.serve()
+    await asyncio.sleep(10.0)
+    service = CONFIGURATION.services[0]
+    swapped = replace(service, weight_version="v2")
+    bed.configure(replace(CONFIGURATION, services=(swapped,)))
+    await asyncio.sleep(service.request_timeout_s)
+    assert NAME in bed.store.manifests
+    await asyncio.sleep(RETIRE_GRACE_S + FREE_GRACE_S + 1.0)
+    assert (bed.store.manifests, bed.store.blocks) == ({}, {})
