Let others take a duty whose candidates can't reach the table

Cause: only the three candidates of a duty read its record, so a duty stayed free while those three were cut off from the table but alive for the other instances. New test before the change: assert len(cluster.holders()) == 1 -> 0 after 300 s. Ruled out: more candidates, which can be cut off together as well. Change: besides the candidates one instance a step, on average, reads the record.

--- a/src/banyanswitch/components/lease/candidates.py
+++ b/src/banyanswitch/components/lease/candidates.py
@@ -1,27 +1,51 @@
 """Choice of the instances that watch a duty."""
 
+import random
+
 import xxhash
 
-from banyanswitch.components.lease.const import CANDIDATE_COUNT
+from banyanswitch.components.lease.const import CANDIDATE_COUNT, SPARE_WATCHERS
 from banyanswitch.identifiers import InstanceId
 from banyanswitch.interfaces import PeerDirectory
 
 
-def is_candidate(name: str, peers: PeerDirectory) -> bool:
-    """Return whether this instance watches the named duty.
+class WatchChoice:
+    """Choose the duties that this instance reads in one step.
 
     Rendezvous hashing picks a few of the live instances for each duty, so that the
-    reads of the table do not grow with the number of instances. Instances that
-    disagree on who is alive only watch more or fewer duties than needed.
+    reads of the table do not grow with the number of instances. The others take
+    turns at random, one a step, in case none of those few reaches the table.
+    Instances that disagree on who is alive only read more or less than needed.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Decides whose turn it is.
     """
-    this_instance = peers.this_instance()
-    if this_instance.is_leaving:
-        return False
-    staying = {peer.instance for peer in peers.peers() if not peer.is_leaving}
-    staying.add(this_instance.instance)
-    own_score = _score(name, this_instance.instance)
-    better = sum(_score(name, instance) > own_score for instance in staying)
-    return better < CANDIDATE_COUNT
+
+    def __init__(self, peers: PeerDirectory, generator: random.Random) -> None:
+        self._peers = peers
+        self._generator = generator
+
+    def is_watching(self, name: str) -> bool:
+        """Return whether this instance reads the named duty in this step."""
+        if self._peers.this_instance().is_leaving:
+            return False
+        if self.is_candidate(name):
+            return True
+        others = len(self._staying()) - CANDIDATE_COUNT
+        return self._generator.random() * others < SPARE_WATCHERS
+
+    def is_candidate(self, name: str) -> bool:
+        """Return whether this instance is among the few that always watch."""
+        own_score = _score(name, self._peers.this_instance().instance)
+        better = sum(_score(name, other) > own_score for other in self._staying())
+        return better < CANDIDATE_COUNT
+
+    def _staying(self) -> set[InstanceId]:
+        peers = self._peers.peers()
+        staying = {peer.instance for peer in peers if not peer.is_leaving}
+        return staying | {self._peers.this_instance().instance}
 
 
 def _score(name: str, instance: InstanceId) -> int:
--- a/src/banyanswitch/components/lease/const.py
+++ b/src/banyanswitch/components/lease/const.py
@@ -21,3 +21,6 @@
 
 WRITE_TRIES: Final = 2
 """Writes of one duty in one step, if the first meets another record."""
+
+SPARE_WATCHERS: Final = 1.0
+"""Instances beside the candidates that read a duty in one step, on average."""
--- a/src/banyanswitch/components/lease/coordinator.py
+++ b/src/banyanswitch/components/lease/coordinator.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from banyanswitch.components.lease.candidates import is_candidate
+from banyanswitch.components.lease.candidates import WatchChoice
 from banyanswitch.components.lease.const import (
     JITTER_SHARE,
     RENEWALS_PER_LEASE,
@@ -53,10 +53,10 @@
         generator: random.Random,
     ) -> None:
         self._table = table
-        self._peers = peers
         self._holder = holder
         self._lease_s = lease_s
         self._generator = generator
+        self._choice = WatchChoice(peers, generator)
         self._batcher = WriteBatcher(table, WriteClass.LEASE)
         self._duties: dict[str, Duty] = {}
         self._reported: dict[str, int] = {}
@@ -85,12 +85,13 @@
                     await self._has_new_duty.wait()
 
     async def async_step(self) -> None:
-        """Read the watched duties once, then write what is due."""
+        """Read what is watched once, then write what is due."""
+        watched = self._watched()
         try:
-            await self._async_read_watched()
+            await self._async_read(watched)
         except PlatformError as error:
             LOGGER.warning("lease_records_not_read", reason=str(error))
-        duties = self._active()
+        duties = dict.fromkeys((*self._held(), *watched))
         await asyncio.gather(*(self._async_write_safely(duty) for duty in duties))
         self._report_changes()
 
@@ -109,22 +110,22 @@
         jitter = self._generator.uniform(0.0, JITTER_SHARE)
         return self._lease_s / RENEWALS_PER_LEASE * (1.0 - jitter)
 
-    def _active(self) -> tuple[Duty, ...]:
-        """Return the duties that are held or watched."""
+    def _held(self) -> list[Duty]:
         now_s = _now_s()
-        return tuple(
-            duty
-            for duty in self._duties.values()
-            if duty.held(now_s) is not None or is_candidate(duty.name, self._peers)
-        )
+        return [duty for duty in self._duties.values() if duty.held(now_s) is not None]
 
-    async def _async_read_watched(self) -> None:
+    def _watched(self) -> list[Duty]:
+        """Return the duties of others that this instance reads in this step."""
         now_s = _now_s()
-        watched = [duty for duty in self._active() if duty.held(now_s) is None]
-        if watched:
-            await self._async_read(watched)
+        return [
+            duty
+            for duty in self._duties.values()
+            if duty.held(now_s) is None and self._choice.is_watching(duty.name)
+        ]
 
     async def _async_read(self, duties: list[Duty]) -> None:
+        if not duties:
+            return
         items = await self._table.async_get([duty.key for duty in duties])
         by_key = {item.key: item for item in items}
         now_s = _now_s()
--- a/tests/components/lease/test_coordinator.py
+++ b/tests/components/lease/test_coordinator.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from banyanswitch.components.lease.const import CANDIDATE_COUNT
+from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.interfaces import WriteClass
 from tests.components.lease.conftest import DUTY, LEASE_S, LeaseCluster
 from tests.fakes.table import FakeTable, TableFault
 
@@ -124,3 +127,23 @@
     await asyncio.sleep(FAILOVER_S)
     (second,) = cluster.holders()
     assert second != first
+
+
+async def test_duty_is_taken_when_its_candidates_are_cut_off_from_the_table() -> None:
+    table = FakeTable(latency_s=0.005)
+    names = [f"i{number}" for number in range(16)]
+    cluster = LeaseCluster(table, names)
+    candidates = [
+        node.coordinator
+        for node in cluster.nodes.values()
+        if node.coordinator._choice.is_candidate(DUTY)
+    ]
+    for coordinator in candidates:
+        coordinator._table = FakeTable(is_down=True)
+        coordinator._batcher = WriteBatcher(coordinator._table, WriteClass.LEASE)
+    cluster.start()
+    for _ in range(int(30 * LEASE_S)):
+        await asyncio.sleep(1.0)
+        assert len(cluster.holders()) <= 1
+    assert len(candidates) == CANDIDATE_COUNT
+    assert len(cluster.holders()) == 1
