Hash the candidates of a duty only when the instances change

Cause: each step hashed every live instance for every duty: 6.78 ms of CPU a step at 330 instances and 26 duties, 0.2% of a core. Change: the answer is kept until the set of live instances differs. After: 0.077 ms a step in the same measurement (50 steps, one process).

--- a/src/banyanswitch/components/lease/candidates.py
+++ b/src/banyanswitch/components/lease/candidates.py
@@ -26,6 +26,18 @@
     def __init__(self, peers: PeerDirectory, generator: random.Random) -> None:
         self._peers = peers
         self._generator = generator
+        self._staying: frozenset[InstanceId] = frozenset()
+        self._is_candidate: dict[str, bool] = {}
+
+    def refresh(self) -> None:
+        """Take in which instances are alive; call once a step."""
+        this_instance = self._peers.this_instance().instance
+        peers = self._peers.peers()
+        staying = {peer.instance for peer in peers if not peer.is_leaving}
+        staying.add(this_instance)
+        if staying != self._staying:
+            self._staying = frozenset(staying)
+            self._is_candidate.clear()
 
     def is_watching(self, name: str) -> bool:
         """Return whether this instance reads the named duty in this step."""
@@ -33,19 +45,16 @@
             return False
         if self.is_candidate(name):
             return True
-        others = len(self._staying()) - CANDIDATE_COUNT
+        others = len(self._staying) - CANDIDATE_COUNT
         return self._generator.random() * others < SPARE_WATCHERS
 
     def is_candidate(self, name: str) -> bool:
         """Return whether this instance is among the few that always watch."""
-        own_score = _score(name, self._peers.this_instance().instance)
-        better = sum(_score(name, other) > own_score for other in self._staying())
-        return better < CANDIDATE_COUNT
-
-    def _staying(self) -> set[InstanceId]:
-        peers = self._peers.peers()
-        staying = {peer.instance for peer in peers if not peer.is_leaving}
-        return staying | {self._peers.this_instance().instance}
+        if name not in self._is_candidate:
+            own_score = _score(name, self._peers.this_instance().instance)
+            better = sum(_score(name, other) > own_score for other in self._staying)
+            self._is_candidate[name] = better < CANDIDATE_COUNT
+        return self._is_candidate[name]
 
 
 def _score(name: str, instance: InstanceId) -> int:
--- a/src/banyanswitch/components/lease/coordinator.py
+++ b/src/banyanswitch/components/lease/coordinator.py
@@ -86,6 +86,7 @@
 
     async def async_step(self) -> None:
         """Read what is watched once, then write what is due."""
+        self._choice.refresh()
         watched = self._watched()
         try:
             await self._async_read(watched)
--- a/tests/components/lease/test_coordinator.py
+++ b/tests/components/lease/test_coordinator.py
@@ -133,6 +133,8 @@
     table = FakeTable(latency_s=0.005)
     names = [f"i{number}" for number in range(16)]
     cluster = LeaseCluster(table, names)
+    for node in cluster.nodes.values():
+        node.coordinator._choice.refresh()
     candidates = [
         node.coordinator
         for node in cluster.nodes.values()
