Exercise cache and transfers in the fault run; test its checks

The fault run had prompts shorter than one piece, so no cache was used. Pieces have 16 tokens there now.

--- a/bench/faults/__main__.py
+++ b/bench/faults/__main__.py
@@ -13,7 +13,12 @@
 import fire
 
 from bench.callers import Caller
-from bench.faults.ledger import Ending, Ledger, Violations, find_violations
+from bench.faults.ledger import (
+    Ending,
+    Ledger,
+    count_unknown_by_execution,
+    find_violations,
+)
 from bench.faults.load import CallerContext, async_call_until_done
 from bench.faults.schedule import FaultRun, async_run_faults
 from bench.fleet import KEYS, Fleet, FleetPlan
@@ -29,11 +34,14 @@
 PLAN: Final = FleetPlan(
     entries=4,
     engines=4,
+    piece_tokens=16,
     engine_options={
         "prefill_tokens_per_s": 1_000_000.0,
         "decode_tokens_per_s": 400.0,
         "load_s": 0.3,
         "slots": 32,
+        "cache_pieces": 400,
+        "block_bytes": 2048,
         "keep_runs_s": 20.0,
     },
     plain_options={"work_s": 0.02},
@@ -71,12 +79,12 @@
         fleet.start_entries()
         run = FaultRun(fleet, random.Random(seed))
         ledger = asyncio.run(_async_run(run, requests, seed))
-        violations = find_violations(ledger, fleet.executions())
-    elapsed_s = time.monotonic() - started_at_s
-    report = _report(ledger, violations, run, seed, elapsed_s)
+        report = _report(ledger, run)
+    elapsed_s = round(time.monotonic() - started_at_s, 1)
+    report |= {"seed": seed, "elapsed_s": elapsed_s}
     Path(output).write_text(json.dumps(report, indent=2) + "\n")
     print(json.dumps(report, indent=2))
-    sys.exit(0 if violations.count == 0 and not run.failures else 1)
+    sys.exit(0 if report["is_held"] else 1)
 
 
 async def _async_run(run: FaultRun, requests: int, seed: int) -> Ledger:
@@ -100,27 +108,28 @@
     return ledger
 
 
-def _report(
-    ledger: Ledger,
-    violations: Violations,
-    run: FaultRun,
-    seed: int,
-    elapsed_s: float,
-) -> dict[str, object]:
+def _report(ledger: Ledger, run: FaultRun) -> dict[str, object]:
+    executions = run.fleet.executions()
+    foreign_cache_uses = run.engine_counter("foreign_hits")
+    violations = find_violations(ledger, executions, foreign_cache_uses)
+    store = run.fleet.store.get("/stats")
     return {
-        "seed": seed,
+        "is_held": violations.count == 0 and not run.failures,
         "offered": ledger.offered,
         "answered": ledger.total(Ending.ANSWERED),
         "refused": ledger.total(Ending.REFUSED),
         "unknown": ledger.total(Ending.UNKNOWN),
+        "unknown_by_execution": count_unknown_by_execution(ledger, executions),
         "violations": asdict(violations),
         "endings": dict(sorted(ledger.endings.items())),
         "resumed_streams": ledger.resumed_streams,
-        "refusals_by_code": dict(sorted(ledger.refusals.items())),
+        "cached_pieces_used": run.engine_counter("cached_pieces"),
+        "blocks_written": store.get("requests PUT /blocks/{name}", 0),
+        "blocks_read": store.get("requests GET /blocks/{name}", 0),
+        "refused_tries_by_code": dict(sorted(ledger.refusals.items())),
         "faults_caused": dict(sorted(run.done.items())),
         "harness_failures": run.failures,
         "examples": ledger.examples,
-        "elapsed_s": round(elapsed_s, 1),
     }
 
 
--- a/bench/faults/ledger.py
+++ b/bench/faults/ledger.py
@@ -84,6 +84,8 @@
         Answers with missing, doubled, foreign or reordered content.
     untrue_refusals : int
         Calls refused as "not run" that had run.
+    foreign_cache_uses : int
+        Uses of cache of another weight version or workspace, seen by the engines.
     """
 
     unaccounted: int
@@ -91,6 +93,7 @@
     doubled: int
     wrong: int
     untrue_refusals: int
+    foreign_cache_uses: int
 
     @property
     def count(self) -> int:
@@ -101,10 +104,13 @@
             + self.doubled
             + self.wrong
             + self.untrue_refusals
+            + self.foreign_cache_uses
         )
 
 
-def find_violations(ledger: Ledger, executions: dict[str, int]) -> Violations:
+def find_violations(
+    ledger: Ledger, executions: dict[str, int], foreign_cache_uses: int
+) -> Violations:
     """Compare the ledger with what the plain services executed."""
     lost = ledger.total(Ending.LOST)
     doubled = 0
@@ -126,4 +132,17 @@
         doubled=doubled,
         wrong=ledger.total(Ending.WRONG),
         untrue_refusals=untrue_refusals,
+        foreign_cache_uses=foreign_cache_uses,
     )
+
+
+def count_unknown_by_execution(
+    ledger: Ledger, executions: dict[str, int]
+) -> dict[str, int]:
+    """Return how many calls of unknown outcome had run and had not."""
+    counts = Counter(
+        "ran" if executions.get(record.digest, 0) else "not_run"
+        for record in ledger.plain
+        if record.ending is Ending.UNKNOWN
+    )
+    return dict(sorted(counts.items()))
--- a/bench/faults/schedule.py
+++ b/bench/faults/schedule.py
@@ -35,11 +35,14 @@
     ----------
     done : Counter of str
         Faults that were caused, by class.
+    counters : Counter of str
+        Counters of engines that were killed.
     """
 
     fleet: Fleet
     generator: random.Random
     done: Counter[str] = field(default_factory=Counter)
+    counters: Counter[str] = field(default_factory=Counter)
     failures: list[str] = field(default_factory=list)
     operators: int = 0
 
@@ -47,6 +50,10 @@
         """Return the index of a random entry."""
         return self.generator.randrange(len(self.fleet.entries))
 
+    def engine_counter(self, name: str) -> int:
+        """Return a counter of all engines, those that were killed included."""
+        return self.counters[name] + self.fleet.engine_counter(name)
+
     def any_engine(self) -> ChildProcess:
         """Return a random engine."""
         return self.generator.choice(self.fleet.engines)
@@ -128,6 +135,7 @@
 
 def _kill_engine(run: FaultRun) -> None:
     index = run.generator.randrange(len(run.fleet.engines))
+    run.counters.update(run.fleet.engines[index].get("/stats"))
     run.fleet.engines[index].kill()
     engine = run.fleet.restart_engine(index)
     wait_until(lambda: engine.port > 0, "engine listens", READY_TIMEOUT_S)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -19,6 +19,7 @@
     Workspace,
     render,
 )
+from banyanswitch.const import DEFAULT_PIECE_TOKENS
 from banyanswitch.identifiers import (
     FailureDomainId,
     ServiceName,
@@ -68,6 +69,7 @@
 
     entries: int = 2
     engines: int = 2
+    piece_tokens: int = DEFAULT_PIECE_TOKENS
     plain_services: int = 1
     engine_options: dict[str, object] = field(default_factory=dict)
     table_options: dict[str, object] = field(default_factory=dict)
@@ -219,6 +221,7 @@
             version=FIRST_VERSION,
             weights_url=self.weights.url,
             checks_fencing=index % 2 == 0,
+            piece_tokens=self._plan.piece_tokens,
             **self._plan.engine_options,
         )
 
@@ -230,6 +233,7 @@
                     kind=ServiceKind.MODEL,
                     weight_version=FIRST_VERSION,
                     piece_size_bytes=PIECE_SIZE_BYTES,
+                    piece_tokens=self._plan.piece_tokens,
                     swap=SwapPolicy(loads_at_once=1),
                 ),
                 Service(name=PLAIN, kind=ServiceKind.PLAIN),
