Send load digests on time and count the gatherers' turns in fractions

Change: the first gatherer sends when a digest is due, every 6 s as the sum of bytes allows; the position in turns is a fraction. Changed states still go at once.

--- a/src/banyanswitch/components/upstream_load/const.py
+++ b/src/banyanswitch/components/upstream_load/const.py
@@ -19,9 +19,12 @@
 RELAY_FANOUT: Final = 3
 """Instances to which one instance passes a digest on."""
 
-DIGEST_INTERVAL_S: Final = 4.0
+DIGEST_INTERVAL_S: Final = 6.0
 """Time between two digests of a group in which no upstream changed its state."""
 
+FIRST_DIGEST_S: Final = 1.0
+"""Time from becoming a gatherer to its first digest, in seconds."""
+
 CHANGE_REPEATS: Final = 2
 """Times that a changed state is sent again, at the following polls, because an
 instance that passes digests on may have died."""
--- a/src/banyanswitch/components/upstream_load/coordinator.py
+++ b/src/banyanswitch/components/upstream_load/coordinator.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.upstream_load.const import (
     CHANGE_REPEATS,
     DIGEST_INTERVAL_S,
+    FIRST_DIGEST_S,
     GATHER_TICK_S,
     STAND_IN_INTERVALS,
 )
@@ -143,6 +144,8 @@
                         poll = loop.create_task(self._async_gather_group(group))
                         polls.add(poll)
                         poll.add_done_callback(polls.discard)
+                    if self._is_digest_due(group, loop.time()):
+                        self._send_digest(group)
                 if self._used.expire(loop.time()):
                     self._interest.declare_services(self._used.services())
                 await asyncio.sleep(GATHER_TICK_S)
@@ -155,20 +158,19 @@
         if rank is None:
             return False
         gatherers = len(self._choice.gatherers(group))
-        return self._schedule.take(group, self._turn(group), rank, gatherers)
+        return self._schedule.take(group, self._position(group), rank, gatherers)
 
-    def _turn(self, group: UpstreamGroup) -> int:
+    def _position(self, group: UpstreamGroup) -> float:
         size = len(self._groups.members(group))
         gatherers = len(self._choice.gatherers(group))
         length_s = turn_length_s(size, gatherers, self._poll_interval_s)
         now_s = asyncio.get_running_loop().time()
-        return self._schedule.turn(group, length_s, now_s)
+        return self._schedule.position(group, length_s, now_s)
 
     async def _async_gather_group(self, group: UpstreamGroup) -> None:
         for load in await self._gatherer.async_gather(self._groups.members(group)):
             self._table.put(load)
-        now_s = asyncio.get_running_loop().time()
-        if group in self._changed_groups or self._is_digest_due(group, now_s):
+        if group in self._changed_groups:
             self._send_digest(group)
         elif self._repeats.get(group, 0) > 0:
             self._repeats[group] -= 1
@@ -183,8 +185,13 @@
         self._outbox.send(address, self._digest(group, is_relayed=False))
 
     def _is_digest_due(self, group: UpstreamGroup, now_s: float) -> bool:
-        sent_s = self._sent_at_s.get(group, 0.0)
-        if self._choice.rank(group) == 0:
+        rank = self._choice.rank(group)
+        if rank is None:
+            return False
+        sent_s = self._sent_at_s.setdefault(
+            group, now_s - DIGEST_INTERVAL_S + FIRST_DIGEST_S
+        )
+        if rank == 0:
             return now_s - sent_s >= DIGEST_INTERVAL_S
         last_s = max(sent_s, self._heard_at_s.get(group, 0.0))
         return now_s - last_s >= STAND_IN_INTERVALS * DIGEST_INTERVAL_S
@@ -202,7 +209,7 @@
         self._sent_at_s[group] = asyncio.get_running_loop().time()
         digest = self._digest(group, is_relayed=True)
         self._relay(digest)
-        if digest.turn >= 0:
+        if digest.position >= 0:
             self._tell_other_gatherers(group, digest)
 
     def _tell_other_gatherers(self, group: UpstreamGroup, digest: LoadDigest) -> None:
@@ -225,7 +232,7 @@
             gatherer=this.instance,
             incarnation=this.incarnation,
             sequence=self._sequence,
-            turn=self._turn(group) if self._choice.rank(group) == 0 else -1,
+            position=self._position(group) if self._choice.rank(group) == 0 else -1.0,
             is_relayed=is_relayed,
             members_hash=members_hash(upstreams),
             versions=versions,
@@ -246,9 +253,9 @@
             return
         self._last_number[group, digest.gatherer] = number
         now_s = asyncio.get_running_loop().time()
-        if digest.turn >= 0:
+        if digest.position >= 0:
             self._heard_at_s[group] = now_s
-            self._schedule.align(group, digest.turn, now_s)
+            self._schedule.align(group, digest.position, now_s)
         for load in decode_loads(digest, self._groups.members(group), now_s):
             self._table.put(load)
         self._changed_groups.discard(group)
--- a/src/banyanswitch/components/upstream_load/models.py
+++ b/src/banyanswitch/components/upstream_load/models.py
@@ -44,9 +44,9 @@
         Incarnation of the gatherer.
     sequence : int
         Grows with each digest of this gatherer.
-    turn : int
-        Number of the gatherers' turn when it was sent; -1 if the sender is not the
-        first gatherer.
+    position : float
+        Turns of the gatherers that had passed when it was sent; negative if the
+        sender is not the first gatherer.
     is_relayed : bool
         Whether the receiver passes it on.
     members_hash : int
@@ -61,7 +61,7 @@
     gatherer: str
     incarnation: int
     sequence: int
-    turn: int
+    position: float
     is_relayed: bool
     members_hash: int
     versions: tuple[str, ...]
--- a/src/banyanswitch/components/upstream_load/schedule.py
+++ b/src/banyanswitch/components/upstream_load/schedule.py
@@ -29,32 +29,35 @@
 
 @dataclass(frozen=True, slots=True)
 class _Reference:
-    turn: int
+    position: float
     at_s: float
 
 
 class PollSchedule:
     """Number of the turn of each group, aligned with the digests of the first gatherer.
 
-    Clocks of instances are not compared: a digest says which turn it was when it was
-    sent, and the receiver counts on from there.
+    Clocks of instances are not compared: a digest carries the sender's position, in
+    turns, and the receiver counts on from there.
     """
 
     def __init__(self) -> None:
         self._references: dict[UpstreamGroup, _Reference] = {}
         self._polled_turn: dict[UpstreamGroup, int] = {}
 
-    def align(self, group: UpstreamGroup, turn: int, now_s: float) -> None:
-        """Take over the first gatherer's turn number."""
-        self._references[group] = _Reference(turn, now_s)
+    def align(self, group: UpstreamGroup, position: float, now_s: float) -> None:
+        """Take over the first gatherer's position."""
+        self._references[group] = _Reference(position, now_s)
 
-    def turn(self, group: UpstreamGroup, length_s: float, now_s: float) -> int:
-        """Return the number of the present turn."""
-        reference = self._references.setdefault(group, _Reference(0, now_s))
-        return reference.turn + int((now_s - reference.at_s) / length_s)
+    def position(self, group: UpstreamGroup, length_s: float, now_s: float) -> float:
+        """Return the number of turns that have passed."""
+        reference = self._references.setdefault(group, _Reference(0.0, now_s))
+        return reference.position + (now_s - reference.at_s) / length_s
 
-    def take(self, group: UpstreamGroup, turn: int, rank: int, gatherers: int) -> bool:
+    def take(
+        self, group: UpstreamGroup, position: float, rank: int, gatherers: int
+    ) -> bool:
         """Return whether the gatherer of this rank polls now, once a turn."""
+        turn = int(position)
         if turn % gatherers != rank or self._polled_turn.get(group) == turn:
             return False
         self._polled_turn[group] = turn
