Draw the candidates of a placement without replacement

Cause: three draws with replacement from two upstreams missed the only one that was not excluded in one of sixteen requests, and the caller got a final 503 no_upstream (seen in tests/process/test_streams.py and test_leaving.py). Ruled out: more draws, which make it rarer only. All are taken when they are few; else as many more are drawn as are excluded, so one that accepts is always found. The property test failed before.

--- a/src/banyanswitch/decisions/placement.py
+++ b/src/banyanswitch/decisions/placement.py
@@ -231,9 +231,12 @@
         if home is not None:
             candidates[home] = None
         names = pool.accepting(request.service, request.weight_version)
-        for _ in range(self._policy.samples + len(request.excluded)):
-            if names:
-                candidates[names[int(self._rng.random() * len(names))]] = None
+        count = self._policy.samples + len(request.excluded)
+        if len(names) <= count:
+            candidates.update(dict.fromkeys(names))
+            return candidates
+        drawn = self._rng.sample(range(len(names)), count)
+        candidates.update(dict.fromkeys(names[index] for index in drawn))
         return candidates
 
     def _is_full(
