Drop the pieces of an import whose answer was lost

Cause: only an import that took too long was undone at the engine. The contract test against the stand-ins showed it: after a lost answer all 4 pieces stayed in the cache ('assert [...] == []'), although no digest of them had been compared. Change: they are dropped there too.

--- a/src/banyanswitch/components/kv_cache/transfers.py
+++ b/src/banyanswitch/components/kv_cache/transfers.py
@@ -122,6 +122,9 @@
             try:
                 async with asyncio.timeout(min(deadline_s, IMPORT_DEADLINE_S)):
                     return await self._async_import(order, route, name)
+            except UpstreamTransferError:
+                await self._async_drop(order, route)
+                raise
             except TimeoutError as error:
                 await self._async_drop(order, route)
                 raise UpstreamTransferError("the import took too long") from error
