Learn most, not the mean, of how late first tokens come; count goodput when served

A tenth of the long first tokens came after their target, since the mean lateness was used. Change: goodput counts first tokens that came in the window; lateness rises faster (0.2) than it falls (0.05).

--- a/bench/decisions/__main__.py
+++ b/bench/decisions/__main__.py
@@ -1,8 +1,24 @@
-"""Command line of the measurements; see the ``run`` function."""
+"""Command line of the measurements.
+
+``run`` compares the policies (the default), ``cost`` measures one decision and one
+tracked prompt, ``trade`` measures settings, ``plots`` draws what was measured.
+"""
+
+import sys
 
 import fire
 
-from bench.decisions.report import run
+from bench.decisions import plots, report
+
+COMMANDS = {
+    "run": report.run,
+    "cost": report.write_cost,
+    "trade": report.write_trade,
+    "plots": plots.draw,
+}
 
 if __name__ == "__main__":
-    fire.Fire(run)
+    arguments = sys.argv[1:]
+    if not arguments or arguments[0] not in COMMANDS:
+        arguments = ["run", *arguments]
+    fire.Fire(COMMANDS, command=arguments, name="bench.decisions")
--- a/bench/decisions/recorder.py
+++ b/bench/decisions/recorder.py
@@ -8,6 +8,7 @@
 
 SHORT_TARGET_S = 0.54
 LONG_TARGET_S = 60.0
+REFUSAL_TARGET_S = 0.010
 
 
 @dataclass(slots=True)
@@ -32,6 +33,13 @@
     has_failed: bool = False
     attempts: int = 0
 
+    @property
+    def served_at_s(self) -> float:
+        """Time of the first token; infinite if there was none."""
+        if self.first_token_s is None:
+            return math.inf
+        return self.request.at_s + self.first_token_s
+
 
 @dataclass(frozen=True, slots=True)
 class Latency:
@@ -55,6 +63,7 @@
     refused: int
     refused_short: int
     failed: int
+    refused_after_wait: int
     refusal_delay_p99_s: float
     goodput_share: float
     retries: int
@@ -77,6 +86,9 @@
     ) -> Figures:
         """Return the figures of the requests that arrived in a window.
 
+        Goodput counts the prefill work of first tokens that came in the window and
+        in their target, as a share of what all upstreams can do in that time.
+
         Parameters
         ----------
         capacity_tokens_per_s : float
@@ -94,7 +106,10 @@
         )
         refused = [item for item in outcomes if item.refused_after_s is not None]
         delays = sorted(item.refused_after_s or 0.0 for item in refused)
-        good_tokens = sum(_good_tokens(item) for item in outcomes)
+        served = (
+            item for item in self.outcomes if from_s <= item.served_at_s < until_s
+        )
+        good_tokens = sum(_good_tokens(item) for item in served)
         return Figures(
             requests=len(outcomes),
             short=_latency(short, SHORT_TARGET_S),
@@ -104,6 +119,7 @@
             refused=len(refused),
             refused_short=sum(not item.request.is_long for item in refused),
             failed=sum(item.has_failed for item in outcomes),
+            refused_after_wait=sum(delay > REFUSAL_TARGET_S for delay in delays),
             refusal_delay_p99_s=_quantile(delays, 0.99),
             goodput_share=good_tokens / (capacity_tokens_per_s * (until_s - from_s)),
             retries=sum(max(0, item.attempts - 1) for item in outcomes),
--- a/bench/decisions/report.py
+++ b/bench/decisions/report.py
@@ -6,7 +6,7 @@
 from dataclasses import asdict
 from pathlib import Path
 
-from bench.decisions import cost
+from bench.decisions import cost, trade
 from bench.decisions.deployments import DEPLOYMENTS, Deployment
 from bench.decisions.runs import PolicyName, RunResult, run_scenario, scenarios
 
@@ -51,7 +51,7 @@
     """Measure the cost of decisions and write it as JSON."""
     prompts = cost.measure_prompts()
     document = {
-        "command": "python -m bench.decisions.cost",
+        "command": "python -m bench.decisions cost",
         "seed": seed,
         "decisions": [asdict(item) for item in cost.measure_decisions(seed)],
         "prompts": [asdict(item) for item in prompts],
@@ -61,6 +61,19 @@
     print(json.dumps(document, indent=1))
 
 
+def write_trade(seed: int = 1) -> None:
+    """Measure settings of the weights and write them as JSON."""
+    points = trade.as_document(trade.measure(seed))
+    document = {
+        "command": "python -m bench.decisions trade",
+        "seed": seed,
+        "duration_s": trade.DURATION_S,
+        "points": points,
+    }
+    _write("decisions_trade.json", document)
+    print(json.dumps(points, indent=1))
+
+
 def _run_deployment(
     deployment: Deployment, scenario: str, policy: str, seed: int, duration_s: float
 ) -> list[RunResult]:
@@ -89,7 +102,8 @@
         f"short p95 {figures.short.p95_s:.3f} s, "
         f"long p50 {figures.long.p50_s:.2f} p95 {figures.long.p95_s:.2f} s, "
         f"recomputed {figures.recomputed_share:.3f}, "
-        f"refused {figures.refused} ({figures.refused_short} short), "
+        f"refused {figures.refused} ({figures.refused_short} short, "
+        f"{figures.refused_after_wait} after a wait), "
         f"failed {figures.failed}, goodput {figures.goodput_share:.3f}, "
         f"links {result.links.mean_share:.3f}"
     )
--- /dev/null
+++ b/bench/decisions/trade.py
@@ -0,0 +1,55 @@
+"""Trade between first-token time, recomputation and link use."""
+
+from dataclasses import asdict, dataclass, replace
+
+from banyanswitch.config.models import ReusePolicy
+from bench.decisions.deployments import KIM_PHAT, YUSHAN, Deployment
+from bench.decisions.runs import PolicyName, Scenario, run_scenario
+
+LINK_WEIGHTS = (0.0, 0.1, 0.3, 1.0, 3.0, 10.0)
+NARROW_LINK = 0.2
+DURATION_S = 5_400.0
+
+
+@dataclass(frozen=True, slots=True)
+class TradePoint:
+    """One setting of the weights and what it gives on narrow links."""
+
+    deployment: str
+    reuse: ReusePolicy
+    returning_p50_s: float
+    returning_p95_s: float
+    short_p95_s: float
+    recomputed_share: float
+    link_share: float
+
+
+def measure(seed: int) -> list[TradePoint]:
+    """Measure the settings of both deployments on links at a fifth."""
+    points = []
+    for deployment in (KIM_PHAT, YUSHAN):
+        for link_weight in LINK_WEIGHTS:
+            points.append(_measure_point(deployment, link_weight, seed))
+    return points
+
+
+def as_document(points: list[TradePoint]) -> list[dict[str, object]]:
+    """Return the points in a form that can be written as JSON."""
+    return [asdict(point) for point in points]
+
+
+def _measure_point(deployment: Deployment, link_weight: float, seed: int) -> TradePoint:
+    reuse = replace(deployment.reuse, link_weight=link_weight)
+    rate = NARROW_LINK * deployment.link_bytes_per_s
+    narrow = replace(deployment, reuse=reuse, link_bytes_per_s=rate)
+    scenario = Scenario(name="narrow links", duration_s=DURATION_S, warm_up_s=1_800.0)
+    result = run_scenario(narrow, scenario, PolicyName.OURS, seed)
+    return TradePoint(
+        deployment=deployment.name,
+        reuse=reuse,
+        returning_p50_s=result.whole.returning.p50_s,
+        returning_p95_s=result.whole.returning.p95_s,
+        short_p95_s=result.whole.short.p95_s,
+        recomputed_share=result.whole.recomputed_share,
+        link_share=result.links.mean_share,
+    )
--- a/src/banyanswitch/decisions/placement.py
+++ b/src/banyanswitch/decisions/placement.py
@@ -37,8 +37,11 @@
 """Shorter expected times say little about the load of the upstreams."""
 
 MOST_LATENESS: Final = 4.0
-LATENESS_SMOOTHING: Final = 0.1
-"""Weight of the latest first token in the mean."""
+LATENESS_RISE: Final = 0.2
+"""Weight of the latest first token if it came later than was learnt."""
+
+LATENESS_FALL: Final = 0.05
+"""Weight of the latest first token if it came earlier."""
 
 
 @dataclass(slots=True)
@@ -183,7 +186,7 @@
         self.cache_view.add(place.upstream, place.piece_hashes)
 
     def lateness(self, priority: Priority) -> float:
-        """Return how many times the expected time first tokens took of late."""
+        """Return how many times the expected time most first tokens took of late."""
         return self._lateness[priority]
 
     def on_finished(self, place: Place, now_s: float) -> None:
@@ -197,7 +200,8 @@
         ratio = (now_s - sent_at_s) / place.expected_first_token_s
         ratio = min(MOST_LATENESS, max(1.0, ratio))
         change = ratio - self._lateness[place.priority]
-        self._lateness[place.priority] += LATENESS_SMOOTHING * change
+        smoothing = LATENESS_RISE if change > 0 else LATENESS_FALL
+        self._lateness[place.priority] += smoothing * change
 
     def _source(
         self, request: PlacementRequest, pool: UpstreamPool, now_s: float
