Keep the cold start of a large configuration small

Cause: all changes were decoded before any was taken over, so that 35,000 decoded workspaces lay in memory at once. Change: of a workspace only the entries of its keys are kept, 64 bits and a bucket each.

--- a/src/banyanswitch/components/configuration/catalog.py
+++ b/src/banyanswitch/components/configuration/catalog.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Any, cast
 
-from banyanswitch.components.configuration.decoded_changes import DecodedChange
+from banyanswitch.components.configuration.content_changes import DecodedChange
 from banyanswitch.config.models import (
     KvStore,
     Link,
@@ -35,17 +35,15 @@
         self._links: tuple[Link, ...] = ()
 
     def apply(self, changes: Iterable[DecodedChange]) -> None:
-        """Take over changes; those of workspaces are passed by."""
+        """Take over changes."""
         is_changed = False
         for change in changes:
-            kind = record_kind(change.key)
-            if kind is RecordKind.WORKSPACE:
-                continue
             is_changed = True
-            if change.after is None:
-                self._records[kind].pop(change.key, None)
+            records = self._records[record_kind(change.key)]
+            if change.record is None:
+                records.pop(change.key, None)
                 continue
-            self._records[kind][change.key] = change.after
+            records[change.key] = change.record
         if is_changed:
             self._index()
 
--- a/src/banyanswitch/components/configuration/key_index.py
+++ b/src/banyanswitch/components/configuration/key_index.py
@@ -14,13 +14,13 @@
 
     Parameters
     ----------
-    key_digest : str
-        SHA-256 digest of the key in hexadecimal.
+    prefix : int
+        First 64 bits of the SHA-256 digest of the key.
     bucket : int
         Number of the bucket.
     """
 
-    key_digest: str
+    prefix: int
     bucket: int
 
 
@@ -46,8 +46,7 @@
                 self._add(entry)
             return
         known = zip(self._prefixes, self._buckets, strict=True)
-        new = ((_prefix(entry.key_digest), entry.bucket) for entry in added)
-        ordered = sorted([*known, *new])
+        ordered = sorted([*known, *added])
         self._prefixes = array("Q", (prefix for prefix, _ in ordered))
         self._buckets = array("H", (bucket for _, bucket in ordered))
 
@@ -57,13 +56,12 @@
             yield self._buckets[position]
 
     def _add(self, entry: KeyEntry) -> None:
-        prefix = _prefix(entry.key_digest)
-        position = bisect_left(self._prefixes, prefix)
-        self._prefixes.insert(position, prefix)
+        position = bisect_left(self._prefixes, entry.prefix)
+        self._prefixes.insert(position, entry.prefix)
         self._buckets.insert(position, entry.bucket)
 
     def _remove(self, entry: KeyEntry) -> None:
-        for position in self._positions(_prefix(entry.key_digest)):
+        for position in self._positions(entry.prefix):
             if self._buckets[position] == entry.bucket:
                 self._prefixes.pop(position)
                 self._buckets.pop(position)
@@ -76,5 +74,16 @@
             position += 1
 
 
+def key_entry(key_digest: str, bucket: int) -> KeyEntry:
+    """Return the entry of a key.
+
+    Parameters
+    ----------
+    key_digest : str
+        SHA-256 digest of the key in hexadecimal.
+    """
+    return KeyEntry(_prefix(key_digest), bucket)
+
+
 def _prefix(key_digest: str) -> int:
     return int(key_digest[:_PREFIX_HEX_DIGITS], 16)
--- a/src/banyanswitch/components/configuration/view.py
+++ b/src/banyanswitch/components/configuration/view.py
@@ -1,15 +1,14 @@
 """The configuration in force on this instance."""
 
-from collections.abc import Sequence
 from typing import cast
 
 from banyanswitch.components.configuration.catalog import Catalog
 from banyanswitch.components.configuration.const import DECODED_WORKSPACES
-from banyanswitch.components.configuration.decoded_changes import (
-    DecodedChange,
-    decoded_changes,
+from banyanswitch.components.configuration.content_changes import (
+    WORKSPACE_PREFIX,
+    content_changes,
 )
-from banyanswitch.components.configuration.key_index import KeyEntry, KeyIndex
+from banyanswitch.components.configuration.key_index import KeyIndex
 from banyanswitch.components.configuration.packed_records import PackedRecords
 from banyanswitch.components.configuration.workspace_cache import (
     WorkspaceCache,
@@ -24,12 +23,10 @@
     WeightRelease,
     Workspace,
 )
-from banyanswitch.config.records import RecordKind, decode_record
+from banyanswitch.config.records import decode_record
 from banyanswitch.core import callback
 from banyanswitch.identifiers import ServiceName, UpstreamId, WorkspaceId
 
-_WORKSPACE_PREFIX = f"{RecordKind.WORKSPACE.value}/"
-
 
 class HeldConfiguration:
     """Implementation of ``ConfigurationView`` over packed records.
@@ -77,9 +74,11 @@
         """
         if revision <= self._revision:
             return False
-        changes = decoded_changes(self._records, records)
-        self._update_workspaces(changes)
-        self._catalog.apply(changes)
+        changes = content_changes(self._records, records)
+        for key in changes.replaced_workspaces:
+            self._cache.remove(key)
+        self._key_index.update(changes.removed_keys, changes.added_keys)
+        self._catalog.apply(changes.records)
         self._revision = revision
         self._records = records
         return True
@@ -90,7 +89,7 @@
 
     def workspace(self, name: WorkspaceId) -> Workspace | None:
         """Return a workspace."""
-        key = _WORKSPACE_PREFIX + name
+        key = WORKSPACE_PREFIX + name
         workspace = self._cache.get(key)
         if workspace is not None:
             return workspace
@@ -142,27 +141,10 @@
 
     def _find_in_bucket(self, index: int, key_digest: str) -> Workspace | None:
         for key, value in self._records.bucket_items(index):
-            if not key.startswith(_WORKSPACE_PREFIX):
+            if not key.startswith(WORKSPACE_PREFIX):
                 continue
             workspace = cast(Workspace, decode_record(key, value))
             if has_key(workspace, key_digest):
                 self._cache.add(key, workspace)
                 return workspace
         return None
-
-    def _update_workspaces(self, changes: Sequence[DecodedChange]) -> None:
-        removed: list[KeyEntry] = []
-        added: list[KeyEntry] = []
-        for change in changes:
-            if not change.key.startswith(_WORKSPACE_PREFIX):
-                continue
-            self._cache.remove(change.key)
-            removed += _key_entries(change.bucket, change.before)
-            added += _key_entries(change.bucket, change.after)
-        self._key_index.update(removed, added)
-
-
-def _key_entries(bucket: int, workspace: Workspace | None) -> list[KeyEntry]:
-    if workspace is None:
-        return []
-    return [KeyEntry(key_digest, bucket) for key_digest in workspace.key_digests]
