--- a/src/banyanswitch/components/configuration/__init__.py
+++ b/src/banyanswitch/components/configuration/__init__.py
@@ -4,6 +4,7 @@
 
 from banyanswitch.components.configuration.cleanup import ConfigurationCleanup
 from banyanswitch.components.configuration.const import DOMAIN
+from banyanswitch.components.configuration.content_keeper import ContentKeeper
 from banyanswitch.components.configuration.coordinator import ConfigurationCoordinator
 from banyanswitch.components.configuration.repository import ConfigurationRepository
 from banyanswitch.components.configuration.store_watcher import StoreWatcher
@@ -27,13 +28,16 @@
     held = HeldConfiguration()
     directory = kernel.require(PeerDirectory)
     generator = kernel.require(random.Random)
+    keeper = ContentKeeper(held, kernel.bus)
     coordinator = ConfigurationCoordinator(
-        held, directory, kernel.require(PeerTransport), kernel.bus, generator
+        keeper, directory, kernel.require(PeerTransport), generator
     )
     repository = ConfigurationRepository(
         kernel.require(TableStore), kernel.require(ObjectStore)
     )
-    watcher = StoreWatcher(repository, coordinator, directory, generator)
+    watcher = StoreWatcher(
+        repository, keeper, coordinator, directory=directory, generator=generator
+    )
     cleanup = ConfigurationCleanup(
         kernel.require(TableStore),
         kernel.require(ObjectStore),
--- a/src/banyanswitch/components/configuration/coordinator.py
+++ b/src/banyanswitch/components/configuration/coordinator.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Final, cast
 
@@ -12,13 +11,11 @@
 from banyanswitch.components.configuration.const import (
     ANNOUNCE_FANOUT,
     ANNOUNCE_INTERVAL_S,
-    MAX_KNOWN_DIGESTS,
     MAX_MESSAGE_BYTES,
     MAX_QUEUED_MESSAGES,
     REQUEST_TIMEOUT_S,
 )
-from banyanswitch.components.configuration.delta_log import DeltaLog
-from banyanswitch.components.configuration.errors import ContentError
+from banyanswitch.components.configuration.content_keeper import ContentKeeper
 from banyanswitch.components.configuration.models import (
     Bucket,
     BucketsDelivered,
@@ -33,11 +30,9 @@
     BucketError,
 )
 from banyanswitch.components.configuration.repository import Content
-from banyanswitch.components.configuration.view import HeldConfiguration
-from banyanswitch.core import MessageBus, callback
+from banyanswitch.core import callback
 from banyanswitch.exceptions import PeerError
 from banyanswitch.interfaces import (
-    ConfigurationChanged,
     PeerDirectory,
     PeerTransport,
 )
@@ -63,7 +58,7 @@
 
 
 class ConfigurationCoordinator:
-    """Owns the content in force and exchanges it with the other instances.
+    """Exchange the content in force with the other instances.
 
     An instance that learns of a new revision announces it to a few peers, which
     ask for what they lack. Each instance also announces its revision regularly to
@@ -73,35 +68,28 @@
 
     Parameters
     ----------
-    held : HeldConfiguration
-        Content in force.
+    keeper : ContentKeeper
+        Content in force, and what may replace it.
     directory : PeerDirectory
         Instances that are believed alive.
     transport : PeerTransport
         Carries the messages.
-    bus : MessageBus
-        Gets ``ConfigurationChanged``.
     generator : random.Random
         Chooses peers.
     """
 
     def __init__(
         self,
-        held: HeldConfiguration,
+        keeper: ContentKeeper,
         directory: PeerDirectory,
         transport: PeerTransport,
-        bus: MessageBus,
         generator: random.Random,
     ) -> None:
-        self._held = held
+        self._keeper = keeper
         self._directory = directory
         self._transport = transport
-        self._bus = bus
         self._random = generator
-        self._log = DeltaLog()
         self._sync: BucketSync | None = None
-        self._known_digests: OrderedDict[int, bytes] = OrderedDict()
-        self._known_revision = 0
         self._sources: dict[str, int] = {}
         self._request_ends_at_s = 0.0
         self._messages: asyncio.Queue[Message] = asyncio.Queue(MAX_QUEUED_MESSAGES)
@@ -112,12 +100,7 @@
     @property
     def content(self) -> Content:
         """Content in force."""
-        return Content(self._held.revision, self._held.records)
-
-    @property
-    def known_revision(self) -> int:
-        """Latest revision that this instance has heard of."""
-        return max(self._known_revision, self._held.revision)
+        return self._keeper.content
 
     async def async_run_messages(self) -> None:
         """Handle messages of other instances, one after the other."""
@@ -134,23 +117,14 @@
 
     async def async_take_deltas(self, deltas: tuple[Delta, ...]) -> None:
         """Put consecutive deltas in force and tell some peers."""
-        if self._apply_deltas(deltas):
+        if self._keeper.take_deltas(deltas):
             await self._async_announce(ANNOUNCE_FANOUT)
 
     async def async_take_content(self, content: Content) -> None:
         """Put a whole content in force and tell some peers."""
-        if not self._is_digest_known(content.revision, content.records.digest):
-            return
-        if self._replace(content):
-            self._log.clear()
+        if self._keeper.take_content(content):
             await self._async_announce(ANNOUNCE_FANOUT)
 
-    @callback
-    def learn_digest(self, revision: int, digest: bytes) -> None:
-        """Note the digest that the platform names for a revision."""
-        self._known_digests[revision] = digest
-        self._trim_digests()
-
     @callback
     def _enqueue(self, message: Message) -> None:
         if self._messages.full():
@@ -174,21 +148,20 @@
                 await self._async_on_buckets(message)
 
     async def _async_on_announced(self, message: RevisionAnnounced) -> None:
-        if message.revision < self._held.revision:
+        if message.revision < self.content.revision:
             await self._async_send(message.peer_address, self._announcement())
             return
         if message.revision == 0:
             return
-        if not self._is_digest_known(message.revision, message.digest):
+        if not self._keeper.is_consistent(message.revision, message.digest):
             return
-        if message.revision == self._held.revision:
+        if message.revision == self.content.revision:
             return
-        self._known_revision = max(self._known_revision, message.revision)
         self._sources[message.peer_address] = message.revision
         await self._async_request_if_behind()
 
     async def _async_request_if_behind(self) -> None:
-        revision = self._held.revision
+        revision = self.content.revision
         sources = [peer for peer, known in self._sources.items() if known > revision]
         self._sources = {peer: self._sources[peer] for peer in sources}
         if not sources or self._now_s() < self._request_ends_at_s:
@@ -196,19 +169,19 @@
         self._request_ends_at_s = self._now_s() + REQUEST_TIMEOUT_S
         source = self._random.choice(sources)
         request = DeltasRequested(
-            self._own_address(), revision, self._held.records.digest
+            self._own_address(), revision, self.content.records.digest
         )
         await self._async_send(source, request)
 
     async def _async_on_deltas_requested(self, message: DeltasRequested) -> None:
-        if message.revision >= self._held.revision:
+        if message.revision >= self.content.revision:
             return
-        deltas = self._log.after(message.revision, message.digest)
+        deltas = self._keeper.deltas_after(message.revision, message.digest)
         if deltas:
             await self._async_send(message.peer_address, DeltasDelivered(deltas))
             return
-        manifest = self._held.records.manifest
-        answer = ManifestDelivered(self._own_address(), self._held.revision, manifest)
+        manifest = self.content.records.manifest
+        answer = ManifestDelivered(self._own_address(), self.content.revision, manifest)
         await self._async_send(message.peer_address, answer)
 
     async def _async_on_deltas(self, message: DeltasDelivered) -> None:
@@ -217,17 +190,17 @@
         await self._async_request_if_behind()
 
     async def _async_on_manifest(self, message: ManifestDelivered) -> None:
-        if message.revision <= self._held.revision:
+        if message.revision <= self.content.revision:
             return
         received = self._sync.received if self._sync else None
         try:
             sync = BucketSync(
-                message.revision, message.manifest, self._held.records, received
+                message.revision, message.manifest, self.content.records, received
             )
         except BucketError:
             LOGGER.warning("configuration_manifest_refused", revision=message.revision)
             return
-        if not self._is_digest_known(sync.revision, sync.digest):
+        if not self._keeper.is_consistent(sync.revision, sync.digest):
             return
         self._sync = sync
         await self._async_continue_sync(message.peer_address)
@@ -236,7 +209,7 @@
         buckets: list[Bucket] = []
         size_bytes = 0
         for index in message.indexes:
-            content = self._held.records.packed_bucket(index)
+            content = self.content.records.packed_bucket(index)
             size_bytes += len(content)
             if buckets and size_bytes > MAX_MESSAGE_BYTES:
                 break
@@ -266,64 +239,13 @@
             return
         self._sync = None
         self._request_ends_at_s = 0.0
-        records = sync.assemble(self._held.records)
+        records = sync.assemble(self.content.records)
         if records.digest != sync.digest:
             LOGGER.warning("configuration_content_refused", revision=sync.revision)
             return
         await self.async_take_content(Content(sync.revision, records))
         await self._async_request_if_behind()
 
-    def _apply_deltas(self, deltas: tuple[Delta, ...]) -> bool:
-        content = self.content
-        applied: list[Delta] = []
-        for delta in deltas:
-            if delta.revision <= content.revision:
-                continue
-            following = content.after(delta)
-            if following is None or not self._is_digest_known(
-                delta.revision, delta.digest
-            ):
-                LOGGER.warning("configuration_delta_refused", revision=delta.revision)
-                break
-            content = following
-            applied.append(delta)
-        if not self._replace(content):
-            return False
-        for delta in applied:
-            self._log.append(delta)
-        return True
-
-    def _replace(self, content: Content) -> bool:
-        try:
-            is_replaced = self._held.replace(content.revision, content.records)
-        except ContentError as error:
-            LOGGER.error(
-                "configuration_not_usable",
-                revision=content.revision,
-                reason=str(error),
-            )
-            return False
-        if not is_replaced:
-            return False
-        LOGGER.info("configuration_in_force", revision=content.revision)
-        self._bus.publish(ConfigurationChanged(content.revision))
-        return True
-
-    def _is_digest_known(self, revision: int, digest: bytes) -> bool:
-        """Return whether a digest is the one known for a revision, if any is."""
-        if revision == self._held.revision:
-            known = self._held.records.digest
-        else:
-            known = self._known_digests.setdefault(revision, digest)
-            self._trim_digests()
-        if known != digest:
-            LOGGER.error("configuration_digest_differs", revision=revision)
-        return known == digest
-
-    def _trim_digests(self) -> None:
-        while len(self._known_digests) > MAX_KNOWN_DIGESTS:
-            self._known_digests.popitem(last=False)
-
     async def _async_announce(self, fanout: int) -> None:
         own_address = self._own_address()
         others = [
@@ -340,8 +262,8 @@
         return RevisionAnnounced(
             this_instance.instance,
             this_instance.peer_address,
-            self._held.revision,
-            self._held.records.digest,
+            self.content.revision,
+            self.content.records.digest,
         )
 
     async def _async_send(self, peer_address: str, message: Message) -> None:
--- a/src/banyanswitch/components/configuration/store_watcher.py
+++ b/src/banyanswitch/components/configuration/store_watcher.py
@@ -14,6 +14,7 @@
     WATCH_INTERVAL_S,
     WATCHER_COUNT,
 )
+from banyanswitch.components.configuration.content_keeper import ContentKeeper
 from banyanswitch.components.configuration.coordinator import ConfigurationCoordinator
 from banyanswitch.components.configuration.models import Head
 from banyanswitch.components.configuration.repository import ConfigurationRepository
@@ -36,8 +37,10 @@
     ----------
     repository : ConfigurationRepository
         Accepted revisions.
+    keeper : ContentKeeper
+        Content in force.
     coordinator : ConfigurationCoordinator
-        Puts content in force.
+        Puts content in force and announces it.
     directory : PeerDirectory
         Instances that are believed alive.
     generator : random.Random
@@ -47,11 +50,14 @@
     def __init__(
         self,
         repository: ConfigurationRepository,
+        keeper: ContentKeeper,
         coordinator: ConfigurationCoordinator,
+        *,
         directory: PeerDirectory,
         generator: random.Random,
     ) -> None:
         self._repository = repository
+        self._keeper = keeper
         self._coordinator = coordinator
         self._directory = directory
         self._random = generator
@@ -92,10 +98,10 @@
         self._is_platform_readable = True
 
     async def _async_take(self, head: Head) -> None:
-        held = self._coordinator.content
+        held = self._keeper.content
         if head.revision <= held.revision:
             return
-        self._coordinator.learn_digest(head.revision, head.digest)
+        self._keeper.learn_digest(head.revision, head.digest)
         if held.revision >= head.snapshot_revision:
             deltas = await self._repository.async_deltas(held.revision)
             await self._coordinator.async_take_deltas(deltas)
@@ -117,7 +123,7 @@
         if this_instance in self._watchers:
             return True
         now_s = asyncio.get_running_loop().time()
-        if self._coordinator.content.revision == 0:
+        if self._keeper.content.revision == 0:
             return now_s >= self._peers_first_until_s
         reads_per_interval = BACKGROUND_READS_PER_S * WATCH_INTERVAL_S
         return self._random.random() < reads_per_interval / max(1, len(peers))
--- a/tests/components/configuration/builders.py
+++ b/tests/components/configuration/builders.py
@@ -9,6 +9,7 @@
     Author,
     ConfigurationAcceptor,
 )
+from banyanswitch.components.configuration.content_keeper import ContentKeeper
 from banyanswitch.components.configuration.coordinator import ConfigurationCoordinator
 from banyanswitch.components.configuration.repository import ConfigurationRepository
 from banyanswitch.components.configuration.store_watcher import StoreWatcher
@@ -90,10 +91,13 @@
         kernel = Kernel(settings=None)
         held = HeldConfiguration()
         generator = random.Random(number)
-        coordinator = ConfigurationCoordinator(held, node, node, kernel.bus, generator)
+        keeper = ContentKeeper(held, kernel.bus)
+        coordinator = ConfigurationCoordinator(keeper, node, node, generator)
         store = table or self.table
         repository = ConfigurationRepository(store, store)
-        watcher = StoreWatcher(repository, coordinator, node, generator)
+        watcher = StoreWatcher(
+            repository, keeper, coordinator, directory=node, generator=generator
+        )
         kernel.create_task(coordinator.async_run_messages(), "messages")
         kernel.create_task(coordinator.async_run_announcements(), "announcements")
         kernel.create_task(watcher.async_run(), "watcher")
