--- a/src/banyanswitch/decisions/placement.py
+++ b/src/banyanswitch/decisions/placement.py
@@ -2,11 +2,10 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
 from banyanswitch.config.models import Priority
-from banyanswitch.decisions.cache_view import CacheView, StoredPrefix
+from banyanswitch.decisions.cache_view import CacheView
 from banyanswitch.decisions.in_flight import InFlightTracker, LoadEstimate
 from banyanswitch.decisions.link_budget import LinkBudgets
 from banyanswitch.decisions.placement_models import (
@@ -17,8 +16,16 @@
     Refuse,
     RefuseReason,
 )
+from banyanswitch.decisions.placement_options import (
+    Option,
+    Queue,
+    Source,
+    command_of,
+    compute_option,
+    import_options,
+)
 from banyanswitch.decisions.prefix import prefix_key
-from banyanswitch.decisions.upstream_pool import StoreView, UpstreamPool, UpstreamView
+from banyanswitch.decisions.upstream_pool import UpstreamPool, UpstreamView
 from banyanswitch.identifiers import UpstreamId
 
 __all__ = [
@@ -44,54 +51,6 @@
 """Weight of the latest first token if it came earlier."""
 
 
-@dataclass(slots=True)
-class _Source:
-    """Store from which the request's prefix can be imported.
-
-    Parameters
-    ----------
-    allowed_bytes : float
-        What the workspace may import now.
-    """
-
-    stored: StoredPrefix
-    view: StoreView
-    allowed_bytes: float
-
-    @property
-    def piece_size_bytes(self) -> int:
-        """Mean size of one piece, in bytes."""
-        return max(1, self.stored.size_bytes // max(1, self.stored.pieces))
-
-
-@dataclass(slots=True)
-class _Option:
-    """One way to serve a request, with its cost."""
-
-    upstream: UpstreamId
-    cost: float
-    first_token_s: float
-    cached_pieces: int
-    prefill_tokens: int
-    import_bytes: int = 0
-    import_s: float = 0.0
-    saved_s: float = 0.0
-
-
-@dataclass(slots=True)
-class _Queue:
-    """Queue at one upstream, as one request meets it.
-
-    Parameters
-    ----------
-    cost_s : float
-        Added to the cost for work that may turn out to go first.
-    """
-
-    wait_s: float
-    cost_s: float
-
-
 class Placer:
     """Choose upstreams, corrected by what this instance has in flight.
 
@@ -139,8 +98,8 @@
         if source is not None:
             known_pieces = max(known_pieces, source.stored.pieces)
         home = self._home(request, pool)
-        options: list[_Option] = []
-        full: list[_Option] = []
+        options: list[Option] = []
+        full: list[Option] = []
         for upstream in self._candidates(request, pool, matches, home):
             view = pool.get(upstream)
             if view is None or not _may_serve(view, request):
@@ -150,13 +109,13 @@
             if cached:
                 cached = round(cached * self.cache_view.confidence(upstream, now_s))
             queue = self._queue(request, view, load)
-            option = _compute(request, view, queue, cached, known_pieces)
+            option = compute_option(request, view, queue, cached, known_pieces)
             if self._is_full(view, request, load):
                 full.append(option)
                 continue
             options.append(option)
             if source is not None and source.stored.pieces > cached:
-                options.extend(_import(request, view, queue, cached, source))
+                options.extend(import_options(request, view, queue, cached, source))
         if not options:
             return self._refusal(request, full, now_s)
         best = self._best(options, home)
@@ -167,7 +126,7 @@
                 reason=RefuseReason.DEADLINE,
                 retry_after_s=best.first_token_s,
             )
-        return _command(request, best, source)
+        return command_of(request, best, source)
 
     def on_sent(self, place: Place, now_s: float) -> None:
         """Note that a request was sent as ordered."""
@@ -205,7 +164,7 @@
 
     def _source(
         self, request: PlacementRequest, pool: UpstreamPool, now_s: float
-    ) -> _Source | None:
+    ) -> Source | None:
         stored = self.cache_view.stored_match(request.piece_hashes)
         if stored is None:
             return None
@@ -213,9 +172,9 @@
         if view is None or not view.is_available or view.bytes_per_s <= 0:
             return None
         if self._links is None:
-            return _Source(stored, view, float("inf"))
+            return Source(stored, view, float("inf"))
         allowed = self._links.import_bytes(stored.store, request.workspace, now_s)
-        return _Source(stored, view, allowed)
+        return Source(stored, view, allowed)
 
     def _home(self, request: PlacementRequest, pool: UpstreamPool) -> UpstreamId | None:
         if not request.piece_hashes:
@@ -256,7 +215,7 @@
 
     def _queue(
         self, request: PlacementRequest, view: UpstreamView, load: LoadEstimate
-    ) -> _Queue:
+    ) -> Queue:
         tokens = load.prefill_tokens
         first_tokens = tokens
         if request.priority is Priority.INTERACTIVE:
@@ -267,9 +226,9 @@
         weight = max(view.weight, MIN_WEIGHT)
         wait_s = (first_tokens / view.prefill_tokens_per_s + slot_s) / weight
         unsure_s = (tokens - first_tokens) / view.prefill_tokens_per_s
-        return _Queue(wait_s, self._policy.unsure_wait_weight * unsure_s)
+        return Queue(wait_s, self._policy.unsure_wait_weight * unsure_s)
 
-    def _best(self, options: list[_Option], home: UpstreamId | None) -> _Option:
+    def _best(self, options: list[Option], home: UpstreamId | None) -> Option:
         best = min(options, key=_cost_of)
         for option in options:
             if option.upstream != home:
@@ -279,7 +238,7 @@
         return best
 
     def _refusal(
-        self, request: PlacementRequest, full: list[_Option], now_s: float
+        self, request: PlacementRequest, full: list[Option], now_s: float
     ) -> Refuse:
         retry_after_s = self._policy.retry_after_s
         if not full:
@@ -297,81 +256,6 @@
         return Refuse(run=request.run, reason=reason, retry_after_s=retry_after_s)
 
 
-def _compute(
-    request: PlacementRequest,
-    view: UpstreamView,
-    queue: _Queue,
-    cached_pieces: int,
-    known_pieces: int,
-) -> _Option:
-    rate = view.prefill_tokens_per_s
-    tokens = max(0, request.prompt_tokens - cached_pieces * request.piece_tokens)
-    first_token_s = queue.wait_s + tokens / rate
-    redone_tokens = max(0, known_pieces - cached_pieces) * request.piece_tokens
-    cost = request.reuse.first_token_weight * (first_token_s + queue.cost_s)
-    cost += request.reuse.recompute_weight * redone_tokens / rate
-    return _Option(view.upstream, cost, first_token_s, cached_pieces, tokens)
-
-
-def _import(
-    request: PlacementRequest,
-    view: UpstreamView,
-    queue: _Queue,
-    cached_pieces: int,
-    source: _Source,
-) -> tuple[_Option, ...]:
-    stored = source.stored
-    piece_size = source.piece_size_bytes
-    missing = stored.pieces - cached_pieces
-    if missing * piece_size > source.allowed_bytes:
-        missing = int(source.allowed_bytes // piece_size)
-    if missing <= 0:
-        return ()
-    rate = view.prefill_tokens_per_s
-    pieces = cached_pieces + missing
-    size_bytes = missing * piece_size
-    link_s = size_bytes / source.view.bytes_per_s
-    import_s = link_s + source.view.queued_bytes / source.view.bytes_per_s
-    if stored.is_on_disk:
-        import_s += size_bytes / source.view.disk_bytes_per_s
-    tokens = max(0, request.prompt_tokens - pieces * request.piece_tokens)
-    redone_tokens = (stored.pieces - pieces) * request.piece_tokens
-    first_token_s = max(import_s, queue.wait_s) + tokens / rate
-    cost = request.reuse.first_token_weight * (first_token_s + queue.cost_s)
-    cost += request.reuse.link_weight * link_s
-    cost += request.reuse.recompute_weight * redone_tokens / rate
-    option = _Option(view.upstream, cost, first_token_s, pieces, tokens)
-    option.import_bytes = size_bytes
-    option.import_s = import_s
-    option.saved_s = missing * request.piece_tokens / rate
-    return (option,)
-
-
-def _command(
-    request: PlacementRequest, option: _Option, source: _Source | None
-) -> Place:
-    order = None
-    if source is not None and option.import_bytes:
-        order = ImportFirst(
-            store=source.stored.store,
-            manifest=source.stored.manifest,
-            pieces=option.cached_pieces,
-            size_bytes=option.import_bytes,
-            expected_s=option.import_s,
-            give_up_after_s=option.import_s + option.saved_s,
-        )
-    return Place(
-        run=request.run,
-        upstream=option.upstream,
-        expected_first_token_s=option.first_token_s,
-        expected_cached_pieces=option.cached_pieces,
-        prefill_tokens=option.prefill_tokens,
-        piece_hashes=request.piece_hashes,
-        import_first=order,
-        priority=request.priority,
-    )
-
-
 def _may_serve(view: UpstreamView, request: PlacementRequest) -> bool:
     return (
         view.is_accepting
@@ -381,5 +265,5 @@
     )
 
 
-def _cost_of(option: _Option) -> float:
+def _cost_of(option: Option) -> float:
     return option.cost
