--- a/src/banyanswitch/components/upstream_load/coordinator.py
+++ b/src/banyanswitch/components/upstream_load/coordinator.py
@@ -139,7 +139,7 @@
         polls: set[asyncio.Task[None]] = set()
         try:
             while True:
-                for group in self._groups.groups():
+                for group in self._choice.own_groups():
                     if self._is_poll_due(group):
                         poll = loop.create_task(self._async_gather_group(group))
                         polls.add(poll)
--- a/src/banyanswitch/components/upstream_load/groups.py
+++ b/src/banyanswitch/components/upstream_load/groups.py
@@ -91,25 +91,39 @@
         self._peers: tuple[Peer, ...] = ()
         self._known_groups: tuple[UpstreamGroup, ...] = ()
         self._chosen: dict[UpstreamGroup, tuple[Peer, ...]] = {}
+        self._own: dict[UpstreamGroup, int] = {}
 
     def gatherers(self, group: UpstreamGroup) -> tuple[Peer, ...]:
         """Return the gatherers of a group; the first sends its digests."""
-        peers = self._directory.peers()
-        groups = self._groups.groups()
-        if peers is not self._peers or groups is not self._known_groups:
-            self._peers = peers
-            self._known_groups = groups
-            sizes = {group: len(self._groups.members(group)) for group in groups}
-            self._chosen = _choose_all(sizes, peers)
+        self._refresh()
         return self._chosen.get(group, ())
 
+    def own_groups(self) -> tuple[UpstreamGroup, ...]:
+        """Return the groups that this instance polls."""
+        self._refresh()
+        return tuple(self._own)
+
     def rank(self, group: UpstreamGroup) -> int | None:
         """Return the position of this instance among the gatherers of a group."""
+        self._refresh()
+        return self._own.get(group)
+
+    def _refresh(self) -> None:
+        peers = self._directory.peers()
+        groups = self._groups.groups()
+        if peers is self._peers and groups is self._known_groups:
+            return
+        self._peers = peers
+        self._known_groups = groups
+        sizes = {group: len(self._groups.members(group)) for group in groups}
+        self._chosen = _choose_all(sizes, peers)
         this = self._directory.this_instance().instance
-        for rank, peer in enumerate(self.gatherers(group)):
-            if peer.instance == this:
-                return rank
-        return None
+        self._own = {
+            group: rank
+            for group, gatherers in self._chosen.items()
+            for rank, peer in enumerate(gatherers)
+            if peer.instance == this
+        }
 
 
 def _choose_all(
