Ignore buckets that don't exist in a request

Cause: a request that names a bucket out of range, as an instance of another release might, ended the task that handles messages. The new test failed first ('assert 9.049 <= 9.0': the joiner gets nothing in the outage) and passes now.

--- a/src/banyanswitch/components/configuration/coordinator.py
+++ b/src/banyanswitch/components/configuration/coordinator.py
@@ -208,7 +208,10 @@
     async def _async_on_buckets_requested(self, message: BucketsRequested) -> None:
         buckets: list[Bucket] = []
         size_bytes = 0
+        known = self.content.records.bucket_indexes()
         for index in message.indexes:
+            if index not in known:
+                continue
             content = self.content.records.packed_bucket(index)
             size_bytes += len(content)
             if buckets and size_bytes > MAX_MESSAGE_BYTES:
--- a/tests/components/configuration/test_spread.py
+++ b/tests/components/configuration/test_spread.py
@@ -8,6 +8,9 @@
 import pytest
 
 from banyanswitch.components.configuration.models import (
+    Bucket,
+    BucketsDelivered,
+    BucketsRequested,
     Delta,
     DeltasDelivered,
     ManifestDelivered,
@@ -205,6 +208,19 @@
     assert node.held.revision == 1
 
 
+@pytest.mark.looptime
+async def test_malformed_messages_stop_nothing_else(cluster: Cluster) -> None:
+    await start_with(cluster, 2)
+    node = cluster.nodes[0]
+    unknown = BucketsRequested("tcp://i001", (-1, 256, 10**9))
+    node.node.receive(unknown)
+    node.node.receive(BucketsDelivered("tcp://i001", (Bucket(999, b"junk"),)))
+    joiner = cluster.start_one()
+    cluster.nodes[1].node.network.remove(cluster.nodes[1].node)
+    cluster.table.is_down = True
+    await seconds_until(lambda: joiner.held.revision == 1)
+
+
 @pytest.mark.looptime
 async def test_record_that_can_not_be_decoded_stops_nothing_else(
     cluster: Cluster,
