--- a/bench/entry/__main__.py
+++ b/bench/entry/__main__.py
@@ -16,7 +16,7 @@
 
 from bench.callers import Caller, completion_body
 from bench.fleet import KEYS, MODEL, Fleet, FleetPlan
-from bench.processes import ProcessGroup
+from bench.processes import ChildProcess, ProcessGroup
 
 RESULT_PATH: Final = Path("docs/data/entry_cost.json")
 COMMAND: Final = "python -m bench.entry"
@@ -42,6 +42,8 @@
         95th percentile through the entry less that of the direct call.
     cpu_per_token_s : float
         Processor time of the entry for each token, idle time taken off.
+    floor_cpu_per_token_s : float
+        The same of a plain pass-through on the same HTTP library, in the same run.
     """
 
     command: str
@@ -54,6 +56,7 @@
     tokens: int
     tokens_per_s: float
     cpu_per_token_s: float
+    floor_cpu_per_token_s: float
     idle_cpu_share: float
     idle_rss_bytes: int
     busy_rss_bytes: int
@@ -98,7 +101,7 @@
     return first_s
 
 
-async def async_measure(fleet: Fleet) -> EntryCost:
+async def async_measure(fleet: Fleet, pass_through: ChildProcess) -> EntryCost:
     """Measure latency in pairs, then processor time under load."""
     entry = fleet.entries[0]
     engine = fleet.engines[0]
@@ -116,6 +119,8 @@
         idle_share, idle_rss_bytes = await _async_idle(process)
         caller = Caller(session, KEYS[0])
         cpu_s, elapsed_s = await _async_load(caller, entry.url, process)
+        floor = psutil.Process(pass_through.process.pid)
+        floor_cpu_s, _ = await _async_load(caller, pass_through.url, floor)
     tokens = STREAMS * TOKENS_PER_STREAM
     direct_p50_s, direct_p95_s = np.percentile(direct, [50, 95])
     entry_p50_s, entry_p95_s = np.percentile(through, [50, 95])
@@ -130,6 +135,7 @@
         tokens=tokens,
         tokens_per_s=tokens / elapsed_s,
         cpu_per_token_s=(cpu_s - idle_share * elapsed_s) / tokens,
+        floor_cpu_per_token_s=floor_cpu_s / tokens,
         idle_cpu_share=idle_share,
         idle_rss_bytes=idle_rss_bytes,
         busy_rss_bytes=process.memory_info().rss,
@@ -176,6 +182,8 @@
     print(f"added to first token, 95 of 100: {added_ms:.2f} ms (target 5 ms)")
     print(f"first token ratio to direct:     {cost.ratio_first_token_p95:.2f}")
     print(f"processor time a token:          {cpu_us:.1f} us (target 40 us)")
+    floor_us = cost.floor_cpu_per_token_s * MICROSECONDS_PER_S
+    print(f"the same of a pass-through:      {floor_us:.1f} us")
     print(f"tokens a second:                 {cost.tokens_per_s:.0f}")
     print(f"idle processor share:            {cost.idle_cpu_share:.4f} of a core")
     print(
@@ -201,7 +209,10 @@
         fleet = Fleet(group, plan)
         fleet.apply()
         fleet.start_entries()
-        cost = asyncio.run(async_measure(fleet))
+        pass_through = group.start(
+            "pass-through", "bench.entry.pass_through", [fleet.engines[0].url]
+        )
+        cost = asyncio.run(async_measure(fleet, pass_through))
     RESULT_PATH.write_text(json.dumps(asdict(cost), indent=2) + "\n")
     return 0 if print_cost(cost) else 1
 
--- /dev/null
+++ b/bench/entry/pass_through.py
@@ -0,0 +1,74 @@
+"""Plain pass-through on the same HTTP library: the least that an entry can cost."""
+
+import asyncio
+import itertools
+import json
+import sys
+
+import aiohttp
+import uvloop
+from aiohttp import web
+
+from banyanswitch.composition import disable_io_uring
+from bench.processes import HOST
+
+PATH = "/v1/chat/completions"
+
+
+class PassThrough:
+    """Forward each request to one engine and each chunk to the caller.
+
+    Parameters
+    ----------
+    target_url : str
+        URL of the engine.
+    session : aiohttp.ClientSession
+        Connections to it.
+    """
+
+    def __init__(self, target_url: str, session: aiohttp.ClientSession) -> None:
+        self._target_url = target_url
+        self._session = session
+        self._numbers = itertools.count()
+
+    async def async_forward(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request."""
+        headers = {
+            "X-Banyan-Run-Id": f"pass-through-{next(self._numbers)}",
+            "X-Banyan-Workspace": "direct",
+            "X-Banyan-Weight-Version": "v1",
+        }
+        body = await request.read()
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "X-Banyan-Weight-Version": "v1",
+            }
+        )
+        async with self._session.post(
+            self._target_url + PATH, data=body, headers=headers
+        ) as upstream:
+            await response.prepare(request)
+            while chunk := await upstream.content.readany():
+                await response.write(chunk)
+        await response.write_eof()
+        return response
+
+
+async def async_serve(target_url: str) -> None:
+    """Listen on a free port and print it."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        application = web.Application()
+        handler = PassThrough(target_url, session).async_forward
+        application.router.add_post(PATH, handler)
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, HOST, 0).start()
+        print(json.dumps({"port": runner.addresses[0][1]}), flush=True)
+        await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    disable_io_uring()
+    uvloop.run(async_serve(sys.argv[1]))
