--- a/src/banyanswitch/components/upstream_load/const.py
+++ b/src/banyanswitch/components/upstream_load/const.py
@@ -25,9 +25,9 @@
 FIRST_DIGEST_S: Final = 1.0
 """Time from becoming a gatherer to its first digest, in seconds."""
 
-CHANGE_REPEATS: Final = 2
-"""Times that a changed state is sent again, at the following polls, because an
-instance that passes digests on may have died."""
+CHANGE_REPEATS_S: Final = (1.0, 1.0)
+"""Times after which a changed state is sent again, because an instance that passes
+digests on may have died, in seconds."""
 
 STAND_IN_INTERVALS: Final = 2.5
 """Digest intervals without a digest after which another gatherer sends."""
--- a/src/banyanswitch/components/upstream_load/coordinator.py
+++ b/src/banyanswitch/components/upstream_load/coordinator.py
@@ -8,7 +8,7 @@
 
 from banyanswitch.components.peers.outbox import Outbox
 from banyanswitch.components.upstream_load.const import (
-    CHANGE_REPEATS,
+    CHANGE_REPEATS_S,
     DIGEST_INTERVAL_S,
     FIRST_DIGEST_S,
     GATHER_TICK_S,
@@ -100,7 +100,7 @@
         self._sent_at_s: dict[UpstreamGroup, float] = {}
         self._heard_at_s: dict[UpstreamGroup, float] = {}
         self._last_number: dict[tuple[UpstreamGroup, str], tuple[int, int]] = {}
-        self._repeats: dict[UpstreamGroup, int] = {}
+        self._repeats: dict[UpstreamGroup, list[float]] = {}
         self._sequence = 0
         transport.subscribe(LoadDigest, self._on_digest)
         transport.subscribe(LoadRequested, self._on_requested)
@@ -146,6 +146,7 @@
                         poll.add_done_callback(polls.discard)
                     if self._is_digest_due(group, loop.time()):
                         self._send_digest(group)
+                self._send_repeats(loop.time())
                 if self._used.expire(loop.time()):
                     self._interest.declare_services(self._used.services())
                 await asyncio.sleep(GATHER_TICK_S)
@@ -172,9 +173,6 @@
             self._table.put(load)
         if group in self._changed_groups:
             self._send_digest(group)
-        elif self._repeats.get(group, 0) > 0:
-            self._repeats[group] -= 1
-            self._relay(self._digest(group, is_relayed=True))
         self._tell_first_gatherer(group)
 
     def _tell_first_gatherer(self, group: UpstreamGroup) -> None:
@@ -196,6 +194,15 @@
         last_s = max(sent_s, self._heard_at_s.get(group, 0.0))
         return now_s - last_s >= STAND_IN_INTERVALS * DIGEST_INTERVAL_S
 
+    def _send_repeats(self, now_s: float) -> None:
+        for group, delays_s in tuple(self._repeats.items()):
+            if now_s - self._sent_at_s[group] < delays_s[0]:
+                continue
+            delays_s.pop(0)
+            if not delays_s:
+                del self._repeats[group]
+            self._send_digest(group)
+
     def _send_changed_groups(self) -> None:
         for group in tuple(self._changed_groups):
             if self._choice.rank(group) is not None:
@@ -205,7 +212,7 @@
     def _send_digest(self, group: UpstreamGroup) -> None:
         if group in self._changed_groups:
             self._changed_groups.discard(group)
-            self._repeats[group] = CHANGE_REPEATS
+            self._repeats[group] = list(CHANGE_REPEATS_S)
         self._sent_at_s[group] = asyncio.get_running_loop().time()
         digest = self._digest(group, is_relayed=True)
         self._relay(digest)
