--- a/src/banyanswitch/decisions/in_flight.py
+++ b/src/banyanswitch/decisions/in_flight.py
@@ -1,12 +1,19 @@
 """Requests that this instance has in flight, to correct lagging load reports."""
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from dataclasses import dataclass
+from typing import Final
 
 from banyanswitch.config.models import Priority
 from banyanswitch.decisions.upstream_pool import UpstreamView
 from banyanswitch.identifiers import RunId, UpstreamId
 
+ENDED_LIFETIME_S: Final = 10.0
+"""Time for which ended requests are remembered, in seconds."""
+
+MAX_ENDED: Final = 256
+"""Ended requests that are remembered for one upstream."""
+
 
 @dataclass(slots=True)
 class _Sent:
@@ -38,11 +45,20 @@
     interactive_tokens: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Ended:
+    """An own request that ended a short time ago."""
+
+    sent_at_s: float
+    ended_at_s: float
+
+
 class InFlightTracker:
     """Count own requests per upstream and join them with its last report."""
 
     def __init__(self) -> None:
         self._runs: dict[RunId, _Sent] = {}
+        self._ended: dict[UpstreamId, deque[_Ended]] = {}
         self._by_upstream: dict[UpstreamId, dict[RunId, _Sent]] = defaultdict(dict)
 
     def __len__(self) -> int:
@@ -74,6 +90,7 @@
         sent = self._runs.pop(run, None)
         if sent is None:
             return
+        self._note_ended(sent, now_s)
         left = self._by_upstream[sent.upstream]
         left.pop(run, None)
         if not left:
@@ -89,16 +106,20 @@
     ) -> LoadEstimate:
         """Correct a load report by the time since and by what was sent since.
 
-        The reported prompt tokens are assumed to have been worked off at the
-        upstream's rate since the report arrived.
+        The report describes a time before it arrived. Requests of this instance at
+        that time are taken off it, which leaves those of others; those in flight now
+        are added. The reported prompt tokens are assumed to have been worked off at
+        the upstream's rate since the report arrived.
         """
-        requests = view.running_requests + view.queued_requests
+        described_at_s = view.reported_at_s - report_lag_s / 2.0
+        reported = view.running_requests + view.queued_requests
+        others = max(0, reported - self._count_at(view.upstream, described_at_s))
         age_s = max(0.0, now_s - view.reported_at_s)
         worked_off = age_s * view.prefill_tokens_per_s
         tokens = max(0.0, view.queued_prefill_tokens - worked_off)
         own = self._by_upstream.get(view.upstream)
         if not own:
-            return LoadEstimate(requests, tokens, 0.0)
+            return LoadEstimate(others, tokens, 0.0)
         seen_until_s = view.reported_at_s - report_lag_s
         own_tokens = 0
         interactive_tokens = 0
@@ -107,8 +128,28 @@
             if sent.priority is Priority.INTERACTIVE:
                 interactive_tokens += sent.prefill_tokens
             if sent.sent_at_s >= seen_until_s:
-                requests += 1
                 tokens += sent.prefill_tokens
         return LoadEstimate(
-            max(len(own), requests), max(own_tokens, tokens), interactive_tokens
+            others + len(own), max(own_tokens, tokens), interactive_tokens
         )
+
+    def ended_count(self, upstream: UpstreamId) -> int:
+        """Return how many ended requests are remembered for an upstream."""
+        return len(self._ended.get(upstream, ()))
+
+    def _count_at(self, upstream: UpstreamId, time_s: float) -> int:
+        """Return how many requests this instance had there at an earlier time."""
+        running = self._by_upstream.get(upstream, {})
+        count = sum(1 for sent in running.values() if sent.sent_at_s <= time_s)
+        for ended in self._ended.get(upstream, ()):
+            if ended.sent_at_s <= time_s < ended.ended_at_s:
+                count += 1
+        return count
+
+    def _note_ended(self, sent: _Sent, now_s: float) -> None:
+        ended = self._ended.get(sent.upstream)
+        if ended is None:
+            ended = self._ended[sent.upstream] = deque(maxlen=MAX_ENDED)
+        ended.append(_Ended(sent.sent_at_s, now_s))
+        while ended[0].ended_at_s < now_s - ENDED_LIFETIME_S:
+            ended.popleft()
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -96,7 +96,7 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["admit", "finish", "advance"]),
+        st.sampled_from(["admit", "finish", "advance", "busy"]),
         st.integers(0, 9),
         st.sampled_from(Priority),
         st.floats(0, 2),
@@ -129,6 +129,10 @@
         elif action == "finish" and running:
             run = running.pop(choice % len(running))
             admission.on_finished(RunId(run), now_s)
+        elif action == "busy" and running:
+            run = running.pop(choice % len(running))
+            if isinstance(admission.on_busy(RunId(run), now_s), Queued):
+                queued.add(run)
         for result in admission.advance(now_s):
             assert result.run in queued
             queued.remove(result.run)
@@ -140,3 +144,21 @@
         if isinstance(result, Admitted):
             running.append(result.run)
     assert not queued
+
+
+def test_requests_that_come_back_keep_their_place_and_start_spaced_out() -> None:
+    policy = AdmissionPolicy(capacity=8, busy_s=0.05, batch_spacing_s=1.0)
+    admission = Admission(policy)
+    for number in range(4):
+        admission.admit(make(f"b{number}", priority=Priority.BATCH), 0.0)
+    for number in (2, 0, 1):
+        admission.on_busy(RunId(f"b{number}"), 0.0)
+    late = admission.admit(make("b9", priority=Priority.BATCH), 0.01)
+    assert isinstance(late, Queued)
+    assert admission.advance(0.04) == ()
+    (first,) = admission.advance(0.06)
+    assert first.run == "b2"
+    assert admission.advance(0.5) == ()
+    admission.on_busy(first.run, 0.5)
+    starts = [admission.advance(0.6 + 1.1 * step)[0].run for step in range(4)]
+    assert starts == ["b2", "b0", "b1", "b9"]
