Keep a connection to each peer at the target size

Cause: heartbeats go to all peers in turn and 64 connections were kept, so at 330 instances four of five messages would have needed a new connection. Sequence numbers of gatherers that are gone no longer pile up.

--- a/src/banyanswitch/components/peers/const.py
+++ b/src/banyanswitch/components/peers/const.py
@@ -9,7 +9,7 @@
 MAX_MESSAGE_BYTES: Final = 1024 * 1024
 """Largest frame that is sent or received."""
 
-MAX_DIALERS: Final = 64
+MAX_DIALERS: Final = 512
 """Outgoing connections kept open; the least recently used is closed."""
 
 SEND_BUFFER_MESSAGES: Final = 64
--- a/src/banyanswitch/components/upstream_load/const.py
+++ b/src/banyanswitch/components/upstream_load/const.py
@@ -51,3 +51,6 @@
 
 TOKENS_PER_UNIT: Final = 64
 """Queued prefill tokens are passed on in units of this many."""
+
+MAX_KNOWN_GATHERERS: Final = 4096
+"""Gatherers whose last sequence numbers are remembered."""
--- a/src/banyanswitch/components/upstream_load/coordinator.py
+++ b/src/banyanswitch/components/upstream_load/coordinator.py
@@ -12,6 +12,7 @@
     DIGEST_INTERVAL_S,
     FIRST_DIGEST_S,
     GATHER_TICK_S,
+    MAX_KNOWN_GATHERERS,
     STAND_IN_INTERVALS,
 )
 from banyanswitch.components.upstream_load.digests import (
@@ -258,6 +259,8 @@
         number = (digest.incarnation, digest.sequence)
         if number <= self._last_number.get((group, digest.gatherer), (-1, -1)):
             return
+        if len(self._last_number) >= MAX_KNOWN_GATHERERS:
+            self._last_number.clear()
         self._last_number[group, digest.gatherer] = number
         now_s = asyncio.get_running_loop().time()
         if digest.position >= 0:
