--- a/src/banyanswitch/components/upstream_load/coordinator.py
+++ b/src/banyanswitch/components/upstream_load/coordinator.py
@@ -1,11 +1,9 @@
 """Load of the upstreams: gathered by a few instances and passed on to the others."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import replace
 
-from msgspec.structs import replace as replace_struct
-
 from banyanswitch.components.peers.outbox import Outbox
 from banyanswitch.components.upstream_load.const import (
     CHANGE_REPEATS_S,
@@ -31,6 +29,7 @@
     UsedServices,
 )
 from banyanswitch.components.upstream_load.load_table import LoadTable
+from banyanswitch.components.upstream_load.messenger import LoadMessenger
 from banyanswitch.components.upstream_load.models import (
     LeavingNoticed,
     LoadDigest,
@@ -38,7 +37,6 @@
     UpstreamGroup,
 )
 from banyanswitch.components.upstream_load.poller import LoadPoller
-from banyanswitch.components.upstream_load.relay import relay_targets
 from banyanswitch.components.upstream_load.schedule import (
     PollSchedule,
     turn_length_s,
@@ -94,6 +92,7 @@
         self._on_change = on_change
         self._groups = UpstreamGroups(configuration)
         self._choice = GathererChoice(directory, self._groups)
+        self._messenger = LoadMessenger(self._outbox, directory, interest, self._choice)
         self._table = LoadTable(self._note_change)
         self._used = UsedServices()
         self._changed_groups: set[UpstreamGroup] = set()
@@ -124,7 +123,7 @@
         known = self._table.get(load.upstream)
         self._table.put(load)
         if load.is_leaving and (known is None or not known.is_leaving):
-            self._tell_gatherers(load.upstream)
+            self._tell_leaving(load.upstream)
         self._send_changed_groups()
 
     async def async_run(self) -> None:
@@ -174,14 +173,10 @@
             self._table.put(load)
         if group in self._changed_groups:
             self._send_digest(group)
-        self._tell_first_gatherer(group)
-
-    def _tell_first_gatherer(self, group: UpstreamGroup) -> None:
         rank = self._choice.rank(group)
-        if rank is None or rank == 0:
-            return
-        address = self._choice.gatherers(group)[0].peer_address
-        self._outbox.send(address, self._digest(group, is_relayed=False))
+        if rank is not None and rank > 0:
+            digest = self._digest(group, is_relayed=False)
+            self._messenger.tell_first_gatherer(group, digest)
 
     def _is_digest_due(self, group: UpstreamGroup, now_s: float) -> bool:
         rank = self._choice.rank(group)
@@ -216,17 +211,9 @@
             self._repeats[group] = list(CHANGE_REPEATS_S)
         self._sent_at_s[group] = asyncio.get_running_loop().time()
         digest = self._digest(group, is_relayed=True)
-        self._relay(digest)
+        self._messenger.relay(digest)
         if digest.position >= 0:
-            self._tell_other_gatherers(group, digest)
-
-    def _tell_other_gatherers(self, group: UpstreamGroup, digest: LoadDigest) -> None:
-        serving = self._interest.serving(group.service)
-        informed = {peer.instance for peer in serving}
-        for peer in self._choice.gatherers(group)[1:]:
-            if peer.instance not in informed:
-                message = replace_struct(digest, is_relayed=False)
-                self._outbox.send(peer.peer_address, message)
+            self._messenger.tell_other_gatherers(group, digest)
 
     def _digest(self, group: UpstreamGroup, *, is_relayed: bool) -> LoadDigest:
         self._sequence += 1
@@ -247,12 +234,6 @@
             entries=tuple(encode_load(load, versions) for load in loads),
         )
 
-    def _relay(self, digest: LoadDigest) -> None:
-        serving = self._interest.serving(ServiceName(digest.service))
-        this = self._directory.this_instance().instance
-        for peer in relay_targets(digest, serving, this):
-            self._outbox.send(peer.peer_address, digest)
-
     @callback
     def _on_digest(self, digest: LoadDigest) -> None:
         group = UpstreamGroup(ServiceName(digest.service), digest.group)
@@ -270,7 +251,7 @@
             self._table.put(load)
         self._changed_groups.discard(group)
         if digest.is_relayed:
-            self._relay(digest)
+            self._messenger.relay(digest)
 
     @callback
     def _on_requested(self, message: LoadRequested) -> None:
@@ -287,14 +268,10 @@
         self._table.put(replace(known, is_leaving=True, received_at_s=now_s))
         self._send_changed_groups()
 
-    def _tell_gatherers(self, upstream: UpstreamId) -> None:
+    def _tell_leaving(self, upstream: UpstreamId) -> None:
         group = self._groups.group_of(upstream)
-        if group is None:
-            return
-        this = self._directory.this_instance().instance
-        for peer in self._choice.gatherers(group):
-            if peer.instance != this:
-                self._outbox.send(peer.peer_address, LeavingNoticed(upstream))
+        if group is not None:
+            self._messenger.tell_leaving(group, upstream)
 
     def _note_use(self, upstream: UpstreamId) -> None:
         group = self._groups.group_of(upstream)
@@ -304,16 +281,7 @@
         if not self._used.note(group.service, now_s):
             return
         self._interest.declare_services(self._used.services())
-        self._request_loads(self._groups.of_service(group.service))
-
-    def _request_loads(self, groups: Sequence[UpstreamGroup]) -> None:
-        this = self._directory.this_instance()
-        for group in groups:
-            gatherers = self._choice.gatherers(group)
-            request = LoadRequested(group.service, group.number, this.peer_address)
-            for peer in gatherers[:1]:
-                if peer.instance != this.instance:
-                    self._outbox.send(peer.peer_address, request)
+        self._messenger.request_loads(self._groups.of_service(group.service))
 
     @callback
     def _note_change(self, upstream: UpstreamId) -> None:
