Let claims gain their rate back by a factor, so that it fits any number of instances

Cause: a slowed instance gained 1% of its full rate a second, whatever it had; with 330 instances that is 69 writes/s more each second, and the table of 400 writes/s stayed full.

--- a/src/banyanswitch/components/platform/const.py
+++ b/src/banyanswitch/components/platform/const.py
@@ -25,13 +25,16 @@
 CONFIGURATION_SHARE: Final = 0.1
 """Share of the write budget that configuration has for itself."""
 
+SLOWDOWN_FACTOR: Final = 0.25
+"""Factor of the claims' rate after the table has refused a write."""
+
 SLOWDOWN_INTERVAL_S: Final = 1.0
 """Shortest time between two slowdowns of the claims, in seconds."""
 
-SPEED_UP_SHARE_PER_S: Final = 0.01
-"""Share of the claims' full rate that they gain back each second."""
+SPEED_UP_PER_S: Final = 0.01
+"""Share of their present rate that slowed claims gain back each second."""
 
-MIN_CLAIM_SPEED: Final = 0.02
+MIN_CLAIM_SPEED: Final = 0.002
 """Share of the claims' full rate that they always keep."""
 
 BUDGET_BURST_S: Final = 2.0
--- a/src/banyanswitch/components/platform/write_budget.py
+++ b/src/banyanswitch/components/platform/write_budget.py
@@ -10,8 +10,9 @@
     CONFIGURATION_SHARE,
     LEASE_SHARE,
     MIN_CLAIM_SPEED,
+    SLOWDOWN_FACTOR,
     SLOWDOWN_INTERVAL_S,
-    SPEED_UP_SHARE_PER_S,
+    SPEED_UP_PER_S,
 )
 from banyanswitch.exceptions import WriteBudgetExceededError
 from banyanswitch.interfaces import WriteClass
@@ -54,8 +55,9 @@
     can't cost an instance its leases.
 
     The table's rate is shared with other instances that are not asked. When the
-    table refuses a write, claims go on at half their rate, and then a little faster
-    each second, so that the instances together stay near what the table takes.
+    table refuses a write, claims go on at a quarter of their rate, and then faster by the same
+    factor each second, so that the instances together stay near what the table takes,
+    however many they are.
 
     Parameters
     ----------
@@ -102,13 +104,12 @@
         self._slowed_at_s = now_s
         claims = self._buckets[WriteClass.CLAIM]
         least_per_s = self._full_claims_per_s * MIN_CLAIM_SPEED
-        claims.slow_down(max(least_per_s, claims.writes_per_s / 2.0))
+        claims.slow_down(max(least_per_s, claims.writes_per_s * SLOWDOWN_FACTOR))
         self._sped_up_at_s = now_s
 
     def _speed_up(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._sped_up_at_s)
         self._sped_up_at_s = now_s
-        gained_per_s = self._full_claims_per_s * SPEED_UP_SHARE_PER_S * elapsed_s
         claims = self._buckets[WriteClass.CLAIM]
-        faster_per_s = claims.writes_per_s + gained_per_s
+        faster_per_s = claims.writes_per_s * (1.0 + SPEED_UP_PER_S * elapsed_s)
         claims.writes_per_s = min(self._full_claims_per_s, faster_per_s)
