--- a/src/banyanswitch/components/platform/write_budget.py
+++ b/src/banyanswitch/components/platform/write_budget.py
@@ -55,9 +55,9 @@
     can't cost an instance its leases.
 
     The table's rate is shared with other instances that are not asked. When the
-    table refuses a write, claims go on at a quarter of their rate, and then faster by the same
-    factor each second, so that the instances together stay near what the table takes,
-    however many they are.
+    table refuses a write, claims go on at a quarter of their rate. They gain the
+    rest back by the same factor each second, so that the instances together stay
+    near what the table takes, however many they are.
 
     Parameters
     ----------
