Let a narrow link save up for one piece

Change: a share can be saved up to one piece at least; the refill is slower by it, so that the bound of the window holds (property test). The new test failed before with "assert False ... start_export('w', 1000000, 0.0)".

--- a/bench/decisions/entry.py
+++ b/bench/decisions/entry.py
@@ -488,6 +488,7 @@
             bytes_per_s=deployment.link_bytes_per_s,
             background_share=deployment.background_share,
             entries=deployment.entries,
+            min_burst_bytes=deployment.piece_size_bytes,
         )
         share = equal_share(deployment.link_share, deployment.entries_per_workspace)
         return LinkBudget(settings, share, 0.0)
--- a/src/banyanswitch/decisions/link_budget.py
+++ b/src/banyanswitch/decisions/link_budget.py
@@ -22,6 +22,7 @@
 LONGEST_QUEUE_S: Final = 5.0
 """Time that this instance's transfers may need before no export is added."""
 
+DEFAULT_PIECE_SIZE_BYTES: Final = 256_000_000
 FIRST_RETRY_S: Final = 2.0
 LONGEST_RETRY_S: Final = 60.0
 
@@ -38,12 +39,15 @@
         Share for exports and prefetches over the whole system.
     entries : int
         Entry instances that divide the background share.
+    min_burst_bytes : int
+        Size of one piece; a share can be saved up to at least this much.
     """
 
     store: StoreId
     bytes_per_s: float
     background_share: float
     entries: int = 1
+    min_burst_bytes: int = DEFAULT_PIECE_SIZE_BYTES
 
 
 class WorkspaceShare(Protocol):
@@ -77,9 +81,8 @@
         self._workspace_share = workspace_share
         self._workspaces: dict[WorkspaceId, TokenBucket] = {}
         share = settings.background_share / settings.entries
-        self._background = _bucket(
-            share * settings.bytes_per_s, BACKGROUND_BURST_S, now_s
-        )
+        rate = share * settings.bytes_per_s
+        self._background = self._bucket(rate, BACKGROUND_BURST_S, now_s)
         self._observed_bytes_per_s = settings.bytes_per_s
         self._observed_at_s = now_s
         self._queued: list[_Queued] = []
@@ -191,10 +194,18 @@
         bucket = self._workspaces.get(workspace)
         if bucket is None:
             rate = self._workspace_share(workspace) * self._settings.bytes_per_s
-            bucket = _bucket(rate, WORKSPACE_BURST_S, now_s)
+            bucket = self._bucket(rate, WORKSPACE_BURST_S, now_s)
             self._workspaces[workspace] = bucket
         return bucket
 
+    def _bucket(self, rate_per_s: float, burst_s: float, now_s: float) -> TokenBucket:
+        # The burst counts against the window too, so the refill is slower by it.
+        window_bytes = rate_per_s * ACCOUNTING_WINDOW_S
+        burst = max(rate_per_s * burst_s, self._settings.min_burst_bytes)
+        burst = min(burst, window_bytes)
+        refill = (window_bytes - burst) / ACCOUNTING_WINDOW_S
+        return TokenBucket(refill, burst, now_s)
+
 
 class LinkBudgets:
     """Budgets of all links of an instance, as placement reads them."""
@@ -230,9 +241,3 @@
         return share
 
     return share_of
-
-
-def _bucket(rate_per_s: float, burst_s: float, now_s: float) -> TokenBucket:
-    # The burst counts against the window too, so the refill is slower by it.
-    refill = rate_per_s * (1.0 - burst_s / ACCOUNTING_WINDOW_S)
-    return TokenBucket(refill, rate_per_s * burst_s, now_s)
