--- a/src/banyanswitch/components/admission/gate.py
+++ b/src/banyanswitch/components/admission/gate.py
@@ -16,6 +16,7 @@
     AdmissionRequest,
     Admitted,
     NotAdmitted,
+    Queued,
 )
 from banyanswitch.exceptions import RefusalError
 from banyanswitch.identifiers import RunId, ServiceName
@@ -44,6 +45,43 @@
     latest_start_s: float
 
 
+class GateTicket:
+    """Place of an admitted request.
+
+    Parameters
+    ----------
+    gate : AdmissionGate
+        Gate that admitted it.
+    admission : Admission
+        Queue of its service.
+    run : RunId
+        Its number there.
+
+    Attributes
+    ----------
+    has_waited : bool
+        Whether it has waited in the queue.
+    """
+
+    def __init__(self, gate: "AdmissionGate", admission: Admission, run: RunId) -> None:
+        self._gate = gate
+        self._admission = admission
+        self._run = run
+        self.has_waited = False
+
+    async def async_wait_again(self) -> None:
+        """Go back to the queue because all upstreams are full.
+
+        Raises
+        ------
+        RefusalError
+            If the request can't start in time any more.
+        """
+        now_s = asyncio.get_running_loop().time()
+        result = self._admission.on_busy(self._run, now_s)
+        await self._gate.async_follow(self._run, result, self)
+
+
 class AdmissionGate:
     """Admit requests, one queue a service.
 
@@ -72,7 +110,7 @@
         kernel.create_task(self._async_advance(), "advance admission")
 
     @asynccontextmanager
-    async def async_admitted(self, call: AdmissionCall) -> AsyncIterator[None]:
+    async def async_admitted(self, call: AdmissionCall) -> AsyncIterator["GateTicket"]:
         """Hold a place while the block runs.
 
         Raises
@@ -89,27 +127,31 @@
             priority=call.priority,
             latest_start_s=call.latest_start_s,
         )
+        ticket = GateTicket(self, admission, request.run)
         try:
-            await self._async_admit(admission, request)
-            yield
+            await self.async_follow(
+                request.run, admission.admit(request, self._kernel.now_s), ticket
+            )
+            yield ticket
         finally:
             admission.on_finished(request.run, self._kernel.now_s)
             self._deliver(admission)
 
-    async def _async_admit(
-        self, admission: Admission, request: AdmissionRequest
+    async def async_follow(
+        self, run: RunId, result: Admitted | Queued | NotAdmitted, ticket: "GateTicket"
     ) -> None:
-        result = admission.admit(request, self._kernel.now_s)
+        """Return when a request may be placed, or raise its refusal."""
         if isinstance(result, NotAdmitted):
             raise _refusal(result)
         if isinstance(result, Admitted):
             return
+        ticket.has_waited = True
         future = asyncio.get_running_loop().create_future()
-        self._waiting[request.run] = future
+        self._waiting[run] = future
         try:
             await future
         finally:
-            del self._waiting[request.run]
+            del self._waiting[run]
 
     async def _async_advance(self) -> None:
         while True:
--- a/src/banyanswitch/components/gateway/handlers.py
+++ b/src/banyanswitch/components/gateway/handlers.py
@@ -1,6 +1,7 @@
 """Handlers of the callers' interface."""
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 from aiohttp import web
@@ -63,8 +64,9 @@
             return await self.async_resume(request)
         with self._activity.track():
             call = await self._parser.async_model_call(request)
-            async with self._gate.async_admitted(_admission_call(call)):
-                return await self._async_answer(request, call)
+            async with self._gate.async_admitted(_admission_call(call)) as ticket:
+                admitted = replace(call, ticket=ticket)
+                return await self._async_answer(request, admitted)
 
     async def async_resume(self, request: web.Request) -> web.StreamResponse:
         """Answer ``GET /v1/streams`` with the events that the caller lacks."""
@@ -114,8 +116,9 @@
     async def _async_plain(self, call: PlainCall) -> StoredAnswer | RefusalError:
         with self._activity.track():
             try:
-                async with self._gate.async_admitted(_admission_call(call)):
-                    return await self._plain_calls.async_call(call)
+                async with self._gate.async_admitted(_admission_call(call)) as ticket:
+                    admitted = replace(call, ticket=ticket)
+                    return await self._plain_calls.async_call(admitted)
             except RefusalError as refusal:
                 return refusal
 
--- a/src/banyanswitch/components/routing/calls.py
+++ b/src/banyanswitch/components/routing/calls.py
@@ -1,11 +1,29 @@
 """Checked calls, as the gateway hands them to routing."""
 
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from banyanswitch.config.models import Priority, Service, Workspace
 from banyanswitch.helpers.run_identity import StreamPosition
 
 
+class AdmissionTicket(Protocol):
+    """Place of an admitted call in admission."""
+
+    @property
+    def has_waited(self) -> bool:
+        """Whether the call has waited in the queue."""
+
+    async def async_wait_again(self) -> None:
+        """Go back to the queue because all upstreams are full.
+
+        Raises
+        ------
+        RefusalError
+            If the call can't start in time any more.
+        """
+
+
 @dataclass(frozen=True, slots=True)
 class ModelCall:
     """A checked request for a model service.
@@ -34,6 +52,7 @@
     is_stream: bool
     priority: Priority
     latest_start_s: float
+    ticket: AdmissionTicket | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +76,7 @@
     idempotency_key: str | None
     priority: Priority
     latest_start_s: float
+    ticket: AdmissionTicket | None = None
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/banyanswitch/components/routing/model_runs.py
+++ b/src/banyanswitch/components/routing/model_runs.py
@@ -223,7 +223,7 @@
         request = self._placements.model_request(call, self._kernel.now_s)
         while True:
             attempt = await self._placements.async_attempt(
-                request, excluded, call.latest_start_s
+                request, excluded, call.ticket
             )
             run = await self._async_try(call, attempt)
             if run is not None:
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
-from banyanswitch.components.routing.calls import ModelCall
-from banyanswitch.components.routing.const import BUSY_RETRY_S, NONCE_BITS
+from banyanswitch.components.routing.calls import AdmissionTicket, ModelCall
+from banyanswitch.components.routing.const import NONCE_BITS
 from banyanswitch.components.routing.models import Attempt, UpstreamsBusyError
 from banyanswitch.components.routing.pools import UpstreamPools
 from banyanswitch.config.models import Service, Workspace
@@ -80,6 +80,7 @@
             priority=call.priority,
             deadline_s=now_s + call.service.request_timeout_s,
             reuse=call.service.reuse,
+            has_waited=call.ticket is not None and call.ticket.has_waited,
         )
 
     def plain_request(
@@ -98,11 +99,11 @@
         self,
         request: PlacementRequest,
         excluded: frozenset[UpstreamId],
-        latest_start_s: float,
+        ticket: AdmissionTicket | None,
     ) -> Attempt:
         """Choose an upstream and count the request there.
 
-        While all upstreams are full, the request waits.
+        While all upstreams are full, the request waits in the queue of admission.
 
         Raises
         ------
@@ -114,9 +115,10 @@
             try:
                 return self._attempt(request, excluded, loop.time())
             except UpstreamsBusyError as busy:
-                if loop.time() + BUSY_RETRY_S > latest_start_s:
+                if ticket is None:
                     raise _overloaded(busy.retry_after_s) from busy
-            await asyncio.sleep(BUSY_RETRY_S)
+            await ticket.async_wait_again()
+            request = replace(request, has_waited=True)
 
     def _attempt(
         self, request: PlacementRequest, excluded: frozenset[UpstreamId], now_s: float
--- a/src/banyanswitch/components/routing/plain_calls.py
+++ b/src/banyanswitch/components/routing/plain_calls.py
@@ -163,7 +163,7 @@
         excluded: frozenset[UpstreamId] = frozenset()
         while len(excluded) < MAX_PLAIN_ATTEMPTS:
             attempt = await self._placements.async_attempt(
-                request, excluded, call.latest_start_s
+                request, excluded, call.ticket
             )
             try:
                 return await self._async_send_once(call, attempt)
