Let placement read the budgets of the links

Cause: placement chose imports without knowing what the workspace's share of a link had left; the importer then refused and the prompt was computed where it had been sent for the import.

--- a/src/banyanswitch/components/kv_cache/__init__.py
+++ b/src/banyanswitch/components/kv_cache/__init__.py
@@ -32,12 +32,13 @@
     settings = cast(EntrySettings, kernel.settings)
     configuration = kernel.require(ConfigurationView)
     directory = kernel.require(PeerDirectory)
-    cache_view = kernel.require(Placements).cache_view
+    placements = kernel.require(Placements)
+    cache_view = placements.cache_view
     session = aiohttp.ClientSession(headers={HEADER_CALLER: settings.instance})
     kernel.on_stop(DOMAIN, session.close)
     engines = EngineCacheClient(session)
     store_client = KvStoreClient(session)
-    stores = StoreStates(configuration, store_client, directory)
+    stores = StoreStates(configuration, store_client, directory, placements.links)
     transferrer = PrefixTransferrer(
         store_client, engines, PinTable(), incarnation=uuid.uuid4().hex[:16]
     )
--- a/src/banyanswitch/components/kv_cache/stores.py
+++ b/src/banyanswitch/components/kv_cache/stores.py
@@ -30,6 +30,8 @@
         Reads the status of stores.
     directory : PeerDirectory
         Instances that divide the background share of a link.
+    links : LinkBudgets, optional
+        Budgets that placement reads as well.
     """
 
     def __init__(
@@ -37,8 +39,9 @@
         configuration: ConfigurationView,
         client: KvStoreClient,
         directory: PeerDirectory,
+        links: LinkBudgets | None = None,
     ) -> None:
-        self.links = LinkBudgets()
+        self.links = LinkBudgets() if links is None else links
         self._configuration = configuration
         self._client = client
         self._directory = directory
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -13,6 +13,7 @@
 from banyanswitch.config.models import Service, Workspace
 from banyanswitch.const import BYTES_PER_TOKEN
 from banyanswitch.decisions.cache_view import CacheView
+from banyanswitch.decisions.link_budget import LinkBudgets
 from banyanswitch.decisions.placement import (
     Place,
     PlacementRequest,
@@ -59,11 +60,12 @@
         generator: random.Random,
     ) -> None:
         self.cache_view = CacheView()
+        self.links = LinkBudgets()
         self._configuration = configuration
         self._pools = pools
         self._identities = identities
         self._generator = generator
-        self._placer = Placer(self.cache_view, generator)
+        self._placer = Placer(self.cache_view, generator, links=self.links)
 
     def model_request(self, call: ModelCall, now_s: float) -> PlacementRequest:
         """Pin the version of a call and describe it for placement."""
