Poll upstreams that load weights four times a second

Cause: the end of a load was seen only in the gatherers' turns; with a gatherer frozen in a swap a healthy entry answered 503 no_upstream for a moment although the upstream served again (process test of the swap with SIGSTOP, once in six runs).

--- a/src/banyanswitch/components/upstream_load/const.py
+++ b/src/banyanswitch/components/upstream_load/const.py
@@ -22,6 +22,9 @@
 DIGEST_INTERVAL_S: Final = 6.0
 """Time between two digests of a group in which no upstream changed its state."""
 
+LOADING_POLL_S: Final = 0.25
+"""Time between two polls of an upstream that loads weights, in seconds."""
+
 FIRST_DIGEST_S: Final = 1.0
 """Time from becoming a gatherer to its first digest, in seconds."""
 
--- a/src/banyanswitch/components/upstream_load/coordinator.py
+++ b/src/banyanswitch/components/upstream_load/coordinator.py
@@ -1,7 +1,7 @@
 """Load of the upstreams: gathered by a few instances and passed on to the others."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 from banyanswitch.components.peers.outbox import Outbox
@@ -10,6 +10,7 @@
     DIGEST_INTERVAL_S,
     FIRST_DIGEST_S,
     GATHER_TICK_S,
+    LOADING_POLL_S,
     MAX_KNOWN_GATHERERS,
     STAND_IN_INTERVALS,
 )
@@ -41,6 +42,7 @@
     PollSchedule,
     turn_length_s,
 )
+from banyanswitch.config.models import Upstream
 from banyanswitch.core import callback
 from banyanswitch.identifiers import ServiceName, UpstreamId
 from banyanswitch.interfaces import (
@@ -97,6 +99,7 @@
         self._used = UsedServices()
         self._changed_groups: set[UpstreamGroup] = set()
         self._schedule = PollSchedule()
+        self._polled_at_s: dict[UpstreamGroup, float] = {}
         self._sent_at_s: dict[UpstreamGroup, float] = {}
         self._heard_at_s: dict[UpstreamGroup, float] = {}
         self._last_number: dict[tuple[UpstreamGroup, str], tuple[int, int]] = {}
@@ -140,8 +143,9 @@
         try:
             while True:
                 for group in self._choice.own_groups():
-                    if self._is_poll_due(group):
-                        poll = loop.create_task(self._async_gather_group(group))
+                    due = self._due_upstreams(group, loop.time())
+                    if due:
+                        poll = loop.create_task(self._async_poll(group, due))
                         polls.add(poll)
                         poll.add_done_callback(polls.discard)
                     if self._is_digest_due(group, loop.time()):
@@ -154,12 +158,26 @@
             for poll in polls:
                 poll.cancel()
 
-    def _is_poll_due(self, group: UpstreamGroup) -> bool:
+    def _due_upstreams(
+        self, group: UpstreamGroup, now_s: float
+    ) -> tuple[Upstream, ...]:
+        """Return the whole group in this instance's turn, else those that load."""
+        members = self._groups.members(group)
         rank = self._choice.rank(group)
         if rank is None:
-            return False
+            return ()
         gatherers = len(self._choice.gatherers(group))
-        return self._schedule.take(group, self._position(group), rank, gatherers)
+        if self._schedule.take(group, self._position(group), rank, gatherers):
+            self._polled_at_s[group] = now_s
+            return members
+        if now_s - self._polled_at_s.get(group, now_s) < LOADING_POLL_S:
+            return ()
+        self._polled_at_s[group] = now_s
+        return tuple(u for u in members if self._is_loading(u.name))
+
+    def _is_loading(self, upstream: UpstreamId) -> bool:
+        load = self._table.reported(upstream)
+        return load is not None and load.is_loading
 
     def _position(self, group: UpstreamGroup) -> float:
         size = len(self._groups.members(group))
@@ -168,13 +186,16 @@
         now_s = asyncio.get_running_loop().time()
         return self._schedule.position(group, length_s, now_s)
 
-    async def _async_gather_group(self, group: UpstreamGroup) -> None:
-        for load in await self._gatherer.async_gather(self._groups.members(group)):
+    async def _async_poll(
+        self, group: UpstreamGroup, upstreams: Sequence[Upstream]
+    ) -> None:
+        for load in await self._gatherer.async_gather(upstreams):
             self._table.put(load)
         if group in self._changed_groups:
             self._send_digest(group)
         rank = self._choice.rank(group)
-        if rank is not None and rank > 0:
+        is_whole = len(upstreams) == len(self._groups.members(group))
+        if is_whole and rank is not None and rank > 0:
             digest = self._digest(group, is_relayed=False)
             self._messenger.tell_first_gatherer(group, digest)
 
--- a/tests/components/upstream_load/test_coordinator.py
+++ b/tests/components/upstream_load/test_coordinator.py
@@ -53,6 +53,7 @@
         self.lag_s = lag_s
         self.leaving_since_s: dict[str, float] = {}
         self.silent: set[str] = set()
+        self.loading: set[str] = set()
         self.polls: dict[str, int] = {f"u{n:03d}": 0 for n in range(upstreams)}
 
     async def async_poll(self, upstream: Upstream, now_s: float) -> UpstreamLoad:
@@ -61,7 +62,8 @@
         if upstream.name in self.silent:
             raise UpstreamNotSentError("silent")
         since_s = self.leaving_since_s.get(upstream.name, float("inf"))
-        return report(upstream.name, now_s, is_leaving=since_s + self.lag_s <= now_s)
+        load = report(upstream.name, now_s, is_leaving=since_s + self.lag_s <= now_s)
+        return replace(load, is_loading=upstream.name in self.loading)
 
 
 def report(name: str, now_s: float, *, is_leaving: bool = False) -> UpstreamLoad:
@@ -231,6 +233,22 @@
     assert nodes.accepting("u003") == 0
 
 
+async def test_end_of_loading_is_seen_at_once(
+    nodes: Nodes,
+) -> None:
+    await nodes.async_settle()
+    nodes.engines.loading.add("u003")
+    await asyncio.sleep(4)
+    assert nodes.accepting("u003") == 0
+    polled = dict(nodes.engines.polls)
+    await asyncio.sleep(2)
+    assert nodes.engines.polls["u003"] - polled["u003"] >= 2 * 4
+    assert nodes.engines.polls["u004"] - polled["u004"] <= 2 * 2
+    nodes.engines.loading.clear()
+    await asyncio.sleep(0.5)
+    assert nodes.accepting("u003") == len(nodes.nodes)
+
+
 async def test_silent_upstream_does_not_hold_up_the_others(nodes: Nodes) -> None:
     await nodes.async_settle()
     nodes.engines.silent.update({"u001", "u002"})
