Count the time that a slow link costs when an export is weighed

Change: the gain is the same as placement's. The measured decision cost takes turns over the sizes of the pool.

--- a/bench/decisions/cost.py
+++ b/bench/decisions/cost.py
@@ -2,6 +2,7 @@
 
 import gc
 import random
+import statistics
 import time
 import tracemalloc
 from dataclasses import dataclass
@@ -39,8 +40,8 @@
 PROMPT_COUNTS = (1_000, 2_000, 4_000, 8_000, 16_000)
 PIECES = 25
 PIECE_TOKENS = 4_000
-DECISIONS = 2_000
-ROUNDS = 7
+DECISIONS = 1_000
+ROUNDS = 21
 IN_FLIGHT_PER_UPSTREAM = 4
 SERVICE = ServiceName("service")
 VERSION = WeightVersion("v1")
@@ -72,8 +73,24 @@
 
 
 def measure_decisions(seed: int) -> list[DecisionCost]:
-    """Measure placements among pools of different sizes."""
-    return [_measure_pool(size, random.Random(seed)) for size in POOL_SIZES]
+    """Measure placements among pools of different sizes.
+
+    The sizes take turns in each round, so that other work on the machine meets all
+    of them alike.
+    """
+    pools = {size: _make_placer(size, random.Random(seed)) for size in POOL_SIZES}
+    times_us: dict[int, list[float]] = {size: [] for size in POOL_SIZES}
+    for _ in range(ROUNDS):
+        for size, (placer, pool, requests) in pools.items():
+            started = time.process_time()
+            for request in requests:
+                placer.place(request, pool, 10.0)
+            elapsed_s = time.process_time() - started
+            times_us[size].append(1e6 * elapsed_s / len(requests))
+    return [
+        DecisionCost(size, statistics.median(values), min(values), max(values))
+        for size, values in times_us.items()
+    ]
 
 
 def measure_prompts() -> list[PromptCost]:
@@ -99,19 +116,6 @@
     return chained_piece_hashes(bytes(PIECES), 1, salt)
 
 
-def _measure_pool(size: int, generator: random.Random) -> DecisionCost:
-    placer, pool, requests = _make_placer(size, generator)
-    times_us = []
-    for _ in range(ROUNDS):
-        started = time.process_time()
-        for request in requests:
-            placer.place(request, pool, 10.0)
-        elapsed_s = time.process_time() - started
-        times_us.append(1e6 * elapsed_s / len(requests))
-    times_us.sort()
-    return DecisionCost(size, times_us[ROUNDS // 2], times_us[0], times_us[-1])
-
-
 def _make_placer(
     size: int, generator: random.Random
 ) -> tuple[Placer, UpstreamPool, list[PlacementRequest]]:
--- a/src/banyanswitch/decisions/export_planner.py
+++ b/src/banyanswitch/decisions/export_planner.py
@@ -108,7 +108,7 @@
         weights = self._settings.weights
         link_s = self._settings.piece_size_bytes / bytes_per_s
         prefill_s = self._settings.piece_prefill_s
-        gain = weights.first_token_weight * max(0.0, prefill_s - link_s)
+        gain = weights.first_token_weight * (prefill_s - link_s)
         gain += weights.recompute_weight * prefill_s
         gain -= weights.link_weight * link_s
         probability = self._prompts.return_probability(record, now_s)
