Divide one budget of table writes by the live instances

Cause: table_writes_per_s was a fixed amount of each instance, 240 writes a second at 8 and 9,900 at 330 (docs/CAPACITY.md); the table's 429 was the only common bound. The setting is now the total; each instance takes its share when the membership changes, and a slowdown of claims goes on in proportion. Ruled out: a share kept in the table, one more write and read for each instance.

--- a/src/banyanswitch/components/platform/__init__.py
+++ b/src/banyanswitch/components/platform/__init__.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from banyanswitch.components.membership.models import PeersChanged
 from banyanswitch.components.platform.const import DOMAIN, MAX_CONNECTIONS
 from banyanswitch.components.platform.http_client import PlatformClient
 from banyanswitch.components.platform.object_store import HttpObjectStore
@@ -11,7 +12,7 @@
 from banyanswitch.components.platform.write_budget import WriteBudget
 from banyanswitch.core import REGISTRY, Kernel
 from banyanswitch.identifiers import InstanceId
-from banyanswitch.interfaces import ObjectStore, TableStore
+from banyanswitch.interfaces import ObjectStore, PeerDirectory, TableStore
 from banyanswitch.settings import EntrySettings
 
 __all__ = ["DOMAIN", "HttpObjectStore", "HttpTableStore", "async_setup"]
@@ -28,6 +29,12 @@
     table = PlatformClient(session, settings.table_url, caller, timeout_s)
     objects = PlatformClient(session, settings.effective_object_url, caller, timeout_s)
     budget = WriteBudget(settings.table_writes_per_s, kernel.now_s)
+
+    def divide_budget(_message: PeersChanged) -> None:
+        instances = max(1, len(kernel.require(PeerDirectory).peers()))
+        budget.set_rate(settings.table_writes_per_s / instances, kernel.now_s)
+
+    kernel.bus.subscribe(PeersChanged, divide_budget)
     kernel.provide(TableStore, HttpTableStore(table, budget))
     kernel.provide(ObjectStore, HttpObjectStore(objects))
 
--- a/src/banyanswitch/components/platform/write_budget.py
+++ b/src/banyanswitch/components/platform/write_budget.py
@@ -97,6 +97,18 @@
             raise WriteBudgetExceededError(own.time_until_one_s())
         claims.level -= writes
 
+    def set_rate(self, writes_per_s: float, now_s: float) -> None:
+        """Use another rate from now on; a slowdown of claims goes on in proportion."""
+        factor = CLAIM_SHARE * writes_per_s / self._full_claims_per_s
+        if factor == 1.0:
+            return
+        for bucket in self._buckets.values():
+            bucket.fill(now_s)
+            bucket.writes_per_s *= factor
+            bucket.capacity = max(1.0, bucket.capacity * factor)
+            bucket.level = min(bucket.level, bucket.capacity)
+        self._full_claims_per_s *= factor
+
     def on_refused(self, now_s: float) -> None:
         """Take in that the table refused a write as too many."""
         if now_s < self._slowed_at_s + SLOWDOWN_INTERVAL_S:
--- a/src/banyanswitch/settings.py
+++ b/src/banyanswitch/settings.py
@@ -113,8 +113,8 @@
         "deadline of one call to the platform", default=2.0, check=_is_positive
     )
     table_writes_per_s: float = _setting(
-        "table writes that this instance may make",
-        default=30.0,
+        "items that all instances together may write to the table in a second",
+        default=300.0,
         check=_is_positive,
     )
     address_ttl_s: float = _setting(
--- a/tests/components/platform/test_write_budget.py
+++ b/tests/components/platform/test_write_budget.py
@@ -60,3 +60,28 @@
     with pytest.raises(WriteBudgetExceededError) as caught:
         budget.admit(WriteClass.CLAIM, 1, 0.0)
     budget.admit(WriteClass.CLAIM, 1, caught.value.retry_after_s + 0.001)
+
+
+@pytest.mark.parametrize("instances", [1, 8, 330])
+def test_share_of_one_instance(instances: int) -> None:
+    total_per_s = 300.0
+    seconds = 600.0
+    budget = WriteBudget(total_per_s, 0.0)
+    budget.set_rate(total_per_s / instances, 0.0)
+    count = 0
+    for step in range(int(seconds * 10)):
+        try:
+            budget.admit(WriteClass.CLAIM, 1, step / 10)
+        except WriteBudgetExceededError:
+            continue
+        count += 1
+    share = CLAIM_SHARE * total_per_s / instances
+    assert count <= share * (seconds + BUDGET_BURST_S) + 1
+
+
+def test_slowdown_outlasts_a_change_of_the_rate() -> None:
+    budget = WriteBudget(WRITES_PER_S, 0.0)
+    budget.on_refused(0.0)
+    budget.set_rate(2 * WRITES_PER_S, 0.0)
+    count = admitted(budget, WriteClass.CLAIM, 1, 2.0)
+    assert count <= 2 * WRITES_PER_S * CLAIM_SHARE * 0.3 * 2.0 + 1
