--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import select
 import signal
 import socket
@@ -23,6 +24,8 @@
 POLL_S: Final = 0.05
 HTTP_TIMEOUT_S: Final = 5.0
 HOST: Final = "127.0.0.1"
+FIRST_PORT: Final = 12_000
+LAST_PORT: Final = 32_000
 PEER_KEY: Final = "loopback-peer-key-0123456789"
 STANDIN_MODULE: Final = "banyanswitch_standins.cli"
 ENTRY_MODULE: Final = "banyanswitch.cli.entry"
@@ -228,10 +231,18 @@
 
 
 def free_port() -> int:
-    """Return a port that no process listens on."""
-    with socket.socket() as listener:
-        listener.bind((HOST, 0))
-        port: int = listener.getsockname()[1]
+    """Return a port that no process listens on.
+
+    It lies below the range from which outgoing connections take theirs, so none can
+    take it before the process listens.
+    """
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as listener:
+            try:
+                listener.bind((HOST, port))
+            except OSError:
+                continue
         return port
 
 
--- a/examples/kim_phat.py
+++ b/examples/kim_phat.py
@@ -69,7 +69,7 @@
                 weight_version=WEIGHT_VERSION,
                 swap=SwapPolicy(loads_at_once=2, load_s=1.0, min_serving_share=0.5),
                 reuse=ReusePolicy(
-                    first_token_weight=1.0, recompute_weight=0.1, link_weight=0.05
+                    first_token_weight=1.0, recompute_weight=0.2, link_weight=0.1
                 ),
             ),
             Service(name=COUNTER, kind=ServiceKind.PLAIN, request_timeout_s=10.0),
--- a/examples/yushan.py
+++ b/examples/yushan.py
@@ -69,7 +69,7 @@
                 weight_version=WEIGHT_VERSION,
                 swap=SwapPolicy(loads_at_once=3, load_s=2.0, min_serving_share=0.6),
                 reuse=ReusePolicy(
-                    first_token_weight=0.3, recompute_weight=1.0, link_weight=0.5
+                    first_token_weight=0.2, recompute_weight=1.0, link_weight=0.1
                 ),
             ),
             Service(name=TICKETING, kind=ServiceKind.PLAIN, request_timeout_s=10.0),
--- a/src/banyanswitch/components/upstream_load/groups.py
+++ b/src/banyanswitch/components/upstream_load/groups.py
@@ -9,7 +9,7 @@
 from banyanswitch.components.upstream_load.const import GROUP_UPSTREAMS
 from banyanswitch.components.upstream_load.models import UpstreamGroup
 from banyanswitch.components.upstream_load.schedule import gatherer_count
-from banyanswitch.config.models import ServiceKind, Upstream
+from banyanswitch.config.models import Upstream
 from banyanswitch.identifiers import ServiceName, UpstreamId
 from banyanswitch.interfaces import ConfigurationView, Peer, PeerDirectory
 
@@ -55,8 +55,7 @@
         self._revision = self._configuration.revision
         self._members.clear()
         for service in self._configuration.services():
-            if service.kind is ServiceKind.MODEL:
-                self._divide(service.name)
+            self._divide(service.name)
         self._all = tuple(self._members)
         self._group_of = {
             upstream.name: group
