--- a/src/banyanswitch/components/admission/gate.py
+++ b/src/banyanswitch/components/admission/gate.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-from banyanswitch.components.admission.const import ADVANCE_S, DEFAULT_CAPACITY
+from banyanswitch.components.admission.const import ADVANCE_S
 from banyanswitch.config.models import Priority, Service, Workspace
 from banyanswitch.core import Kernel, callback
 from banyanswitch.decisions.admission import (
@@ -91,19 +91,19 @@
         Clock and task lifetimes.
     serving_entries : callable
         Returns the number of instances among which a workspace's callers are spread.
-    capacity : callable
-        Returns how many requests of a service may be at its upstreams.
+    policy : callable
+        Returns the settings of admission for a service.
     """
 
     def __init__(
         self,
         kernel: Kernel,
         serving_entries: Callable[[], int],
-        capacity: Callable[[Service], int],
+        policy: Callable[[Service], AdmissionPolicy],
     ) -> None:
         self._kernel = kernel
         self._serving_entries = serving_entries
-        self._capacity = capacity
+        self._policy = policy
         self._admissions: dict[ServiceName, Admission] = {}
         self._waiting: dict[RunId, asyncio.Future[None]] = {}
         self._numbers = itertools.count()
@@ -161,7 +161,7 @@
                     self._deliver(admission)
 
     def _admission(self, service: Service) -> Admission:
-        policy = AdmissionPolicy(capacity=self._capacity(service) or DEFAULT_CAPACITY)
+        policy = self._policy(service)
         admission = self._admissions.get(service.name)
         if admission is None:
             admission = self._admissions[service.name] = Admission(policy)
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -6,11 +6,15 @@
 
 import xxhash
 
+from banyanswitch.components.admission.const import (
+    BATCH_FIRST_TOKEN_S,
+    LEAST_PREFILL_TOKENS_PER_S,
+)
 from banyanswitch.components.routing.calls import AdmissionTicket, ModelCall
 from banyanswitch.components.routing.const import NONCE_BITS
 from banyanswitch.components.routing.models import Attempt, UpstreamsBusyError
 from banyanswitch.components.routing.pools import UpstreamPools
-from banyanswitch.config.models import Service, Workspace
+from banyanswitch.config.models import Priority, Service, Workspace
 from banyanswitch.const import BYTES_PER_TOKEN
 from banyanswitch.decisions.cache_view import CacheView
 from banyanswitch.decisions.link_budget import LinkBudgets
@@ -80,7 +84,7 @@
             prompt_tokens=call.prompt_tokens,
             piece_tokens=call.service.piece_tokens,
             priority=call.priority,
-            deadline_s=now_s + call.service.request_timeout_s,
+            deadline_s=now_s + _first_token_limit_s(call),
             reuse=call.service.reuse,
             has_waited=call.ticket is not None and call.ticket.has_waited,
         )
@@ -156,6 +160,14 @@
         self._placer.on_finished(place, now_s)
 
 
+def _first_token_limit_s(call: ModelCall) -> float:
+    """Return the longest time to first token; own prefill is allowed for."""
+    target_s = BATCH_FIRST_TOKEN_S
+    if call.priority is Priority.INTERACTIVE:
+        target_s = call.service.first_token_target_s
+    return target_s + call.prompt_tokens / LEAST_PREFILL_TOKENS_PER_S
+
+
 def _conversation_key(call: ModelCall) -> str:
     """Name the conversation: the start of a prompt stays when the prompt grows."""
     start = call.prompt[:CONVERSATION_KEY_BYTES]
