Read just the content of the head that a change is made from

Cause (operators' race of the process tests, about 1 of 20 races with no fault in force): the content read for a change took in deltas that were accepted after its head had been read; the change was then made for the revision after those, its condition on the head failed, no delta of its revision was found, and after five tries the operator was told 'unknown' in place of who had won. Ruled out: timeouts and throttling (the table counted none). Change: no more deltas are read than the head has.

--- a/src/banyanswitch/components/configuration/repository.py
+++ b/src/banyanswitch/components/configuration/repository.py
@@ -103,7 +103,10 @@
         if held.revision < head.snapshot_revision:
             content = await self._async_snapshot(head, held)
         while content.revision < head.revision:
-            deltas = await self.async_deltas(content.revision)
+            missing = head.revision - content.revision
+            deltas = await self.async_deltas(
+                content.revision, limit=min(DELTAS_PER_QUERY, missing)
+            )
             content = _after_deltas(content, deltas)
         return content
 
--- a/tests/components/configuration/test_acceptance.py
+++ b/tests/components/configuration/test_acceptance.py
@@ -141,3 +141,35 @@
     table.objects[name] = table.objects[name][:-5]
     with pytest.raises(ContentError):
         await read(table)
+
+
+@pytest.mark.looptime
+async def test_change_accepted_after_the_head_was_read_is_a_conflict() -> None:
+    table = FakeTable(latency_s=0.01)
+    await apply(table, FEW)
+
+    async def async_apply_later() -> object:
+        await asyncio.sleep(0.005)
+        return await apply(table, limited(FEW, 0, 2), operator="minh")
+
+    results = await asyncio.gather(
+        apply(table, limited(FEW, 0, 1), operator="lan"),
+        async_apply_later(),
+        return_exceptions=True,
+    )
+    assert sorted(type(result).__name__ for result in results) == [
+        "Acceptance",
+        "RevisionConflictError",
+    ]
+
+
+async def test_content_is_that_of_its_head_although_a_later_one_is_stored() -> None:
+    table = FakeTable()
+    await apply(table, FEW)
+    repository = ConfigurationRepository(table, table)
+    accepted = await repository.async_head()
+    assert accepted.head is not None
+    await apply(table, limited(FEW, 0, 1))
+    content = await repository.async_content(accepted.head, EMPTY_CONTENT)
+    assert content.revision == 1
+    assert configuration_of(content) == FEW
