--- a/bench/decisions/entry.py
+++ b/bench/decisions/entry.py
@@ -1,18 +1,11 @@
 """Entry instance that carries the product's decisions out over the fakes."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from banyanswitch.config.models import Limits
-from banyanswitch.decisions.address_choice import (
-    EntryView,
-    choose_entries,
-    order_for_conversation,
-)
 from banyanswitch.decisions.admission import (
     Admission,
-    AdmissionPolicy,
     AdmissionRequest,
     Admitted,
     NotAdmitted,
@@ -20,10 +13,7 @@
 from banyanswitch.decisions.cache_view import CacheView
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
 from banyanswitch.decisions.link_budget import (
-    LinkBudget,
     LinkBudgets,
-    LinkSettings,
-    equal_share,
 )
 from banyanswitch.decisions.placement import (
     Place,
@@ -40,30 +30,32 @@
     RetryPolicy,
 )
 from banyanswitch.decisions.reuse import ReusePlanner
-from banyanswitch.decisions.reuse_models import Export, PromptUse, ReuseSettings
+from banyanswitch.decisions.reuse_models import PromptUse
 from banyanswitch.decisions.swap_order import choose_version
 from banyanswitch.decisions.upstream_pool import UpstreamPool, UpstreamView
 from banyanswitch.exceptions import RunOutcome
 from banyanswitch.identifiers import (
-    FailureDomainId,
     InstanceId,
     RunId,
     ServiceName,
     UpstreamId,
     WeightVersion,
-    WorkspaceId,
 )
 from bench.decisions.baselines import reported_at_s
 from bench.decisions.engine import Engine
+from bench.decisions.exports import Exports
 from bench.decisions.fleet import (
     EVENT_LAG_S,
-    REPORT_EVERY_S,
     REPORT_LAG_S,
     Dispatch,
     Fleet,
 )
+from bench.decisions.policies import (
+    admission_policy,
+    link_budget,
+    reuse_settings,
+)
 from bench.decisions.recorder import LONG_TARGET_S, SHORT_TARGET_S, Outcome
-from bench.decisions.storage import Store
 from bench.decisions.workload import Request, hashes_of
 
 SERVICE = ServiceName("service")
@@ -72,7 +64,6 @@
 EVENT_LOSS = 0.01
 """Share of the batches of cache events that lose one event."""
 
-SPACE_MARGIN = 0.02
 LIMITS = Limits(requests_per_s=1e6, concurrent_requests=1_000_000)
 
 
@@ -106,9 +97,10 @@
             self._links,
         )
         self.planner = ReusePlanner(
-            self._reuse_settings(), self.view, self._links, self._generator
+            reuse_settings(self._deployment), self.view, self._links, self._generator
         )
-        self._admission = Admission(self._admission_policy())
+        self._exports = Exports(fleet, self.planner, self._update_stores)
+        self._admission = Admission(admission_policy(self._deployment))
         self._retrier = Retrier(RetryPolicy(), self._generator, 0.0)
         self._ejector = Ejector(EjectionPolicy(), self._generator)
         self._waiting: dict[RunId, _Call] = {}
@@ -116,7 +108,7 @@
         self._reported_at_s = -1.0
         self._sequences: dict[UpstreamId, int] = {}
         for store in fleet.stores.values():
-            self._links.put(store.name, self._link_budget(store))
+            self._links.put(store.name, link_budget(self._deployment, store))
         self._refresh()
         self._simulator.call_later(self._generator.random(), self._tick)
 
@@ -300,7 +292,7 @@
             failure_domain=engine.failure_domain,
         )
         self.planner.on_used(use, now_s)
-        self._export()
+        self._exports.start()
 
     def _finished(self, call: _Call, place: Place) -> None:
         now_s = self._simulator.now_s
@@ -349,46 +341,6 @@
             else:
                 self._refuse(waiting)
 
-    def _export(self) -> None:
-        spaces = [
-            store.space() for store in self._fleet.stores.values() if store.is_alive
-        ]
-        now_s = self._simulator.now_s
-        while (export := self.planner.next_export(spaces, now_s)) is not None:
-            self._run_export(export)
-
-    def _run_export(self, export: Export) -> None:
-        store = self._fleet.stores[export.store]
-
-        def done(elapsed_s: float) -> None:
-            self._make_space(store, export)
-            if not store.put(export.manifest, export.piece_hashes, export.tier):
-                self.planner.on_export_failed(export, self._simulator.now_s)
-                return
-            if export.replaces is not None and export.replaces != export.manifest:
-                store.delete(export.replaces)
-            now_s = self._simulator.now_s
-            self.planner.on_exported(export, elapsed_s, now_s, is_on_disk=False)
-            self._update_stores()
-
-        def failed() -> None:
-            self.planner.on_export_failed(export, self._simulator.now_s)
-            self.planner.on_store_lost(export.store)
-            self._update_stores()
-
-        store.link.transfer(
-            export.size_bytes, is_export=True, on_done=done, on_failed=failed
-        )
-
-    def _make_space(self, store: Store, export: Export) -> None:
-        total = store.memory_bytes + store.disk_bytes
-        missing = int(SPACE_MARGIN * total) + export.size_bytes - store.free_bytes
-        if missing <= 0:
-            return
-        now_s = self._simulator.now_s
-        for drop in self.planner.next_drops(store.name, missing, now_s):
-            store.delete(drop.manifest)
-
     def _tick(self) -> None:
         self._simulator.call_later(EVENTS_EVERY_S, self._tick)
         self._refresh()
@@ -397,7 +349,7 @@
         for upstream in self._ejector.returning():
             self._put_view(self._fleet.engines[upstream])
         if self.planner.pending_count:
-            self._export()
+            self._exports.start()
         if self._waiting:
             self._advance()
 
@@ -462,64 +414,3 @@
             for version in versions | {self._fleet.desired}
         }
         return choose_version(request.conversation, self._fleet.desired, serving)
-
-    def _admission_policy(self) -> AdmissionPolicy:
-        deployment = self._deployment
-        lag_s = REPORT_LAG_S + REPORT_EVERY_S
-        return AdmissionPolicy(
-            capacity=deployment.slots * deployment.upstreams,
-            batch_spacing_s=lag_s * deployment.entries / deployment.upstreams,
-        )
-
-    def _reuse_settings(self) -> ReuseSettings:
-        deployment = self._deployment
-        prefill_s = deployment.piece_tokens / deployment.prefill_tokens_per_s
-        return ReuseSettings(
-            weights=deployment.reuse,
-            piece_size_bytes=deployment.piece_size_bytes,
-            piece_prefill_s=prefill_s,
-            horizon_s=deployment.gap_s[1],
-        )
-
-    def _link_budget(self, store: Store) -> LinkBudget:
-        deployment = self._deployment
-        settings = LinkSettings(
-            store=store.name,
-            bytes_per_s=deployment.link_bytes_per_s,
-            background_share=deployment.background_share,
-            entries=deployment.entries,
-            min_burst_bytes=deployment.piece_size_bytes,
-        )
-        share = equal_share(deployment.link_share, deployment.entries_per_workspace)
-        return LinkBudget(settings, share, 0.0)
-
-
-class Ours:
-    """All entries of a deployment, found as callers find them."""
-
-    def __init__(self, fleet: Fleet, seed: int) -> None:
-        deployment = fleet.deployment
-        self._views = [
-            EntryView(
-                InstanceId(f"i{index}"),
-                FailureDomainId(f"d{index % deployment.failure_domains}"),
-            )
-            for index in range(deployment.entries)
-        ]
-        self.entries = {
-            view.instance: Entry(fleet, view.instance, seed) for view in self._views
-        }
-        self._count = deployment.entries_per_workspace
-        self._chosen: dict[WorkspaceId, tuple[InstanceId, ...]] = {}
-
-    def handle(self, request: Request) -> None:
-        """Take a request at the entry that its caller uses."""
-        chosen = self._chosen.get(request.workspace)
-        if chosen is None:
-            chosen = choose_entries(request.workspace, self._views, self._count)
-            self._chosen[request.workspace] = chosen
-        first = order_for_conversation(request.conversation, chosen)[0]
-        self.entries[first].handle(request)
-
-
-Handler = Callable[[Request], None]
--- a/bench/decisions/runs.py
+++ b/bench/decisions/runs.py
@@ -14,8 +14,8 @@
     shortest_wait,
 )
 from bench.decisions.deployments import Deployment
-from bench.decisions.entry import Handler, Ours
 from bench.decisions.fleet import Fleet
+from bench.decisions.ours import Handler, Ours
 from bench.decisions.recorder import Figures
 from bench.decisions.simulator import Simulator
 from bench.decisions.workload import Request, Surge, generate
