--- a/src/banyanswitch/settings.py
+++ b/src/banyanswitch/settings.py
@@ -72,7 +72,7 @@
     is_secret: bool = False,
 ) -> Any:
     metadata = {"help": help_text, "check": check, "is_secret": is_secret}
-    return field(default=default, metadata=metadata)
+    return field(default=default, metadata=metadata, repr=not is_secret)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -49,3 +49,4 @@
     loaded = load_settings(REQUIRED, {})
     shown = {item.name: item.value for item in loaded.effective}
     assert shown["peer_key"] == "<set>"
+    assert REQUIRED["peer_key"] not in repr(loaded.settings)
