--- a/src/banyanswitch/components/routing/run_stream.py
+++ b/src/banyanswitch/components/routing/run_stream.py
@@ -79,7 +79,18 @@
         """
         verifier = self._verifier
         while not verifier.is_done:
-            received = await self._async_receive()
+            try:
+                response = self._response or await self._async_reconnect()
+                self._overdue_at_s = self._loop.time() + self._timeout_s
+                received = await response.content.readany()
+            except (UpstreamError, aiohttp.ClientError, OSError) as error:
+                await self._async_after_failure(error)
+                continue
+            finally:
+                self._overdue_at_s = math.inf
+            if not received:
+                await self._async_after_failure(None)
+                continue
             chunk = verifier.feed(received)
             if chunk.fault is not None:
                 self._on_fault(chunk.fault)
@@ -111,26 +122,12 @@
         )
         self._close()
 
-    async def _async_receive(self) -> bytes:
-        try:
-            if self._response is None:
-                self._response = await self._async_reconnect()
-            self._overdue_at_s = self._loop.time() + self._timeout_s
-            received = await self._response.content.readany()
-        except (UpstreamError, aiohttp.ClientError, OSError) as error:
-            await self._async_after_failure(error)
-            return b""
-        finally:
-            self._overdue_at_s = math.inf
-        if not received:
-            await self._async_after_failure(None)
-        return received
-
     async def _async_reconnect(self) -> aiohttp.ClientResponse:
         self._verifier.restart()
-        return await self._client.async_resume_run(
+        self._response = await self._client.async_resume_run(
             self.target, self._verifier.next_offset
         )
+        return self._response
 
     async def _async_after_failure(self, error: Exception | None) -> None:
         self._close()
