--- a/src/banyanswitch/components/membership/coordinator.py
+++ b/src/banyanswitch/components/membership/coordinator.py
@@ -153,7 +153,7 @@
     def _heartbeat(self, now_s: float) -> None:
         self._heartbeats += 1
         self._members.table.forget_dead(now_s)
-        self._detector.bury_suspects(now_s)
+        self._detector.declare_suspects_dead(now_s)
         is_alone = not self._detector.probe_next()
         if is_alone or self._heartbeats % RECONNECT_HEARTBEATS == 0:
             self._probe_contact()
--- a/src/banyanswitch/components/membership/failure_detector.py
+++ b/src/banyanswitch/components/membership/failure_detector.py
@@ -27,7 +27,7 @@
 
 
 class FailureDetector:
-    """Probe members directly, then through others, then suspect, then bury them.
+    """Probe members directly, then through others; suspect and declare them dead.
 
     Parameters
     ----------
@@ -103,7 +103,7 @@
         until_s = asyncio.get_running_loop().time() + self._suspicion_s
         self._suspected_until_s.setdefault(member.instance, until_s)
 
-    def bury_suspects(self, now_s: float) -> None:
+    def declare_suspects_dead(self, now_s: float) -> None:
         """Declare those dead that did not object in time."""
         due = [i for i, until_s in self._suspected_until_s.items() if until_s <= now_s]
         for instance in due:
--- a/src/banyanswitch/components/membership/member_list.py
+++ b/src/banyanswitch/components/membership/member_list.py
@@ -98,12 +98,12 @@
         for member in members:
             self.absorb(member, is_rumour=is_rumour)
 
-    def absorb(self, heard: Member, *, is_rumour: bool = True) -> None:
+    def absorb(self, received: Member, *, is_rumour: bool = True) -> None:
         """Take in a record; a rumour is passed on."""
-        if heard.instance == self.this.instance:
-            self._note_word_of_self(heard)
+        if received.instance == self.this.instance:
+            self._refute_own_state(received)
             return
-        self.store(heard, is_rumour=is_rumour)
+        self.store(received, is_rumour=is_rumour)
 
     def change_self(self, **changes: int | bool) -> None:
         """Change this instance's record and pass it on."""
@@ -133,17 +133,17 @@
         self._peers = ()
         self._on_change()
 
-    def _note_word_of_self(self, heard: Member) -> None:
-        if heard.incarnation > self.this.incarnation:
-            self.take_incarnation(heard.incarnation + 1)
+    def _refute_own_state(self, received: Member) -> None:
+        if received.incarnation > self.this.incarnation:
+            self.take_incarnation(received.incarnation + 1)
             return
-        if heard.incarnation < self.this.incarnation:
+        if received.incarnation < self.this.incarnation:
             return
-        is_doubted = heard.state is not MemberState.ALIVE
-        if heard.is_leaving and not self.this.is_leaving:
+        is_doubted = received.state is not MemberState.ALIVE
+        if received.is_leaving and not self.this.is_leaving:
             self.change_self(is_leaving=True)
-        elif is_doubted and heard.revision >= self.this.revision:
-            self.change_self(revision=heard.revision)
+        elif is_doubted and received.revision >= self.this.revision:
+            self.change_self(revision=received.revision)
 
     def _sorted_live(self) -> list[Member]:
         return sorted(self.table.live(), key=lambda member: member.instance)
--- a/src/banyanswitch/components/membership/member_table.py
+++ b/src/banyanswitch/components/membership/member_table.py
@@ -15,16 +15,16 @@
 _DIGEST_MASK = (1 << (8 * BUCKET_DIGEST_BYTES)) - 1
 
 
-def merge(known: Member, heard: Member) -> Member:
+def merge(known: Member, received: Member) -> Member:
     """Return the record that follows from two records of one member.
 
     The newer start of the process wins, then the member's own newer revision, then
     the worse state. Leaving holds until a newer start.
     """
-    if heard.incarnation != known.incarnation:
-        return heard if heard.incarnation > known.incarnation else known
-    newest = max(known, heard, key=lambda record: (record.revision, record.state))
-    is_leaving = known.is_leaving or heard.is_leaving
+    if received.incarnation != known.incarnation:
+        return received if received.incarnation > known.incarnation else known
+    newest = max(known, received, key=lambda record: (record.revision, record.state))
+    is_leaving = known.is_leaving or received.is_leaving
     if newest.is_leaving == is_leaving:
         return newest
     return replace(newest, is_leaving=is_leaving)
@@ -62,7 +62,7 @@
         """Return dead members that are still remembered."""
         return [self._members[instance] for instance in self._died_at_s]
 
-    def put(self, heard: Member, now_s: float) -> bool:
+    def put(self, received: Member, now_s: float) -> bool:
         """Take in a record.
 
         Returns
@@ -70,13 +70,13 @@
         is_changed : bool
             Whether the member's record is another one now.
         """
-        known = self._members.get(heard.instance)
+        known = self._members.get(received.instance)
         if known is None:
-            if heard.state is MemberState.DEAD:
+            if received.state is MemberState.DEAD:
                 return False
-            self._store(heard, now_s)
+            self._store(received, now_s)
             return True
-        merged = merge(known, heard)
+        merged = merge(known, received)
         if merged == known:
             return False
         self._store(merged, now_s)
--- a/src/banyanswitch/components/upstream_load/const.py
+++ b/src/banyanswitch/components/upstream_load/const.py
@@ -36,7 +36,7 @@
 """Digest intervals without a digest after which another gatherer sends."""
 
 LEAVING_HOLD_S: Final = 5.0
-"""A report that contradicts a word of leaving must be this much later, because load
+"""A report that contradicts a leaving state must be this much later, because load
 reports lag behind what the upstream says with an answer."""
 
 REPORT_LIFETIME_S: Final = 30.0
--- a/src/banyanswitch/components/upstream_load/load_table.py
+++ b/src/banyanswitch/components/upstream_load/load_table.py
@@ -28,13 +28,13 @@
         self._leaving_at_s: dict[UpstreamId, float] = {}
 
     def get(self, upstream: UpstreamId) -> UpstreamLoad | None:
-        """Return the last report, with the word of leaving that still holds."""
+        """Return the last report, with a leaving state that still holds."""
         return self._loads.get(upstream)
 
     def reported(self, upstream: UpstreamId) -> UpstreamLoad | None:
         """Return the last report as the upstream gave it.
 
-        Only this is passed on: a held word of leaving that came back from others
+        Only this is passed on: a held leaving state that came back from others
         would hold for ever.
         """
         return self._reports.get(upstream)
--- a/src/banyanswitch/components/weights/service_swap.py
+++ b/src/banyanswitch/components/weights/service_swap.py
@@ -112,7 +112,7 @@
 
 
 def _unreported_view(upstream: Upstream, is_busy: bool) -> SwapView:
-    """Describe an upstream that nobody hears of; it gets no orders."""
+    """Describe an upstream without a recent report; it gets no orders."""
     return SwapView(
         name=upstream.name,
         failure_domain=upstream.failure_domain,
--- a/tests/components/membership/test_coordinator.py
+++ b/tests/components/membership/test_coordinator.py
@@ -51,7 +51,9 @@
 
 
 @pytest.mark.parametrize("count", [8, 64])
-async def test_dead_instance_is_buried_by_all(cluster: Cluster, count: int) -> None:
+async def test_dead_instance_is_declared_dead_by_all(
+    cluster: Cluster, count: int
+) -> None:
     for number in range(count):
         cluster.start(number)
     await asyncio.sleep(15)
@@ -127,7 +129,7 @@
     assert cluster.knowing(16) == 16
 
 
-async def test_lost_messages_bury_nobody(cluster: Cluster) -> None:
+async def test_lost_messages_declare_nobody_dead(cluster: Cluster) -> None:
     cluster.network.loss = 0.1
     for number in range(16):
         cluster.start(number)
@@ -139,7 +141,9 @@
     assert smallest == 16
 
 
-async def test_frozen_node_comes_back_and_buries_nobody(cluster: Cluster) -> None:
+async def test_frozen_node_comes_back_and_declares_nobody_dead(
+    cluster: Cluster,
+) -> None:
     for number in range(16):
         cluster.start(number)
     await asyncio.sleep(15)
