--- a/src/banyanswitch/components/admission/gate.py
+++ b/src/banyanswitch/components/admission/gate.py
@@ -106,6 +106,7 @@
         self._policy = policy
         self._admissions: dict[ServiceName, Admission] = {}
         self._waiting: dict[RunId, asyncio.Future[None]] = {}
+        self._has_waiting = asyncio.Event()
         self._numbers = itertools.count()
         kernel.create_task(self._async_advance(), "advance admission")
 
@@ -148,6 +149,7 @@
         ticket.has_waited = True
         future = asyncio.get_running_loop().create_future()
         self._waiting[run] = future
+        self._has_waiting.set()
         try:
             await future
         finally:
@@ -155,10 +157,12 @@
 
     async def _async_advance(self) -> None:
         while True:
+            await self._has_waiting.wait()
             await asyncio.sleep(ADVANCE_S)
-            if self._waiting:
-                for admission in self._admissions.values():
-                    self._deliver(admission)
+            for admission in self._admissions.values():
+                self._deliver(admission)
+            if not self._waiting:
+                self._has_waiting.clear()
 
     def _admission(self, service: Service) -> Admission:
         policy = self._policy(service)
--- a/src/banyanswitch/components/routing/placement.py
+++ b/src/banyanswitch/components/routing/placement.py
@@ -1,4 +1,4 @@
-"""Placement of requests: pins the version, asks the decision, keeps its books."""
+"""Placement of requests: pins the version, asks the decision, accounts for attempts."""
 
 import asyncio
 import random
