Let a changed reuse policy reach exports at once

Cause: the planner took its settings when a service was first used, so a changed policy or size of a piece had to wait for a restart, against the condition that an accepted configuration is in force everywhere within seconds. The test failed before the method existed (AttributeError).

--- a/src/banyanswitch/components/kv_cache/coordinator.py
+++ b/src/banyanswitch/components/kv_cache/coordinator.py
@@ -122,6 +122,9 @@
     @callback
     def _on_configuration_changed(self, _message: ConfigurationChanged) -> None:
         for service in self._configuration.services():
+            planner = self._planners.get(service.name)
+            if planner is not None:
+                planner.set_policy(service.reuse, service.piece_size_bytes)
             old = self._versions.get(service.name)
             self._versions[service.name] = service.weight_version
             if old is not None and old != service.weight_version:
--- a/src/banyanswitch/decisions/export_planner.py
+++ b/src/banyanswitch/decisions/export_planner.py
@@ -31,6 +31,10 @@
         self._prompts = prompts
         self._links = links
 
+    def set_settings(self, settings: ReuseSettings) -> None:
+        """Use other settings from now on."""
+        self._settings = settings
+
     def plan(
         self,
         record: PromptRecord,
--- a/src/banyanswitch/decisions/reuse.py
+++ b/src/banyanswitch/decisions/reuse.py
@@ -2,9 +2,10 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
+from banyanswitch.config.models import ReusePolicy
 from banyanswitch.decisions.cache_view import CacheView, StoredPrefix
 from banyanswitch.decisions.export_planner import ExportPlanner
 from banyanswitch.decisions.export_queue import ExportQueue
@@ -62,6 +63,13 @@
         self._exporting: dict[str, _Exporting] = {}
         self._stored_keys: dict[StoreId, SampledSet] = {}
 
+    def set_policy(self, weights: ReusePolicy, piece_size_bytes: int) -> None:
+        """Use other weights and another size of a piece from now on."""
+        self._settings = replace(
+            self._settings, weights=weights, piece_size_bytes=piece_size_bytes
+        )
+        self._exports.set_settings(self._settings)
+
     @property
     def prompt_count(self) -> int:
         """Number of prompts that are tracked."""
--- a/tests/decisions/test_reuse.py
+++ b/tests/decisions/test_reuse.py
@@ -250,3 +250,12 @@
     soon = setup.planner.next_prefetches(upstreams, 4, last_s + 0.9 * gap_s)
     assert [prefetch.stored.pieces for prefetch in soon] == [4]
     assert setup.planner.next_prefetches(upstreams, 4, last_s + 28_000.0) == ()
+
+
+def test_changed_size_of_a_piece_takes_effect_at_once() -> None:
+    setup = Setup()
+    setup.use("a", 2, 0.0)
+    setup.planner.set_policy(ReusePolicy(), PIECE_BYTES // 2)
+    export = setup.planner.next_export([SPACE], 1.0)
+    assert export is not None
+    assert export.size_bytes == PIECE_BYTES
