Never eject more than half of a service's upstreams

Ruled out: a stream or queue that hangs (the entries' logs go on until the end). Change: an upstream keeps its full share if more than half of its service would be reduced. The test without the bound: 3 failed (0 upstreams accept); with it 8 passed.

--- a/src/banyanswitch/components/routing/health.py
+++ b/src/banyanswitch/components/routing/health.py
@@ -60,6 +60,8 @@
 
     def _apply(self, upstream: UpstreamId) -> None:
         weight = self._ejector.weight(upstream, self._kernel.now_s)
+        if weight < FULL_WEIGHT and not self._pools.may_reduce(upstream):
+            weight = FULL_WEIGHT
         if weight >= FULL_WEIGHT:
             self._reduced.discard(upstream)
         elif upstream not in self._reduced:
--- a/src/banyanswitch/components/routing/pools.py
+++ b/src/banyanswitch/components/routing/pools.py
@@ -22,6 +22,8 @@
 """Views renewed at a time, so that the work does not grow with the upstreams."""
 
 FOLLOW_S = 60.0
+MAX_REDUCED_SHARE = 0.5
+"""Share of a service's upstreams that may be ejected or return at a time."""
 
 
 @dataclass(slots=True)
@@ -69,6 +71,24 @@
             self._refresh_service(service.name, followed)
         followed.used_at_s = now_s
 
+    @callback
+    def may_reduce(self, upstream: UpstreamId) -> bool:
+        """Return whether an upstream can do without its full share of work.
+
+        At most `MAX_REDUCED_SHARE` of a service's upstreams are kept from work, so
+        that failures never leave a service without upstreams.
+        """
+        declared = self._configuration.upstream(upstream)
+        followed = self._followed.get(declared.service) if declared else None
+        if followed is None:
+            return False
+        others = sum(
+            1
+            for name in followed.upstreams
+            if name != upstream and self._weights.get(name, 1.0) < 1.0
+        )
+        return others + 1 <= MAX_REDUCED_SHARE * len(followed.upstreams)
+
     @callback
     def set_weight(self, upstream: UpstreamId, weight: float) -> None:
         """Set the share of normal work for an upstream; 0 ejects it."""
--- a/tests/components/routing/test_pools.py
+++ b/tests/components/routing/test_pools.py
@@ -1,11 +1,14 @@
 """Views of upstreams are kept up to date at a bounded cost."""
 
 import asyncio
+import random
 from dataclasses import dataclass, field
 from typing import cast
 
 import pytest
 
+from banyanswitch.components.metrics.recorder import MetricRecorder
+from banyanswitch.components.routing.health import UpstreamHealth
 from banyanswitch.components.routing.pools import (
     REFRESH_S,
     UPSTREAMS_PER_REFRESH,
@@ -112,3 +115,19 @@
     kernel.bus.publish(UpstreamLoadChanged(upstream))
     assert upstream not in pools.pool.accepting(SERVICE.name, VERSION)
     await kernel.async_stop()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(("count", "most"), [(1, 0), (2, 1), (9, 4)])
+async def test_failures_never_leave_a_service_without_upstreams(
+    count: int, most: int
+) -> None:
+    kernel, _directory, pools = _pools(count)
+    kernel.provide(MetricRecorder, MetricRecorder(None))
+    health = UpstreamHealth(kernel, pools, random.Random(1))
+    for _ in range(5):
+        for index in range(count):
+            health.note_failure(UpstreamId(f"u{index}"))
+    accepting = len(pools.pool.accepting(SERVICE.name, VERSION))
+    assert accepting == count - most
+    await kernel.async_stop()
