--- a/src/banyanswitch/components/admission/const.py
+++ b/src/banyanswitch/components/admission/const.py
@@ -17,5 +17,8 @@
 
 ADVANCE_S: Final = 0.025
 DEFAULT_CAPACITY: Final = 64
+SMALLEST_BATCH_PIECES: Final = 2.0
+"""Pieces of a prompt whose prefill is the least time between batch starts."""
+
 REPORT_LAG_S: Final = 1.0
 """Time until a load report shows a request that was just started, in seconds."""
