--- a/src/banyanswitch/cli/platform_access.py
+++ b/src/banyanswitch/cli/platform_access.py
@@ -11,9 +11,9 @@
 import aiohttp
 import fire
 
-from banyanswitch.components.platform import HttpObjectStore, HttpTableStore
-from banyanswitch.components.platform.http_client import PlatformClient
-from banyanswitch.components.platform.write_budget import WriteBudget
+from banyanswitch.components.table_service import HttpObjectStore, HttpTableStore
+from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.identifiers import InstanceId
 from banyanswitch.interfaces import ObjectStore, TableStore
 
--- a/src/banyanswitch/components/audit/__init__.py
+++ b/src/banyanswitch/components/audit/__init__.py
@@ -39,5 +39,5 @@
 
 
 REGISTRY.register(
-    DOMAIN, async_setup, depends_on=("platform", "configuration", "lease")
+    DOMAIN, async_setup, depends_on=("table_service", "configuration", "lease")
 )
--- a/src/banyanswitch/components/configuration/__init__.py
+++ b/src/banyanswitch/components/configuration/__init__.py
@@ -55,5 +55,5 @@
 
 
 REGISTRY.register(
-    DOMAIN, async_setup, depends_on=("platform", "peers", "membership", "lease")
+    DOMAIN, async_setup, depends_on=("table_service", "peers", "membership", "lease")
 )
--- /dev/null
+++ b/src/banyanswitch/components/entrance/__init__.py
@@ -0,0 +1,1 @@
+"""Where callers learn which instances to use, and whether this one serves."""
--- /dev/null
+++ b/src/banyanswitch/components/entrance/coordinator.py
@@ -0,0 +1,83 @@
+"""Answers to address questions and readiness checks."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from banyanswitch.components.entrance.const import MAX_ADDRESSES
+from banyanswitch.components.http1.caller_connection import Reply
+from banyanswitch.components.http1.models import Header, Request
+from banyanswitch.decisions.address_choice import EntryView, choose_entries
+from banyanswitch.identifiers import FailureDomainId, WorkspaceId
+from banyanswitch.interfaces import PeerDirectory
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+JSON_HEADERS: tuple[Header, ...] = ((b"Content-Type", b"application/json"),)
+
+
+class EntranceCalls(Protocol):
+    """Reads and writes the calls of the entrance."""
+
+    def is_readiness(self, path: bytes) -> bool:
+        """Return whether a call asks whether this instance serves."""
+
+    def read_resolve(self, target: bytes) -> tuple[str, FailureDomainId] | None:
+        """Return the host and the caller's failure domain of an address question."""
+
+    def addresses(self, addresses: Sequence[str], ttl_s: float) -> bytes:
+        """Return the answer to an address question."""
+
+
+class Entrance:
+    """Tell callers whom to connect to, and the platform whether this instance serves.
+
+    Parameters
+    ----------
+    peers : PeerDirectory
+        Live instances; one that takes no callers yet or no longer is leaving.
+    is_ready : callable
+        Returns whether this instance serves.
+    ttl_s : float
+        Time for which callers keep an answer, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        calls: EntranceCalls,
+        peers: PeerDirectory,
+        is_ready: Callable[[], bool],
+        ttl_s: float,
+    ) -> None:
+        self._calls = calls
+        self._peers = peers
+        self._is_ready = is_ready
+        self._ttl_s = ttl_s
+
+    async def async_handle(self, request: Request, reply: Reply) -> None:
+        """Answer one call."""
+        if self._calls.is_readiness(request.path):
+            status = STATUS_OK if self._is_ready() else STATUS_UNAVAILABLE
+            reply.send(status, (), b"")
+            return
+        question = self._calls.read_resolve(request.target)
+        if question is None:
+            reply.send(STATUS_NOT_FOUND, (), b"")
+            return
+        addresses = self._addresses(*question)
+        if not addresses:
+            reply.send(STATUS_UNAVAILABLE, (), b"")
+            return
+        body = self._calls.addresses(addresses, self._ttl_s)
+        reply.send(STATUS_OK, JSON_HEADERS, body)
+
+    def _addresses(self, host: str, failure_domain: FailureDomainId) -> list[str]:
+        peers = {peer.instance: peer for peer in self._peers.peers()}
+        views = [
+            EntryView(peer.instance, peer.failure_domain, peer.is_leaving)
+            for peer in peers.values()
+        ]
+        key = WorkspaceId(f"{host}/{failure_domain}")
+        chosen = choose_entries(key, views, MAX_ADDRESSES)
+        return [peers[instance].http_url for instance in chosen]
--- /dev/null
+++ b/src/banyanswitch/components/entrance/planned_stop.py
@@ -0,0 +1,73 @@
+"""Graceful stop: callers move away, and no request is cut."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import structlog
+
+from banyanswitch.components.entrance.const import (
+    DRAIN_SHARE,
+    DRAIN_STEP_S,
+    LINGER_SHARE,
+)
+from banyanswitch.components.http1.caller_server import CallerServer
+from banyanswitch.core import callback
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class PlannedStop:
+    """Take an instance out of service within its grace.
+
+    Parameters
+    ----------
+    server : CallerServer
+        Serves callers.
+    grace_s : float
+        Time until the process is killed, in seconds.
+    on_leaving : sequence of callable
+        Called once when the stop is requested.
+    """
+
+    def __init__(
+        self,
+        server: CallerServer,
+        grace_s: float,
+        on_leaving: Sequence[Callable[[], None]],
+    ) -> None:
+        self._server = server
+        self._grace_s = grace_s
+        self._on_leaving = tuple(on_leaving)
+        self.requested = asyncio.Event()
+        self.is_leaving = False
+        self.is_refusing = False
+
+    @callback
+    def request(self) -> None:
+        """Begin the stop."""
+        if not self.is_leaving:
+            self.is_leaving = True
+            LOGGER.info("stop_requested", grace_s=self._grace_s)
+            for handler in self._on_leaving:
+                handler()
+            self._server.announce_close()
+        self.requested.set()
+
+    async def async_wait_stopped(self) -> None:
+        """Return when the process may end."""
+        await self.requested.wait()
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
+        await asyncio.sleep(LINGER_SHARE * self._grace_s)
+        self.is_refusing = True
+        self._server.stop_listening()
+        self._server.close_idle()
+        ends_at_s = began_at_s + DRAIN_SHARE * self._grace_s
+        while self._server.busy_count and loop.time() < ends_at_s:
+            await asyncio.sleep(DRAIN_STEP_S)
+        LOGGER.info(
+            "stopped",
+            after_s=round(loop.time() - began_at_s, 3),
+            unfinished=self._server.busy_count,
+        )
+        self._server.abort_all()
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of callers' requests to upstreams, byte for byte."""
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -0,0 +1,231 @@
+"""One attempt of a request at one upstream."""
+
+import asyncio
+from dataclasses import dataclass
+
+import structlog
+
+from banyanswitch.components.forwarding.const import ONCE_MAX_IDLE_S
+from banyanswitch.components.forwarding.event_stream import EventSplitter
+from banyanswitch.components.forwarding.models import (
+    AnswerFacts,
+    CallFacts,
+    Repeatability,
+    Route,
+)
+from banyanswitch.components.forwarding.placement import Placed
+from banyanswitch.components.forwarding.protocols import CallTranslator
+from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
+from banyanswitch.components.http1.caller_connection import Reply
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.http1.const import STALE_IDLE_S
+from banyanswitch.components.http1.models import AnswerHead, BodyFraming, Request
+from banyanswitch.components.http1.upstream_connection import UpstreamConnection
+from banyanswitch.exceptions import (
+    NotRunError,
+    UpstreamBrokenError,
+    UpstreamFailureError,
+)
+
+LOGGER = structlog.get_logger(__name__)
+FIRST_ERROR_STATUS = 500
+FIRST_FAILURE_STATUS = 400
+STATUS_NOT_RUN = frozenset({421, 429, 503, 400, 408})
+MAX_FOREIGN_ANSWERS = 3
+"""Answers to other requests that are skipped on one connection."""
+
+
+@dataclass(slots=True)
+class Relay:
+    """What the caller has got of its answer so far, over all attempts."""
+
+    splitter: EventSplitter
+    first_byte_at_s: float | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Whether the caller has got a part of an answer."""
+        return self.first_byte_at_s is not None
+
+
+class Attempt:
+    """Send a request and pass its answer on.
+
+    Parameters
+    ----------
+    request : Request
+        Request as the caller sent it.
+    facts : CallFacts
+        What its headers say.
+    reply : Reply
+        Way back to the caller.
+    relay : Relay
+        What the caller has got already.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: Request,
+        facts: CallFacts,
+        route: Route,
+        reply: Reply,
+        relay: Relay,
+        translator: CallTranslator,
+        pool: ConnectionPool,
+        board: UpstreamBoard,
+    ) -> None:
+        self._request = request
+        self._facts = facts
+        self._route = route
+        self._reply = reply
+        self._relay = relay
+        self._translator = translator
+        self._pool = pool
+        self._board = board
+        self._loop = asyncio.get_running_loop()
+        self.has_sent = False
+        self.status = 0
+
+    async def async_run(self, placed: Placed, *, is_last: bool) -> None:
+        """Serve the caller from one upstream.
+
+        Parameters
+        ----------
+        is_last : bool
+            Whether a failing answer is passed on rather than raised.
+
+        Raises
+        ------
+        UpstreamNotSentError
+            If no byte of the request was sent.
+        NotRunError
+            If the upstream says that it did not run the request.
+        UpstreamFailureError
+            If the upstream answered with a failure and may be asked again.
+        UpstreamBrokenError
+            If the answer did not come whole.
+        """
+        address = placed.record.address
+        number = self._board.loads.begin(placed.work)
+        connection: UpstreamConnection | None = None
+        is_released = False
+        try:
+            connection = await self._pool.async_acquire(
+                address, max_idle_s=self._max_idle_s()
+            )
+            self._send(connection, placed)
+            head, answer = await self._async_answer_head(connection, placed)
+            self._board.loads.answered(number)
+            self._pool.note_keep_alive(address, head.headers)
+            await self._async_relay(connection, head, answer, placed, is_last=is_last)
+            self._pool.release(address, connection)
+            is_released = True
+        except (NotRunError, UpstreamFailureError):
+            if connection is not None:
+                self._pool.release(address, connection)
+                is_released = True
+            raise
+        finally:
+            self._board.loads.end(number)
+            if connection is not None and not is_released:
+                self._pool.discard(address, connection)
+
+    def _max_idle_s(self) -> float:
+        if self._route.repeatability is Repeatability.ONCE:
+            return ONCE_MAX_IDLE_S
+        return STALE_IDLE_S
+
+    def _send(self, connection: UpstreamConnection, placed: Placed) -> None:
+        data = self._translator.upstream_request(self._request, placed.plan)
+        self.has_sent = True
+        connection.send(data, is_head_only=self._request.method == b"HEAD")
+
+    async def _async_answer_head(
+        self, connection: UpstreamConnection, placed: Placed
+    ) -> tuple[AnswerHead, AnswerFacts]:
+        """Return the head of the answer to this request, skipping others'."""
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            head = await connection.async_head()
+            self._board.heard(placed.record.name, self._loop.time())
+            answer = self._translator.read_answer(head)
+            if answer.attempt is None or answer.attempt == self._facts.attempt:
+                return head, answer
+            LOGGER.info(
+                "foreign_answer_skipped",
+                request=_text(self._facts.attempt),
+                upstream=placed.record.name,
+                answer_of=_text(answer.attempt),
+            )
+            while await connection.async_part() is not None:
+                pass
+            connection.expect_another()
+        raise UpstreamBrokenError("only answers to other requests came")
+
+    async def _async_relay(
+        self,
+        connection: UpstreamConnection,
+        head: AnswerHead,
+        answer: AnswerFacts,
+        placed: Placed,
+        *,
+        is_last: bool,
+    ) -> None:
+        self.status = head.status
+        self._note_answer(answer, placed)
+        if answer.is_not_run and head.status in STATUS_NOT_RUN:
+            await _async_read_all(connection)
+            raise NotRunError(
+                f"{placed.record.name} did not run it: status {head.status}",
+                retry_after_s=answer.retry_after_s,
+                is_misdirected=answer.is_misdirected,
+            )
+        if head.status < FIRST_FAILURE_STATUS and not answer.is_signed:
+            raise UpstreamBrokenError("a success without a signature")
+        is_failure = head.status >= FIRST_ERROR_STATUS
+        if self._relay.has_started:
+            if head.status >= FIRST_FAILURE_STATUS:
+                raise UpstreamBrokenError(f"resumed with status {head.status}")
+            await self._async_relay_events(connection)
+            return
+        if is_failure and not is_last:
+            await _async_read_all(connection)
+            raise UpstreamFailureError(f"failed with status {head.status}")
+        if self._route.is_streaming and head.status < FIRST_FAILURE_STATUS:
+            headers = self._translator.caller_headers(head)
+            # The length of a stream that may be resumed is not known.
+            self._reply.start(
+                head.status, headers, BodyFraming.CHUNKED, reason=head.reason
+            )
+            self._relay.first_byte_at_s = self._loop.time()
+            await self._async_relay_events(connection)
+            return
+        body = await _async_read_all(connection)
+        headers = self._translator.caller_headers(head)
+        self._relay.first_byte_at_s = self._loop.time()
+        self._reply.send(head.status, headers, body, reason=head.reason)
+
+    async def _async_relay_events(self, connection: UpstreamConnection) -> None:
+        splitter = self._relay.splitter
+        while (part := await connection.async_part()) is not None:
+            self._reply.write(splitter.feed(part))
+            await self._reply.async_drain()
+        self._reply.write(splitter.rest())
+        self._reply.end()
+
+    def _note_answer(self, answer: AnswerFacts, placed: Placed) -> None:
+        model = self._facts.model
+        if model is not None and answer.weight_version is not None:
+            name = placed.record.name
+            self._board.note_weights(name, model, answer.weight_version)
+
+
+async def _async_read_all(connection: UpstreamConnection) -> bytes:
+    parts = []
+    while (part := await connection.async_part()) is not None:
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _text(value: bytes) -> str:
+    return value.decode("latin-1")
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -0,0 +1,56 @@
+"""Constants of forwarding."""
+
+from typing import Final
+
+LAPSE_PATIENCE_S: Final = 2.2
+"""Time for which an entry that vanished around an outage of the store is kept; the
+platform has lapsed entries back within about 2 s."""
+
+OUTAGE_MEMORY_S: Final = 3.0
+"""Time after a failed call to the store in which a vanished entry may be a lapse."""
+
+NOTICE_LIFETIME_S: Final = 8.0
+"""Time for which word of a load under way is believed without the upstream's own;
+a load takes 1 to 2 s, and longer while many load."""
+
+STATE_LIFETIME_S: Final = 1.5
+"""Age at which another instance's load report is dropped; reports come every
+0.1 to 0.5 s."""
+
+SILENCE_S: Final = 1.0
+"""Time without any byte from an upstream that owes answers after which it gets no
+further work while others can take it."""
+
+REFUSAL_RETRY_S: Final = 0.4
+"""Base of the time to come back when no upstream can take a request; a refused
+caller that returns sooner finds the same upstreams."""
+
+BUSY_RETRY_S: Final = 0.15
+"""Base of the time to come back after upstreams refused."""
+
+UNCONFIGURED_RETRY_S: Final = 0.5
+"""Time to come back to an instance that knows no configuration yet."""
+
+MAX_RETRY_SHARE: Final = 0.3
+"""Most of the remaining time that a caller is told to wait; callers honour up to
+a third."""
+
+MAX_UNSENT_TRIES: Final = 3
+"""Upstreams tried for one request while none of its bytes was sent."""
+
+ONCE_MAX_IDLE_S: Final = 0.8
+"""Idle time of a connection up to which it is used for a request that may run only
+once; a reset after the send can't be told from a lost answer."""
+
+FETCH_LIFETIME_MS: Final = 1500
+"""Time within which a fetch must end; stores free nothing sooner than after it."""
+
+MIN_TIME_LEFT_S: Final = 0.03
+"""Remaining time below which an attempt is not worth sending."""
+
+BUDGET_SHARE: Final = 0.75
+"""Part of the platform's retry budget that is used; instances count windows on
+their own, and a restarted one begins with a full bucket."""
+
+CONNECTION_SHARE: Final = 0.9
+"""Part of an upstream's connections that all instances together use."""
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/event_stream.py
@@ -0,0 +1,60 @@
+"""Events of a stream, whole ones only."""
+
+import re
+
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+
+
+class EventSplitter:
+    """Cut a stream into whole events, so that a resumed one joins without a seam.
+
+    Parameters
+    ----------
+    last_id : bytes or None
+        Identifier of the last event that the caller has; older ones are dropped.
+    """
+
+    def __init__(self, last_id: bytes | None = None) -> None:
+        self.last_id = last_id
+        self._partial = b""
+        self._resumed_after = _number(last_id)
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that are complete with these bytes."""
+        data = self._partial + data
+        end = 0
+        events = []
+        for found in EVENT_END.finditer(data):
+            event = data[end : found.end()]
+            end = found.end()
+            if self._take(event):
+                events.append(event)
+        self._partial = data[end:]
+        return b"".join(events)
+
+    def rest(self) -> bytes:
+        """Return what came after the last whole event."""
+        rest, self._partial = self._partial, b""
+        return rest
+
+    def restart(self) -> None:
+        """Drop the partial event before the stream goes on elsewhere."""
+        self._partial = b""
+        self._resumed_after = _number(self.last_id)
+
+    def _take(self, event: bytes) -> bool:
+        """Return whether the caller lacks an event, and note its identifier."""
+        found = EVENT_ID.search(event)
+        if found is None:
+            return True
+        number = _number(found.group(1))
+        is_old = self._resumed_after is not None and number is not None
+        if is_old and number is not None and number <= (self._resumed_after or 0):
+            return False
+        self.last_id = found.group(1)
+        return True
+
+
+def _number(value: bytes | None) -> int | None:
+    return int(value) if value is not None and value.isdigit() else None
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -0,0 +1,441 @@
+"""A request's way: route, key, upstream, answer, further attempts, refusal."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from banyanswitch.components.forwarding.attempt import Attempt, Relay
+from banyanswitch.components.forwarding.const import (
+    BUDGET_SHARE,
+    BUSY_RETRY_S,
+    MAX_UNSENT_TRIES,
+    MIN_TIME_LEFT_S,
+    REFUSAL_RETRY_S,
+    UNCONFIGURED_RETRY_S,
+)
+from banyanswitch.components.forwarding.event_stream import EventSplitter
+from banyanswitch.components.forwarding.metrics import ForwardingMetrics
+from banyanswitch.components.forwarding.models import (
+    CallFacts,
+    ForwardedService,
+    ForwardedWorkspace,
+    Repeatability,
+    Route,
+)
+from banyanswitch.components.forwarding.placement import (
+    Placed,
+    Placement,
+    PlacementRequest,
+)
+from banyanswitch.components.forwarding.protocols import CallTranslator
+from banyanswitch.components.forwarding.refusals import (
+    STATUS_BAD_GATEWAY,
+    STATUS_NOT_FOUND,
+    STATUS_TIMEOUT,
+    STATUS_UNAUTHORIZED,
+    STATUS_UNAVAILABLE,
+    Refusal,
+    RefusalReason,
+    come_back_s,
+)
+from banyanswitch.components.forwarding.routing_state import (
+    RoutingState,
+    pick_service,
+)
+from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
+from banyanswitch.components.http1.caller_connection import Reply
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.http1.models import Request
+from banyanswitch.decisions.retry import (
+    FailedAttempt,
+    GiveUp,
+    Retrier,
+    Retry,
+    shared_retry_policy,
+)
+from banyanswitch.exceptions import (
+    NotRunError,
+    RunOutcome,
+    UpstreamBrokenError,
+    UpstreamError,
+    UpstreamFailureError,
+    UpstreamNotSentError,
+)
+from banyanswitch.identifiers import ServiceName, UpstreamId
+
+LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RetryBounds:
+    """Shared budget of arrivals beyond the first, as the platform states it."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclass(slots=True, kw_only=True)
+class _Call:
+    """One request on its way."""
+
+    request: Request
+    facts: CallFacts
+    reply: Reply
+    route: Route
+    workspace: ForwardedWorkspace | None
+    service: ForwardedService
+    ends_at_s: float
+    relay: Relay
+    excluded: set[UpstreamId] = field(default_factory=set)
+    sent: int = 0
+    unsent: int = 0
+    may_have_run: bool = False
+    last_upstream: str = ""
+
+
+class Forwarder:
+    """Answer callers' requests from upstreams.
+
+    Parameters
+    ----------
+    instance_count : callable
+        Returns how many instances share the retry budget.
+    is_leaving : callable
+        Returns whether this instance refuses new requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        translator: CallTranslator,
+        routing: RoutingState,
+        placement: Placement,
+        board: UpstreamBoard,
+        pool: ConnectionPool,
+        metrics: ForwardingMetrics,
+        retry_bounds: RetryBounds,
+        instance_count: Callable[[], int],
+        is_leaving: Callable[[], bool],
+        generator: random.Random,
+    ) -> None:
+        self._translator = translator
+        self._routing = routing
+        self._placement = placement
+        self._board = board
+        self._pool = pool
+        self._metrics = metrics
+        self._retry_bounds = retry_bounds
+        self._instance_count = instance_count
+        self._is_leaving = is_leaving
+        self._random = generator
+        self._retriers: dict[ServiceName, tuple[int, Retrier]] = {}
+        self._loop = asyncio.get_running_loop()
+
+    async def async_handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        facts = self._translator.read_call(request)
+        found = self._admit(request, facts, reply)
+        if isinstance(found, Refusal):
+            self._refuse(request, facts, reply, found)
+            return
+        self._retrier(found.service.name).on_first_attempt(self._loop.time())
+        try:
+            async with asyncio.timeout_at(found.ends_at_s):
+                await self._async_serve(found)
+        except TimeoutError:
+            self._end_late(found)
+        except asyncio.CancelledError:
+            self._log(found, "caller_left")
+            self._metrics.count_request(found.route.name, "caller_left")
+            raise
+
+    def _admit(
+        self, request: Request, facts: CallFacts, reply: Reply
+    ) -> "_Call | Refusal":
+        if self._routing.configuration is None:
+            wait_s = UNCONFIGURED_RETRY_S
+            return Refusal(STATUS_UNAVAILABLE, RefusalReason.UNCONFIGURED, wait_s)
+        if self._is_leaving():
+            return Refusal(STATUS_UNAVAILABLE, RefusalReason.LEAVING, 0.0)
+        route = self._routing.route(facts.host, request.path.decode("latin-1"))
+        if route is None:
+            return Refusal(STATUS_NOT_FOUND, RefusalReason.NO_ROUTE)
+        workspace = self._routing.workspace(facts.key)
+        if workspace is None and self._routing.has_workspaces and not route.is_public:
+            return Refusal(STATUS_UNAUTHORIZED, RefusalReason.UNKNOWN_KEY)
+        service = self._placement.service_of(pick_service(route, self._random))
+        if service is None:
+            wait_s = REFUSAL_RETRY_S
+            return Refusal(STATUS_UNAVAILABLE, RefusalReason.NO_UPSTREAM, wait_s)
+        limit_s = route.timeout_s
+        if facts.time_left_s is not None:
+            limit_s = min(limit_s, facts.time_left_s)
+        return _Call(
+            request=request,
+            facts=facts,
+            reply=reply,
+            route=route,
+            workspace=workspace,
+            service=service,
+            ends_at_s=request.received_at_s + limit_s,
+            relay=Relay(EventSplitter()),
+        )
+
+    async def _async_serve(self, call: _Call) -> None:
+        while True:
+            now_s = self._loop.time()
+            placed = self._place(call, now_s)
+            if placed is None:
+                self._refuse_unplaced(call, now_s)
+                return
+            call.last_upstream = placed.record.name
+            attempt = Attempt(
+                request=call.request,
+                facts=call.facts,
+                route=call.route,
+                reply=call.reply,
+                relay=call.relay,
+                translator=self._translator,
+                pool=self._pool,
+                board=self._board,
+            )
+            call.sent += 1
+            is_last = not self._may_repeat(call)
+            try:
+                await attempt.async_run(placed, is_last=is_last)
+            except UpstreamError as error:
+                if not await self._async_go_on(call, placed, error):
+                    return
+                continue
+            self._note_served(call, placed, attempt.status)
+            return
+
+    def _place(self, call: _Call, now_s: float) -> Placed | None:
+        time_left_s = call.ends_at_s - now_s
+        if time_left_s < MIN_TIME_LEFT_S:
+            return None
+        resume_after = call.relay.splitter.last_id if call.relay.has_started else None
+        return self._placement.place(
+            PlacementRequest(
+                facts=call.facts,
+                route=call.route,
+                workspace=call.workspace,
+                service=call.service,
+                excluded=call.excluded,
+                time_left_s=time_left_s,
+                resume_after=resume_after,
+            ),
+            now_s,
+        )
+
+    def _may_repeat(self, call: _Call) -> bool:
+        is_repeatable = call.route.repeatability is not Repeatability.ONCE
+        return is_repeatable and call.sent < call.route.max_attempts
+
+    async def _async_go_on(
+        self, call: _Call, placed: Placed, error: UpstreamError
+    ) -> bool:
+        """Prepare another attempt after a failed one, or answer and return False."""
+        now_s = self._loop.time()
+        name = placed.record.name
+        call.excluded.add(name)
+        if isinstance(error, UpstreamNotSentError):
+            return self._go_on_unsent(call, name, error, now_s)
+        outcome = RunOutcome.UNKNOWN
+        if isinstance(error, NotRunError):
+            outcome = RunOutcome.NOT_RUN
+            self._note_not_run(placed, error)
+        else:
+            call.may_have_run = True
+            self._board.ejector.on_failure(name, now_s)
+        decision = self._decide(call, error, outcome, now_s)
+        self._log_failure(call, name, error, decision)
+        if isinstance(decision, GiveUp):
+            self._give_up(call, error)
+            return False
+        await asyncio.sleep(decision.delay_s)
+        if call.relay.has_started:
+            call.relay.splitter.restart()
+        return True
+
+    def _go_on_unsent(
+        self, call: _Call, name: UpstreamId, error: UpstreamError, now_s: float
+    ) -> bool:
+        call.sent -= 1
+        call.unsent += 1
+        self._board.ejector.on_failure(name, now_s)
+        LOGGER.info(
+            "attempt_not_sent",
+            request=call.facts.attempt.decode("latin-1"),
+            upstream=name,
+            reason=str(error),
+        )
+        if call.unsent < MAX_UNSENT_TRIES:
+            return True
+        self._give_up(call, error)
+        return False
+
+    def _note_not_run(self, placed: Placed, error: NotRunError) -> None:
+        self._metrics.count_not_run(placed.record.service)
+        if error.is_misdirected:
+            self._pool.close_idle(placed.record.address)
+
+    def _decide(
+        self,
+        call: _Call,
+        error: UpstreamError,
+        outcome: RunOutcome,
+        now_s: float,
+    ) -> Retry | GiveUp:
+        attempts = call.sent
+        if attempts >= call.route.max_attempts:
+            attempts = Retrier.no_more_attempts
+        is_repeatable = call.route.repeatability is not Repeatability.ONCE
+        if call.relay.has_started:
+            is_repeatable = (
+                call.route.repeatability is Repeatability.RESUMABLE_STREAM
+                and call.relay.splitter.last_id is not None
+            )
+        failed = FailedAttempt(
+            outcome=outcome,
+            is_repeatable=is_repeatable,
+            attempts=attempts,
+            deadline_s=call.ends_at_s - MIN_TIME_LEFT_S,
+        )
+        return self._retrier(call.service.name).decide(failed, now_s)
+
+    def _retrier(self, service: ServiceName) -> Retrier:
+        instances = max(1, self._instance_count())
+        now_s = self._loop.time()
+        known = self._retriers.get(service)
+        if known is not None and known[0] == instances:
+            return known[1]
+        bounds = self._retry_bounds
+        policy = shared_retry_policy(
+            ratio=BUDGET_SHARE * bounds.ratio,
+            slack=BUDGET_SHARE * bounds.slack,
+            window_s=bounds.window_s,
+            instances=instances,
+        )
+        retrier = known[1] if known else Retrier(policy, self._random, now_s)
+        retrier.change_policy(policy, now_s)
+        self._retriers[service] = (instances, retrier)
+        return retrier
+
+    def _give_up(self, call: _Call, error: UpstreamError) -> None:
+        if call.relay.has_started:
+            self._log(call, "answer_broken", reason=str(error))
+            self._metrics.count_request(call.route.name, "broken")
+            call.reply.abort()
+            return
+        if call.may_have_run:
+            refusal = Refusal(STATUS_BAD_GATEWAY, RefusalReason.BROKEN)
+        else:
+            reason = RefusalReason.REFUSED
+            if isinstance(error, UpstreamNotSentError):
+                reason = RefusalReason.NOT_REACHED
+            wait_s = BUSY_RETRY_S
+            if isinstance(error, NotRunError) and error.retry_after_s is not None:
+                wait_s = max(wait_s, error.retry_after_s)
+            refusal = Refusal(STATUS_UNAVAILABLE, reason, wait_s)
+        self._refuse(call.request, call.facts, call.reply, refusal, call)
+
+    def _refuse_unplaced(self, call: _Call, now_s: float) -> None:
+        if call.ends_at_s - now_s < MIN_TIME_LEFT_S:
+            self._end_late(call)
+            return
+        if call.relay.has_started or call.may_have_run:
+            self._give_up(call, UpstreamBrokenError("no upstream is left"))
+            return
+        wait_s = BUSY_RETRY_S if call.excluded else REFUSAL_RETRY_S
+        refusal = Refusal(STATUS_UNAVAILABLE, RefusalReason.NO_UPSTREAM, wait_s)
+        self._refuse(call.request, call.facts, call.reply, refusal, call)
+
+    def _end_late(self, call: _Call) -> None:
+        if call.relay.has_started:
+            self._log(call, "answer_broken", reason="timeout")
+            self._metrics.count_request(call.route.name, "broken")
+            call.reply.abort()
+            return
+        refusal = Refusal(STATUS_TIMEOUT, RefusalReason.TIMEOUT)
+        self._refuse(call.request, call.facts, call.reply, refusal, call)
+
+    def _refuse(
+        self,
+        request: Request,
+        facts: CallFacts,
+        reply: Reply,
+        refusal: Refusal,
+        call: _Call | None = None,
+    ) -> None:
+        retry_after_s = refusal.retry_after_s
+        if retry_after_s is not None:
+            elapsed_s = self._loop.time() - request.received_at_s
+            left_s = (facts.time_left_s or 1.0) - elapsed_s
+            retry_after_s = come_back_s(retry_after_s, left_s, self._random)
+        headers = self._translator.own_headers(facts, retry_after_s)
+        reply.send(refusal.status, headers, b"")
+        configuration = self._routing.configuration
+        LOGGER.info(
+            "request_refused",
+            request=facts.attempt.decode("latin-1"),
+            status=refusal.status,
+            reason=refusal.reason.value,
+            retry_after_s=retry_after_s,
+            route=call.route.name if call else None,
+            upstream=call.last_upstream if call else None,
+            attempts=call.sent if call else 0,
+            configuration=configuration.version if configuration else None,
+        )
+        route = call.route.name if call else "none"
+        self._metrics.count_request(route, refusal.reason.value)
+
+    def _note_served(self, call: _Call, placed: Placed, status: int) -> None:
+        now_s = self._loop.time()
+        self._board.ejector.on_success(placed.record.name, now_s)
+        first_s = (call.relay.first_byte_at_s or now_s) - call.request.received_at_s
+        self._metrics.observe_first_byte(call.route.name, first_s)
+        self._metrics.count_request(call.route.name, str(status))
+        self._log(
+            call,
+            "request_served",
+            status=status,
+            first_byte_s=round(first_s, 4),
+            total_s=round(now_s - call.request.received_at_s, 4),
+            candidates=placed.candidates,
+            prefill_tokens=placed.work.prefill_tokens,
+            weights=placed.plan.expected_weights,
+        )
+
+    def _log_failure(
+        self,
+        call: _Call,
+        name: UpstreamId,
+        error: UpstreamError,
+        decision: Retry | GiveUp,
+    ) -> None:
+        outcome = decision.reason.value if isinstance(decision, GiveUp) else "retry"
+        self._log(
+            call,
+            "attempt_failed",
+            upstream=name,
+            reason=str(error),
+            decision=outcome,
+            is_failure_status=isinstance(error, UpstreamFailureError),
+        )
+
+    def _log(self, call: _Call, event: str, **values: object) -> None:
+        values.setdefault("upstream", call.last_upstream)
+        configuration = self._routing.configuration
+        LOGGER.info(
+            event,
+            request=call.facts.attempt.decode("latin-1"),
+            route=call.route.name,
+            attempts=call.sent,
+            configuration=configuration.version if configuration else None,
+            **values,
+        )
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/loads.py
@@ -0,0 +1,115 @@
+"""Work in flight at upstreams, own and of other instances."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from banyanswitch.components.forwarding.const import STATE_LIFETIME_S
+from banyanswitch.core import callback
+from banyanswitch.identifiers import UpstreamId
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Work of some requests at one upstream."""
+
+    requests: int = 0
+    prefill_tokens: int = 0
+    memory_tokens: int = 0
+
+    def plus(self, other: "Load") -> "Load":
+        """Return the sum."""
+        return Load(
+            self.requests + other.requests,
+            self.prefill_tokens + other.prefill_tokens,
+            self.memory_tokens + other.memory_tokens,
+        )
+
+
+@dataclass(slots=True)
+class InFlight:
+    """One request at an upstream."""
+
+    upstream: UpstreamId
+    prefill_tokens: int
+    memory_tokens: int
+    started_at_s: float
+    has_answered: bool = False
+
+
+class LoadBook:
+    """Sum of the work that is known to be in flight."""
+
+    def __init__(self) -> None:
+        self._own: dict[UpstreamId, set[int]] = {}
+        self._calls: dict[int, InFlight] = {}
+        self._remote: dict[str, tuple[float, Mapping[str, Load]]] = {}
+        self._next_number = 0
+        self.change_count = 0
+
+    @callback
+    def begin(self, call: InFlight) -> int:
+        """Add a request; return its number."""
+        self._next_number += 1
+        self._calls[self._next_number] = call
+        self._own.setdefault(call.upstream, set()).add(self._next_number)
+        self.change_count += 1
+        return self._next_number
+
+    @callback
+    def answered(self, number: int) -> None:
+        """Note the first byte of an answer: the prompt has been read."""
+        call = self._calls.get(number)
+        if call is not None and not call.has_answered:
+            call.has_answered = True
+            self.change_count += 1
+
+    @callback
+    def end(self, number: int) -> None:
+        """Remove a request."""
+        call = self._calls.pop(number, None)
+        if call is None:
+            return
+        self._own[call.upstream].discard(number)
+        self.change_count += 1
+
+    @callback
+    def note_remote(
+        self, instance: str, loads: Mapping[str, Load], now_s: float
+    ) -> None:
+        """Take in what another instance has in flight."""
+        self._remote[instance] = (now_s, loads)
+
+    @callback
+    def own(self, upstream: UpstreamId) -> Load:
+        """Return the work of this instance at an upstream."""
+        total = Load()
+        for number in self._own.get(upstream, ()):
+            call = self._calls[number]
+            prefill = 0 if call.has_answered else call.prefill_tokens
+            total = total.plus(Load(1, prefill, call.memory_tokens))
+        return total
+
+    @callback
+    def own_loads(self) -> dict[str, Load]:
+        """Return the work of this instance at all upstreams that have any."""
+        return {name: self.own(name) for name, numbers in self._own.items() if numbers}
+
+    @callback
+    def total(self, upstream: UpstreamId, now_s: float) -> Load:
+        """Return the work of all instances at an upstream."""
+        total = self.own(upstream)
+        for received_at_s, loads in self._remote.values():
+            if now_s - received_at_s <= STATE_LIFETIME_S and upstream in loads:
+                total = total.plus(loads[upstream])
+        return total
+
+    @callback
+    def oldest_unanswered_s(self, upstream: UpstreamId) -> float | None:
+        """Return when the oldest own request without an answer was sent."""
+        waiting = [
+            self._calls[number].started_at_s
+            for number in self._own.get(upstream, ())
+            if not self._calls[number].has_answered
+        ]
+        return min(waiting, default=None)
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -0,0 +1,55 @@
+"""Counters and histograms of forwarding, as text for a scraper."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+from banyanswitch.core import callback
+from banyanswitch.identifiers import ServiceName
+
+FIRST_BYTE_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0)
+"""Bounds around the latency objectives of 0.2 to 1 s."""
+
+
+class ForwardingMetrics:
+    """Metrics of one process."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "banyanswitch_requests",
+            "Requests answered, by route and outcome",
+            ("route", "outcome"),
+            registry=self._registry,
+        )
+        self._not_run = Counter(
+            "banyanswitch_attempts_not_run",
+            "Attempts that an upstream did not run, by service",
+            ("service",),
+            registry=self._registry,
+        )
+        self._first_byte = Histogram(
+            "banyanswitch_first_byte_seconds",
+            "Time from a request's head to the first byte of its answer",
+            ("route",),
+            buckets=FIRST_BYTE_BUCKETS_S,
+            registry=self._registry,
+        )
+
+    @callback
+    def count_request(self, route: str, outcome: str) -> None:
+        """Count a request that has its final outcome."""
+        self._requests.labels(route, outcome).inc()
+
+    @callback
+    def count_not_run(self, service: ServiceName) -> None:
+        """Count an attempt that an upstream did not run."""
+        self._not_run.labels(service).inc()
+
+    @callback
+    def observe_first_byte(self, route: str, duration_s: float) -> None:
+        """Take in the time to the first byte of an answer."""
+        self._first_byte.labels(route).observe(duration_s)
+
+    @callback
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -0,0 +1,254 @@
+"""Choice of an upstream and of what is sent with a request."""
+
+import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from banyanswitch.components.forwarding.const import (
+    CONNECTION_SHARE,
+    FETCH_LIFETIME_MS,
+)
+from banyanswitch.components.forwarding.loads import InFlight
+from banyanswitch.components.forwarding.models import (
+    CallFacts,
+    CallPlan,
+    ForwardedService,
+    ForwardedWorkspace,
+    Route,
+    UpstreamRecord,
+)
+from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.forwarding.upstream_board import (
+    UpstreamBoard,
+    UpstreamState,
+)
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.kv_tier.coordinator import PartPlan, PartTier
+from banyanswitch.core import callback
+from banyanswitch.decisions.prefix import versioned_cache_salt
+from banyanswitch.decisions.upstream_choice import (
+    ChoicePolicy,
+    ChoiceRequest,
+    UpstreamView,
+    choose_upstream,
+    home_of,
+    prefill_cost_tokens,
+)
+from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
+
+MIN_HEALTH = 0.05
+"""Health of upstreams that are used only because too few others are left."""
+MIN_HEALTHY_SHARE = 0.5
+"""Share of a service's upstreams that is always used."""
+WEIGHTS_MARGIN = 0.85
+"""Part of the time for new weights after which old ones are no longer used; the
+rest covers what this instance learned late."""
+MAX_RANK = 9
+WORKSPACE_RANK_STEP = 3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementRequest:
+    """What a placement is made for."""
+
+    facts: CallFacts
+    route: Route
+    workspace: ForwardedWorkspace | None
+    service: ForwardedService
+    excluded: Collection[UpstreamId]
+    time_left_s: float
+    resume_after: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """Where a request goes, with what, and the work that it brings."""
+
+    record: UpstreamRecord
+    plan: CallPlan
+    work: InFlight
+    candidates: int
+
+
+class Placement:
+    """Place requests by the beliefs of this instance.
+
+    Parameters
+    ----------
+    instance_count : callable
+        Returns how many instances are alive.
+    """
+
+    def __init__(
+        self,
+        *,
+        routing: RoutingState,
+        board: UpstreamBoard,
+        tier: PartTier,
+        pool: ConnectionPool,
+        failure_domain: FailureDomainId,
+        weights_deadline_s: float,
+        instance_count: Callable[[], int],
+        generator: random.Random,
+        policy: ChoicePolicy | None = None,
+    ) -> None:
+        self._routing = routing
+        self._board = board
+        self._tier = tier
+        self._pool = pool
+        self._failure_domain = failure_domain
+        self._weights_deadline_s = weights_deadline_s
+        self._instance_count = instance_count
+        self._random = generator
+        self._policy = policy or ChoicePolicy()
+
+    @callback
+    def place(self, request: PlacementRequest, now_s: float) -> Placed | None:
+        """Return where a request goes, or ``None`` if nothing can take it."""
+        states = self._eligible(request, now_s)
+        if not states:
+            return None
+        model = request.facts.model if request.service.engine else None
+        views = [self._view(state, request, model, now_s) for state in states]
+        version = self._newest(model)
+        parts = self._part_plan(request, model, version)
+        choice = self._choice_request(request, parts)
+        name = choose_upstream(views, choice, self._policy)
+        if name is None:
+            return None
+        state = next(state for state in states if state.record.name == name)
+        used = version
+        if model is not None and state.weight_versions.get(model) != version:
+            used = state.weight_versions.get(model)
+            parts = self._part_plan(request, model, used)
+        is_home = home_of(choice.home_key, views) == name
+        prefill = prefill_cost_tokens(choice, self._policy, is_home=is_home)
+        memory = request.facts.prompt_tokens + request.facts.output_tokens
+        work = InFlight(name, int(prefill), memory, now_s)
+        plan = self._plan(request, state.record, model, used, parts)
+        return Placed(state.record, plan, work, len(views))
+
+    def _eligible(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
+        service = request.service
+        limit = service.max_connections * CONNECTION_SHARE / self._instance_count()
+        model = request.facts.model if service.engine else None
+        states = [
+            state
+            for state in self._board.accepting(service.name, now_s)
+            if state.record.name not in request.excluded
+            and self._pool.open_count(state.record.address) < max(1.0, limit)
+            and (model is None or self._has_weights(state, model, now_s))
+        ]
+        healthy = [state for state in states if self._board.health(state, now_s) > 0]
+        if len(healthy) >= MIN_HEALTHY_SHARE * len(states):
+            return healthy
+        return states
+
+    def _has_weights(self, state: UpstreamState, model: str, now_s: float) -> bool:
+        version = state.weight_versions.get(model)
+        if version is None:
+            return False
+        target = self._routing.targets.get(model)
+        superseded_at_s = target.superseded_at_s(version) if target else None
+        if superseded_at_s is None:
+            return True
+        return now_s - superseded_at_s < WEIGHTS_MARGIN * self._weights_deadline_s
+
+    def _newest(self, model: str | None) -> int | None:
+        target = self._routing.targets.get(model) if model else None
+        return target.version if target and target.version else None
+
+    def _view(
+        self,
+        state: UpstreamState,
+        request: PlacementRequest,
+        model: str | None,
+        now_s: float,
+    ) -> UpstreamView:
+        record = state.record
+        load = self._board.loads.total(record.name, now_s)
+        engine = request.service.engine
+        newest = self._newest(model)
+        return UpstreamView(
+            name=record.name,
+            failure_domain=record.failure_domain,
+            prefill_tokens=load.prefill_tokens,
+            memory_tokens=load.memory_tokens,
+            running_requests=load.requests,
+            slots=record.slots,
+            capacity_tokens=engine.capacity_tokens if engine else 0,
+            health=max(MIN_HEALTH, self._board.health(state, now_s)),
+            has_newest_weights=model is None
+            or newest is None
+            or state.weight_versions.get(model) == newest,
+        )
+
+    def _part_plan(
+        self, request: PlacementRequest, model: str | None, version: int | None
+    ) -> PartPlan:
+        parts = request.facts.parts
+        if model is None or not parts:
+            return PartPlan()
+        salt = self._salt(request, model, version)
+        return self._tier.plan(parts, salt, model, version)
+
+    def _salt(self, request: PlacementRequest, model: str, version: int | None) -> str:
+        workspace = request.workspace
+        wall = workspace.name if workspace and workspace.is_isolated else None
+        return versioned_cache_salt(model, version or 0, wall)
+
+    def _choice_request(
+        self, request: PlacementRequest, parts: PartPlan
+    ) -> ChoiceRequest:
+        facts = request.facts
+        shared = facts.parts[:-1]
+        shared_tokens = sum(part.tokens for part in shared)
+        own_tokens = max(0, facts.prompt_tokens - shared_tokens)
+        return ChoiceRequest(
+            home_key=shared[-1].name if shared else "",
+            failure_domain=self._failure_domain,
+            own_tokens=own_tokens,
+            stored_tokens=parts.stored_tokens,
+            unstored_tokens=shared_tokens - parts.stored_tokens,
+            output_tokens=facts.output_tokens,
+        )
+
+    def _plan(
+        self,
+        request: PlacementRequest,
+        record: UpstreamRecord,
+        model: str | None,
+        version: int | None,
+        parts: PartPlan,
+    ) -> CallPlan:
+        workspace = request.workspace
+        is_model = model is not None
+        salt = self._salt(request, model, version) if model is not None else None
+        clock_ms = self._tier.clock_ms()
+        return CallPlan(
+            upstream=record.name,
+            workspace=workspace.name if workspace else None,
+            time_left_s=request.time_left_s,
+            rank=_rank(request.route, workspace) if is_model else None,
+            cache_salt=salt,
+            expected_weights=version if is_model else None,
+            fetches=parts.fetches,
+            saves=parts.saves,
+            fetch_until_ms=clock_ms + FETCH_LIFETIME_MS if clock_ms else None,
+            resume_after=request.resume_after,
+        )
+
+    @callback
+    def service_of(self, name: ServiceName | None) -> ForwardedService | None:
+        """Return a service of the configuration in force."""
+        configuration = self._routing.configuration
+        if configuration is None or name is None:
+            return None
+        return configuration.services.get(name)
+
+
+def _rank(route: Route, workspace: ForwardedWorkspace | None) -> int:
+    """Return the urgency: by workspace first, then by route."""
+    own = workspace.rank if workspace and workspace.rank is not None else 0
+    rank = WORKSPACE_RANK_STEP * own + min(route.rank, WORKSPACE_RANK_STEP - 1)
+    return min(MAX_RANK, max(0, rank))
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -0,0 +1,49 @@
+"""Answers that this system makes itself."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from banyanswitch.components.forwarding.const import MAX_RETRY_SHARE
+
+STATUS_UNAUTHORIZED = 401
+STATUS_NOT_FOUND = 404
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+
+
+class RefusalReason(Enum):
+    """Why a request got an answer of this system's own."""
+
+    UNCONFIGURED = "no_configuration"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    NO_UPSTREAM = "no_upstream"
+    NOT_REACHED = "upstream_not_reached"
+    REFUSED = "refused_by_upstream"
+    BROKEN = "upstream_broke_off"
+    TIMEOUT = "timeout"
+    LEAVING = "instance_leaving"
+    MEMORY = "instance_memory"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An answer that is sent instead of an upstream's.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        When to come back, in seconds; set only if the request has not run.
+    """
+
+    status: int
+    reason: RefusalReason
+    retry_after_s: float | None = None
+
+
+def come_back_s(base_s: float, time_left_s: float, generator: random.Random) -> float:
+    """Return a time to come back that spreads callers and leaves them enough time."""
+    wait_s = base_s * generator.uniform(0.6, 1.4)
+    return max(0.0, min(wait_s, MAX_RETRY_SHARE * time_left_s))
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -0,0 +1,163 @@
+"""The configuration in force and the weight versions that are wanted."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+import structlog
+
+from banyanswitch.components.forwarding.models import (
+    ForwardedWorkspace,
+    ForwardingConfiguration,
+    Route,
+)
+from banyanswitch.components.forwarding.protocols import DocumentDecoder
+from banyanswitch.components.http1.models import ConnectionLimits
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.core import callback
+from banyanswitch.identifiers import ServiceName
+from banyanswitch.interfaces import Item
+
+LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class WeightTarget:
+    """Weight version that is wanted of a model.
+
+    Parameters
+    ----------
+    named_at_s : dict of int to float
+        Loop time at which each version was named, as far as this instance knows.
+    """
+
+    version: int
+    named_at_s: dict[int, float]
+
+    def superseded_at_s(self, version: int) -> float | None:
+        """Return when the first version after this one was named."""
+        later = [at_s for other, at_s in self.named_at_s.items() if other > version]
+        return min(later, default=None)
+
+
+class RoutingState:
+    """Look-ups in the newest configuration; it never goes back.
+
+    Parameters
+    ----------
+    mirror : TableMirror
+        Copy of the operators' table.
+    decoder : DocumentDecoder
+        Reads its rows.
+    configuration_key : str
+        Key of the row with the configuration.
+    """
+
+    def __init__(
+        self, mirror: TableMirror, decoder: DocumentDecoder, configuration_key: str
+    ) -> None:
+        self._decoder = decoder
+        self._configuration_key = configuration_key
+        self._routes_by_host: dict[str, list[Route]] = {}
+        self._workspaces_by_key: dict[str, ForwardedWorkspace] = {}
+        self._targets: dict[str, WeightTarget] = {}
+        self.configuration: ForwardingConfiguration | None = None
+        self.applied_at_s = 0.0
+        mirror.subscribe(self._on_rows)
+
+    @property
+    def limits(self) -> ConnectionLimits:
+        """Limits of callers' connections."""
+        if self.configuration is None:
+            return ConnectionLimits()
+        return self.configuration.limits
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether callers need a key."""
+        return self.configuration is not None and bool(self.configuration.workspaces)
+
+    @property
+    def targets(self) -> dict[str, WeightTarget]:
+        """Wanted weight version of each model."""
+        return self._targets
+
+    @callback
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    @callback
+    def workspace(self, key: str | None) -> ForwardedWorkspace | None:
+        """Return the workspace that holds a caller's key."""
+        return self._workspaces_by_key.get(key) if key else None
+
+    @callback
+    def note_named(self, model: str, version: int, named_at_s: float) -> None:
+        """Take in that a version was named earlier than this instance learned."""
+        target = self._targets.setdefault(model, WeightTarget(0, {}))
+        known_s = target.named_at_s.get(version)
+        if known_s is None or named_at_s < known_s:
+            target.named_at_s[version] = named_at_s
+
+    @callback
+    def apply(self, configuration: ForwardingConfiguration) -> None:
+        """Put a configuration in force unless it is older than the present one."""
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        routes: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            routes.setdefault(route.host, []).append(route)
+        for host_routes in routes.values():
+            host_routes.sort(key=lambda route: -len(route.prefix))
+        self._routes_by_host = routes
+        self._workspaces_by_key = {
+            key: workspace
+            for workspace in configuration.workspaces
+            for key in workspace.keys
+        }
+        self.configuration = configuration
+        self.applied_at_s = asyncio.get_running_loop().time()
+        LOGGER.info(
+            "configuration_applied",
+            version=configuration.version,
+            replaced=known.version if known else None,
+            routes=len(configuration.routes),
+        )
+
+    def _on_rows(self, changed: tuple[Item, ...], removed: tuple[str, ...]) -> None:
+        for item in changed:
+            key = item.key.partition("/")[2]
+            if key == self._configuration_key:
+                configuration = self._decoder.configuration(item.value)
+                if configuration is not None:
+                    self.apply(configuration)
+                continue
+            named = self._decoder.target_weights(key, item.value)
+            if named is not None:
+                self._note_target(*named, item.revision)
+
+    def _note_target(self, model: str, version: int, revision: int) -> None:
+        target = self._targets.setdefault(model, WeightTarget(0, {}))
+        if version <= target.version:
+            return
+        now_s = asyncio.get_running_loop().time()
+        target.version = version
+        target.named_at_s.setdefault(version, now_s)
+        LOGGER.info("weights_named", model=model, version=version, revision=revision)
+
+
+def pick_service(route: Route, generator: random.Random) -> ServiceName | None:
+    """Return the service for one request of a route, by the shares."""
+    if not route.shares:
+        return None
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [max(0.0, share.weight) for share in route.shares]
+    if not any(weights):
+        return route.shares[0].service
+    return generator.choices([share.service for share in route.shares], weights)[0]
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/upstream_board.py
@@ -0,0 +1,229 @@
+"""What this instance believes of the upstreams."""
+
+import asyncio
+from dataclasses import dataclass
+
+import structlog
+
+from banyanswitch.components.forwarding.const import (
+    LAPSE_PATIENCE_S,
+    NOTICE_LIFETIME_S,
+    OUTAGE_MEMORY_S,
+    SILENCE_S,
+)
+from banyanswitch.components.forwarding.loads import LoadBook
+from banyanswitch.components.forwarding.models import UpstreamRecord
+from banyanswitch.components.forwarding.protocols import DocumentDecoder
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.core import callback
+from banyanswitch.decisions.ejection import Ejector
+from banyanswitch.identifiers import ServiceName, UpstreamId
+from banyanswitch.interfaces import Item
+
+LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class UpstreamState:
+    """An upstream with what was seen of it.
+
+    Parameters
+    ----------
+    weight_versions : dict of str to int
+        Highest version seen of each model in this life of the upstream.
+    loading_until_s : float
+        Loop time until which it is believed to load weights.
+    gone_at_s : float or None
+        Loop time at which it is dropped, after its entry vanished.
+    """
+
+    record: UpstreamRecord
+    weight_versions: dict[str, int]
+    heard_at_s: float
+    entry_read_at_s: float
+    loading_until_s: float = 0.0
+    loading_version: int = 0
+    gone_at_s: float | None = None
+
+
+class UpstreamBoard:
+    """Upstreams by service, from their entries, their answers and other instances.
+
+    Parameters
+    ----------
+    mirror : TableMirror
+        Copy of the table of entries.
+    decoder : DocumentDecoder
+        Reads entries.
+    loads : LoadBook
+        Work in flight.
+    ejector : Ejector
+        Remembers who fails.
+    """
+
+    def __init__(
+        self,
+        mirror: TableMirror,
+        decoder: DocumentDecoder,
+        loads: LoadBook,
+        ejector: Ejector,
+    ) -> None:
+        self._mirror = mirror
+        self._decoder = decoder
+        self.loads = loads
+        self.ejector = ejector
+        self._states: dict[UpstreamId, UpstreamState] = {}
+        self._by_service: dict[ServiceName, list[UpstreamId]] = {}
+        mirror.subscribe(self._on_rows)
+
+    @callback
+    def state(self, upstream: UpstreamId) -> UpstreamState | None:
+        """Return an upstream."""
+        return self._states.get(upstream)
+
+    @callback
+    def of_service(self, service: ServiceName) -> list[UpstreamState]:
+        """Return the upstreams of a service that are not gone."""
+        names = self._by_service.get(service, ())
+        return [self._states[name] for name in names]
+
+    @callback
+    def serving_model(self, model: str) -> list[UpstreamState]:
+        """Return the upstreams that serve a model."""
+        return [s for s in self._states.values() if model in s.weight_versions]
+
+    @callback
+    def accepting(self, service: ServiceName, now_s: float) -> list[UpstreamState]:
+        """Return the upstreams of a service that may get new work."""
+        return [
+            state
+            for state in self.of_service(service)
+            if not state.record.is_leaving
+            and now_s >= state.loading_until_s
+            and (state.gone_at_s is None or now_s < state.gone_at_s)
+        ]
+
+    @callback
+    def health(self, state: UpstreamState, now_s: float) -> float:
+        """Return the share of its normal work that an upstream may get."""
+        waiting_since_s = self.loads.oldest_unanswered_s(state.record.name)
+        if waiting_since_s is not None:
+            silent_since_s = max(waiting_since_s, state.heard_at_s)
+            if now_s - silent_since_s > SILENCE_S:
+                return 0.0
+        return self.ejector.weight(state.record.name, now_s)
+
+    @callback
+    def heard(self, upstream: UpstreamId, now_s: float) -> None:
+        """Note that an upstream sent something."""
+        state = self._states.get(upstream)
+        if state is not None:
+            state.heard_at_s = now_s
+
+    @callback
+    def note_weights(self, upstream: UpstreamId, model: str, version: int) -> None:
+        """Take in the weight version of an answer or a report."""
+        state = self._states.get(upstream)
+        if state is None or version <= state.weight_versions.get(model, 0):
+            return
+        state.weight_versions[model] = version
+        if version >= state.loading_version:
+            state.loading_until_s = 0.0
+        LOGGER.info("upstream_weights", upstream=upstream, model=model, version=version)
+
+    @callback
+    def note_loading(self, upstream: UpstreamId, version: int, now_s: float) -> None:
+        """Take in that an upstream is about to load weights."""
+        state = self._states.get(upstream)
+        if state is None:
+            return
+        if version <= max(state.weight_versions.values(), default=0):
+            return
+        if state.loading_until_s <= now_s:
+            LOGGER.info("upstream_loading", upstream=upstream, version=version)
+        state.loading_version = version
+        state.loading_until_s = now_s + NOTICE_LIFETIME_S
+
+    @callback
+    def end_loading(self, upstream: UpstreamId) -> None:
+        """Take in that an upstream no longer loads weights."""
+        state = self._states.get(upstream)
+        if state is not None:
+            state.loading_until_s = 0.0
+
+    @callback
+    def loading(self, now_s: float) -> dict[str, int]:
+        """Return the upstreams that are believed to load, with the version."""
+        return {
+            name: state.loading_version
+            for name, state in self._states.items()
+            if now_s < state.loading_until_s
+        }
+
+    @callback
+    def drop_gone(self, now_s: float) -> None:
+        """Drop the upstreams whose entries did not come back in time."""
+        for name, state in tuple(self._states.items()):
+            if state.gone_at_s is not None and now_s >= state.gone_at_s:
+                self._drop(name, "entry_lapsed")
+
+    def _on_rows(self, changed: tuple[Item, ...], removed: tuple[str, ...]) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for item in changed:
+            self._on_entry(item, now_s)
+        for key in removed:
+            self._on_removed(UpstreamId(_row_key(key)), now_s)
+        self._index()
+
+    def _on_entry(self, item: Item, now_s: float) -> None:
+        key = _row_key(item.key)
+        record = self._decoder.upstream(key, item.value)
+        known = self._states.get(UpstreamId(key))
+        if record is None:
+            if known is not None:
+                self._drop(known.record.name, "entry_unusable")
+            return
+        is_old_life = known and record.started_at_ms < known.record.started_at_ms
+        if known is not None and is_old_life:
+            LOGGER.info("entry_of_earlier_life", upstream=key)
+            return
+        if known is None or record.started_at_ms > known.record.started_at_ms:
+            self.ejector.forget(record.name)
+            versions = dict(record.weight_versions)
+            self._states[record.name] = UpstreamState(record, versions, now_s, now_s)
+            LOGGER.info("upstream_joined", upstream=key, revision=item.revision)
+            return
+        if record.is_leaving and not known.record.is_leaving:
+            LOGGER.info("upstream_leaving", upstream=key, revision=item.revision)
+        known.record = record
+        known.entry_read_at_s = now_s
+        known.gone_at_s = None
+        for model, version in record.weight_versions.items():
+            self.note_weights(record.name, model, version)
+
+    def _on_removed(self, name: UpstreamId, now_s: float) -> None:
+        state = self._states.get(name)
+        if state is None:
+            return
+        was_store_away = now_s - self._mirror.last_failure_s < OUTAGE_MEMORY_S
+        if was_store_away and not state.record.is_leaving:
+            state.gone_at_s = now_s + LAPSE_PATIENCE_S
+            LOGGER.info("upstream_entry_missing", upstream=name)
+            return
+        self._drop(name, "entry_removed")
+
+    def _drop(self, name: UpstreamId, reason: str) -> None:
+        self._states.pop(name, None)
+        self.ejector.forget(name)
+        self._index()
+        LOGGER.info("upstream_gone", upstream=name, reason=reason)
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for name in sorted(self._states):
+            service = self._states[name].record.service
+            self._by_service.setdefault(service, []).append(name)
+
+
+def _row_key(key: str) -> str:
+    return key.partition("/")[2]
--- /dev/null
+++ b/src/banyanswitch/components/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections to callers and upstreams, without interpretation."""
--- /dev/null
+++ b/src/banyanswitch/components/http1/connection_pool.py
@@ -0,0 +1,143 @@
+"""Connections to upstreams, kept for the next request within their limits."""
+
+import asyncio
+
+from banyanswitch.components.http1.const import (
+    CONNECT_TIMEOUT_S,
+    KEEP_ALIVE_MARGIN_S,
+    STALE_IDLE_S,
+)
+from banyanswitch.components.http1.models import Headers, header_value
+from banyanswitch.components.http1.upstream_connection import UpstreamConnection
+from banyanswitch.core import callback
+from banyanswitch.exceptions import UpstreamNotSentError
+
+
+class ConnectionPool:
+    """Connections by address.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Time for a new connection, in seconds.
+    """
+
+    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._open_counts: dict[str, int] = {}
+        self._idle_limits_s: dict[str, float] = {}
+        self.opened_count = 0
+
+    @callback
+    def open_count(self, address: str) -> int:
+        """Return how many connections to an address are in use or kept."""
+        return self._open_counts.get(address, 0)
+
+    async def async_acquire(
+        self, address: str, *, max_idle_s: float = STALE_IDLE_S
+    ) -> UpstreamConnection:
+        """Return a connection on which a request may be sent.
+
+        Parameters
+        ----------
+        max_idle_s : float
+            Longest time that a kept connection may have been idle, in seconds.
+
+        Raises
+        ------
+        UpstreamNotSentError
+            If no connection could be made.
+        """
+        kept = self._take_idle(address, max_idle_s)
+        if kept is not None:
+            return kept
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._count(address, 1)
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, connection = await loop.create_connection(
+                    UpstreamConnection, host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            self._count(address, -1)
+            raise UpstreamNotSentError(f"no connection to {address}") from error
+        except BaseException:
+            self._count(address, -1)
+            raise
+        self.opened_count += 1
+        return connection
+
+    @callback
+    def release(self, address: str, connection: UpstreamConnection) -> None:
+        """Keep a connection after a whole answer, or close it."""
+        if not connection.is_usable:
+            self.discard(address, connection)
+            return
+        self._idle.setdefault(address, []).append(connection)
+
+    @callback
+    def discard(self, address: str, connection: UpstreamConnection) -> None:
+        """Close a connection."""
+        connection.close()
+        self._count(address, -1)
+
+    @callback
+    def note_keep_alive(self, address: str, headers: Headers) -> None:
+        """Take in how long the upstream keeps an idle connection."""
+        value = header_value(headers, b"keep-alive")
+        if value is None:
+            return
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                limit_s = max(0.0, int(seconds) - KEEP_ALIVE_MARGIN_S)
+                self._idle_limits_s[address] = limit_s
+
+    @callback
+    def close_idle(self, address: str) -> None:
+        """Close the kept connections to an address."""
+        for connection in self._idle.pop(address, []):
+            self.discard(address, connection)
+
+    @callback
+    def sweep(self, now_s: float) -> None:
+        """Close kept connections that are no longer used."""
+        for address, connections in tuple(self._idle.items()):
+            limit_s = self._idle_limits_s.get(address, STALE_IDLE_S)
+            kept = []
+            for connection in connections:
+                if connection.is_usable and now_s - connection.used_at_s <= limit_s:
+                    kept.append(connection)
+                else:
+                    self.discard(address, connection)
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    @callback
+    def close_all(self) -> None:
+        """Close all kept connections."""
+        for address in tuple(self._idle):
+            self.close_idle(address)
+
+    def _take_idle(self, address: str, max_idle_s: float) -> UpstreamConnection | None:
+        now_s = asyncio.get_running_loop().time()
+        limit_s = min(max_idle_s, self._idle_limits_s.get(address, max_idle_s))
+        connections = self._idle.get(address, [])
+        while connections:
+            connection = connections.pop()
+            is_fresh = now_s - connection.used_at_s <= limit_s
+            if connection.is_usable and is_fresh:
+                return connection
+            self.discard(address, connection)
+        return None
+
+    def _count(self, address: str, change: int) -> None:
+        count = self._open_counts.get(address, 0) + change
+        if count > 0:
+            self._open_counts[address] = count
+        else:
+            self._open_counts.pop(address, None)
--- /dev/null
+++ b/src/banyanswitch/components/http1/request_parser.py
@@ -0,0 +1,181 @@
+"""Parser of callers' requests that refuses what two readers could see differently."""
+
+from collections.abc import Callable
+
+import httptools
+
+from banyanswitch.components.http1.const import MAX_HEADERS
+from banyanswitch.components.http1.models import ConnectionLimits, Header, Headers
+from banyanswitch.exceptions import RequestSyntaxError
+
+STATUS_BAD_REQUEST = 400
+STATUS_BODY_TOO_LARGE = 413
+STATUS_HEAD_TOO_LARGE = 431
+HEADER_LINE_OVERHEAD_BYTES = 4
+SUPPORTED_VERSIONS = frozenset({"1.0", "1.1"})
+
+
+class ParsedHead:
+    """Head of a request whose body may still be arriving."""
+
+    __slots__ = ("expects_continue", "headers", "keeps_alive", "method", "target")
+
+    def __init__(
+        self, method: bytes, target: bytes, headers: Headers, *, keeps_alive: bool
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.keeps_alive = keeps_alive
+        self.expects_continue = any(
+            key.lower() == b"expect" and value.lower() == b"100-continue"
+            for key, value in headers
+        )
+
+
+class RequestParser:
+    """Feed bytes in, get heads and whole requests through callbacks.
+
+    Parameters
+    ----------
+    limits : callable
+        Returns the limits in force.
+    on_head : callable
+        Called with each complete head.
+    on_request : callable
+        Called with the head and the whole body.
+    """
+
+    def __init__(
+        self,
+        limits: Callable[[], ConnectionLimits],
+        on_head: Callable[[ParsedHead], None],
+        on_request: Callable[[ParsedHead, bytes], None],
+    ) -> None:
+        self._limits = limits
+        self._on_head = on_head
+        self._on_request = on_request
+        self._parser = httptools.HttpRequestParser(self)
+        self._error: RequestSyntaxError | None = None
+        self._head: ParsedHead | None = None
+        self._target = b""
+        self._clear()
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._has_started
+
+    @property
+    def is_in_head(self) -> bool:
+        """Whether a head has begun and is not complete."""
+        return self._has_started and self._head is None
+
+    def feed(self, data: bytes) -> None:
+        """Parse the next bytes.
+
+        Raises
+        ------
+        RequestSyntaxError
+            If they are no request that can be served.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise RequestSyntaxError(STATUS_BAD_REQUEST, "upgrade") from error
+        except httptools.HttpParserError as error:
+            if self._error is not None:
+                raise self._error from error
+            raise RequestSyntaxError(STATUS_BAD_REQUEST, str(error)) from error
+        if self.is_in_head:
+            self._unparsed_bytes += len(data)
+            self._check_head_size()
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._clear()
+        self._has_started = True
+
+    def on_url(self, target: bytes) -> None:
+        """Take in a part of the target."""
+        self._target += target
+        self._head_bytes += len(target)
+        self._check_head_size()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in one header."""
+        if len(self._headers) >= MAX_HEADERS:
+            self._fail(STATUS_HEAD_TOO_LARGE, "too many headers")
+        if b"\r" in value or b"\n" in value or b"\0" in value:
+            self._fail(STATUS_BAD_REQUEST, "folded header")
+        self._headers.append((name, value))
+        self._head_bytes += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
+        self._check_head_size()
+
+    def on_headers_complete(self) -> None:
+        """Check the head and pass it on."""
+        headers = tuple(self._headers)
+        self._check_head(headers)
+        self._head = ParsedHead(
+            self._parser.get_method(),
+            self._target,
+            headers,
+            keeps_alive=self._parser.should_keep_alive(),
+        )
+        self._on_head(self._head)
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits().max_body_bytes:
+            self._fail(STATUS_BODY_TOO_LARGE, "body too large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Pass the whole request on."""
+        if self._head is None:
+            self._fail(STATUS_BAD_REQUEST, "no head")
+            return
+        head, body = self._head, b"".join(self._body)
+        self._clear()
+        self._on_request(head, body)
+
+    def _clear(self) -> None:
+        self._has_started = False
+        self._head = None
+        self._target = b""
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._unparsed_bytes = 0
+
+    def _check_head(self, headers: Headers) -> None:
+        if self._parser.get_http_version() not in SUPPORTED_VERSIONS:
+            self._fail(STATUS_BAD_REQUEST, "HTTP version")
+        if not self._target.startswith(b"/"):
+            self._fail(STATUS_BAD_REQUEST, "target is no path")
+        names = [key.lower() for key, _ in headers]
+        if names.count(b"host") != 1:
+            self._fail(STATUS_BAD_REQUEST, "one host header is required")
+        lengths = [value for key, value in headers if key.lower() == b"content-length"]
+        encodings = [
+            value.strip().lower()
+            for key, value in headers
+            if key.lower() == b"transfer-encoding"
+        ]
+        if encodings and (lengths or encodings != [b"chunked"]):
+            self._fail(STATUS_BAD_REQUEST, "ambiguous body length")
+        if len(lengths) > 1 or not all(value.isdigit() for value in lengths):
+            self._fail(STATUS_BAD_REQUEST, "ambiguous body length")
+        if lengths and int(lengths[0]) > self._limits().max_body_bytes:
+            self._fail(STATUS_BODY_TOO_LARGE, "body too large")
+
+    def _check_head_size(self) -> None:
+        limit = self._limits().max_header_bytes
+        if max(self._head_bytes, self._unparsed_bytes) > limit:
+            self._fail(STATUS_HEAD_TOO_LARGE, "head too large")
+
+    def _fail(self, status: int, reason: str) -> None:
+        self._error = RequestSyntaxError(status, reason)
+        raise self._error
--- /dev/null
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -0,0 +1,250 @@
+"""One connection to an upstream: a request out, its answer in."""
+
+import asyncio
+import socket
+from collections import deque
+from typing import cast
+
+import httptools
+
+from banyanswitch.components.http1.const import (
+    READ_HIGH_WATER_BYTES,
+    TCP_USER_TIMEOUT_MS,
+)
+from banyanswitch.components.http1.models import (
+    AnswerHead,
+    BodyFraming,
+    Header,
+    header_value,
+)
+from banyanswitch.core import callback
+from banyanswitch.exceptions import UpstreamBrokenError
+
+FIRST_FINAL_STATUS = 200
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """Exchange one request at a time.
+
+    The answer is read with `async_head` and then `async_part` until it returns
+    ``None``. An answer that ends early raises ``UpstreamBrokenError``.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiter: asyncio.Future[None] | None = None
+        self._heads: deque[AnswerHead] = deque()
+        self._parts: deque[bytes] = deque()
+        self._buffered_bytes = 0
+        self._status = 0
+        self._reason = b""
+        self._headers: list[Header] = []
+        self._framing = BodyFraming.NONE
+        self._is_expecting = False
+        self._is_complete = False
+        self._is_head_only = False
+        self._is_parser_done = False
+        self._error: str | None = None
+        self.keeps_alive = True
+        self.used_at_s = self._loop.time()
+        self.bytes_seen_at_s = self._loop.time()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self.keeps_alive
+            and self._error is None
+            and not self._is_expecting
+            and self._transport.get_write_buffer_size() == 0
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the time that unacknowledged bytes may take."""
+        self._transport = cast(asyncio.Transport, transport)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+            )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what the upstream sent."""
+        self.bytes_seen_at_s = self._loop.time()
+        if not self._is_expecting:
+            self._break("bytes without a request")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._break(f"unreadable answer: {error}")
+
+    def eof_received(self) -> bool:
+        """Complete an answer that ends with its connection.
+
+        libuv reports the end of a connection that was reset after a short read, so
+        the socket is asked whether it ended in order.
+        """
+        is_at_end = self._framing is BodyFraming.CONNECTION_END
+        if self._is_expecting and is_at_end and self._error is None:
+            if self._was_reset():
+                self._break("connection reset")
+            else:
+                self._complete()
+        self.keeps_alive = False
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange that is open."""
+        self._transport = None
+        if self._error is None and not self._is_complete:
+            self._error = f"connection lost: {exc!r}" if exc else "connection closed"
+        self._wake()
+
+    @callback
+    def send(self, data: bytes, *, is_head_only: bool = False) -> None:
+        """Send a request; its answer is expected from now on."""
+        self._is_expecting = True
+        self._is_complete = False
+        self._is_head_only = is_head_only
+        self.used_at_s = self._loop.time()
+        if self._transport is not None:
+            self._transport.write(data)
+
+    async def async_head(self) -> AnswerHead:
+        """Return the head of the next answer.
+
+        Raises
+        ------
+        UpstreamBrokenError
+            If none came whole.
+        """
+        while not self._heads:
+            await self._async_wait()
+        return self._heads.popleft()
+
+    async def async_part(self) -> bytes | None:
+        """Return the next part of the body, or ``None`` at its proper end.
+
+        Raises
+        ------
+        UpstreamBrokenError
+            If the answer ended early.
+        """
+        while not self._parts:
+            if self._is_complete:
+                return None
+            await self._async_wait()
+        part = b"".join(self._parts)
+        self._parts.clear()
+        self._buffered_bytes = 0
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+        return part
+
+    @callback
+    def expect_another(self) -> None:
+        """Expect a further answer after one that belonged to another request."""
+        self._is_expecting = True
+        self._is_complete = False
+        self.keeps_alive = False
+
+    @callback
+    def close(self) -> None:
+        """Close at once; an upstream that still works on the request stops."""
+        self.keeps_alive = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        """Start an answer, or find that the last one had a second one behind it."""
+        self._headers = []
+        if self._is_complete:
+            self.keeps_alive = False
+
+    def on_status(self, reason: bytes) -> None:
+        """Take in the reason phrase."""
+        self._reason = reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in one header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass the head on."""
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            return
+        if self._is_complete:
+            return
+        headers = tuple(self._headers)
+        self._framing = self._framing_of(headers)
+        self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
+        self._heads.append(AnswerHead(status, self._reason, headers, self._framing))
+        self._wake()
+        if self._is_head_only:
+            self.keeps_alive = False
+            self._complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body."""
+        if self._is_complete:
+            return
+        self._parts.append(body)
+        self._buffered_bytes += len(body)
+        if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport:
+            self._transport.pause_reading()
+        self._wake()
+
+    def on_message_complete(self) -> None:
+        """Take in the proper end of an answer."""
+        if self._parser.get_status_code() < FIRST_FINAL_STATUS:
+            return
+        if self._is_complete:
+            return
+        self._complete()
+
+    def _framing_of(self, headers: tuple[Header, ...]) -> BodyFraming:
+        if header_value(headers, b"transfer-encoding") is not None:
+            return BodyFraming.CHUNKED
+        if header_value(headers, b"content-length") is not None:
+            return BodyFraming.LENGTH
+        if self._is_head_only or self._parser.get_status_code() in (204, 304):
+            return BodyFraming.NONE
+        return BodyFraming.CONNECTION_END
+
+    def _was_reset(self) -> bool:
+        raw = self._transport.get_extra_info("socket") if self._transport else None
+        if raw is None:
+            return False
+        return bool(raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+    def _complete(self) -> None:
+        self._is_complete = True
+        self._is_expecting = False
+        self.used_at_s = self._loop.time()
+        self._wake()
+
+    def _break(self, reason: str) -> None:
+        self._error = reason
+        self.keeps_alive = False
+        if self._transport is not None:
+            self._transport.abort()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _async_wait(self) -> None:
+        if self._error is not None:
+            raise UpstreamBrokenError(self._error)
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
--- a/src/banyanswitch/components/idempotency/__init__.py
+++ b/src/banyanswitch/components/idempotency/__init__.py
@@ -7,7 +7,7 @@
 from banyanswitch.components.idempotency.const import DOMAIN
 from banyanswitch.components.idempotency.sweeper import ClaimSweeper
 from banyanswitch.components.lease.const import DOMAIN as LEASE_DOMAIN
-from banyanswitch.components.platform.const import DOMAIN as PLATFORM_DOMAIN
+from banyanswitch.components.table_service.const import DOMAIN as PLATFORM_DOMAIN
 from banyanswitch.core import REGISTRY, Kernel
 from banyanswitch.helpers.wall_clock import WallClock
 from banyanswitch.interfaces import (
--- a/src/banyanswitch/components/idempotency/claim_store.py
+++ b/src/banyanswitch/components/idempotency/claim_store.py
@@ -25,7 +25,7 @@
     encode_record,
 )
 from banyanswitch.components.idempotency.settler import ClaimSettler
-from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.components.table_service.write_batcher import WriteBatcher
 from banyanswitch.config.models import Retention
 from banyanswitch.exceptions import (
     ConditionFailedError,
--- a/src/banyanswitch/components/idempotency/sweeper.py
+++ b/src/banyanswitch/components/idempotency/sweeper.py
@@ -20,7 +20,7 @@
     decode_record,
     encode_record,
 )
-from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.components.table_service.write_batcher import WriteBatcher
 from banyanswitch.exceptions import ConditionFailedError, PlatformError
 from banyanswitch.helpers.wall_clock import WallClock
 from banyanswitch.interfaces import (
--- /dev/null
+++ b/src/banyanswitch/components/kv_tier/__init__.py
@@ -0,0 +1,1 @@
+"""The stores of KV cache as one memory behind the upstreams' own."""
--- /dev/null
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -0,0 +1,26 @@
+"""Constants of the KV stores."""
+
+from typing import Final
+
+EVENTS_WAIT_S: Final = 1.0
+"""Time that one call for events waits; the longest that stores allow."""
+
+RETRY_S: Final = 0.5
+"""Pause after a failed call for events."""
+
+PENDING_S: Final = 4.0
+"""Time for which a save is taken to be under way; a transfer starts within 2 s."""
+
+READER_SHARE: Final = 0.75
+"""Part of a store's event calls that instances may hold at once; the rest is for
+those that disagree on who reads."""
+
+FLOOR_LIFETIME_S: Final = 1.0
+"""Age at which word of what may be fetched is no longer relied on."""
+
+FREE_DELAY_S: Final = 3.0
+"""Time from the word that a version is no longer fetched to the first free: the age
+of that word, the lifetime of a fetch and a margin."""
+
+FREE_BATCH_PARTS: Final = 64
+"""Parts that one call frees."""
--- /dev/null
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -0,0 +1,240 @@
+"""Belief of what the stores keep, and plans for what to fetch and save."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import structlog
+
+from banyanswitch.components.forwarding.models import KvStoreNode, PromptPart
+from banyanswitch.components.forwarding.protocols import PartEvents, PartStoreClient
+from banyanswitch.components.kv_tier.const import (
+    EVENTS_WAIT_S,
+    FLOOR_LIFETIME_S,
+    PENDING_S,
+    RETRY_S,
+)
+from banyanswitch.core import callback
+from banyanswitch.decisions.part_stores import (
+    StoreView,
+    choose_store,
+    rounded_tokens,
+)
+from banyanswitch.exceptions import UpstreamError
+from banyanswitch.identifiers import StoreId
+
+LOGGER = structlog.get_logger(__name__)
+MILLISECONDS_PER_S = 1000.0
+PartKey = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class PartPlan:
+    """Addresses to fetch each part of a prompt from and to save it to."""
+
+    fetches: tuple[str, ...] = ()
+    saves: tuple[str, ...] = ()
+    stored_tokens: int = 0
+
+
+@dataclass(slots=True)
+class StoreState:
+    """One store as last heard of."""
+
+    node: KvStoreNode
+    epoch: int | None = None
+    next_event: int = 0
+    is_usable: bool = False
+    used_tokens: int = 0
+    parts: dict[PartKey, int] = field(default_factory=dict)
+
+
+class PartTier:
+    """Plan transfers by the events of all stores.
+
+    Parameters
+    ----------
+    client : PartStoreClient
+        Makes the calls.
+    newest_version : callable
+        Returns the wanted weight version of a model, or ``None``.
+    """
+
+    def __init__(
+        self, client: PartStoreClient, newest_version: Callable[[str], int | None]
+    ) -> None:
+        self._client = client
+        self._newest_version = newest_version
+        self._stores: dict[StoreId, StoreState] = {}
+        self._tasks: dict[StoreId, asyncio.Task[None]] = {}
+        self._pending: dict[PartKey, tuple[float, StoreId, int]] = {}
+        self._floors: dict[str, tuple[int, float]] = {}
+        self._clock_offset_ms: float | None = None
+
+    @property
+    def stores(self) -> tuple[StoreState, ...]:
+        """All stores of the configuration."""
+        return tuple(self._stores.values())
+
+    @callback
+    def set_stores(self, nodes: Sequence[KvStoreNode]) -> None:
+        """Follow the stores of a new configuration."""
+        wanted = {node.name: node for node in nodes}
+        for name in tuple(self._stores):
+            if wanted.get(name) != self._stores[name].node:
+                self._tasks.pop(name).cancel()
+                del self._stores[name]
+        for name, node in wanted.items():
+            if name not in self._stores:
+                state = StoreState(node)
+                self._stores[name] = state
+                self._tasks[name] = asyncio.get_running_loop().create_task(
+                    self._async_follow(state), name=f"kv_store_{name}"
+                )
+
+    @callback
+    def stop(self) -> None:
+        """End all calls."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    @callback
+    def clock_ms(self) -> int | None:
+        """Return the upstreams' clock now, if it is known."""
+        if self._clock_offset_ms is None:
+            return None
+        return int(_now_s() * MILLISECONDS_PER_S + self._clock_offset_ms)
+
+    @callback
+    def note_floor(self, model: str, version: int) -> None:
+        """Take in the lowest version whose parts are not about to be freed."""
+        self._floors[model] = (version, _now_s())
+
+    @callback
+    def plan(
+        self,
+        parts: Sequence[PromptPart],
+        salt: str,
+        model: str,
+        version: int | None,
+    ) -> PartPlan:
+        """Return what to fetch and save for a prompt; its last part is its own."""
+        if not self._stores or version is None:
+            return PartPlan()
+        newest = self._newest_version(model)
+        is_newest = newest is None or version >= newest
+        can_fetch = is_newest or self._is_above_floor(model, version)
+        fetches: list[str] = []
+        saves: list[str] = []
+        stored_tokens = 0
+        for part in parts[:-1]:
+            key = (salt, part.name)
+            holder = self._holder(key) if can_fetch else None
+            fetches.append(holder.node.address if holder else "")
+            stored_tokens += part.tokens if holder else 0
+            is_missing = holder is None and is_newest
+            saves.append(self._save_address(key, part.tokens) if is_missing else "")
+        return PartPlan((*fetches, ""), (*saves, ""), stored_tokens)
+
+    def _is_above_floor(self, model: str, version: int) -> bool:
+        floor = self._floors.get(model)
+        if floor is None or _now_s() - floor[1] > FLOOR_LIFETIME_S:
+            return False
+        return version >= floor[0]
+
+    def _holder(self, key: PartKey) -> StoreState | None:
+        holders = [
+            state
+            for state in self._stores.values()
+            if state.is_usable and key in state.parts
+        ]
+        return min(holders, key=lambda state: state.node.first_byte_s, default=None)
+
+    def _save_address(self, key: PartKey, tokens: int) -> str:
+        now_s = _now_s()
+        pending = self._pending.get(key)
+        if pending is not None and now_s < pending[0]:
+            return ""
+        self._drop_expired(now_s)
+        views = [
+            StoreView(
+                name=name,
+                capacity_tokens=state.node.capacity_tokens,
+                used_tokens=state.used_tokens + self._pending_tokens(name),
+                first_byte_s=state.node.first_byte_s,
+                bandwidth_mbps=state.node.bandwidth_mbps,
+            )
+            for name, state in self._stores.items()
+            if state.is_usable
+        ]
+        name = choose_store(key[1], tokens, views) if views else None
+        if name is None:
+            return ""
+        self._pending[key] = (now_s + PENDING_S, name, rounded_tokens(tokens))
+        return self._stores[name].node.address
+
+    def _pending_tokens(self, name: StoreId) -> int:
+        return sum(
+            tokens for _, store, tokens in self._pending.values() if store == name
+        )
+
+    def _drop_expired(self, now_s: float) -> None:
+        expired = [key for key, value in self._pending.items() if value[0] <= now_s]
+        for key in expired:
+            del self._pending[key]
+
+    async def _async_follow(self, state: StoreState) -> None:
+        while True:
+            try:
+                await self._async_step(state)
+            except UpstreamError as error:
+                if state.is_usable:
+                    LOGGER.warning(
+                        "kv_store_lost", store=state.node.name, reason=str(error)
+                    )
+                state.is_usable = False
+                await asyncio.sleep(RETRY_S)
+
+    async def _async_step(self, state: StoreState) -> None:
+        address = state.node.address
+        if state.epoch is None:
+            events = await self._client.async_list(address)
+            self._restart(state, events)
+            return
+        events = await self._client.async_events(
+            address, state.next_event, EVENTS_WAIT_S
+        )
+        if events.epoch != state.epoch or events.has_gap:
+            LOGGER.info("kv_store_resync", store=state.node.name, epoch=events.epoch)
+            state.is_usable = False
+            state.epoch = None
+            return
+        self._apply(state, events)
+        state.is_usable = True
+
+    def _restart(self, state: StoreState, events: PartEvents) -> None:
+        state.epoch = events.epoch
+        state.parts.clear()
+        state.used_tokens = 0
+        self._apply(state, events)
+        state.is_usable = True
+        LOGGER.info("kv_store_regained", store=state.node.name, parts=len(state.parts))
+
+    def _apply(self, state: StoreState, events: PartEvents) -> None:
+        state.next_event = events.next_event
+        if events.clock_ms is not None:
+            self._clock_offset_ms = events.clock_ms - _now_s() * MILLISECONDS_PER_S
+        for event in events.events:
+            key = (event.salt, event.part)
+            before = state.parts.pop(key, None)
+            if before is not None:
+                state.used_tokens -= rounded_tokens(before)
+            # The count says how much is kept now; nothing is kept of a lost part.
+            if event.is_kept and event.tokens > 0:
+                state.parts[key] = event.tokens
+                state.used_tokens += rounded_tokens(event.tokens)
+                self._pending.pop(key, None)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/banyanswitch/components/lease/__init__.py
+++ b/src/banyanswitch/components/lease/__init__.py
@@ -7,7 +7,7 @@
 
 from banyanswitch.components.lease.const import DOMAIN
 from banyanswitch.components.lease.coordinator import LeaseCoordinator
-from banyanswitch.components.platform.const import DOMAIN as PLATFORM_DOMAIN
+from banyanswitch.components.table_service.const import DOMAIN as PLATFORM_DOMAIN
 from banyanswitch.core import REGISTRY, Kernel
 from banyanswitch.interfaces import LeaseManager, PeerDirectory, TableStore
 from banyanswitch.settings import EntrySettings
--- a/src/banyanswitch/components/lease/coordinator.py
+++ b/src/banyanswitch/components/lease/coordinator.py
@@ -15,7 +15,7 @@
 )
 from banyanswitch.components.lease.duty import Duty
 from banyanswitch.components.lease.models import LeaseChanged
-from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.components.table_service.write_batcher import WriteBatcher
 from banyanswitch.core import callback
 from banyanswitch.exceptions import (
     ConditionFailedError,
@@ -81,6 +81,13 @@
         duty = self._duties.get(name)
         return duty.held(_now_s()) if duty is not None else None
 
+    @callback
+    def forfeit(self, name: str) -> None:
+        """Give up the present tenure; another one has a higher fencing token."""
+        duty = self._duties.get(name)
+        if duty is not None:
+            duty.forfeit(_now_s())
+
     async def async_run(self) -> None:
         """Renew what is held and watch the rest until cancelled."""
         while True:
--- a/src/banyanswitch/components/lease/duty.py
+++ b/src/banyanswitch/components/lease/duty.py
@@ -36,6 +36,7 @@
         self._duration_s = duration_s
         self._seen: Observation | None = None
         self._lease: Lease | None = None
+        self._forfeited_at_s = float("-inf")
 
     def held(self, now_s: float) -> Lease | None:
         """Return the lease if it is valid."""
@@ -55,6 +56,15 @@
         if record.holder != self._holder:
             self._lease = None
 
+    def forfeit(self, now_s: float) -> None:
+        """Hold the duty no longer; the record has to be read again.
+
+        A write that was sent before gives no lease when its answer comes.
+        """
+        self._lease = None
+        self._seen = None
+        self._forfeited_at_s = now_s
+
     def next_write(self, now_s: float) -> Write | None:
         """Return the write that renews or takes the lease, if one is due."""
         seen = self._seen
@@ -78,10 +88,12 @@
 
     def on_written(self, write: Write, revision: int, sent_at_s: float) -> None:
         """Take in that a write of this duty was applied."""
+        if sent_at_s <= self._forfeited_at_s:
+            return
         record = decode_lease(write.value or b"")
         self._seen = Observation(revision, record, sent_at_s)
         expires_at_s = sent_at_s + record.duration_s * (1.0 - MARGIN_SHARE)
-        self._lease = Lease(self.name, record.fencing_token, expires_at_s)
+        self._lease = Lease(self.name, record.fencing_token, expires_at_s, sent_at_s)
 
     def _is_free(self, seen: Observation, now_s: float) -> bool:
         if seen.record.holder in ("", self._holder):
--- a/src/banyanswitch/components/membership/coordinator.py
+++ b/src/banyanswitch/components/membership/coordinator.py
@@ -119,6 +119,16 @@
         self._members.is_stopping = True
         self._members.change_self(is_leaving=True)
 
+    @callback
+    def accept_callers(self) -> None:
+        """Tell the others that this instance takes callers from now on.
+
+        Only a new incarnation ends the word of leaving that it started with.
+        """
+        this = self._members.this
+        if this.is_leaving and not self._members.is_stopping:
+            self._members.take_incarnation(this.incarnation + 1)
+
     async def async_depart(self) -> None:
         """Tell a few others that this instance ends."""
         departed = replace(self._members.this, state=MemberState.DEAD)
--- a/src/banyanswitch/components/peers/const.py
+++ b/src/banyanswitch/components/peers/const.py
@@ -28,3 +28,6 @@
 """Senders whose last sequence number is remembered."""
 
 MILLISECONDS_PER_S: Final = 1000
+
+MAX_DATAGRAM_BYTES: Final = 60 * 1024
+"""Largest datagram that is sent; the protocol's own limit is just above."""
--- a/src/banyanswitch/components/peers/transport.py
+++ b/src/banyanswitch/components/peers/transport.py
@@ -1,15 +1,10 @@
 """Peer transport over push and pull sockets."""
 
 import asyncio
-from collections import OrderedDict, defaultdict
-from collections.abc import Callable
-from typing import Any, TypeVar
+from collections import OrderedDict
 
-import msgspec
 import pynng
-import structlog
 
-from banyanswitch.components.peers.codec import MessageCodec
 from banyanswitch.components.peers.const import (
     MAX_DIALERS,
     MAX_MESSAGE_BYTES,
@@ -18,20 +13,15 @@
     RECONNECT_MAX_MS,
     RECONNECT_MIN_MS,
     SEND_BUFFER_MESSAGES,
-    SIGNATURE_PURPOSE,
 )
-from banyanswitch.components.peers.models import Envelope
-from banyanswitch.components.peers.replay_guard import ReplayGuard
+from banyanswitch.components.peers.signed_frames import SignedFrames
 from banyanswitch.core import callback
 from banyanswitch.exceptions import PeerError
-from banyanswitch.helpers.signing import SIGNATURE_BYTES, SigningKeys
+from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.identifiers import InstanceId
 
-T = TypeVar("T")
-LOGGER = structlog.get_logger(__name__)
 
-
-class NngPeerTransport:
+class NngPeerTransport(SignedFrames):
     """Authenticated messages, at most once, in order from each sender.
 
     Parameters
@@ -60,25 +50,12 @@
         keys: SigningKeys,
         max_dialers: int = MAX_DIALERS,
     ) -> None:
-        self._instance = instance
-        self._incarnation = incarnation
-        self._sequence = 0
+        super().__init__(instance=instance, incarnation=incarnation, keys=keys)
         self._listen_address = listen_address
         self._advertised_address = advertised_address
-        self._keys = keys
-        self._replay_guard = ReplayGuard()
-        self._codec = MessageCodec()
-        self._handlers: dict[type, list[Callable[[Any], None]]] = defaultdict(list)
         self._max_dialers = max_dialers
         self._dialers: OrderedDict[str, pynng.Push0] = OrderedDict()
         self._listener: pynng.Pull0 | None = None
-        self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
-        self.dropped_frames = 0
-
-    @property
-    def incarnation(self) -> int:
-        """Return the incarnation of this instance."""
-        return self._incarnation
 
     @property
     def address(self) -> str:
@@ -112,17 +89,6 @@
         while self._dialers:
             self._dialers.popitem()[1].close()
 
-    @callback
-    def raise_incarnation(self, incarnation: int) -> None:
-        """Take a higher incarnation, when others know a higher one than ours."""
-        self._incarnation = max(self._incarnation, incarnation)
-
-    @callback
-    def subscribe(self, message_type: type[T], handler: Callable[[T], None]) -> None:
-        """Call ``handler`` for each message of this type that arrives."""
-        self._codec.register(message_type)
-        self._handlers[message_type].append(handler)
-
     async def async_send(self, peer_address: str, message: object) -> None:
         """Hand a message to the transport without waiting for the peer.
 
@@ -140,23 +106,6 @@
         except pynng.NNGException as error:
             raise PeerError(f"can't send to {peer_address}: {error}") from error
 
-    @callback
-    def frame(self, peer_address: str, message: object) -> bytes:
-        """Return the signed bytes that carry a message to a peer."""
-        tag, payload = self._codec.encode(message)
-        self._sequence += 1
-        content = msgspec.msgpack.encode(
-            Envelope(
-                self._instance,
-                self._incarnation,
-                self._sequence,
-                peer_address,
-                tag,
-                payload,
-            )
-        )
-        return self._keys.sign(SIGNATURE_PURPOSE, content) + content
-
     def _dialer(self, peer_address: str) -> pynng.Push0:
         dialer = self._dialers.get(peer_address)
         if dialer is not None:
@@ -185,31 +134,3 @@
             except pynng.TryAgain:
                 return
             self.deliver(frame)
-
-    @callback
-    def deliver(self, frame: bytes) -> None:
-        """Check a frame and hand its message to the subscribers."""
-        try:
-            message = self._open(frame)
-        except (PeerError, msgspec.MsgspecError) as error:
-            self.dropped_frames += 1
-            LOGGER.warning("peer_frame_dropped", reason=str(error))
-            return
-        for handler in tuple(self._handlers.get(type(message), ())):
-            try:
-                handler(message)
-            except Exception:
-                LOGGER.exception("peer_handler_failed", message=type(message).__name__)
-
-    def _open(self, frame: bytes) -> object:
-        signature, content = frame[:SIGNATURE_BYTES], frame[SIGNATURE_BYTES:]
-        if not self._keys.is_valid(SIGNATURE_PURPOSE, content, signature):
-            raise PeerError("message is not signed with a known key")
-        envelope = self._envelope_decoder.decode(content)
-        if envelope.recipient != self.address:
-            raise PeerError(f"message was sent to {envelope.recipient}")
-        if not self._replay_guard.accept(
-            envelope.sender, envelope.incarnation, envelope.sequence
-        ):
-            raise PeerError(f"message of {envelope.sender} is not newer than the last")
-        return self._codec.decode(envelope.tag, envelope.payload)
--- /dev/null
+++ b/src/banyanswitch/components/state_exchange/__init__.py
@@ -0,0 +1,1 @@
+"""What instances tell each other about the upstreams and the tables."""
--- /dev/null
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -0,0 +1,183 @@
+"""Sending and taking in of reports between instances."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import structlog
+
+from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
+from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.state_exchange.const import (
+    INTERVAL_IDLE_S,
+    INTERVAL_MIN_S,
+    NAMED_MEMORY_S,
+    REPORTS_PER_S,
+    VERSIONS_LIFETIME_S,
+    WEIGHTS_MEMORY_S,
+)
+from banyanswitch.components.state_exchange.models import InstanceReport
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.core import callback
+from banyanswitch.exceptions import PeerError
+from banyanswitch.identifiers import UpstreamId
+from banyanswitch.interfaces import PeerDirectory
+
+LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    model: str
+    version: int
+    seen_at_s: float
+
+
+class StateExchange:
+    """Tell the other instances what this one knows, and believe them.
+
+    Parameters
+    ----------
+    transport : DatagramPeerTransport
+        Carries the reports.
+    peers : PeerDirectory
+        The other instances.
+    """
+
+    def __init__(
+        self,
+        *,
+        transport: DatagramPeerTransport,
+        peers: PeerDirectory,
+        board: UpstreamBoard,
+        tier: PartTier,
+        mirrors: Mapping[str, TableMirror],
+        routing: RoutingState,
+    ) -> None:
+        self._routing = routing
+        self._transport = transport
+        self._peers = peers
+        self._board = board
+        self._tier = tier
+        self._mirrors = mirrors
+        self._versions: dict[str, tuple[float, dict[str, int]]] = {}
+        self._own_loading: dict[str, int] = {}
+        self._own_floors: dict[str, int] = {}
+        self._weights: dict[str, _Seen] = {}
+        self._sent_changes = -1
+        transport.subscribe(InstanceReport, self._on_report)
+
+    async def async_run(self) -> None:
+        """Report until cancelled."""
+        sent_at_s = 0.0
+        loop = asyncio.get_running_loop()
+        while True:
+            count = max(1, len(self._peers.peers()))
+            interval_s = max(INTERVAL_MIN_S, count / REPORTS_PER_S)
+            await asyncio.sleep(interval_s)
+            has_changed = self._board.loads.change_count != self._sent_changes
+            idle_s = max(INTERVAL_IDLE_S, interval_s)
+            if has_changed or loop.time() - sent_at_s >= idle_s:
+                sent_at_s = loop.time()
+                self.report_now()
+
+    @callback
+    def report_now(self) -> None:
+        """Tell all others at once."""
+        self._sent_changes = self._board.loads.change_count
+        now_s = _now_s()
+        this = self._peers.this_instance()
+        report = InstanceReport(
+            instance=this.instance,
+            peer_address=self._transport.address,
+            table_versions={
+                name: mirror.content_version
+                for name, mirror in self._mirrors.items()
+                if mirror.is_known
+            },
+            loads=self._board.loads.own_loads(),
+            loading=dict(self._own_loading),
+            weights={
+                name: (seen.model, seen.version)
+                for name, seen in self._weights.items()
+                if now_s - seen.seen_at_s <= WEIGHTS_MEMORY_S
+            },
+            fetch_floors=dict(self._own_floors),
+            named_ages_s={
+                model: {
+                    version: round(now_s - at_s, 3)
+                    for version, at_s in target.named_at_s.items()
+                    if now_s - at_s <= NAMED_MEMORY_S
+                }
+                for model, target in self._routing.targets.items()
+            },
+        )
+        for peer in self._peers.peers():
+            if peer.instance == this.instance:
+                continue
+            try:
+                self._transport.send(peer.peer_address, report)
+            except PeerError as error:
+                LOGGER.debug("report_not_sent", reason=str(error))
+
+    @callback
+    def table_versions(self, table: str) -> dict[str, int]:
+        """Return the content version of a table at each other instance's address."""
+        now_s = _now_s()
+        return {
+            address: versions[table]
+            for address, (seen_at_s, versions) in self._versions.items()
+            if now_s - seen_at_s <= VERSIONS_LIFETIME_S and table in versions
+        }
+
+    @callback
+    def announce_loading(self, upstream: UpstreamId, version: int) -> None:
+        """Say that an upstream is about to load weights."""
+        self._own_loading[upstream] = version
+        self._board.note_loading(upstream, version, _now_s())
+        self.report_now()
+
+    @callback
+    def announce_weights(
+        self, upstream: UpstreamId, model: str, version: int | None
+    ) -> None:
+        """Say that a load has ended, and with which version if it is known."""
+        self._own_loading.pop(upstream, None)
+        self._board.end_loading(upstream)
+        if version is not None:
+            self._board.note_weights(upstream, model, version)
+            self._weights[upstream] = _Seen(model, version, _now_s())
+        self.report_now()
+
+    @callback
+    def withdraw(self) -> None:
+        """Say no longer who loads and what may be fetched."""
+        for upstream in tuple(self._own_loading):
+            self._own_loading.pop(upstream)
+        self._own_floors.clear()
+
+    @callback
+    def set_floor(self, model: str, version: int) -> None:
+        """Say from which weight version on stored parts may be fetched."""
+        self._own_floors[model] = version
+        self._tier.note_floor(model, version)
+
+    def _on_report(self, report: InstanceReport) -> None:
+        now_s = _now_s()
+        self._versions[report.peer_address] = (now_s, report.table_versions)
+        self._board.loads.note_remote(report.instance, report.loads, now_s)
+        for name, version in report.loading.items():
+            self._board.note_loading(UpstreamId(name), version, now_s)
+        for name, (model, version) in report.weights.items():
+            self._board.note_weights(UpstreamId(name), model, version)
+        for model, ages_s in report.named_ages_s.items():
+            for version, age_s in ages_s.items():
+                self._routing.note_named(model, version, now_s - age_s)
+        for model, version in report.fetch_floors.items():
+            self._tier.note_floor(model, version)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -0,0 +1,37 @@
+"""Messages between instances."""
+
+import msgspec
+
+from banyanswitch.components.forwarding.loads import Load
+
+
+class InstanceReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one instance has in flight and believes.
+
+    Parameters
+    ----------
+    peer_address : str
+        Where the sender serves its table copies.
+    table_versions : dict of str to int
+        Newest change that it knows of each table.
+    loads : dict of str to Load
+        Its work in flight at each upstream.
+    loading : dict of str to int
+        Upstreams that load weights, with the version; said by who orders loads.
+    weights : dict of str to tuple
+        Model and version that upstreams were seen to have.
+    fetch_floors : dict of str to int
+        Lowest weight version of each model whose stored parts are not about to be
+        freed; said by who frees.
+    named_ages_s : dict of str to dict of int to float
+        How long ago each weight version of a model was named, in seconds.
+    """
+
+    instance: str
+    peer_address: str
+    table_versions: dict[str, int]
+    loads: dict[str, Load]
+    loading: dict[str, int]
+    weights: dict[str, tuple[str, int]]
+    fetch_floors: dict[str, int]
+    named_ages_s: dict[str, dict[int, float]]
--- /dev/null
+++ b/src/banyanswitch/components/table_mirror/const.py
@@ -0,0 +1,24 @@
+"""Constants of the table copies."""
+
+from typing import Final
+
+FEED_WAIT_S: Final = 3.0
+"""Time that one feed call waits. A connection gone silent is noticed after it;
+shorter waits cost more calls to the store."""
+
+RETRY_MIN_S: Final = 0.2
+"""First pause after a failed call."""
+
+RETRY_MAX_S: Final = 1.0
+"""Longest pause after failed calls; half of the time in which lapsed entries are
+back once the store has returned."""
+
+RELAY_INTERVAL_S: Final = 0.2
+"""Time between two checks whether another instance knows more."""
+
+RELAY_PATIENCE_S: Final = 0.25
+"""Time for which the own feed may lag before another instance is asked; a feed
+answer takes some 10 ms."""
+
+RELAY_TIMEOUT_S: Final = 1.0
+"""Deadline of a read from another instance."""
--- /dev/null
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -0,0 +1,148 @@
+"""Copy of one table of the store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from banyanswitch.components.table_mirror.const import (
+    FEED_WAIT_S,
+    RETRY_MAX_S,
+    RETRY_MIN_S,
+)
+from banyanswitch.core import callback
+from banyanswitch.exceptions import (
+    HistoryGoneError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from banyanswitch.interfaces import Item, TableChanges, TableFeed
+
+LOGGER = structlog.get_logger(__name__)
+ChangeHandler = Callable[[tuple[Item, ...], tuple[str, ...]], None]
+
+
+class TableMirror:
+    """Rows of one table; a row never goes back to an older revision.
+
+    Parameters
+    ----------
+    table : str
+        Name of the table.
+    feed : TableFeed
+        Where changes come from.
+    generator : random.Random
+        Spreads the retries of the instances.
+    """
+
+    def __init__(self, table: str, feed: TableFeed, generator: random.Random) -> None:
+        self.table = table
+        self._feed = feed
+        self._random = generator
+        self._items: dict[str, Item] = {}
+        self._removed_at: dict[str, int] = {}
+        self._handlers: list[ChangeHandler] = []
+        self._cursor: int | None = None
+        self._is_connected = False
+        self.is_known = False
+        self.content_version = 0
+        self.last_contact_s = float("-inf")
+        self.last_failure_s = float("-inf")
+
+    @property
+    def items(self) -> tuple[Item, ...]:
+        """Rows of the table."""
+        return tuple(self._items.values())
+
+    @callback
+    def subscribe(self, handler: ChangeHandler) -> None:
+        """Call ``handler`` with changed rows and the keys of removed ones."""
+        self._handlers.append(handler)
+
+    @callback
+    def snapshot(self) -> TableChanges:
+        """Return the whole copy, for another instance."""
+        return TableChanges(self.content_version, self.items, ())
+
+    @callback
+    def apply_snapshot(self, snapshot: TableChanges) -> None:
+        """Take in all rows of the table as of a version."""
+        self.is_known = True
+        if snapshot.version < self.content_version:
+            return
+        present = {item.key for item in snapshot.items}
+        removed = tuple(key for key in self._items if key not in present)
+        changes = TableChanges(snapshot.version, snapshot.items, removed)
+        self._apply(changes)
+
+    @callback
+    def apply_changes(self, changes: TableChanges) -> None:
+        """Take in rows that changed."""
+        self._apply(changes)
+
+    async def async_run(self) -> None:
+        """Follow the table until cancelled."""
+        pause_s = RETRY_MIN_S
+        while True:
+            try:
+                await self._async_step()
+            except HistoryGoneError as error:
+                LOGGER.info("table_history_gone", table=self.table, reason=str(error))
+                self._cursor = None
+            except PlatformError as error:
+                self._note_failure(str(error))
+                await asyncio.sleep(pause_s * self._random.uniform(0.7, 1.0))
+                pause_s = min(RETRY_MAX_S, pause_s * 2.0)
+            else:
+                pause_s = RETRY_MIN_S
+                self._note_contact()
+
+    async def _async_step(self) -> None:
+        if self._cursor is None:
+            snapshot = await self._feed.async_read_table(self.table)
+            if snapshot.version < self.content_version:
+                raise PlatformUnavailableError(f"stale read of table {self.table}")
+            newest = max((item.revision for item in snapshot.items), default=0)
+            version = max(newest, self.content_version)
+            self.apply_snapshot(TableChanges(version, snapshot.items, ()))
+            self._cursor = snapshot.version
+            return
+        changes = await self._feed.async_changes(self.table, self._cursor, FEED_WAIT_S)
+        self._cursor = max(self._cursor, changes.version)
+        if changes.items or changes.removed:
+            self.apply_changes(changes)
+
+    def _apply(self, changes: TableChanges) -> None:
+        changed = tuple(item for item in changes.items if self._is_newer(item))
+        removed = tuple(key for key in changes.removed if key in self._items)
+        for item in changed:
+            self._items[item.key] = item
+        for key in removed:
+            del self._items[key]
+            self._removed_at[key] = changes.version
+        newest = max((item.revision for item in changed), default=0)
+        removal = changes.version if removed else 0
+        self.content_version = max(self.content_version, newest, removal)
+        if not changed and not removed:
+            return
+        for handler in self._handlers:
+            handler(changed, removed)
+
+    def _is_newer(self, item: Item) -> bool:
+        known = self._items.get(item.key)
+        if known is not None:
+            return item.revision > known.revision
+        return item.revision > self._removed_at.get(item.key, 0)
+
+    def _note_contact(self) -> None:
+        self.last_contact_s = asyncio.get_running_loop().time()
+        if not self._is_connected:
+            self._is_connected = True
+            LOGGER.info("store_regained", table=self.table, version=self._cursor)
+
+    def _note_failure(self, reason: str) -> None:
+        self.last_failure_s = asyncio.get_running_loop().time()
+        if self._is_connected:
+            self._is_connected = False
+            LOGGER.warning("store_lost", table=self.table, reason=reason)
--- /dev/null
+++ b/src/banyanswitch/components/table_mirror/relay.py
@@ -0,0 +1,112 @@
+"""Reading of table copies from other instances that know more."""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from typing import Protocol
+
+import msgspec
+import structlog
+
+from banyanswitch.components.http1.caller_connection import Reply
+from banyanswitch.components.http1.client import HttpClient
+from banyanswitch.components.http1.models import Request
+from banyanswitch.components.table_mirror.const import (
+    RELAY_INTERVAL_S,
+    RELAY_PATIENCE_S,
+    RELAY_TIMEOUT_S,
+)
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.exceptions import UpstreamError
+from banyanswitch.interfaces import TableChanges
+
+LOGGER = structlog.get_logger(__name__)
+TABLE_PATH = "/tables/"
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+
+
+class KnownVersions(Protocol):
+    """What other instances say that they know."""
+
+    def table_versions(self, table: str) -> Mapping[str, int]:
+        """Return the content version of a table at each other instance's address."""
+
+
+class TableRelay:
+    """Catch up from another instance while the own feed lags.
+
+    Parameters
+    ----------
+    mirrors : mapping of str to TableMirror
+        Copies by the name of their table.
+    versions : KnownVersions
+        What the others know.
+    client : HttpClient
+        Makes the calls.
+    generator : random.Random
+        Chooses whom to ask.
+    """
+
+    def __init__(
+        self,
+        mirrors: Mapping[str, TableMirror],
+        versions: KnownVersions,
+        client: HttpClient,
+        generator: random.Random,
+    ) -> None:
+        self._mirrors = mirrors
+        self._versions = versions
+        self._client = client
+        self._random = generator
+        self._behind_since_s: dict[str, float] = {}
+
+    async def async_run(self) -> None:
+        """Compare and catch up until cancelled."""
+        while True:
+            await asyncio.sleep(RELAY_INTERVAL_S)
+            for table, mirror in self._mirrors.items():
+                await self._async_compare(table, mirror)
+
+    async def async_answer(self, request: Request, reply: Reply) -> None:
+        """Answer another instance with a whole copy."""
+        table = request.path.decode("latin-1").removeprefix(TABLE_PATH)
+        mirror = self._mirrors.get(table)
+        if mirror is None or not mirror.is_known:
+            reply.send(STATUS_NOT_FOUND, (), b"")
+            return
+        reply.send(STATUS_OK, (), msgspec.msgpack.encode(mirror.snapshot()))
+
+    async def _async_compare(self, table: str, mirror: TableMirror) -> None:
+        now_s = asyncio.get_running_loop().time()
+        known = self._versions.table_versions(table)
+        ahead = [a for a, version in known.items() if version > mirror.content_version]
+        if not ahead:
+            self._behind_since_s.pop(table, None)
+            return
+        since_s = self._behind_since_s.setdefault(table, now_s)
+        if mirror.is_known and now_s - since_s < RELAY_PATIENCE_S:
+            return
+        await self._async_read(table, mirror, self._random.choice(ahead))
+
+    async def _async_read(self, table: str, mirror: TableMirror, address: str) -> None:
+        try:
+            answer = await self._client.async_call(
+                "GET", address, TABLE_PATH + table, timeout_s=RELAY_TIMEOUT_S
+            )
+            if answer.status != STATUS_OK:
+                return
+            snapshot = msgspec.msgpack.decode(answer.body, type=TableChanges)
+        except (UpstreamError, msgspec.MsgspecError) as error:
+            LOGGER.info("relay_failed", table=table, peer=address, reason=str(error))
+            return
+        before = mirror.content_version
+        mirror.apply_snapshot(snapshot)
+        mirror.content_version = max(mirror.content_version, snapshot.version)
+        LOGGER.info(
+            "table_relayed",
+            table=table,
+            peer=address,
+            from_version=before,
+            to_version=mirror.content_version,
+        )
--- a/src/banyanswitch/components/platform/__init__.py
+++ b/src/banyanswitch/components/table_service/__init__.py
@@ -5,11 +5,11 @@
 import aiohttp
 
 from banyanswitch.components.membership.models import PeersChanged
-from banyanswitch.components.platform.const import DOMAIN, MAX_CONNECTIONS
-from banyanswitch.components.platform.http_client import PlatformClient
-from banyanswitch.components.platform.object_store import HttpObjectStore
-from banyanswitch.components.platform.table_store import HttpTableStore
-from banyanswitch.components.platform.write_budget import WriteBudget
+from banyanswitch.components.table_service.const import DOMAIN, MAX_CONNECTIONS
+from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.object_store import HttpObjectStore
+from banyanswitch.components.table_service.table_store import HttpTableStore
+from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.core import REGISTRY, Kernel
 from banyanswitch.identifiers import InstanceId
 from banyanswitch.interfaces import ObjectStore, PeerDirectory, TableStore
--- a/src/banyanswitch/components/platform/const.py
+++ b/src/banyanswitch/components/table_service/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-DOMAIN: Final = "platform"
+DOMAIN: Final = "table_service"
 
 MAX_TRANSACTION_WRITES: Final = 100
 """Most writes that the table service takes in one transaction."""
--- a/src/banyanswitch/components/platform/http_client.py
+++ b/src/banyanswitch/components/table_service/http_client.py
@@ -4,9 +4,9 @@
 
 import aiohttp
 
-from banyanswitch.components.platform.const import DEFAULT_RETRY_AFTER_S
-from banyanswitch.components.platform.models import PlatformAnswer
-from banyanswitch.components.platform.outage_gate import OutageGate
+from banyanswitch.components.table_service.const import DEFAULT_RETRY_AFTER_S
+from banyanswitch.components.table_service.models import PlatformAnswer
+from banyanswitch.components.table_service.outage_gate import OutageGate
 from banyanswitch.const import HEADER_CALLER, HEADER_RETRY_AFTER
 from banyanswitch.exceptions import (
     PlatformOutcomeUnknownError,
--- a/src/banyanswitch/components/platform/object_store.py
+++ b/src/banyanswitch/components/table_service/object_store.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import quote
 
-from banyanswitch.components.platform.http_client import PlatformClient
+from banyanswitch.components.table_service.http_client import PlatformClient
 from banyanswitch.exceptions import PlatformError
 
 STATUS_NOT_FOUND = 404
--- a/src/banyanswitch/components/platform/outage_gate.py
+++ b/src/banyanswitch/components/table_service/outage_gate.py
@@ -1,6 +1,6 @@
 """Refusal of calls to a service that keeps failing."""
 
-from banyanswitch.components.platform.const import FAILURES_BEFORE_PAUSE, PAUSE_S
+from banyanswitch.components.table_service.const import FAILURES_BEFORE_PAUSE, PAUSE_S
 from banyanswitch.exceptions import PlatformUnavailableError
 
 
--- a/src/banyanswitch/components/platform/table_store.py
+++ b/src/banyanswitch/components/table_service/table_store.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from banyanswitch.components.platform.const import MAX_TRANSACTION_WRITES
-from banyanswitch.components.platform.http_client import PlatformClient
-from banyanswitch.components.platform.models import (
+from banyanswitch.components.table_service.const import MAX_TRANSACTION_WRITES
+from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.models import (
     FailedKeysAnswer,
     GetRequest,
     ItemsAnswer,
@@ -17,7 +17,7 @@
     RevisionsAnswer,
     TransactRequest,
 )
-from banyanswitch.components.platform.write_budget import WriteBudget
+from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.exceptions import (
     ConditionFailedError,
     PlatformError,
--- a/src/banyanswitch/components/platform/write_batcher.py
+++ b/src/banyanswitch/components/table_service/write_batcher.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from banyanswitch.components.platform.const import (
+from banyanswitch.components.table_service.const import (
     MAX_BATCH_BYTES,
     MAX_BATCH_DELAY_S,
     MAX_BATCH_WRITES,
--- a/src/banyanswitch/components/platform/write_budget.py
+++ b/src/banyanswitch/components/table_service/write_budget.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from banyanswitch.components.platform.const import (
+from banyanswitch.components.table_service.const import (
     BUDGET_BURST_S,
     CLAIM_SHARE,
     CONFIGURATION_SHARE,
--- /dev/null
+++ b/src/banyanswitch/components/weight_rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Duty: bring the upstreams to the weights that operators name."""
--- /dev/null
+++ b/src/banyanswitch/components/weight_rollout/coordinator.py
@@ -0,0 +1,235 @@
+"""Orders to load weights, given by the holder of the duty's lease."""
+
+import asyncio
+from collections.abc import Iterable
+
+import structlog
+
+from banyanswitch.components.forwarding.models import ForwardedService
+from banyanswitch.components.forwarding.protocols import EngineClient, LoadOrder
+from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.forwarding.upstream_board import (
+    UpstreamBoard,
+    UpstreamState,
+)
+from banyanswitch.components.state_exchange.coordinator import StateExchange
+from banyanswitch.components.weight_rollout.const import (
+    ANNOUNCE_S,
+    IDLE_STEP_S,
+    LOAD_PATIENCE_S,
+    LOADS_SHARE,
+    MAX_IDLE_REPORTS,
+    MIN_SERVING_SHARE,
+    POLL_S,
+    RETRY_S,
+    STEP_S,
+)
+from banyanswitch.components.weight_rollout.tenure import Tenure
+from banyanswitch.config.models import SwapPolicy
+from banyanswitch.core import callback
+from banyanswitch.decisions.swap_order import SwapView, next_loads
+from banyanswitch.exceptions import FencedError, UpstreamError
+from banyanswitch.identifiers import UpstreamId, WeightVersion
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class WeightRollout:
+    """Compare the upstreams' weights with the wanted ones and order loads.
+
+    Parameters
+    ----------
+    tenure : Tenure
+        Says whether orders may be given now, and with which fencing token.
+    holder : str
+        Name of this instance in orders.
+    """
+
+    def __init__(
+        self,
+        *,
+        tenure: Tenure,
+        routing: RoutingState,
+        board: UpstreamBoard,
+        engines: EngineClient,
+        exchange: StateExchange,
+        holder: str,
+    ) -> None:
+        self._tenure = tenure
+        self._routing = routing
+        self._board = board
+        self._engines = engines
+        self._exchange = exchange
+        self._holder = holder
+        self._tasks: dict[UpstreamId, asyncio.Task[None]] = {}
+        self._retry_at_s: dict[UpstreamId, float] = {}
+
+    async def async_run(self) -> None:
+        """Order loads while the duty is held, until cancelled."""
+        while True:
+            has_work = self._step()
+            await asyncio.sleep(STEP_S if has_work else IDLE_STEP_S)
+
+    @callback
+    def cancel_all(self) -> None:
+        """Stop following the orders that were given."""
+        for task in self._tasks.values():
+            task.cancel()
+
+    def _step(self) -> bool:
+        now_s = _now_s()
+        if self._tenure.token(now_s) is None:
+            self._exchange.withdraw()
+            return bool(self._tasks)
+        has_work = False
+        for service, model in self._services():
+            target = self._routing.targets.get(model)
+            if target is None:
+                continue
+            states = self._board.of_service(service.name)
+            behind = [
+                state
+                for state in states
+                if not state.record.is_leaving
+                and state.weight_versions.get(model, 0) < target.version
+            ]
+            if not behind:
+                continue
+            has_work = True
+            self._order(states, model, target.version, now_s)
+        return has_work
+
+    def _services(self) -> Iterable[tuple[ForwardedService, str]]:
+        configuration = self._routing.configuration
+        if configuration is None:
+            return
+        for service in configuration.services.values():
+            for model in service.engine.models if service.engine else ():
+                yield service, model
+
+    def _order(
+        self, states: list[UpstreamState], model: str, version: int, now_s: float
+    ) -> None:
+        loads_at_once = max(1, round(LOADS_SHARE * len(states)))
+        policy = SwapPolicy(
+            loads_at_once=loads_at_once, min_serving_share=MIN_SERVING_SHARE
+        )
+        views = [self._view(state, model, version, now_s) for state in states]
+        for name in next_loads(views, WeightVersion(str(version)), policy, now_s):
+            state = self._board.state(name)
+            if state is None or name in self._tasks:
+                continue
+            task = asyncio.get_running_loop().create_task(
+                self._async_load(state, model, version), name=f"load_{name}"
+            )
+            self._tasks[name] = task
+            task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        for name, known in tuple(self._tasks.items()):
+            if known is task:
+                del self._tasks[name]
+
+    def _view(
+        self, state: UpstreamState, model: str, version: int, now_s: float
+    ) -> SwapView:
+        name = state.record.name
+        known = state.weight_versions.get(model, 0)
+        load = self._board.loads.total(name, now_s)
+        return SwapView(
+            name=name,
+            failure_domain=state.record.failure_domain,
+            # One that is ahead needs no load either.
+            weight_version=WeightVersion(str(version if known >= version else known)),
+            is_serving=self._board.health(state, now_s) > 0,
+            is_loading=name in self._tasks or now_s < state.loading_until_s,
+            is_leaving=state.record.is_leaving or state.gone_at_s is not None,
+            running_requests=load.requests,
+            retry_at_s=self._retry_at_s.get(name, 0.0),
+        )
+
+    async def _async_load(self, state: UpstreamState, model: str, version: int) -> None:
+        name = state.record.name
+        reached: int | None = None
+        try:
+            self._exchange.announce_loading(name, version)
+            await asyncio.sleep(ANNOUNCE_S)
+            reached = await self._async_order_and_follow(state, model, version)
+        except FencedError as error:
+            LOGGER.warning("orders_fenced", upstream=name, reason=str(error))
+            self._tenure.burn()
+        except UpstreamError as error:
+            LOGGER.warning("load_not_ordered", upstream=name, reason=str(error))
+        finally:
+            if reached is None:
+                self._retry_at_s[name] = _now_s() + RETRY_S
+            self._exchange.announce_weights(name, model, reached)
+
+    async def _async_order_and_follow(
+        self, state: UpstreamState, model: str, version: int
+    ) -> int | None:
+        """Return the version that the upstream has in the end, if it is known."""
+        address = state.record.address
+        report = await self._engines.async_report(address)
+        known = report.weight_versions.get(model, 0)
+        if known >= version:
+            return known
+        token = self._tenure.token(_now_s())
+        if token is None:
+            return None
+        if not report.is_busy:
+            order = LoadOrder(
+                upstream=state.record.name,
+                model=model,
+                version=version,
+                holder=self._holder,
+                fencing_token=token,
+                orders_accepted=report.orders_accepted,
+            )
+            is_accepted = await self._async_order(address, order)
+            LOGGER.info(
+                "load_ordered",
+                upstream=state.record.name,
+                version=version,
+                fencing_token=token,
+                is_accepted=is_accepted,
+            )
+            if not is_accepted:
+                return None
+        return await self._async_follow(state, model, version)
+
+    async def _async_order(self, address: str, order: LoadOrder) -> bool:
+        """Give the order; one without an answer may have been accepted."""
+        try:
+            return await self._engines.async_order_load(address, order)
+        except UpstreamError as error:
+            LOGGER.info("order_unanswered", upstream=order.upstream, reason=str(error))
+            return True
+
+    async def _async_follow(
+        self, state: UpstreamState, model: str, version: int
+    ) -> int | None:
+        gives_up_at_s = _now_s() + LOAD_PATIENCE_S
+        idle_reports = 0
+        while _now_s() < gives_up_at_s:
+            await asyncio.sleep(POLL_S)
+            name = state.record.name
+            if self._board.state(name) is not state:
+                return None
+            self._exchange.announce_loading(name, version)
+            try:
+                report = await self._engines.async_report(state.record.address)
+            except UpstreamError as error:
+                LOGGER.info("report_missing", upstream=name, reason=str(error))
+                continue
+            known = report.weight_versions.get(model, 0)
+            if known >= version and not report.is_busy:
+                return known
+            idle_reports = 0 if report.is_busy else idle_reports + 1
+            if idle_reports > MAX_IDLE_REPORTS:
+                return None
+        return None
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/banyanswitch/components/weight_rollout/named_times.py
@@ -0,0 +1,106 @@
+"""When each weight version was named, kept in the store across restarts."""
+
+import asyncio
+
+import msgspec
+import structlog
+
+from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.weight_rollout.const import (
+    NAMED_STEP_S,
+    NAMED_TABLE,
+)
+from banyanswitch.components.weight_rollout.tenure import Tenure
+from banyanswitch.exceptions import PlatformError
+from banyanswitch.interfaces import TableFeed, TableStore, Write, WriteClass
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class NamedTimes:
+    """Read the times at the start; write new ones while the duty is held.
+
+    An instance that starts after all have ended would otherwise take an old name
+    for a new one, and use upstreams on older weights for too long.
+
+    Parameters
+    ----------
+    table : TableStore
+        Keeps one row a model: version to time of the store's clock, in seconds.
+    clock : TableFeed
+        Tells the store's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: TableStore,
+        clock: TableFeed,
+        routing: RoutingState,
+        tenure: Tenure,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._routing = routing
+        self._tenure = tenure
+        self._stored: dict[str, dict[int, float]] = {}
+        self._revisions: dict[str, int] = {}
+
+    async def async_run(self) -> None:
+        """Read once, then write what is new until cancelled."""
+        while not await self._async_read():
+            await asyncio.sleep(NAMED_STEP_S)
+        while True:
+            await asyncio.sleep(NAMED_STEP_S)
+            if self._tenure.is_holder():
+                await self._async_write_new()
+
+    async def _async_read(self) -> bool:
+        try:
+            items = await self._table.async_query(f"{NAMED_TABLE}/")
+        except PlatformError as error:
+            LOGGER.info("named_times_not_read", reason=str(error))
+            return False
+        clock_s = self._clock.clock_s()
+        if clock_s is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        for item in items:
+            model = item.key.partition("/")[2]
+            try:
+                times = msgspec.json.decode(item.value, type=dict[int, float])
+            except msgspec.MsgspecError as error:
+                LOGGER.warning("named_times_unreadable", model=model, reason=str(error))
+                continue
+            self._stored[model] = times
+            self._revisions[model] = item.revision
+            for version, stored_s in times.items():
+                self._routing.note_named(model, version, now_s - (clock_s - stored_s))
+        return True
+
+    async def _async_write_new(self) -> None:
+        clock_s = self._clock.clock_s()
+        if clock_s is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        for model, target in tuple(self._routing.targets.items()):
+            stored = self._stored.get(model, {})
+            if target.version in stored or target.version == 0:
+                continue
+            times = {
+                version: stored.get(version, clock_s - (now_s - named_at_s))
+                for version, named_at_s in target.named_at_s.items()
+            }
+            await self._async_write(model, times)
+
+    async def _async_write(self, model: str, times: dict[int, float]) -> None:
+        key = f"{NAMED_TABLE}/{model}"
+        write = Write(key, msgspec.json.encode(times), self._revisions.get(model, 0))
+        try:
+            (revision,) = await self._table.async_transact([write], WriteClass.LEASE)
+        except PlatformError as error:
+            LOGGER.info("named_times_not_written", model=model, reason=str(error))
+            await self._async_read()
+            return
+        self._stored[model] = times
+        self._revisions[model] = revision
--- a/src/banyanswitch/composition.py
+++ b/src/banyanswitch/composition.py
@@ -11,7 +11,7 @@
 from banyanswitch.settings import EntrySettings
 
 ENTRY_DOMAINS = (
-    "platform",
+    "table_service",
     "peers",
     "membership",
     "configuration",
--- a/src/banyanswitch/decisions/prefix.py
+++ b/src/banyanswitch/decisions/prefix.py
@@ -8,6 +8,7 @@
 
 DIGEST_SIZE_BYTES: Final = 16
 LENGTH_SIZE_BYTES: Final = 8
+SALT_DIGEST_BYTES: Final = 6
 REMEMBERED_CHAINS: Final = 256
 
 
@@ -76,3 +77,26 @@
 def prefix_keys(piece_hashes: tuple[PrefixHash, ...]) -> tuple[int, ...]:
     """Return the compact keys of a chain; the latest chains are remembered."""
     return tuple([prefix_key(piece_hash) for piece_hash in piece_hashes])
+
+
+def versioned_cache_salt(
+    model: str, version: int, wall: WorkspaceId | None = None
+) -> str:
+    """Return a salt from which the weight version can be read back.
+
+    Parameters
+    ----------
+    wall : WorkspaceId or None
+        Workspace that shares its prefixes with no other.
+    """
+    digest = blake2b(digest_size=SALT_DIGEST_BYTES)
+    digest.update(len(model).to_bytes(LENGTH_SIZE_BYTES, "big") + model.encode())
+    if wall is not None:
+        digest.update(wall.encode())
+    return f"{version}-{digest.hexdigest()}"
+
+
+def salt_version(salt: str) -> int | None:
+    """Return the weight version of a salt from `versioned_cache_salt`."""
+    version, _, digest = salt.partition("-")
+    return int(version) if digest and version.isdigit() else None
--- a/src/banyanswitch/decisions/retry.py
+++ b/src/banyanswitch/decisions/retry.py
@@ -3,11 +3,18 @@
 import random
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from banyanswitch.config.models import Priority
 from banyanswitch.decisions.token_bucket import TokenBucket
 from banyanswitch.exceptions import RunOutcome
 
+MAX_SHARED_ATTEMPTS: Final = 8
+"""Bound on attempts where each route names its own."""
+
+SAVED_SHARE: Final = 0.6
+"""Part of the slack that may be saved up for a burst of failures."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RetryPolicy:
@@ -95,6 +102,9 @@
         Loop time of the start.
     """
 
+    no_more_attempts: Final = 1_000_000
+    """Count of attempts that is beyond the bound of every policy."""
+
     def __init__(
         self, policy: RetryPolicy, generator: random.Random, now_s: float
     ) -> None:
@@ -104,6 +114,11 @@
             policy.min_retries_per_s, policy.budget_capacity, now_s
         )
 
+    def change_policy(self, policy: RetryPolicy, now_s: float) -> None:
+        """Use other settings from now on; what was saved up stays within them."""
+        self._policy = policy
+        self._budget.change(policy.min_retries_per_s, policy.budget_capacity, now_s)
+
     def on_first_attempt(self, now_s: float) -> None:
         """Add the budget that a first attempt brings."""
         self._budget.add(self._policy.budget_ratio, now_s)
@@ -148,3 +163,30 @@
 
     def _give_up(self, reason: GiveUpReason, failed: FailedAttempt) -> GiveUp:
         return GiveUp(reason, max(failed.retry_after_s, self._policy.max_backoff_s))
+
+
+def shared_retry_policy(
+    *, ratio: float, slack: float, window_s: float, instances: int
+) -> RetryPolicy:
+    """Return the part of one instance in a budget that all instances share.
+
+    Over any window an instance spends at most what it had saved, what flowed in and
+    its ratio of the requests, so that the sum stays within the shared budget
+    without a message.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries allowed for each request, by all instances.
+    slack : float
+        Retries allowed beside in each window, by all instances.
+    window_s : float
+        Length of the window, in seconds.
+    """
+    own_slack = slack / max(1, instances)
+    return RetryPolicy(
+        max_attempts=MAX_SHARED_ATTEMPTS,
+        budget_ratio=ratio,
+        budget_capacity=max(1.0, own_slack * SAVED_SHARE),
+        min_retries_per_s=own_slack * (1.0 - SAVED_SHARE) / window_s,
+    )
--- a/src/banyanswitch/exceptions.py
+++ b/src/banyanswitch/exceptions.py
@@ -86,6 +86,33 @@
     """The upstream failed after the request had been sent."""
 
 
+class NotRunError(UpstreamError):
+    """An upstream says that it did not run a request.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        Wait that the upstream asked for, in seconds.
+    is_misdirected : bool
+        Whether the address or the weights belong to another than expected.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+        is_misdirected: bool = False,
+    ) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+        self.is_misdirected = is_misdirected
+
+
+class UpstreamFailureError(UpstreamError):
+    """An upstream ran a request and answered with a failure."""
+
+
 class IdentityMismatchError(UpstreamError):
     """An upstream answered with another run, workspace or weight version."""
 
@@ -165,3 +192,25 @@
         self.outcome = outcome
         self.retry_after_s = retry_after_s
         self.findings = tuple(findings)
+
+
+class RequestSyntaxError(BanyanswitchError):
+    """The bytes of a caller are no request that can be served.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status that tells the caller so.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class HistoryGoneError(PlatformError):
+    """The requested part of a table's history is no longer kept."""
+
+
+class FencedError(PlatformError):
+    """An order was refused since a higher fencing token has been used."""
--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -106,6 +106,52 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class TableChanges:
+    """Rows of one table that exist or changed, up to a version.
+
+    Parameters
+    ----------
+    version : int
+        Where the feed of the table goes on.
+    removed : tuple of str
+        Keys of rows that exist no longer.
+    """
+
+    version: int
+    items: tuple[Item, ...]
+    removed: tuple[str, ...]
+
+
+class TableFeed(Protocol):
+    """Changes of whole tables, as they happen."""
+
+    def clock_s(self) -> float | None:
+        """Return the service's steady clock now, in seconds, if it is known."""
+
+    async def async_read_table(self, table: str) -> TableChanges:
+        """Return all rows of a table.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the service can't be read.
+        """
+
+    async def async_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        """Return what changed after a version, waiting for the first change.
+
+        Raises
+        ------
+        HistoryGoneError
+            If changes after that version are no longer known.
+        PlatformUnavailableError
+            If the service can't be read.
+        """
+
+
 class ObjectStore(Protocol):
     """The platform's object store."""
 
@@ -224,11 +270,14 @@
         Grows with each new holder.
     expires_at_s : float
         Loop time until which effects are allowed, margin already taken off.
+    renewed_at_s : float
+        Loop time at which its last write was sent.
     """
 
     name: str
     fencing_token: int
     expires_at_s: float
+    renewed_at_s: float = 0.0
 
 
 class LeaseManager(Protocol):
@@ -240,6 +289,9 @@
     def held(self, name: str) -> Lease | None:
         """Return the lease if it is valid at this moment of the loop's clock."""
 
+    def forfeit(self, name: str) -> None:
+        """Give up the present tenure; another one has a higher fencing token."""
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamLoad:
--- /dev/null
+++ b/src/banyanswitch/platform/calls.py
@@ -0,0 +1,219 @@
+"""Headers of callers' requests and upstreams' answers."""
+
+from collections.abc import Mapping
+
+from banyanswitch.components.forwarding.models import (
+    AnswerFacts,
+    CallFacts,
+    CallPlan,
+    PromptPart,
+)
+from banyanswitch.components.http1.models import (
+    AnswerHead,
+    Header,
+    Headers,
+    Request,
+    encode_head,
+    end_to_end_headers,
+)
+from banyanswitch.platform.const import (
+    BEARER_PREFIX,
+    HEADER_ATTEMPT,
+    HEADER_AUTHORIZATION,
+    HEADER_CACHE_SALT,
+    HEADER_DEADLINE,
+    HEADER_EXPECTED_UPSTREAM,
+    HEADER_EXPECTED_WEIGHTS,
+    HEADER_FETCH,
+    HEADER_FETCH_UNTIL,
+    HEADER_LAST_EVENT,
+    HEADER_LOAD,
+    HEADER_MODEL,
+    HEADER_NOT_RUN,
+    HEADER_PROMPT_PARTS,
+    HEADER_RANK,
+    HEADER_RETRY_AFTER,
+    HEADER_SAVE,
+    HEADER_SIGNATURE,
+    HEADER_TOKENS,
+    HEADER_WEIGHTS,
+    HEADER_WORKSPACE,
+    MILLISECONDS_PER_S,
+    NO_ADDRESS,
+    SYSTEM_HEADERS,
+)
+
+STATUS_MISDIRECTED = 421
+LOAD_FIELDS = 3
+TOKEN_FIELDS = 2
+
+
+class HeaderTranslator:
+    """Implements ``CallTranslator`` for the platform's headers."""
+
+    def read_call(self, request: Request) -> CallFacts:
+        """Return what a caller's headers say."""
+        values = _by_name(request.headers)
+        host = _text(values, b"host") or ""
+        prompt_tokens, output_tokens = _token_counts(_text(values, HEADER_TOKENS))
+        return CallFacts(
+            attempt=values.get(HEADER_ATTEMPT.lower(), b""),
+            host=host.rsplit(":", 1)[0].lower() if ":" in host else host.lower(),
+            key=_bearer_key(_text(values, HEADER_AUTHORIZATION)),
+            time_left_s=_seconds(_text(values, HEADER_DEADLINE)),
+            model=_text(values, HEADER_MODEL),
+            parts=_parts(_text(values, HEADER_PROMPT_PARTS)),
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+        )
+
+    def upstream_request(self, request: Request, plan: CallPlan) -> bytes:
+        """Return the bytes to send to the upstream of a plan."""
+        dropped = SYSTEM_HEADERS | {b"content-length", b"expect"}
+        if plan.resume_after is not None:
+            dropped = dropped | {HEADER_LAST_EVENT.lower()}
+        headers = [
+            header
+            for header in end_to_end_headers(request.headers)
+            if header[0].lower() not in dropped
+        ]
+        headers += _plan_headers(plan)
+        if request.body or _announces_body(request.headers):
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
+        return encode_head(first_line, headers) + request.body
+
+    def read_answer(self, head: AnswerHead) -> AnswerFacts:
+        """Return what an upstream's headers say."""
+        values = _by_name(head.headers)
+        retry_after = _text(values, HEADER_RETRY_AFTER)
+        return AnswerFacts(
+            attempt=values.get(HEADER_ATTEMPT.lower()),
+            is_signed=HEADER_SIGNATURE.lower() in values,
+            is_not_run=HEADER_NOT_RUN.lower() in values
+            or head.status == STATUS_MISDIRECTED,
+            is_misdirected=head.status == STATUS_MISDIRECTED,
+            load=_load(_text(values, HEADER_LOAD)),
+            weight_version=_integer(_text(values, HEADER_WEIGHTS)),
+            retry_after_s=_number(retry_after),
+        )
+
+    def caller_headers(self, head: AnswerHead) -> Headers:
+        """Return the headers of an upstream's answer that go to the caller."""
+        return tuple(
+            header
+            for header in end_to_end_headers(head.headers)
+            if header[0].lower() != b"content-length"
+        )
+
+    def own_headers(
+        self, facts: CallFacts | None, retry_after_s: float | None
+    ) -> list[Header]:
+        """Return the headers of an answer that this system makes itself."""
+        headers: list[Header] = []
+        if facts is not None and facts.attempt:
+            headers.append((HEADER_ATTEMPT, facts.attempt))
+        if retry_after_s is not None:
+            headers.append((HEADER_RETRY_AFTER, b"%.3f" % retry_after_s))
+        return headers
+
+
+def _plan_headers(plan: CallPlan) -> list[Header]:
+    left_ms = max(1, int(plan.time_left_s * MILLISECONDS_PER_S))
+    headers = [
+        (HEADER_DEADLINE, b"%d" % left_ms),
+        (HEADER_EXPECTED_UPSTREAM, plan.upstream.encode()),
+    ]
+    if plan.workspace is not None:
+        headers.append((HEADER_WORKSPACE, plan.workspace.encode()))
+    if plan.rank is not None:
+        headers.append((HEADER_RANK, b"%d" % plan.rank))
+    if plan.cache_salt is not None:
+        headers.append((HEADER_CACHE_SALT, plan.cache_salt.encode()))
+    if plan.expected_weights is not None:
+        headers.append((HEADER_EXPECTED_WEIGHTS, b"%d" % plan.expected_weights))
+    if any(plan.fetches):
+        headers.append((HEADER_FETCH, _addresses(plan.fetches)))
+    if any(plan.saves):
+        headers.append((HEADER_SAVE, _addresses(plan.saves)))
+    if plan.fetch_until_ms is not None and any(plan.fetches):
+        headers.append((HEADER_FETCH_UNTIL, b"%d" % plan.fetch_until_ms))
+    if plan.resume_after is not None:
+        headers.append((HEADER_LAST_EVENT, plan.resume_after))
+    return headers
+
+
+def _addresses(addresses: tuple[str, ...]) -> bytes:
+    return ",".join(address or NO_ADDRESS for address in addresses).encode()
+
+
+def _announces_body(headers: Headers) -> bool:
+    names = {key.lower() for key, _ in headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
+def _by_name(headers: Headers) -> Mapping[bytes, bytes]:
+    values: dict[bytes, bytes] = {}
+    for key, value in headers:
+        values.setdefault(key.lower(), value.strip())
+    return values
+
+
+def _text(values: Mapping[bytes, bytes], name: bytes) -> str | None:
+    value = values.get(name.lower())
+    return value.decode("latin-1") if value is not None else None
+
+
+def _bearer_key(value: str | None) -> str | None:
+    if value is None or not value.startswith(BEARER_PREFIX):
+        return None
+    return value[len(BEARER_PREFIX) :].strip()
+
+
+def _number(value: str | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0.0 <= number < float("inf") else None
+
+
+def _integer(value: str | None) -> int | None:
+    if value is None or not value.isascii() or not value.isdigit():
+        return None
+    return int(value)
+
+
+def _seconds(milliseconds: str | None) -> float | None:
+    number = _number(milliseconds)
+    return None if number is None else number / MILLISECONDS_PER_S
+
+
+def _token_counts(value: str | None) -> tuple[int, int]:
+    numbers = [_integer(part.strip()) for part in (value or "").split(",")]
+    if len(numbers) != TOKEN_FIELDS or None in numbers:
+        return 0, 0
+    return numbers[0] or 0, numbers[1] or 0
+
+
+def _parts(value: str | None) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in (value or "").split(","):
+        name, _, tokens = item.strip().partition(":")
+        count = _integer(tokens)
+        if not name or count is None:
+            return ()
+        parts.append(PromptPart(name, count))
+    return tuple(parts)
+
+
+def _load(value: str | None) -> tuple[int, int, int] | None:
+    numbers = [_integer(part.strip()) for part in (value or "").split(",")]
+    if len(numbers) != LOAD_FIELDS:
+        return None
+    running, waiting, slots = numbers
+    if running is None or waiting is None or slots is None:
+        return None
+    return running, waiting, slots
--- /dev/null
+++ b/src/banyanswitch/platform/engines.py
@@ -0,0 +1,176 @@
+"""Calls to the platform's model servers and stores of KV cache."""
+
+from collections.abc import Sequence
+from typing import Any, TypeVar
+
+import msgspec
+
+from banyanswitch.components.forwarding.protocols import (
+    EngineReport,
+    LoadOrder,
+    PartEvent,
+    PartEvents,
+)
+from banyanswitch.components.http1.client import Answer, HttpClient
+from banyanswitch.exceptions import FencedError, UpstreamBrokenError
+from banyanswitch.platform.const import (
+    HEADER_EXPECTED_UPSTREAM,
+    MILLISECONDS_PER_S,
+    PATH_ORDER,
+    PATH_PART_EVENTS,
+    PATH_PART_FREE,
+    PATH_PART_LIST,
+    PATH_REPORT,
+)
+
+STATUS_OK = 200
+STATUS_ACCEPTED = 202
+STATUS_FENCED = 412
+CALL_TIMEOUT_S = 0.8
+"""Deadline of a call that does not wait; the longest path is 20 ms one way."""
+EVENTS_SLACK_S = 0.8
+"""Time beyond the wait of an events call before it counts as lost."""
+LOAD_OPERATION = "version"
+LOAD_AFTER_RUNS = "wait"
+EVENT_KEPT = "+"
+AnswerT = TypeVar("AnswerT")
+
+
+class _Model(msgspec.Struct, frozen=True):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct, frozen=True):
+    # Number of accepted orders; in a row of the store the word counts entries.
+    sequence: int
+    busy: bool = False
+    models: list[_Model] = []
+
+
+class _Events(msgspec.Struct, frozen=True):
+    bootEpoch: int  # noqa: N815
+    next: int
+    lost: bool = False
+    events: list[tuple[int, str, str, str, int, str]] = []
+    clock_ms: float | None = None
+
+
+class _Held(msgspec.Struct, frozen=True):
+    bootEpoch: int  # noqa: N815
+    next: int
+    held: list[tuple[str, str, int, str]] = []
+    clock_ms: float | None = None
+
+
+class PlatformEngines:
+    """Implements ``EngineClient`` and ``PartStoreClient``.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Makes the calls.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def async_report(self, address: str) -> EngineReport:
+        """Return the state of a model server."""
+        answer = await self._client.async_call(
+            "GET", address, PATH_REPORT, timeout_s=CALL_TIMEOUT_S
+        )
+        report = _decode(answer, _Report)
+        return EngineReport(
+            orders_accepted=report.sequence,
+            is_busy=report.busy,
+            weight_versions={model.name: model.version for model in report.models},
+        )
+
+    async def async_order_load(self, address: str, order: LoadOrder) -> bool:
+        """Order a load; return whether it was accepted or holds already."""
+        document: dict[str, Any] = {
+            "operation": LOAD_OPERATION,
+            "model": order.model,
+            "version": order.version,
+            "switchMode": LOAD_AFTER_RUNS,
+            "holder": order.holder,
+            "fencingToken": order.fencing_token,
+            "expectedRevision": order.orders_accepted,
+        }
+        answer = await self._client.async_call(
+            "POST",
+            address,
+            PATH_ORDER,
+            timeout_s=CALL_TIMEOUT_S,
+            body=msgspec.json.encode(document),
+            headers=[(HEADER_EXPECTED_UPSTREAM, order.upstream.encode())],
+        )
+        if answer.status == STATUS_FENCED:
+            raise FencedError(f"{order.upstream} has seen a higher fencing token")
+        return answer.status in (STATUS_OK, STATUS_ACCEPTED)
+
+    async def async_events(self, address: str, since: int, wait_s: float) -> PartEvents:
+        """Return events, after at most ``wait_s`` seconds without any."""
+        wait_ms = int(wait_s * MILLISECONDS_PER_S)
+        answer = await self._client.async_call(
+            "GET",
+            address,
+            f"{PATH_PART_EVENTS}?since={since}",
+            timeout_s=wait_s + EVENTS_SLACK_S,
+            headers=[(b"Wait-Ms", b"%d" % wait_ms)],
+        )
+        document = _decode(answer, _Events)
+        return PartEvents(
+            epoch=document.bootEpoch,
+            next_event=document.next,
+            has_gap=document.lost,
+            events=tuple(
+                PartEvent(sign == EVENT_KEPT, salt, part, tokens)
+                for _, sign, salt, part, tokens, _ in document.events
+            ),
+            clock_ms=_whole(document.clock_ms),
+        )
+
+    async def async_list(self, address: str) -> PartEvents:
+        """Return all complete parts as if each had just been kept."""
+        answer = await self._client.async_call(
+            "GET", address, PATH_PART_LIST, timeout_s=CALL_TIMEOUT_S
+        )
+        document = _decode(answer, _Held)
+        return PartEvents(
+            epoch=document.bootEpoch,
+            next_event=document.next,
+            has_gap=False,
+            events=tuple(
+                PartEvent(True, salt, part, tokens)
+                for salt, part, tokens, _ in document.held
+            ),
+            clock_ms=_whole(document.clock_ms),
+        )
+
+    async def async_free(
+        self, address: str, epoch: int, parts: Sequence[tuple[str, str]]
+    ) -> bool:
+        """Free parts, each a salt and a name; return whether it was done."""
+        answer = await self._client.async_call(
+            "POST",
+            address,
+            PATH_PART_FREE,
+            timeout_s=CALL_TIMEOUT_S,
+            body=msgspec.json.encode({"parts": list(parts), "bootEpoch": epoch}),
+        )
+        return answer.status in (STATUS_OK, STATUS_ACCEPTED)
+
+
+def _decode(answer: Answer, answer_type: type[AnswerT]) -> AnswerT:
+    if answer.status != STATUS_OK:
+        raise UpstreamBrokenError(f"answered with status {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body, type=answer_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise UpstreamBrokenError(f"unreadable answer: {error}") from error
+
+
+def _whole(value: float | None) -> int | None:
+    return None if value is None else int(value)
--- /dev/null
+++ b/src/banyanswitch/platform/tables.py
@@ -0,0 +1,243 @@
+"""The platform's metadata store as a table service with a feed of changes."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from banyanswitch.components.http1.client import Answer, HttpClient
+from banyanswitch.exceptions import (
+    ConditionFailedError,
+    HistoryGoneError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+    UpstreamBrokenError,
+    UpstreamNotSentError,
+)
+from banyanswitch.interfaces import Item, TableChanges, Write, WriteClass
+from banyanswitch.platform.const import (
+    MILLISECONDS_PER_S,
+    PATH_ROWS_FEED,
+    PATH_ROWS_GET,
+    PATH_ROWS_TRANSACT,
+)
+
+STATUS_OK = 200
+STATUS_GONE = 410
+STATUS_CONDITION_FAILED = 412
+STATUS_TOO_MANY = 429
+STATUS_UNAVAILABLE = 503
+PAGE_ROWS = 500
+FEED_SLACK_S = 0.6
+"""Time beyond the wait of a feed call before it counts as lost; an answer takes
+4 ms, and a slow store up to a hundred times that."""
+AnswerT = TypeVar("AnswerT")
+
+
+class _Row(msgspec.Struct, frozen=True):
+    key: str
+    table: str = ""
+    # Base64 on the wire; absent for a removed row.
+    value: bytes = b""
+    # One counter for all tables, so it is no count of the row's own writes.
+    ver: int = 0
+    removed: bool = False
+
+
+class _Rows(msgspec.Struct, frozen=True):
+    rows: list[_Row] = []
+    hasMore: bool = False  # noqa: N815
+    ver: int = 0
+    nowMs: float = 0.0  # noqa: N815
+
+
+class _Done(msgspec.Struct, frozen=True):
+    ver: int
+
+
+class PlatformTables:
+    """Implements ``TableStore`` and ``TableFeed`` over the platform's store.
+
+    A key ``table/rest`` of the project is the row ``rest`` of the table ``table``.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Makes the calls.
+    address : str
+        Host and port of the store.
+    timeout_s : float
+        Deadline of one call, in seconds.
+    """
+
+    def __init__(self, client: HttpClient, address: str, timeout_s: float) -> None:
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+        self._clock_offset_s: float | None = None
+
+    def clock_s(self) -> float | None:
+        """Return the store's steady clock now, in seconds, if it is known."""
+        if self._clock_offset_s is None:
+            return None
+        return asyncio.get_running_loop().time() + self._clock_offset_s
+
+    async def async_get(self, keys: Sequence[str]) -> tuple[Item, ...]:
+        """Return the items that exist."""
+        items = []
+        for key in keys:
+            table, row = _split(key)
+            answer = await self._async_rows(
+                {"table": table, "part": "", "from": row, "to": row + "\0"}
+            )
+            items += [_item(table, found) for found in answer.rows]
+        return tuple(items)
+
+    async def async_query(
+        self, prefix: str, *, after: str = "", limit: int = 1000
+    ) -> tuple[Item, ...]:
+        """Return items whose key starts with ``prefix``, in the order of keys."""
+        table, row = _split(prefix)
+        query = {
+            "table": table,
+            "part": "",
+            "from": max(row, _split(after)[1] + "\0") if after else row,
+            "limit": str(min(limit, PAGE_ROWS)),
+        }
+        answer = await self._async_rows(query)
+        return tuple(
+            _item(table, found) for found in answer.rows if found.key.startswith(row)
+        )
+
+    async def async_transact(
+        self, writes: Sequence[Write], write_class: WriteClass
+    ) -> tuple[int, ...]:
+        """Apply all writes or none, and return the new revisions."""
+        body = msgspec.json.encode(_transaction(writes))
+        try:
+            answer = await self._client.async_call(
+                "POST",
+                self._address,
+                PATH_ROWS_TRANSACT,
+                timeout_s=self._timeout_s,
+                body=body,
+            )
+        except UpstreamNotSentError as error:
+            raise PlatformUnavailableError(str(error)) from error
+        except UpstreamBrokenError as error:
+            raise PlatformOutcomeUnknownError(str(error)) from error
+        if answer.status == STATUS_CONDITION_FAILED:
+            raise ConditionFailedError([write.key for write in writes])
+        _check(answer)
+        version = _decode(answer, _Done, PlatformOutcomeUnknownError).ver
+        return tuple(version for _ in writes)
+
+    async def async_read_table(self, table: str) -> TableChanges:
+        """Return all rows of a table and the version from which its feed goes on."""
+        rows: list[_Row] = []
+        version: int | None = None
+        query = {"table": table, "part": ""}
+        while True:
+            answer = await self._async_rows(query)
+            # The first page's version: changes between pages come again.
+            version = answer.ver if version is None else version
+            rows += answer.rows
+            if not answer.hasMore or not answer.rows:
+                break
+            query = {"table": table, "part": "", "from": answer.rows[-1].key + "\0"}
+        return TableChanges(version, tuple(_item(table, row) for row in rows), ())
+
+    async def async_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        """Return what changed in a table after a version."""
+        query = {
+            "table": table,
+            "after": str(after),
+            "waitMs": str(int(wait_s * MILLISECONDS_PER_S)),
+        }
+        answer = await self._async_read(PATH_ROWS_FEED, query, wait_s + FEED_SLACK_S)
+        if answer.status == STATUS_GONE:
+            raise HistoryGoneError(f"history of table {table} after {after} is gone")
+        _check(answer)
+        changes = _decode(answer, _Rows, PlatformUnavailableError)
+        kept = [_item(table, row) for row in changes.rows if not row.removed]
+        removed = [_key(table, row) for row in changes.rows if row.removed]
+        return TableChanges(changes.ver, tuple(kept), tuple(removed))
+
+    async def _async_rows(self, query: dict[str, str]) -> _Rows:
+        answer = await self._async_read(PATH_ROWS_GET, query, self._timeout_s)
+        _check(answer)
+        rows = _decode(answer, _Rows, PlatformUnavailableError)
+        now_s = asyncio.get_running_loop().time()
+        self._clock_offset_s = rows.nowMs / MILLISECONDS_PER_S - now_s
+        return rows
+
+    async def _async_read(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> Answer:
+        target = f"{path}?{urlencode(query)}"
+        try:
+            return await self._client.async_call(
+                "GET", self._address, target, timeout_s=timeout_s
+            )
+        except (UpstreamNotSentError, UpstreamBrokenError) as error:
+            raise PlatformUnavailableError(str(error)) from error
+
+
+def _check(answer: Answer) -> None:
+    if answer.status == STATUS_OK:
+        return
+    reason = f"the store answered with status {answer.status}"
+    if answer.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
+        raise PlatformUnavailableError(reason)
+    raise PlatformOutcomeUnknownError(reason)
+
+
+def _decode(
+    answer: Answer,
+    answer_type: type[AnswerT],
+    error_type: type[PlatformUnavailableError] | type[PlatformOutcomeUnknownError],
+) -> AnswerT:
+    try:
+        return msgspec.json.decode(answer.body, type=answer_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise error_type(f"unreadable answer of the store: {error}") from error
+
+
+def _transaction(writes: Sequence[Write]) -> dict[str, object]:
+    rows = [(write, *_split(write.key)) for write in writes]
+    return {
+        "expectedRevision": [
+            {**_row_name(table, row), "ver": write.expected_revision}
+            for write, table, row in rows
+            if write.expected_revision is not None
+        ],
+        "put": [
+            {**_row_name(table, row), "value": write.value}
+            for write, table, row in rows
+            if write.value is not None
+        ],
+        "remove": [
+            _row_name(table, row) for write, table, row in rows if write.value is None
+        ],
+    }
+
+
+def _row_name(table: str, row: str) -> dict[str, object]:
+    return {"table": table, "part": "", "key": row}
+
+
+def _split(key: str) -> tuple[str, str]:
+    table, _, row = key.partition("/")
+    return table, row
+
+
+def _key(table: str, row: _Row) -> str:
+    return f"{table}/{row.key}"
+
+
+def _item(table: str, row: _Row) -> Item:
+    return Item(_key(table, row), row.ver, row.value)
--- a/tests/components/lease/test_coordinator.py
+++ b/tests/components/lease/test_coordinator.py
@@ -5,7 +5,7 @@
 import pytest
 
 from banyanswitch.components.lease.const import CANDIDATE_COUNT
-from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.components.table_service.write_batcher import WriteBatcher
 from banyanswitch.interfaces import WriteClass
 from tests.components.lease.conftest import DUTY, LEASE_S, LeaseCluster
 from tests.fakes.table import FakeTable, TableFault
--- a/tests/components/platform/conftest.py
+++ b/tests/components/table_service/conftest.py
@@ -8,9 +8,9 @@
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
 
-from banyanswitch.components.platform import HttpObjectStore, HttpTableStore
-from banyanswitch.components.platform.http_client import PlatformClient
-from banyanswitch.components.platform.write_budget import WriteBudget
+from banyanswitch.components.table_service import HttpObjectStore, HttpTableStore
+from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.identifiers import InstanceId
 from banyanswitch_standins.table import TableStandIn
 
--- a/tests/components/platform/test_clients.py
+++ b/tests/components/table_service/test_clients.py
@@ -9,7 +9,7 @@
     PlatformUnavailableError,
 )
 from banyanswitch.interfaces import Item, Write, WriteClass
-from tests.components.platform.conftest import Platform
+from tests.components.table_service.conftest import Platform
 
 CLAIM = WriteClass.CLAIM
 TRANSACT = "/table/transact"
--- a/tests/components/platform/test_outage_gate.py
+++ b/tests/components/table_service/test_outage_gate.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from banyanswitch.components.platform.const import FAILURES_BEFORE_PAUSE, PAUSE_S
-from banyanswitch.components.platform.outage_gate import OutageGate
+from banyanswitch.components.table_service.const import FAILURES_BEFORE_PAUSE, PAUSE_S
+from banyanswitch.components.table_service.outage_gate import OutageGate
 from banyanswitch.exceptions import PlatformUnavailableError
 
 
--- a/tests/components/platform/test_shared_budget.py
+++ b/tests/components/table_service/test_shared_budget.py
@@ -6,9 +6,9 @@
 import msgspec
 import pytest
 
-from banyanswitch.components.platform import HttpTableStore
-from banyanswitch.components.platform.models import PlatformAnswer, RevisionsAnswer
-from banyanswitch.components.platform.write_budget import WriteBudget
+from banyanswitch.components.table_service import HttpTableStore
+from banyanswitch.components.table_service.models import PlatformAnswer, RevisionsAnswer
+from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.exceptions import PlatformUnavailableError, WriteBudgetExceededError
 from banyanswitch.interfaces import Write, WriteClass
 from banyanswitch_standins.rates import TokenBucket
--- a/tests/components/platform/test_write_batcher.py
+++ b/tests/components/table_service/test_write_batcher.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from banyanswitch.components.platform.const import MAX_BATCH_DELAY_S
-from banyanswitch.components.platform.write_batcher import WriteBatcher
+from banyanswitch.components.table_service.const import MAX_BATCH_DELAY_S
+from banyanswitch.components.table_service.write_batcher import WriteBatcher
 from banyanswitch.exceptions import (
     ConditionFailedError,
     PlatformOutcomeUnknownError,
--- a/tests/components/platform/test_write_budget.py
+++ b/tests/components/table_service/test_write_budget.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from banyanswitch.components.platform.const import BUDGET_BURST_S, CLAIM_SHARE
-from banyanswitch.components.platform.write_budget import WriteBudget
+from banyanswitch.components.table_service.const import BUDGET_BURST_S, CLAIM_SHARE
+from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.exceptions import WriteBudgetExceededError
 from banyanswitch.interfaces import WriteClass
 
