--- a/src/banyanswitch/platform/documents.py
+++ b/src/banyanswitch/platform/documents.py
@@ -124,9 +124,10 @@
     state: str
     # Number of the entry; in a report the same word counts orders.
     sequence: int
+    # Unix time of its start, in milliseconds.
+    born: int
     coldRemainingMs: float = 0.0  # noqa: N815
     models: list[_LoadedModel] = []
-    born: int = 0
 
 
 class RowDecoder:
--- /dev/null
+++ b/src/banyanswitch_standins/users_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the protocol of the users' platform."""
--- /dev/null
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -0,0 +1,149 @@
+"""Upstream that answers requests, streams events and takes orders to load weights."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+EVENT_PAUSE_S = 0.005
+
+
+@dataclass(slots=True)
+class SeenRequest:
+    """A request that reached the upstream."""
+
+    attempt: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class PlatformUpstream:
+    """One upstream.
+
+    Parameters
+    ----------
+    events : int
+        Events of a stream.
+    breaks_after : int or None
+        Events after which streams are cut, the next time only.
+    load_s : float
+        Time that it takes to load weights, in seconds.
+    """
+
+    name: str
+    model: str = "m"
+    weight_version: int = 1
+    events: int = 3
+    breaks_after: int | None = None
+    refuses: bool = False
+    fails: bool = False
+    hangs: bool = False
+    load_s: float = 0.05
+    seen: list[SeenRequest] = field(default_factory=list)
+    orders: list[dict[str, object]] = field(default_factory=list)
+    cancelled: int = 0
+    _loading_until_s: float = 0.0
+    _fence: int = 0
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=16 * 1024 * 1024)
+        app.router.add_get("/-/report", self._async_report)
+        app.router.add_post("/-/order", self._async_order)
+        app.router.add_route("*", "/{tail:.*}", self._async_serve)
+        return app
+
+    async def _async_report(self, _request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "sequence": len(self.orders),
+                "busy": self._is_loading(),
+                "models": [{"name": self.model, "version": self.weight_version}],
+            }
+        )
+
+    async def _async_order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if order["fencingToken"] < self._fence:
+            return web.Response(status=412)
+        if self._is_loading() or order["expectedRevision"] != len(self.orders):
+            return web.Response(status=409)
+        self._fence = order["fencingToken"]
+        self.orders.append(order)
+        loop = asyncio.get_running_loop()
+        self._loading_until_s = loop.time() + self.load_s
+        loop.call_later(self.load_s, self._set_version, order["version"])
+        return web.Response(status=202)
+
+    def _set_version(self, version: int) -> None:
+        self.weight_version = version
+
+    def _is_loading(self) -> bool:
+        return asyncio.get_running_loop().time() < self._loading_until_s
+
+    async def _async_serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        attempt = request.headers.get("Attempt-Id", "")
+        headers = {
+            "Attempt-Id": attempt,
+            "Server-Stamp": f"stamp-{self.name}",
+            "Weight-Versions": str(self.weight_version),
+        }
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return web.Response(status=refusal, headers={"Not-Run": "1"})
+        self.seen.append(
+            SeenRequest(
+                attempt,
+                request.method,
+                request.raw_path,
+                {key.lower(): value for key, value in request.headers.items()},
+                body,
+            )
+        )
+        if self.hangs:
+            await self._async_hang()
+        if self.fails:
+            return web.Response(status=500, headers=headers)
+        if "Prompt-Prefix" in request.headers:
+            return await self._async_stream(request, headers)
+        return web.Response(body=b"answer of " + self.name.encode(), headers=headers)
+
+    def _refusal(self, request: web.Request) -> int | None:
+        if request.headers.get("Expect-Instance", self.name) != self.name:
+            return 421
+        expected = request.headers.get("Expect-Version")
+        if expected is not None and int(expected) != self.weight_version:
+            return 421
+        return 503 if self.refuses or self._is_loading() else None
+
+    async def _async_hang(self) -> None:
+        try:
+            await asyncio.sleep(60.0)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def _async_stream(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={**headers, "Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        breaks_after, self.breaks_after = self.breaks_after, None
+        for number in range(first, self.events + 1):
+            if breaks_after is not None and number > breaks_after:
+                await response.write(f"id: {number}\ndata: ha".encode())
+                await asyncio.sleep(EVENT_PAUSE_S)
+                if request.transport is not None:
+                    request.transport.abort()
+                return response
+            await response.write(f"id: {number}\ndata: event {number}\n\n".encode())
+            await asyncio.sleep(EVENT_PAUSE_S)
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/tests/components/forwarding/test_upstream_board.py
@@ -0,0 +1,132 @@
+"""Beliefs about upstreams that come, leave, lapse, restart and load weights."""
+
+import asyncio
+
+import pytest
+
+from banyanswitch.components.forwarding.const import LAPSE_PATIENCE_S, SILENCE_S
+from banyanswitch.components.forwarding.loads import InFlight, Load
+from banyanswitch.identifiers import UpstreamId
+from tests.components.forwarding.fakes import MODEL, SERVICE, Upstreams, record
+
+pytestmark = pytest.mark.looptime
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def test_a_leaving_upstream_gets_no_new_work() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.put(record("b"))
+    upstreams.put(record("a", is_leaving=True))
+    assert upstreams.accepting(now_s()) == ["b"]
+
+
+async def test_a_removed_entry_is_gone_at_once_in_calm() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.remove("a")
+    assert upstreams.accepting(now_s()) == []
+
+
+async def test_an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.put(record("b"))
+    upstreams.mirror.last_failure_s = now_s()
+    upstreams.remove("a")
+    upstreams.remove("b")
+    assert upstreams.accepting(now_s()) == ["a", "b"]
+    upstreams.put(record("a"))
+    await asyncio.sleep(LAPSE_PATIENCE_S + 0.01)
+    assert upstreams.accepting(now_s()) == ["a"]
+    upstreams.board.drop_gone(now_s())
+    assert upstreams.board.state(UpstreamId("b")) is None
+
+
+async def test_a_leaving_entry_that_vanishes_in_an_outage_is_gone() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", is_leaving=True))
+    upstreams.mirror.last_failure_s = now_s()
+    upstreams.remove("a")
+    assert upstreams.board.state(UpstreamId("a")) is None
+
+
+async def test_an_unusable_entry_names_no_upstream() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.put(b"?", "a")
+    upstreams.put(b"?", "b")
+    assert upstreams.accepting(now_s()) == []
+
+
+async def test_an_entry_of_an_earlier_life_is_not_believed() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", started_at_ms=9, version=3))
+    upstreams.put(record("a", started_at_ms=5, is_leaving=True))
+    assert upstreams.accepting(now_s()) == ["a"]
+
+
+async def test_a_new_life_under_the_same_id_forgets_the_old_weights() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", version=1))
+    upstreams.board.note_weights(UpstreamId("a"), MODEL, 4)
+    upstreams.put(record("a", started_at_ms=2, version=2))
+    state = upstreams.board.state(UpstreamId("a"))
+    assert state is not None
+    assert state.weight_versions[MODEL] == 2
+
+
+async def test_weights_never_go_back_within_a_life() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", version=1))
+    upstreams.board.note_weights(UpstreamId("a"), MODEL, 4)
+    upstreams.put(record("a", version=3))
+    state = upstreams.board.state(UpstreamId("a"))
+    assert state is not None
+    assert state.weight_versions[MODEL] == 4
+
+
+async def test_a_loading_upstream_gets_no_work_until_it_has_the_version() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.board.note_loading(UpstreamId("a"), 2, now_s())
+    assert upstreams.accepting(now_s()) == []
+    upstreams.board.note_weights(UpstreamId("a"), MODEL, 2)
+    assert upstreams.accepting(now_s()) == ["a"]
+    upstreams.board.note_loading(UpstreamId("a"), 2, now_s())
+    assert upstreams.accepting(now_s()) == ["a"]
+
+
+async def test_word_of_a_load_lapses_when_nobody_repeats_it() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.board.note_loading(UpstreamId("a"), 2, now_s())
+    await asyncio.sleep(60.0)
+    assert upstreams.accepting(now_s()) == ["a"]
+
+
+async def test_a_silent_upstream_that_owes_answers_is_avoided() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    (state,) = upstreams.board.of_service(SERVICE)
+    number = upstreams.loads.begin(InFlight(UpstreamId("a"), 10, 10, now_s()))
+    assert upstreams.board.health(state, now_s()) == 1.0
+    await asyncio.sleep(SILENCE_S + 0.1)
+    assert upstreams.board.health(state, now_s()) == 0.0
+    upstreams.loads.end(number)
+    assert upstreams.board.health(state, now_s()) == 1.0
+
+
+async def test_work_of_other_instances_counts_until_their_word_is_old() -> None:
+    upstreams = Upstreams()
+    name = UpstreamId("a")
+    upstreams.loads.note_remote("other", {"a": Load(2, 300, 400)}, now_s())
+    number = upstreams.loads.begin(InFlight(name, 10, 20, now_s()))
+    assert upstreams.loads.total(name, now_s()) == Load(3, 310, 420)
+    upstreams.loads.answered(number)
+    assert upstreams.loads.total(name, now_s()) == Load(3, 300, 420)
+    await asyncio.sleep(5.0)
+    assert upstreams.loads.total(name, now_s()) == Load(1, 0, 20)
--- /dev/null
+++ b/tests/components/http1/test_caller_connection.py
@@ -0,0 +1,242 @@
+"""Callers' connections over real sockets."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+
+from banyanswitch.components.http1.caller_connection import Reply
+from banyanswitch.components.http1.caller_server import CallerServer
+from banyanswitch.components.http1.models import (
+    BodyFraming,
+    ConnectionLimits,
+    Request,
+)
+
+HOST = "127.0.0.1"
+GET = b"GET /a/b?c=%20d HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Handler:
+    """Remembers requests and answers them when told to."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self.cancelled = 0
+
+    async def __call__(self, request: Request, reply: Reply) -> None:
+        self.requests.append(request)
+        try:
+            await self.may_answer.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        reply.send(200, [(b"X", b"y")], b"body of " + request.target)
+
+
+@pytest.fixture
+def handler() -> Handler:
+    return Handler()
+
+
+@pytest.fixture
+async def server(handler: Handler) -> AsyncIterator[CallerServer]:
+    server = CallerServer(handler, lambda: ConnectionLimits(max_body_bytes=1000))
+    await server.async_start(HOST, 0)
+    yield server
+    server.stop_listening()
+    server.abort_all()
+
+
+async def async_ask(server: CallerServer, data: bytes) -> bytes:
+    """Send bytes, close the sending side later, and return what comes back."""
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(data)
+    answer = b""
+    try:
+        while True:
+            part = await asyncio.wait_for(reader.read(4096), 0.3)
+            if not part:
+                break
+            answer += part
+    except TimeoutError:
+        pass
+    writer.close()
+    return answer
+
+
+async def test_target_headers_and_body_pass_unchanged(
+    server: CallerServer, handler: Handler
+) -> None:
+    body = bytes(range(256))
+    head = b"POST /x%2Fy/?q=a+b HTTP/1.1\r\nhOst: h\r\nX-Odd:  v \r\n"
+    data = head + b"Content-Length: 256\r\n\r\n" + body
+    answer = await async_ask(server, data)
+    assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+    (request,) = handler.requests
+    assert request.method == b"POST"
+    assert request.target == b"/x%2Fy/?q=a+b"
+    assert (b"hOst", b"h") in request.headers
+    assert request.body == body
+
+
+async def test_chunked_body_is_read_whole(
+    server: CallerServer, handler: Handler
+) -> None:
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    await async_ask(server, head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    assert handler.requests[0].body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /",
+            b"400",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            b"400",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n",
+            b"400",
+        ),
+        (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
+            b"400",
+        ),
+        (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", b"400"),
+        (b"GET http://other/ HTTP/1.1\r\nHost: h\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", b"400"),
+        (b"\x00\x01\x02\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n", b"413"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 20000 + b"\r\n\r\n", b"431"),
+        (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 20000, b"431"),
+    ],
+)
+async def test_bytes_that_two_readers_could_see_differently_are_refused(
+    server: CallerServer, handler: Handler, data: bytes, status: bytes
+) -> None:
+    answer = await async_ask(server, data)
+    assert answer.split(b" ", 2)[1] == status
+    assert answer.count(b"HTTP/1.1") == 1
+    assert handler.requests == []
+
+
+async def test_chunked_body_beyond_the_limit_is_refused(
+    server: CallerServer, handler: Handler
+) -> None:
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    answer = await async_ask(server, head + b"3e9\r\n" + b"a" * 1001 + b"\r\n")
+    assert b" 413 " in answer.split(b"\r\n")[0]
+    assert handler.requests == []
+
+
+async def test_pipelined_requests_are_answered_in_order(
+    server: CallerServer, handler: Handler
+) -> None:
+    data = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n" % number for number in range(12)
+    )
+    answer = await async_ask(server, data)
+    positions = [answer.index(b"body of /%d" % number) for number in range(12)]
+    assert positions == sorted(positions)
+
+
+async def test_a_request_on_a_kept_connection_is_answered_after_the_stop_began(
+    server: CallerServer, handler: Handler
+) -> None:
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(GET)
+    await reader.readuntil(b"d")
+    server.announce_close()
+    writer.write(GET)
+    answer = await asyncio.wait_for(reader.read(), 1.0)
+    assert b"200 OK" in answer
+    assert b"Connection: close" in answer
+    assert len(handler.requests) == 2
+    writer.close()
+
+
+async def test_a_request_being_answered_outlives_the_close_of_idle_connections(
+    server: CallerServer, handler: Handler
+) -> None:
+    handler.may_answer.clear()
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(GET)
+    await _until(lambda: len(handler.requests) == 1)
+    server.announce_close()
+    server.close_idle()
+    handler.may_answer.set()
+    answer = await asyncio.wait_for(reader.read(), 1.0)
+    assert answer.endswith(b"body of /a/b?c=%20d")
+    writer.close()
+
+
+async def test_the_handler_is_cancelled_when_the_caller_leaves(
+    server: CallerServer, handler: Handler
+) -> None:
+    handler.may_answer.clear()
+    _, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(GET)
+    await _until(lambda: len(handler.requests) == 1)
+    writer.close()
+    await _until(lambda: handler.cancelled == 1)
+
+
+async def test_an_aborted_answer_does_not_look_complete() -> None:
+    async def async_break(_request: Request, reply: Reply) -> None:
+        reply.start(200, [], BodyFraming.CHUNKED)
+        reply.write(b"some")
+
+    server = CallerServer(async_break)
+    await server.async_start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(GET)
+    answer = await asyncio.wait_for(reader.read(), 1.0)
+    assert b"Transfer-Encoding: chunked" in answer
+    assert b"0\r\n\r\n" not in answer
+    writer.close()
+    server.stop_listening()
+
+
+async def test_a_head_that_takes_too_long_is_refused(handler: Handler) -> None:
+    limits = ConnectionLimits(header_timeout_s=0.05)
+    server = CallerServer(handler, lambda: limits)
+    await server.async_start(HOST, 0)
+    sweeper = asyncio.create_task(server.async_sweep())
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(b"GET / HTTP/1.1\r\nHo")
+    answer = await asyncio.wait_for(reader.read(), 2.0)
+    assert b" 408 " in answer
+    writer.close()
+    sweeper.cancel()
+    server.stop_listening()
+
+
+async def test_expected_continue_is_sent(
+    server: CallerServer, handler: Handler
+) -> None:
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+        b"Expect: 100-continue\r\n\r\n"
+    )
+    assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    writer.write(b"ok")
+    assert b"200 OK" in await reader.readuntil(b"\r\n\r\n")
+    assert handler.requests[0].body == b"ok"
+    writer.close()
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(2.0):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/components/http1/test_upstream_connection.py
@@ -0,0 +1,204 @@
+"""Answers of upstreams that end well, early, twice or late."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.http1.models import BodyFraming
+from banyanswitch.components.http1.upstream_connection import UpstreamConnection
+from banyanswitch.exceptions import UpstreamBrokenError, UpstreamNotSentError
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody"
+FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def async_upstream(script: Script) -> tuple[asyncio.Server, str]:
+    server = await asyncio.start_server(script, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    return server, f"127.0.0.1:{port}"
+
+
+async def async_read_all(connection: UpstreamConnection) -> bytes:
+    parts = []
+    while (part := await connection.async_part()) is not None:
+        parts.append(part)
+    return b"".join(parts)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def test_an_answer_without_length_is_complete_at_the_orderly_end() -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(UNFRAMED)
+        writer.close()
+
+    server, address = await async_upstream(async_script)
+    pool = ConnectionPool()
+    connection = await pool.async_acquire(address)
+    connection.send(REQUEST)
+    head = await connection.async_head()
+    assert head.framing is BodyFraming.CONNECTION_END
+    assert await async_read_all(connection) == b"body"
+    assert not connection.is_usable
+    server.close()
+
+
+async def test_an_answer_without_length_is_broken_by_a_reset() -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(UNFRAMED)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+
+    server, address = await async_upstream(async_script)
+    connection = await ConnectionPool().async_acquire(address)
+    connection.send(REQUEST)
+    await connection.async_head()
+    with pytest.raises(UpstreamBrokenError):
+        await async_read_all(connection)
+    server.close()
+
+
+async def test_an_end_with_a_pending_socket_error_is_a_reset() -> None:
+    """libuv tells the end of a reset connection after a short read."""
+
+    class Socket:
+        def setsockopt(self, *_args: int) -> None: ...
+
+        def getsockopt(self, level: int, option: int) -> int:
+            assert (level, option) == (socket.SOL_SOCKET, socket.SO_ERROR)
+            return 104
+
+    class Transport(asyncio.Transport):
+        def get_extra_info(self, name: str, default: object = None) -> object:
+            return Socket() if name == "socket" else default
+
+        def write(self, data: bytes) -> None: ...
+
+        def abort(self) -> None: ...
+
+        def is_closing(self) -> bool:
+            return False
+
+        def resume_reading(self) -> None: ...
+
+    connection = UpstreamConnection()
+    connection.connection_made(Transport())
+    connection.send(REQUEST)
+    connection.data_received(UNFRAMED)
+    connection.eof_received()
+    await connection.async_head()
+    assert await connection.async_part() == b"body"
+    with pytest.raises(UpstreamBrokenError, match="reset"):
+        await connection.async_part()
+
+
+async def test_a_short_body_is_broken() -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody")
+        writer.close()
+
+    server, address = await async_upstream(async_script)
+    connection = await ConnectionPool().async_acquire(address)
+    connection.send(REQUEST)
+    await connection.async_head()
+    with pytest.raises(UpstreamBrokenError):
+        await async_read_all(connection)
+    server.close()
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.03])
+async def test_a_second_answer_ends_the_use_of_the_connection(pause_s: float) -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(FRAMED if pause_s else FRAMED + FRAMED)
+        if pause_s:
+            await asyncio.sleep(pause_s)
+            writer.write(FRAMED)
+
+    server, address = await async_upstream(async_script)
+    pool = ConnectionPool()
+    connection = await pool.async_acquire(address)
+    connection.send(REQUEST)
+    await connection.async_head()
+    assert await async_read_all(connection) == b"body"
+    pool.release(address, connection)
+    await asyncio.sleep(0.1)
+    assert not connection.is_usable
+    other = await pool.async_acquire(address)
+    assert other is not connection
+    server.close()
+
+
+async def test_unreadable_bytes_are_no_answer() -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"\x01\x02 no answer\r\n\r\n")
+
+    server, address = await async_upstream(async_script)
+    connection = await ConnectionPool().async_acquire(address)
+    connection.send(REQUEST)
+    with pytest.raises(UpstreamBrokenError):
+        await connection.async_head()
+    server.close()
+
+
+async def test_a_connection_is_kept_within_the_announced_time() -> None:
+    accepted = 0
+
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal accepted
+        accepted += 1
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(
+                FRAMED.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=1\r\n\r\n")
+            )
+
+    server, address = await async_upstream(async_script)
+    pool = ConnectionPool()
+    for _ in range(2):
+        connection = await pool.async_acquire(address)
+        connection.send(REQUEST)
+        head = await connection.async_head()
+        await async_read_all(connection)
+        pool.release(address, connection)
+    assert accepted == 1
+    pool.note_keep_alive(address, head.headers)
+    await asyncio.sleep(0.05)
+    assert await pool.async_acquire(address) is not connection
+    server.close()
+
+
+async def test_a_closed_port_is_reported_as_not_sent() -> None:
+    server, address = await async_upstream(lambda _r, _w: asyncio.sleep(0))
+    server.close()
+    await server.wait_closed()
+    pool = ConnectionPool()
+    with pytest.raises(UpstreamNotSentError):
+        await pool.async_acquire(address)
+    assert pool.open_count(address) == 0
--- /dev/null
+++ b/tests/components/table_mirror/test_mirror.py
@@ -0,0 +1,129 @@
+"""Copies of tables under stale reads, lost history and outages."""
+
+import asyncio
+import random
+
+import pytest
+
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.exceptions import HistoryGoneError, PlatformUnavailableError
+from banyanswitch.interfaces import Item, TableChanges
+
+pytestmark = pytest.mark.looptime
+
+
+class ScriptedFeed:
+    """Implements ``TableFeed``; answers come from lists."""
+
+    def __init__(self) -> None:
+        self.snapshots: list[TableChanges | Exception] = []
+        self.changes: list[TableChanges | Exception] = []
+        self.cursors: list[int] = []
+
+    def clock_s(self) -> float | None:
+        return None
+
+    async def async_read_table(self, table: str) -> TableChanges:
+        return self._next(self.snapshots)
+
+    async def async_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        self.cursors.append(after)
+        if not self.changes:
+            await asyncio.sleep(1000.0)
+        return self._next(self.changes)
+
+    @staticmethod
+    def _next(answers: list[TableChanges | Exception]) -> TableChanges:
+        answer = answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def item(key: str, revision: int) -> Item:
+    return Item(f"t/{key}", revision, b"%d" % revision)
+
+
+def revisions(mirror: TableMirror) -> dict[str, int]:
+    return {found.key: found.revision for found in mirror.items}
+
+
+async def async_follow(mirror: TableMirror) -> None:
+    task = asyncio.create_task(mirror.async_run())
+    await asyncio.sleep(30.0)
+    task.cancel()
+
+
+async def test_changes_and_removals_are_followed() -> None:
+    feed = ScriptedFeed()
+    feed.snapshots = [TableChanges(5, (item("a", 3), item("b", 4)), ())]
+    feed.changes = [TableChanges(7, (item("a", 6),), ("t/b",))]
+    mirror = TableMirror("t", feed, random.Random(1))
+    seen: list[tuple[tuple[Item, ...], tuple[str, ...]]] = []
+    mirror.subscribe(lambda changed, removed: seen.append((changed, removed)))
+    await async_follow(mirror)
+    assert revisions(mirror) == {"t/a": 6}
+    assert feed.cursors == [5, 7]
+    assert seen[-1] == ((item("a", 6),), ("t/b",))
+
+
+async def test_a_stale_read_after_lost_history_changes_nothing() -> None:
+    feed = ScriptedFeed()
+    feed.snapshots = [
+        TableChanges(9, (item("a", 8),), ()),
+        TableChanges(6, (item("a", 5), item("gone", 4)), ()),
+        TableChanges(11, (item("a", 10),), ()),
+    ]
+    feed.changes = [HistoryGoneError("compacted")]
+    mirror = TableMirror("t", feed, random.Random(1))
+    await async_follow(mirror)
+    assert revisions(mirror) == {"t/a": 10}
+
+
+async def test_rows_removed_while_history_was_lost_are_dropped() -> None:
+    feed = ScriptedFeed()
+    feed.snapshots = [
+        TableChanges(5, (item("a", 3), item("b", 4)), ()),
+        TableChanges(9, (item("a", 3),), ()),
+    ]
+    feed.changes = [HistoryGoneError("compacted")]
+    mirror = TableMirror("t", feed, random.Random(1))
+    await async_follow(mirror)
+    assert revisions(mirror) == {"t/a": 3}
+
+
+async def test_an_outage_is_outlasted() -> None:
+    feed = ScriptedFeed()
+    feed.snapshots = [
+        PlatformUnavailableError("down"),
+        PlatformUnavailableError("down"),
+        TableChanges(5, (item("a", 3),), ()),
+    ]
+    feed.changes = [PlatformUnavailableError("down"), TableChanges(6, (), ())]
+    mirror = TableMirror("t", feed, random.Random(1))
+    await async_follow(mirror)
+    assert revisions(mirror) == {"t/a": 3}
+    assert feed.cursors[:2] == [5, 5]
+    assert mirror.last_failure_s > 0
+
+
+async def test_another_instances_copy_moves_only_forward() -> None:
+    mirror = TableMirror("t", ScriptedFeed(), random.Random(1))
+    mirror.apply_snapshot(TableChanges(8, (item("a", 8),), ()))
+    mirror.apply_snapshot(TableChanges(5, (item("a", 5),), ()))
+    assert revisions(mirror) == {"t/a": 8}
+    mirror.apply_snapshot(TableChanges(9, (item("a", 9),), ()))
+    assert revisions(mirror) == {"t/a": 9}
+    assert mirror.content_version == 9
+
+
+async def test_a_removed_row_is_not_brought_back_by_an_older_change() -> None:
+    mirror = TableMirror("t", ScriptedFeed(), random.Random(1))
+    mirror.apply_snapshot(TableChanges(5, (item("a", 5),), ()))
+    mirror.apply_changes(TableChanges(7, (), ("t/a",)))
+    mirror.apply_changes(TableChanges(7, (item("a", 6),), ()))
+    assert revisions(mirror) == {}
+    mirror.apply_changes(TableChanges(8, (item("a", 8),), ()))
+    assert revisions(mirror) == {"t/a": 8}
--- /dev/null
+++ b/tests/decisions/test_upstream_choice.py
@@ -0,0 +1,168 @@
+"""Loads that the choice of an upstream must carry; no network."""
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from banyanswitch.decisions.upstream_choice import (
+    ChoicePolicy,
+    ChoiceRequest,
+    UpstreamView,
+    choose_upstream,
+    home_of,
+)
+from banyanswitch.identifiers import FailureDomainId, UpstreamId
+
+POLICY = ChoicePolicy()
+ZONE = FailureDomainId("z1")
+
+
+def view(name: str, **values: object) -> UpstreamView:
+    base = UpstreamView(
+        name=UpstreamId(name),
+        failure_domain=ZONE,
+        slots=64,
+        capacity_tokens=74_000,
+    )
+    return replace(base, **values)  # type: ignore[arg-type]
+
+
+def long_prompt(part: str, stored: bool = True) -> ChoiceRequest:
+    return ChoiceRequest(
+        home_key=part,
+        failure_domain=ZONE,
+        own_tokens=4_260,
+        stored_tokens=12_800 if stored else 0,
+        unstored_tokens=0 if stored else 12_800,
+        output_tokens=30,
+    )
+
+
+def test_nothing_is_chosen_from_nothing() -> None:
+    assert choose_upstream([], long_prompt("a"), POLICY) is None
+
+
+def test_requests_with_a_shared_part_meet_on_idle_upstreams() -> None:
+    views = [view(f"u{number}") for number in range(6)]
+    for number in range(50):
+        request = long_prompt(f"part{number}", stored=False)
+        assert choose_upstream(views, request, POLICY) == home_of(
+            request.home_key, views
+        )
+
+
+def test_homes_are_spread_and_move_only_with_their_upstream() -> None:
+    views = [view(f"u{number}") for number in range(6)]
+    keys = [f"part{number}" for number in range(600)]
+    homes = {key: home_of(key, views) for key in keys}
+    counts = Counter(homes.values())
+    assert max(counts.values()) < 2 * min(counts.values())
+    left = views[1:]
+    moved = [key for key in keys if home_of(key, left) != homes[key]]
+    assert all(homes[key] == views[0].name for key in moved)
+
+
+def test_a_hot_part_of_34000_tokens_spills_when_its_home_is_full() -> None:
+    """One part is asked for far more often than all others."""
+    views = {f"u{number}": view(f"u{number}") for number in range(6)}
+    request = replace(long_prompt("hot"), stored_tokens=34_000)
+    counts: Counter[str] = Counter()
+    for _ in range(12):
+        name = choose_upstream(list(views.values()), request, POLICY)
+        assert name is not None
+        counts[name] += 1
+        known = views[name]
+        views[name] = replace(
+            known,
+            prefill_tokens=known.prefill_tokens + 10_000,
+            memory_tokens=known.memory_tokens + 38_000,
+            running_requests=known.running_requests + 1,
+        )
+    assert max(counts.values()) <= 3
+    assert len(counts) == 6
+
+
+def test_a_burst_of_short_prompts_is_spread_over_all_upstreams() -> None:
+    views = {f"u{number}": view(f"u{number}") for number in range(6)}
+    generator = random.Random(1)
+    for _ in range(300):
+        request = ChoiceRequest(
+            home_key=f"part{generator.randrange(40)}",
+            failure_domain=ZONE,
+            own_tokens=82,
+            unstored_tokens=301,
+            output_tokens=11,
+        )
+        name = choose_upstream(list(views.values()), request, POLICY)
+        assert name is not None
+        known = views[name]
+        views[name] = replace(
+            known,
+            prefill_tokens=known.prefill_tokens + 383,
+            running_requests=known.running_requests + 1,
+        )
+    counts = [known.running_requests for known in views.values()]
+    assert max(counts) <= 1.3 * min(counts)
+
+
+def test_short_prompts_avoid_the_upstream_that_reads_a_long_one() -> None:
+    views = [view("u0", prefill_tokens=17_000), view("u1")]
+    request = ChoiceRequest(
+        home_key="x", failure_domain=ZONE, own_tokens=82, unstored_tokens=301
+    )
+    assert choose_upstream(views, request, POLICY) == "u1"
+
+
+def test_a_prompt_that_would_preempt_others_goes_where_it_fits() -> None:
+    views = [
+        view("u0", memory_tokens=60_000),
+        view("u1", prefill_tokens=9_000, memory_tokens=30_000),
+    ]
+    assert choose_upstream(views, long_prompt("a"), POLICY) == "u1"
+
+
+@pytest.mark.parametrize(("queued_tokens", "chosen"), [(4_000, "new"), (30_000, "old")])
+def test_old_weights_are_used_only_to_escape_a_long_queue(
+    queued_tokens: int, chosen: str
+) -> None:
+    views = [
+        view("new", prefill_tokens=queued_tokens),
+        view("old", has_newest_weights=False),
+    ]
+    request = replace(long_prompt("a"), home_key="")
+    assert choose_upstream(views, request, POLICY) == chosen
+
+
+def test_a_third_of_the_upstreams_gone_leaves_no_one_idle() -> None:
+    """The rest takes the load evenly, whatever the homes were."""
+    views = {f"u{number}": view(f"u{number}") for number in range(4)}
+    for number in range(40):
+        name = choose_upstream(
+            list(views.values()), long_prompt(f"part{number}"), POLICY
+        )
+        assert name is not None
+        known = views[name]
+        views[name] = replace(
+            known,
+            prefill_tokens=known.prefill_tokens + 6_800,
+            running_requests=known.running_requests + 1,
+        )
+    counts = [known.running_requests for known in views.values()]
+    assert max(counts) - min(counts) <= 3
+
+
+def test_a_plain_service_takes_the_free_upstream() -> None:
+    views = [
+        view("u0", slots=6, capacity_tokens=0, running_requests=6),
+        view("u1", slots=6, capacity_tokens=0, running_requests=5),
+    ]
+    request = ChoiceRequest(home_key="", failure_domain=ZONE)
+    assert choose_upstream(views, request, POLICY) == "u1"
+
+
+def test_a_returning_upstream_gets_a_trickle() -> None:
+    views = [view("u0", health=0.1), view("u1", running_requests=2)]
+    request = ChoiceRequest(home_key="", failure_domain=ZONE, own_tokens=400)
+    assert choose_upstream(views, request, POLICY) == "u1"
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,74 @@
+"""The platform's names stay within its adapter."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import banyanswitch
+from banyanswitch.platform import const
+
+SOURCE = Path(banyanswitch.__file__).parent
+ADAPTER = SOURCE / "platform"
+MAX_LINES = 300
+
+
+def _wire_names() -> set[str]:
+    """Return fields, headers and paths from the adapter's own types."""
+    names: set[str] = set()
+    for value in vars(const).values():
+        if isinstance(value, bytes):
+            names.add(value.decode())
+        elif isinstance(value, str) and value.startswith("/-/"):
+            names.add(value)
+    for path in ADAPTER.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ClassDef) and node.name.startswith("_"):
+                names.update(_camel_fields(node))
+    return names
+
+
+def _camel_fields(node: ast.ClassDef) -> Iterator[str]:
+    for statement in node.body:
+        if isinstance(statement, ast.AnnAssign):
+            assert isinstance(statement.target, ast.Name)
+            if not statement.target.id.islower():
+                yield statement.target.id
+
+
+def _literals(path: Path) -> Iterator[str]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Constant) and isinstance(node.value, str):
+            yield node.value
+        if isinstance(node, ast.Constant) and isinstance(node.value, bytes):
+            yield node.value.decode("latin-1")
+
+
+USUAL_HEADERS = {"Authorization", "Retry-After", "Last-Event-Id", "Last-Event-ID"}
+
+
+def test_no_name_of_the_platform_stands_outside_the_adapter() -> None:
+    names = _wire_names() - USUAL_HEADERS
+    assert len(names) > 40
+    found = {
+        (path.name, literal)
+        for path in SOURCE.rglob("*.py")
+        if ADAPTER not in path.parents
+        for literal in _literals(path)
+        if literal in names and not literal.isalpha()
+    }
+    assert found == set()
+
+
+def test_only_the_composition_root_imports_the_adapter() -> None:
+    allowed = {"platform_composition.py", "forward.py"}
+    found = {
+        path.name
+        for path in SOURCE.rglob("*.py")
+        if ADAPTER not in path.parents and "banyanswitch.platform." in path.read_text()
+    }
+    assert found == allowed
+
+
+def test_modules_of_the_adapter_are_small() -> None:
+    sizes = {p.name: len(p.read_text().splitlines()) for p in ADAPTER.glob("*.py")}
+    assert {name: size for name, size in sizes.items() if size >= MAX_LINES} == {}
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,151 @@
+"""Headers of requests and answers on the users' platform."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from banyanswitch.components.forwarding.models import CallPlan, PromptPart
+from banyanswitch.components.http1.models import AnswerHead, BodyFraming, Request
+from banyanswitch.identifiers import UpstreamId, WorkspaceId
+from banyanswitch.platform.calls import HeaderTranslator
+from banyanswitch.platform.const import SYSTEM_HEADERS
+
+TRANSLATOR = HeaderTranslator()
+PLAN = CallPlan(
+    upstream=UpstreamId("i-1"), workspace=WorkspaceId("ws"), time_left_s=1.5
+)
+
+
+def make_request(*headers: tuple[bytes, bytes], body: bytes = b"") -> Request:
+    return Request(b"POST", b"/p?q", ((b"Host", b"H.example:80"), *headers), body, 0.0)
+
+
+def sent_headers(request: Request, plan: CallPlan = PLAN) -> dict[bytes, bytes]:
+    head = TRANSLATOR.upstream_request(request, plan).split(b"\r\n\r\n", 1)[0]
+    lines = head.split(b"\r\n")[1:]
+    return {
+        name.lower(): value for name, value in (line.split(b": ", 1) for line in lines)
+    }
+
+
+def test_the_example_of_the_pages_is_read() -> None:
+    facts = TRANSLATOR.read_call(
+        make_request(
+            (b"Attempt-Id", b"9c41"),
+            (b"Model", b"m1"),
+            (b"Token-Usage", b"1460,80"),
+            (b"Prompt-Prefix", b"5c1e:800,91bd:410,e440:250"),
+            (b"Deadline-Ms", b"12000"),
+            (b"Authorization", b"Bearer k1"),
+        )
+    )
+    assert facts.host == "h.example"
+    assert facts.time_left_s == 12.0
+    assert facts.key == "k1"
+    assert facts.prompt_tokens == 1460
+    assert facts.output_tokens == 80
+    assert facts.parts[0] == PromptPart("5c1e", 800)
+    assert len(facts.parts) == 3
+
+
+@pytest.mark.parametrize("name", sorted(SYSTEM_HEADERS))
+def test_what_only_the_system_sets_is_not_taken_from_callers(name: bytes) -> None:
+    sent = sent_headers(make_request((name.title(), b"forged")))
+    assert b"forged" not in sent.values()
+
+
+def test_headers_of_one_connection_are_not_passed_on() -> None:
+    sent = sent_headers(
+        make_request(
+            (b"Connection", b"close, X-Private"),
+            (b"X-Private", b"1"),
+            (b"Keep-Alive", b"timeout=5"),
+            (b"TE", b"trailers"),
+            (b"X-Other", b"2"),
+        )
+    )
+    assert b"x-private" not in sent
+    assert b"connection" not in sent
+    assert b"te" not in sent
+    assert sent[b"x-other"] == b"2"
+
+
+def test_the_plan_is_written() -> None:
+    plan = CallPlan(
+        upstream=UpstreamId("i-1"),
+        workspace=WorkspaceId("ws"),
+        time_left_s=0.25,
+        rank=3,
+        cache_salt="2-ab",
+        expected_weights=2,
+        fetches=("10.0.0.1:1", "", ""),
+        saves=("", "10.0.0.2:2", ""),
+        fetch_until_ms=77,
+        resume_after=b"4",
+    )
+    request = make_request((b"Last-Event-Id", b"1"), (b"Content-Length", b"2"))
+    sent = sent_headers(request, plan)
+    assert sent[b"deadline-ms"] == b"250"
+    assert sent[b"expect-instance"] == b"i-1"
+    assert sent[b"tenant"] == b"ws"
+    assert sent[b"kv-fetch"] == b"10.0.0.1:1,-,-"
+    assert sent[b"kv-save"] == b"-,10.0.0.2:2,-"
+    assert sent[b"kv-until"] == b"77"
+    assert sent[b"last-event-id"] == b"4"
+    assert sent[b"expect-version"] == b"2"
+    assert sent[b"request-priority"] == b"3"
+
+
+def test_a_chunked_body_is_sent_with_its_length() -> None:
+    request = make_request((b"Transfer-Encoding", b"chunked"), body=b"abc")
+    data = TRANSLATOR.upstream_request(request, PLAN)
+    assert b"transfer-encoding" not in data.lower()
+    assert b"Content-Length: 3\r\n" in data
+    assert data.endswith(b"\r\n\r\nabc")
+
+
+def test_answers_are_read() -> None:
+    head = AnswerHead(
+        503,
+        b"Service Unavailable",
+        (
+            (b"Not-Run", b"1"),
+            (b"Server-Load", b"3,0,8"),
+            (b"Attempt-Id", b"a"),
+            (b"Retry-After", b"0.25"),
+        ),
+        BodyFraming.LENGTH,
+    )
+    facts = TRANSLATOR.read_answer(head)
+    assert facts.is_not_run
+    assert not facts.is_signed
+    assert facts.load == (3, 0, 8)
+    assert facts.retry_after_s == 0.25
+
+
+def test_a_misdirected_request_has_not_run() -> None:
+    facts = TRANSLATOR.read_answer(AnswerHead(421, b"", (), BodyFraming.LENGTH))
+    assert facts.is_not_run
+    assert facts.is_misdirected
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [
+                    b"Token-Usage",
+                    b"Prompt-Prefix",
+                    b"Deadline-Ms",
+                    b"Authorization",
+                    b"Model",
+                ]
+            ),
+            st.binary(max_size=40),
+        )
+    )
+)
+def test_no_header_of_a_caller_raises(headers: list[tuple[bytes, bytes]]) -> None:
+    facts = TRANSLATOR.read_call(make_request(*headers))
+    assert facts.prompt_tokens >= 0
+    assert all(part.tokens >= 0 for part in facts.parts)
--- /dev/null
+++ b/tests/platform/test_tables.py
@@ -0,0 +1,99 @@
+"""The store's rows as a table service, against the stand-in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import pytest
+from aiohttp.test_utils import TestServer
+
+from banyanswitch.components.http1.client import HttpClient
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.exceptions import (
+    ConditionFailedError,
+    HistoryGoneError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
+from banyanswitch.interfaces import Write, WriteClass
+from banyanswitch.platform.tables import PlatformTables
+from banyanswitch_standins.users_platform.store import PlatformStore
+
+LEASE = WriteClass.LEASE
+
+
+@dataclass
+class Setup:
+    store: PlatformStore
+    tables: PlatformTables
+
+
+@pytest.fixture
+async def setup() -> AsyncIterator[Setup]:
+    store = PlatformStore()
+    server = TestServer(store.make_app())
+    await server.start_server()
+    client = HttpClient(ConnectionPool())
+    yield Setup(store, PlatformTables(client, f"127.0.0.1:{server.port}", 0.5))
+    client.close()
+    await server.close()
+
+
+async def test_a_write_under_a_condition_is_read_back(setup: Setup) -> None:
+    (revision,) = await setup.tables.async_transact(
+        [Write("lease/orders", b"\x00\xff", 0)], LEASE
+    )
+    (item,) = await setup.tables.async_get(["lease/orders", "lease/none"])
+    assert (item.key, item.revision, item.value) == (
+        "lease/orders",
+        revision,
+        b"\x00\xff",
+    )
+
+
+async def test_a_failed_condition_names_its_key(setup: Setup) -> None:
+    await setup.tables.async_transact([Write("t/k", b"1", 0)], LEASE)
+    with pytest.raises(ConditionFailedError) as caught:
+        await setup.tables.async_transact([Write("t/k", b"2", 0)], LEASE)
+    assert caught.value.keys == ("t/k",)
+
+
+async def test_a_lost_answer_leaves_the_outcome_unknown(setup: Setup) -> None:
+    setup.store.faults.loses_answers = True
+    with pytest.raises(PlatformOutcomeUnknownError):
+        await setup.tables.async_transact([Write("t/k", b"1", 0)], LEASE)
+    assert setup.store.rows["t", "", "k"].value == b"1"
+
+
+async def test_a_store_that_refuses_has_done_nothing(setup: Setup) -> None:
+    setup.store.faults.is_down = True
+    with pytest.raises(PlatformUnavailableError):
+        await setup.tables.async_transact([Write("t/k", b"1", 0)], LEASE)
+    assert setup.store.rows == {}
+
+
+async def test_the_feed_tells_changes_and_removals(setup: Setup) -> None:
+    await setup.store.async_put("op", "a", b"1")
+    snapshot = await setup.tables.async_read_table("op")
+    assert [item.key for item in snapshot.items] == ["op/a"]
+    waiting = asyncio.create_task(
+        setup.tables.async_changes("op", snapshot.version, 2.0)
+    )
+    await asyncio.sleep(0.05)
+    await setup.store.async_put("op", "a", None)
+    changes = await waiting
+    assert changes.removed == ("op/a",)
+    assert setup.tables.clock_s() is not None
+
+
+async def test_a_feed_without_changes_ends_after_its_wait(setup: Setup) -> None:
+    changes = await setup.tables.async_changes("op", 0, 0.05)
+    assert changes.items == ()
+
+
+async def test_lost_history_is_told(setup: Setup) -> None:
+    for number in range(3):
+        await setup.store.async_put("op", "a", b"%d" % number)
+    setup.store.forget_history()
+    with pytest.raises(HistoryGoneError):
+        await setup.tables.async_changes("op", 1, 0.05)
