Save parts before any weights are named; let heavy requests wait for their turn

Cause 1: no part was planned for a store until a weight version had been named, so shared parts were read again through the first 20 s. The newest serving version counts until one is named. Cause 2: while weights change, cold long prompts queued 40k tokens deep at the few serving engines and short ones finished behind them (138 unfinished, median 0.4 s). Ruled out: urgency (short ones already go first at admission) and hidden load (the queue was known). A heavy request now waits at the instance until an engine has at most 8,000 tokens to read and room for it, first come first served, 2.5 s at most. Each placement is logged with the inputs that decided it.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -54,3 +54,14 @@
 
 CONNECTION_SHARE: Final = 0.9
 """Part of an upstream's connections that all instances together use."""
+
+MAX_TURN_WAIT_S: Final = 2.5
+"""Longest time for which a heavy request waits for its turn; then it queues at the
+upstream. Its objective of 1 s is lost by then, its deadline of 10 s is not."""
+
+TURN_STEP_S: Final = 0.05
+"""Time after which a waiting request looks again without a change."""
+
+TURN_SPREAD_S: Final = 0.02
+"""Spread of the instances' looks, so that one room is not taken by several; word of a
+placement reaches the others within a few ms."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -11,9 +11,12 @@
 from banyanswitch.components.forwarding.const import (
     BUDGET_SHARE,
     BUSY_RETRY_S,
+    MAX_TURN_WAIT_S,
     MAX_UNSENT_TRIES,
     MIN_TIME_LEFT_S,
     REFUSAL_RETRY_S,
+    TURN_SPREAD_S,
+    TURN_STEP_S,
     UNCONFIGURED_RETRY_S,
 )
 from banyanswitch.components.forwarding.event_stream import EventSplitter
@@ -45,6 +48,7 @@
     RoutingState,
     pick_service,
 )
+from banyanswitch.components.forwarding.turns import Turns
 from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
@@ -121,6 +125,7 @@
         instance_count: Callable[[], int],
         is_leaving: Callable[[], bool],
         generator: random.Random,
+        turns: Turns,
     ) -> None:
         self._translator = translator
         self._routing = routing
@@ -133,6 +138,7 @@
         self._is_leaving = is_leaving
         self._random = generator
         self._retriers: dict[ServiceName, tuple[int, Retrier]] = {}
+        self._turns = turns
         self._loop = asyncio.get_running_loop()
 
     async def async_handle(self, request: Request, reply: Reply) -> None:
@@ -187,12 +193,12 @@
 
     async def _async_serve(self, call: _Call) -> None:
         while True:
-            now_s = self._loop.time()
-            placed = self._place(call, now_s)
+            placed = await self._async_place(call)
             if placed is None:
-                self._refuse_unplaced(call, now_s)
+                self._refuse_unplaced(call, self._loop.time())
                 return
             call.last_upstream = placed.record.name
+            self._log_placed(call, placed)
             attempt = Attempt(
                 request=call.request,
                 facts=call.facts,
@@ -214,6 +220,26 @@
             self._note_served(call, placed, attempt.status)
             return
 
+    async def _async_place(self, call: _Call) -> Placed | None:
+        """Place a request; a heavy one waits for its turn, though not for long."""
+        service = call.service.name
+        number = self._turns.take()
+        gives_up_at_s = self._loop.time() + MAX_TURN_WAIT_S
+        try:
+            while True:
+                now_s = self._loop.time()
+                placed = self._place(call, now_s)
+                if placed is None or not placed.is_heavy or now_s >= gives_up_at_s:
+                    return placed
+                if not placed.must_wait and self._turns.is_first(service, number):
+                    return placed
+                self._turns.wait(service, number)
+                spread_s = TURN_SPREAD_S * self._random.random()
+                await self._turns.async_change(TURN_STEP_S)
+                await asyncio.sleep(spread_s)
+        finally:
+            self._turns.leave(service, number)
+
     def _place(self, call: _Call, now_s: float) -> Placed | None:
         time_left_s = call.ends_at_s - now_s
         if time_left_s < MIN_TIME_LEFT_S:
@@ -406,8 +432,24 @@
             status=status,
             first_byte_s=round(first_s, 4),
             total_s=round(now_s - call.request.received_at_s, 4),
+            weights=placed.plan.expected_weights,
+        )
+
+    def _log_placed(self, call: _Call, placed: Placed) -> None:
+        self._log(
+            call,
+            "request_placed",
+            time_left_s=round(placed.plan.time_left_s, 3),
+            entry_age_s=round(placed.entry_age_s, 3),
             candidates=placed.candidates,
+            running_requests=placed.running_requests,
+            queued_tokens=placed.queued_tokens,
+            held_tokens=placed.held_tokens,
             prefill_tokens=placed.work.prefill_tokens,
+            shared_part=placed.home_key,
+            stored_tokens=placed.stored_tokens,
+            unstored_tokens=placed.unstored_tokens,
+            saves=sum(map(bool, placed.plan.saves)),
             weights=placed.plan.expected_weights,
         )
 
--- a/src/banyanswitch/components/forwarding/loads.py
+++ b/src/banyanswitch/components/forwarding/loads.py
@@ -1,6 +1,6 @@
 """Work in flight at upstreams, own and of other instances."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -35,6 +35,7 @@
     memory_tokens: int
     started_at_s: float
     has_answered: bool = False
+    is_heavy: bool = False
 
 
 class LoadBook:
@@ -46,6 +47,7 @@
         self._remote: dict[str, tuple[float, Mapping[str, Load]]] = {}
         self._next_number = 0
         self.change_count = 0
+        self.on_heavy_change: Callable[[], None] = lambda: None
 
     @callback
     def begin(self, call: InFlight) -> int:
@@ -53,7 +55,7 @@
         self._next_number += 1
         self._calls[self._next_number] = call
         self._own.setdefault(call.upstream, set()).add(self._next_number)
-        self.change_count += 1
+        self._note_change(call)
         return self._next_number
 
     @callback
@@ -62,7 +64,7 @@
         call = self._calls.get(number)
         if call is not None and not call.has_answered:
             call.has_answered = True
-            self.change_count += 1
+            self._note_change(call)
 
     @callback
     def end(self, number: int) -> None:
@@ -71,7 +73,12 @@
         if call is None:
             return
         self._own[call.upstream].discard(number)
+        self._note_change(call)
+
+    def _note_change(self, call: InFlight) -> None:
         self.change_count += 1
+        if call.is_heavy:
+            self.on_heavy_change()
 
     @callback
     def note_remote(
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -32,6 +32,7 @@
     UpstreamView,
     choose_upstream,
     home_of,
+    must_wait,
     prefill_cost_tokens,
 )
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
@@ -68,6 +69,15 @@
     plan: CallPlan
     work: InFlight
     candidates: int
+    home_key: str = ""
+    stored_tokens: int = 0
+    unstored_tokens: int = 0
+    queued_tokens: int = 0
+    held_tokens: int = 0
+    running_requests: int = 0
+    entry_age_s: float = 0.0
+    must_wait: bool = False
+    is_heavy: bool = False
 
 
 class Placement:
@@ -109,14 +119,15 @@
         if not states:
             return None
         model = request.facts.model if request.service.engine else None
-        views = [self._view(state, request, model, now_s) for state in states]
-        version = self._newest(model)
+        version = self._newest(model, states)
+        views = [self._view(state, request, version, now_s) for state in states]
         parts = self._part_plan(request, model, version)
         choice = self._choice_request(request, parts)
         name = choose_upstream(views, choice, self._policy)
         if name is None:
             return None
         state = next(state for state in states if state.record.name == name)
+        view = next(view for view in views if view.name == name)
         used = version
         if model is not None and state.weight_versions.get(model) != version:
             used = state.weight_versions.get(model)
@@ -124,9 +135,24 @@
         is_home = home_of(choice.home_key, views) == name
         prefill = prefill_cost_tokens(choice, self._policy, is_home=is_home)
         memory = request.facts.prompt_tokens + request.facts.output_tokens
-        work = InFlight(name, int(prefill), memory, now_s)
+        is_heavy = prefill >= self._policy.heavy_tokens
+        work = InFlight(name, int(prefill), memory, now_s, is_heavy=is_heavy)
         plan = self._plan(request, state.record, model, used, parts)
-        return Placed(state.record, plan, work, len(views))
+        return Placed(
+            record=state.record,
+            plan=plan,
+            work=work,
+            candidates=len(views),
+            home_key=choice.home_key,
+            stored_tokens=choice.stored_tokens,
+            unstored_tokens=choice.unstored_tokens,
+            queued_tokens=view.prefill_tokens,
+            held_tokens=view.memory_tokens,
+            running_requests=view.running_requests,
+            entry_age_s=now_s - state.entry_read_at_s,
+            must_wait=must_wait(view, choice, self._policy),
+            is_heavy=is_heavy,
+        )
 
     def _eligible(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
         service = request.service
@@ -154,21 +180,25 @@
             return True
         return now_s - superseded_at_s < WEIGHTS_MARGIN * self._weights_deadline_s
 
-    def _newest(self, model: str | None) -> int | None:
-        target = self._routing.targets.get(model) if model else None
-        return target.version if target and target.version else None
+    def _newest(self, model: str | None, states: list[UpstreamState]) -> int | None:
+        """Return the wanted weights; before any are named, the newest that serve."""
+        if model is None:
+            return None
+        target = self._routing.targets.get(model)
+        serving = max(state.weight_versions.get(model, 0) for state in states)
+        return max(target.version if target else 0, serving)
 
     def _view(
         self,
         state: UpstreamState,
         request: PlacementRequest,
-        model: str | None,
+        version: int | None,
         now_s: float,
     ) -> UpstreamView:
         record = state.record
         load = self._board.loads.total(record.name, now_s)
         engine = request.service.engine
-        newest = self._newest(model)
+        model = request.facts.model
         return UpstreamView(
             name=record.name,
             failure_domain=record.failure_domain,
@@ -179,8 +209,8 @@
             capacity_tokens=engine.capacity_tokens if engine else 0,
             health=max(MIN_HEALTH, self._board.health(state, now_s)),
             has_newest_weights=model is None
-            or newest is None
-            or state.weight_versions.get(model) == newest,
+            or version is None
+            or state.weight_versions.get(model) == version,
         )
 
     def _part_plan(
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -1,7 +1,7 @@
 """Sending and taking in of reports between instances."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import structlog
@@ -67,6 +67,7 @@
         self._own_floors: dict[str, int] = {}
         self._weights: dict[str, _Seen] = {}
         self._sent_changes = -1
+        self.on_report: Callable[[], None] = lambda: None
         transport.subscribe(InstanceReport, self._on_report)
 
     async def async_run(self) -> None:
@@ -168,6 +169,7 @@
         now_s = _now_s()
         self._versions[report.peer_address] = (now_s, report.table_versions)
         self._board.loads.note_remote(report.instance, report.loads, now_s)
+        self.on_report()
         for name, version in report.loading.items():
             self._board.note_loading(UpstreamId(name), version, now_s)
         for name, (model, version) in report.weights.items():
--- a/src/banyanswitch/decisions/upstream_choice.py
+++ b/src/banyanswitch/decisions/upstream_choice.py
@@ -29,6 +29,13 @@
         preempt another or wait for one to end.
     other_domain_tokens : float
         Price of a path between failure domains.
+    heavy_tokens : float
+        Prompt from which on a request waits for its turn. Reading it takes 40 ms,
+        which is what a short request may lose to it.
+    max_queued_tokens : float
+        Prompt tokens before which a heavy request is not sent: reading them takes
+        some 0.2 s. Engines read the prompts that they have admitted before a later
+        short one, however urgent it is.
     """
 
     fetch_share: float = 0.2
@@ -37,6 +44,8 @@
     old_weights_tokens: float = 9000.0
     full_tokens: float = 40000.0
     other_domain_tokens: float = 60.0
+    heavy_tokens: float = 1500.0
+    max_queued_tokens: float = 8000.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -107,6 +116,22 @@
     return best.name
 
 
+def must_wait(view: UpstreamView, request: ChoiceRequest, policy: ChoicePolicy) -> bool:
+    """Return whether a request should wait rather than queue at this upstream.
+
+    Heavy requests wait where short ones can overtake them.
+    """
+    cost = prefill_cost_tokens(request, policy, is_home=False)
+    if cost < policy.heavy_tokens:
+        return False
+    if view.prefill_tokens > policy.max_queued_tokens:
+        return True
+    needed = _memory_tokens(request)
+    is_empty = view.memory_tokens == 0
+    is_over = view.memory_tokens + needed > view.capacity_tokens
+    return bool(view.capacity_tokens) and is_over and not is_empty
+
+
 def home_of(home_key: str, views: Sequence[UpstreamView]) -> UpstreamId | None:
     """Return the upstream at which requests with this key meet.
 
@@ -134,9 +159,8 @@
     cost += policy.running_tokens * view.running_requests
     waiting = max(0, view.running_requests + 1 - view.slots)
     cost += policy.full_tokens * waiting / max(1, view.slots)
-    needed = request.own_tokens + request.stored_tokens + request.unstored_tokens
-    needed += request.output_tokens
-    if view.capacity_tokens and view.memory_tokens + needed > view.capacity_tokens:
+    needed = view.memory_tokens + _memory_tokens(request)
+    if view.capacity_tokens and needed > view.capacity_tokens:
         cost += policy.full_tokens
     if not view.has_newest_weights:
         cost += policy.old_weights_tokens
@@ -145,5 +169,10 @@
     return cost / view.health
 
 
+def _memory_tokens(request: ChoiceRequest) -> int:
+    shared = request.stored_tokens + request.unstored_tokens
+    return request.own_tokens + shared + request.output_tokens
+
+
 def _order(key: str, name: UpstreamId) -> int:
     return xxhash.xxh3_64_intdigest(f"{len(key)}:{key}{name}".encode())
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -20,6 +20,7 @@
     ForwardingSettings,
     host_and_port,
 )
+from banyanswitch.components.forwarding.turns import Turns
 from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.caller_server import CallerServer
@@ -154,6 +155,14 @@
         mirrors=mirrors,
         routing=routing,
     )
+    turns = Turns()
+
+    def on_heavy_change() -> None:
+        exchange.report_now()
+        turns.notify()
+
+    board.loads.on_heavy_change = on_heavy_change
+    exchange.on_report = turns.notify
     relay = TableRelay(mirrors, exchange, peer_client, generator)
     leases = LeaseCoordinator(
         table=tables,
@@ -217,6 +226,7 @@
         instance_count=instance_count,
         is_leaving=lambda: stop.is_refusing,
         generator=generator,
+        turns=turns,
     )
     server = CallerServer(forwarder.async_handle, lambda: routing.limits)
     stop = PlannedStop(server, settings.grace_s, [membership.begin_leaving])
