Let old parts give way as upstreams move; promise no save before it is sent

Ruled out: room set aside by time since the name (all parts were lost while nobody gave orders); it follows the upstreams that have moved.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -9,9 +9,9 @@
 OUTAGE_MEMORY_S: Final = 3.0
 """Time after a failed call to the store in which a vanished entry may be a lapse."""
 
-NOTICE_LIFETIME_S: Final = 8.0
-"""Time for which word of a load under way is believed without the upstream's own;
-a load takes 1 to 2 s, and longer while many load."""
+NOTICE_LIFETIME_S: Final = 2.0
+"""Time for which word of a load under way is believed; who ordered it repeats it with
+each report, so its end is noticed even if that instance is gone."""
 
 STATE_LIFETIME_S: Final = 1.5
 """Age at which another instance's load report is dropped; reports come every
@@ -42,8 +42,9 @@
 """Idle time of a connection up to which it is used for a request that may run only
 once; a reset after the send can't be told from a lost answer."""
 
-FETCH_LIFETIME_MS: Final = 1500
-"""Time within which a fetch must end; stores free nothing sooner than after it."""
+FETCH_LIFETIME_MS: Final = 800
+"""Time within which a fetch must end, or the prompt is read instead; the longest take
+70 ms, and links may be 8 times slower. Stores free nothing sooner than after it."""
 
 MIN_TIME_LEFT_S: Final = 0.03
 """Remaining time below which an attempt is not worth sending."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -198,6 +198,7 @@
                 self._refuse_unplaced(call, self._loop.time())
                 return
             call.last_upstream = placed.record.name
+            self._placement.commit(placed)
             self._log_placed(call, placed)
             attempt = Attempt(
                 request=call.request,
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from banyanswitch.components.forwarding.const import (
     CONNECTION_SHARE,
@@ -76,6 +76,7 @@
     held_tokens: int = 0
     running_requests: int = 0
     entry_age_s: float = 0.0
+    parts: PartPlan = field(default_factory=PartPlan)
     must_wait: bool = False
     is_heavy: bool = False
 
@@ -150,6 +151,7 @@
             held_tokens=view.memory_tokens,
             running_requests=view.running_requests,
             entry_age_s=now_s - state.entry_read_at_s,
+            parts=parts,
             must_wait=must_wait(view, choice, self._policy),
             is_heavy=is_heavy,
         )
@@ -268,6 +270,11 @@
             resume_after=request.resume_after,
         )
 
+    @callback
+    def commit(self, placed: Placed) -> None:
+        """Take in that a request is being sent as placed."""
+        self._tier.promise(placed.parts)
+
     @callback
     def service_of(self, name: ServiceName | None) -> ForwardedService | None:
         """Return a service of the configuration in force."""
--- a/src/banyanswitch/components/kv_tier/cleaner.py
+++ b/src/banyanswitch/components/kv_tier/cleaner.py
@@ -1,6 +1,7 @@
 """Duty: free the stored parts of weights that are no longer used."""
 
 import asyncio
+from collections import deque
 
 import structlog
 
@@ -12,7 +13,11 @@
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.weight_rollout.tenure import Tenure
 from banyanswitch.core import callback
-from banyanswitch.decisions.fetch_floor import FloorView, fetch_floor
+from banyanswitch.decisions.fetch_floor import (
+    FetchFloor,
+    FloorView,
+    fetch_floor,
+)
 from banyanswitch.decisions.prefix import salt_version
 from banyanswitch.exceptions import UpstreamError
 
@@ -46,57 +51,70 @@
         self._tier = tier
         self._stores = stores
         self._exchange = exchange
-        self._floors: dict[str, int] = {}
-        self._raised_at_s: dict[str, float] = {}
+        self._said: dict[str, deque[tuple[float, FetchFloor]]] = {}
 
     async def async_run(self) -> None:
         """Clean while the duty is held, until cancelled."""
         while True:
             await asyncio.sleep(STEP_S)
-            now_s = asyncio.get_running_loop().time()
-            if self._tenure.token(now_s) is None:
-                self._floors.clear()
-                self._raised_at_s.clear()
+            if not self._tenure.is_holder():
+                self._said.clear()
+                self._exchange.withdraw_floors()
                 continue
+            now_s = asyncio.get_running_loop().time()
             self._raise_floors(now_s)
             await self._async_free(now_s)
 
     @callback
     def _raise_floors(self, now_s: float) -> None:
         for model, target in self._routing.targets.items():
-            versions = [
+            versions = tuple(
                 state.weight_versions[model]
                 for state in self._board.serving_model(model)
-            ]
-            view = FloorView(target=target.version, upstream_versions=tuple(versions))
-            floor = max(fetch_floor(view), self._floors.get(model, 0))
-            if floor != self._floors.get(model):
-                self._floors[model] = floor
-                self._raised_at_s[model] = now_s
-                LOGGER.info("fetch_floor_raised", model=model, version=floor)
+            )
+            view = FloorView(target=target.version, upstream_versions=versions)
+            said = self._said.setdefault(model, deque())
+            floor = max(fetch_floor(view), said[-1][1] if said else FetchFloor())
+            if not said or floor != said[-1][1]:
+                LOGGER.info(
+                    "fetch_floor_raised",
+                    model=model,
+                    version=floor.version,
+                    target=floor.target,
+                    retired_share=round(floor.retired_share, 2),
+                )
+            said.append((now_s, floor))
             self._exchange.set_floor(model, floor)
+        self._exchange.report_now()
 
     async def _async_free(self, now_s: float) -> None:
-        settled = [
-            floor
-            for model, floor in self._floors.items()
-            if now_s - self._raised_at_s[model] >= FREE_DELAY_S
-        ]
+        floors = [self._settled(said, now_s) for said in self._said.values()]
         # Salts do not name their model; with several, the lowest floor is safe.
-        if not settled or len(settled) < len(self._floors):
+        if not floors or None in floors:
             return
-        floor = min(settled)
+        floor = min(floor for floor in floors if floor is not None)
         for state in self._tier.stores:
             if state.is_usable and state.epoch is not None and state.node.is_managed:
                 await self._async_free_store(state, floor)
 
-    async def _async_free_store(self, state: StoreState, floor: int) -> None:
-        dead = [key for key in state.parts if _is_below(key, floor)]
+    @staticmethod
+    def _settled(
+        said: deque[tuple[float, FetchFloor]], now_s: float
+    ) -> FetchFloor | None:
+        """Return the newest floor that was said long enough ago."""
+        settled: FetchFloor | None = None
+        while said and now_s - said[0][0] >= FREE_DELAY_S:
+            settled = said.popleft()[1]
+        if settled is not None:
+            said.appendleft((now_s - FREE_DELAY_S, settled))
+        return settled
+
+    async def _async_free_store(self, state: StoreState, floor: FetchFloor) -> None:
+        dead = [key for key in state.parts if not _is_allowed(key, floor)]
         dead = dead[:FREE_BATCH_PARTS]
         if not dead or state.epoch is None:
             return
-        now_s = asyncio.get_running_loop().time()
-        if self._tenure.token(now_s) is None:
+        if not self._tenure.is_holder():
             return
         try:
             is_done = await self._stores.async_free(
@@ -105,15 +123,18 @@
         except UpstreamError as error:
             LOGGER.info("parts_not_freed", store=state.node.name, reason=str(error))
             return
+        if is_done:
+            self._tier.forget(state, dead)
         LOGGER.info(
             "parts_freed",
             store=state.node.name,
             parts=len(dead),
-            below_version=floor,
+            below_version=floor.target,
             is_done=is_done,
         )
 
 
-def _is_below(key: PartKey, floor: int) -> bool:
-    version = salt_version(key[0])
-    return version is not None and version < floor
+def _is_allowed(key: PartKey, floor: FetchFloor) -> bool:
+    salt, part = key
+    version = salt_version(salt)
+    return version is None or floor.allows(version, part)
--- a/src/banyanswitch/components/kv_tier/const.py
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -18,9 +18,9 @@
 FLOOR_LIFETIME_S: Final = 1.0
 """Age at which word of what may be fetched is no longer relied on."""
 
-FREE_DELAY_S: Final = 3.0
-"""Time from the word that a version is no longer fetched to the first free: the age
-of that word, the lifetime of a fetch and a margin."""
+FREE_DELAY_S: Final = 2.2
+"""Time from the word that a part is no longer fetched to its free: the age of that
+word (1.0 s), the lifetime of a fetch (0.8 s) and a margin."""
 
-FREE_BATCH_PARTS: Final = 64
-"""Parts that one call frees."""
+FREE_BATCH_PARTS: Final = 400
+"""Parts that one call frees; about 20 kB."""
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -1,7 +1,7 @@
 """Belief of what the stores keep, and plans for what to fetch and save."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 import structlog
@@ -15,6 +15,7 @@
     RETRY_S,
 )
 from banyanswitch.core import callback
+from banyanswitch.decisions.fetch_floor import FetchFloor
 from banyanswitch.decisions.part_stores import (
     StoreView,
     choose_store,
@@ -28,13 +29,29 @@
 PartKey = tuple[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class Save:
+    """A part that is about to be saved to a store."""
+
+    key: PartKey
+    store: StoreId
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class PartPlan:
-    """Addresses to fetch each part of a prompt from and to save it to."""
+    """What to fetch and save for a prompt; nothing is promised before it is sent.
+
+    Parameters
+    ----------
+    fetches, saves : tuple of str
+        Address for each part, or an empty text.
+    """
 
     fetches: tuple[str, ...] = ()
     saves: tuple[str, ...] = ()
     stored_tokens: int = 0
+    promised: tuple[Save, ...] = ()
 
 
 @dataclass(slots=True)
@@ -68,7 +85,7 @@
         self._stores: dict[StoreId, StoreState] = {}
         self._tasks: dict[StoreId, asyncio.Task[None]] = {}
         self._pending: dict[PartKey, tuple[float, StoreId, int]] = {}
-        self._floors: dict[str, tuple[int, float]] = {}
+        self._floors: dict[str, tuple[FetchFloor, float]] = {}
         self._clock_offset_ms: float | None = None
 
     @property
@@ -106,9 +123,22 @@
         return int(_now_s() * MILLISECONDS_PER_S + self._clock_offset_ms)
 
     @callback
-    def note_floor(self, model: str, version: int) -> None:
-        """Take in the lowest version whose parts are not about to be freed."""
-        self._floors[model] = (version, _now_s())
+    def note_floor(self, model: str, floor: FetchFloor) -> None:
+        """Take in which parts are not about to be freed.
+
+        Word of a holder that was paused may be older than what is known.
+        """
+        known = self._floors.get(model)
+        if known is None or floor >= known[0]:
+            self._floors[model] = (floor, _now_s())
+
+    @callback
+    def forget(self, state: StoreState, keys: Iterable[PartKey]) -> None:
+        """Take in that parts were freed; the events of some are lost."""
+        for key in keys:
+            tokens = state.parts.pop(key, None)
+            if tokens is not None:
+                state.used_tokens -= rounded_tokens(tokens)
 
     @callback
     def plan(
@@ -123,24 +153,34 @@
             return PartPlan()
         newest = self._newest_version(model)
         is_newest = newest is None or version >= newest
-        can_fetch = is_newest or self._is_above_floor(model, version)
         fetches: list[str] = []
         saves: list[str] = []
+        promised: list[Save] = []
         stored_tokens = 0
         for part in parts[:-1]:
             key = (salt, part.name)
+            can_fetch = is_newest or self._is_allowed(model, version, part.name)
             holder = self._holder(key) if can_fetch else None
             fetches.append(holder.node.address if holder else "")
             stored_tokens += part.tokens if holder else 0
             is_missing = holder is None and is_newest
-            saves.append(self._save_address(key, part.tokens) if is_missing else "")
-        return PartPlan((*fetches, ""), (*saves, ""), stored_tokens)
+            save = self._choose_save(key, part.tokens) if is_missing else None
+            saves.append(self._stores[save.store].node.address if save else "")
+            promised += [save] if save else []
+        return PartPlan((*fetches, ""), (*saves, ""), stored_tokens, tuple(promised))
 
-    def _is_above_floor(self, model: str, version: int) -> bool:
-        floor = self._floors.get(model)
-        if floor is None or _now_s() - floor[1] > FLOOR_LIFETIME_S:
+    @callback
+    def promise(self, plan: PartPlan) -> None:
+        """Take in that a plan is being sent, so that its saves are not repeated."""
+        ends_at_s = _now_s() + PENDING_S
+        for save in plan.promised:
+            self._pending[save.key] = (ends_at_s, save.store, save.tokens)
+
+    def _is_allowed(self, model: str, version: int, part: str) -> bool:
+        floor, heard_at_s = self._floors.get(model, (FetchFloor(), float("-inf")))
+        if _now_s() - heard_at_s > FLOOR_LIFETIME_S:
             return False
-        return version >= floor[0]
+        return floor.allows(version, part)
 
     def _holder(self, key: PartKey) -> StoreState | None:
         holders = [
@@ -150,11 +190,11 @@
         ]
         return min(holders, key=lambda state: state.node.first_byte_s, default=None)
 
-    def _save_address(self, key: PartKey, tokens: int) -> str:
+    def _choose_save(self, key: PartKey, tokens: int) -> Save | None:
         now_s = _now_s()
         pending = self._pending.get(key)
         if pending is not None and now_s < pending[0]:
-            return ""
+            return None
         self._drop_expired(now_s)
         views = [
             StoreView(
@@ -168,10 +208,7 @@
             if state.is_usable
         ]
         name = choose_store(key[1], tokens, views) if views else None
-        if name is None:
-            return ""
-        self._pending[key] = (now_s + PENDING_S, name, rounded_tokens(tokens))
-        return self._stores[name].node.address
+        return Save(key, name, rounded_tokens(tokens)) if name is not None else None
 
     def _pending_tokens(self, name: StoreId) -> int:
         return sum(
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -21,6 +21,7 @@
 from banyanswitch.components.state_exchange.models import InstanceReport
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
+from banyanswitch.decisions.fetch_floor import FetchFloor
 from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.interfaces import PeerDirectory
@@ -64,7 +65,7 @@
         self._mirrors = mirrors
         self._versions: dict[str, tuple[float, dict[str, int]]] = {}
         self._own_loading: dict[str, int] = {}
-        self._own_floors: dict[str, int] = {}
+        self._own_floors: dict[str, FetchFloor] = {}
         self._weights: dict[str, _Seen] = {}
         self._sent_changes = -1
         self.on_report: Callable[[], None] = lambda: None
@@ -154,16 +155,19 @@
 
     @callback
     def withdraw(self) -> None:
-        """Say no longer who loads and what may be fetched."""
-        for upstream in tuple(self._own_loading):
-            self._own_loading.pop(upstream)
+        """Say no longer who loads."""
+        self._own_loading.clear()
+
+    @callback
+    def withdraw_floors(self) -> None:
+        """Say no longer what may be fetched."""
         self._own_floors.clear()
 
     @callback
-    def set_floor(self, model: str, version: int) -> None:
-        """Say from which weight version on stored parts may be fetched."""
-        self._own_floors[model] = version
-        self._tier.note_floor(model, version)
+    def set_floor(self, model: str, floor: FetchFloor) -> None:
+        """Say which stored parts may still be fetched."""
+        self._own_floors[model] = floor
+        self._tier.note_floor(model, floor)
 
     def _on_report(self, report: InstanceReport) -> None:
         now_s = _now_s()
@@ -177,8 +181,8 @@
         for model, ages_s in report.named_ages_s.items():
             for version, age_s in ages_s.items():
                 self._routing.note_named(model, version, now_s - age_s)
-        for model, version in report.fetch_floors.items():
-            self._tier.note_floor(model, version)
+        for model, floor in report.fetch_floors.items():
+            self._tier.note_floor(model, floor)
 
 
 def _now_s() -> float:
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from banyanswitch.components.forwarding.loads import Load
+from banyanswitch.decisions.fetch_floor import FetchFloor
 
 
 class InstanceReport(msgspec.Struct, frozen=True, array_like=True):
@@ -20,9 +21,8 @@
         Upstreams that load weights, with the version; said by who orders loads.
     weights : dict of str to tuple
         Model and version that upstreams were seen to have.
-    fetch_floors : dict of str to int
-        Lowest weight version of each model whose stored parts are not about to be
-        freed; said by who frees.
+    fetch_floors : dict of str to FetchFloor
+        Which stored parts of each model are about to be freed; said by who frees.
     named_ages_s : dict of str to dict of int to float
         How long ago each weight version of a model was named, in seconds.
     """
@@ -33,5 +33,5 @@
     loads: dict[str, Load]
     loading: dict[str, int]
     weights: dict[str, tuple[str, int]]
-    fetch_floors: dict[str, int]
+    fetch_floors: dict[str, FetchFloor]
     named_ages_s: dict[str, dict[int, float]]
--- a/src/banyanswitch/components/weight_rollout/coordinator.py
+++ b/src/banyanswitch/components/weight_rollout/coordinator.py
@@ -142,7 +142,8 @@
             # One that is ahead needs no load either.
             weight_version=WeightVersion(str(version if known >= version else known)),
             is_serving=self._board.health(state, now_s) > 0,
-            is_loading=name in self._tasks or now_s < state.loading_until_s,
+            # Loads of an earlier holder show in the report before the order.
+            is_loading=name in self._tasks,
             is_leaving=state.record.is_leaving or state.gone_at_s is not None,
             running_requests=load.requests,
             retry_at_s=self._retry_at_s.get(name, 0.0),
--- a/src/banyanswitch/decisions/fetch_floor.py
+++ b/src/banyanswitch/decisions/fetch_floor.py
@@ -1,6 +1,11 @@
-"""From which weight version on stored parts are worth keeping."""
+"""Which stored parts of older weights may still be fetched."""
 
 from dataclasses import dataclass
+from typing import Final
+
+import xxhash
+
+HASH_RANGE: Final = 2**32
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -19,15 +24,48 @@
     upstream_versions: tuple[int, ...]
 
 
-def fetch_floor(view: FloorView) -> int:
-    """Return the lowest version whose stored parts are not freed.
+@dataclass(frozen=True, slots=True, order=True)
+class FetchFloor:
+    """Word on what is about to be freed; it only rises.
 
-    Once half of the upstreams have the wanted version, most requests run on it and
-    its parts need the room of the older ones.
+    Parameters
+    ----------
+    version : int
+        Lowest weight version of which any part may be fetched.
+    target : int
+        Version from which on all parts may be fetched.
+    retired_share : float
+        Share of the parts of the versions between that may not be fetched.
+    """
+
+    version: int = 0
+    target: int = 0
+    retired_share: float = 0.0
+
+    def allows(self, version: int, part: str) -> bool:
+        """Return whether a part of a weight version may be fetched."""
+        if version >= self.target:
+            return True
+        if version < self.version:
+            return False
+        return _position(part) >= self.retired_share
+
+
+def fetch_floor(view: FloorView) -> FetchFloor:
+    """Return what may still be fetched.
+
+    The stores hold about one set of parts. The old set gives way step by step as
+    upstreams move; all of it once half of them have the new weights.
     """
     if not view.upstream_versions:
-        return 0
+        return FetchFloor()
     moved = sum(version >= view.target for version in view.upstream_versions)
     if 2 * moved >= len(view.upstream_versions):
-        return view.target
-    return min(*view.upstream_versions, view.target)
+        return FetchFloor(view.target, view.target, 1.0)
+    oldest = min(*view.upstream_versions, view.target)
+    share = 2.0 * moved / len(view.upstream_versions)
+    return FetchFloor(oldest, view.target, share)
+
+
+def _position(part: str) -> float:
+    return xxhash.xxh32_intdigest(part.encode()) / HASH_RANGE
