--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -1,7 +1,7 @@
 """Choice of an upstream and of what is sent with a request."""
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 from banyanswitch.components.forwarding.const import (
@@ -121,20 +121,21 @@
             return None
         model = request.facts.model if request.service.engine else None
         version = self._newest(model, states)
-        views = [self._view(state, request, version, now_s) for state in states]
-        parts = self._part_plan(request, model, version)
-        choice = self._choice_request(request, parts)
+        plans = {
+            used: self._part_plan(request, model, used)
+            for used in {self._weights_of(state, model) for state in states}
+        }
+        views = [self._view(state, request, version, plans, now_s) for state in states]
+        choice = self._choice_request(request)
         name = choose_upstream(views, choice, self._policy)
         if name is None:
             return None
         state = next(state for state in states if state.record.name == name)
         view = next(view for view in views if view.name == name)
-        used = version
-        if model is not None and state.weight_versions.get(model) != version:
-            used = state.weight_versions.get(model)
-            parts = self._part_plan(request, model, used)
+        used = self._weights_of(state, model)
+        parts = plans[used]
         is_home = home_of(choice.home_key, views) == name
-        prefill = prefill_cost_tokens(choice, self._policy, is_home=is_home)
+        prefill = prefill_cost_tokens(view, choice, self._policy, is_home=is_home)
         memory = request.facts.prompt_tokens + request.facts.output_tokens
         is_heavy = prefill >= self._policy.heavy_tokens
         work = InFlight(name, int(prefill), memory, now_s, is_heavy=is_heavy)
@@ -145,8 +146,8 @@
             work=work,
             candidates=len(views),
             home_key=choice.home_key,
-            stored_tokens=choice.stored_tokens,
-            unstored_tokens=choice.unstored_tokens,
+            stored_tokens=view.stored_tokens,
+            unstored_tokens=choice.shared_tokens - view.stored_tokens,
             queued_tokens=view.prefill_tokens,
             held_tokens=view.memory_tokens,
             running_requests=view.running_requests,
@@ -190,17 +191,24 @@
         serving = max(state.weight_versions.get(model, 0) for state in states)
         return max(target.version if target else 0, serving)
 
+    @staticmethod
+    def _weights_of(state: UpstreamState, model: str | None) -> int | None:
+        return state.weight_versions.get(model) if model is not None else None
+
     def _view(
         self,
         state: UpstreamState,
         request: PlacementRequest,
         version: int | None,
+        plans: Mapping[int | None, PartPlan],
         now_s: float,
     ) -> UpstreamView:
         record = state.record
         load = self._board.loads.total(record.name, now_s)
         engine = request.service.engine
-        model = request.facts.model
+        used = self._weights_of(
+            state, request.facts.model if request.service.engine else None
+        )
         return UpstreamView(
             name=record.name,
             failure_domain=record.failure_domain,
@@ -210,9 +218,8 @@
             slots=record.slots,
             capacity_tokens=engine.capacity_tokens if engine else 0,
             health=max(MIN_HEALTH, self._board.health(state, now_s)),
-            has_newest_weights=model is None
-            or version is None
-            or state.weight_versions.get(model) == version,
+            stored_tokens=plans[used].stored_tokens,
+            has_newest_weights=used == version,
         )
 
     def _part_plan(
@@ -229,9 +236,7 @@
         wall = workspace.name if workspace and workspace.is_isolated else None
         return versioned_cache_salt(model, version or 0, wall)
 
-    def _choice_request(
-        self, request: PlacementRequest, parts: PartPlan
-    ) -> ChoiceRequest:
+    def _choice_request(self, request: PlacementRequest) -> ChoiceRequest:
         facts = request.facts
         shared = facts.parts[:-1]
         shared_tokens = sum(part.tokens for part in shared)
@@ -240,8 +245,7 @@
             home_key=shared[-1].name if shared else "",
             failure_domain=self._failure_domain,
             own_tokens=own_tokens,
-            stored_tokens=parts.stored_tokens,
-            unstored_tokens=shared_tokens - parts.stored_tokens,
+            shared_tokens=shared_tokens,
             output_tokens=facts.output_tokens,
         )
 
--- a/src/banyanswitch/components/kv_tier/cleaner.py
+++ b/src/banyanswitch/components/kv_tier/cleaner.py
@@ -8,7 +8,11 @@
 from banyanswitch.components.forwarding.protocols import PartStoreClient
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
-from banyanswitch.components.kv_tier.const import FREE_BATCH_PARTS, FREE_DELAY_S
+from banyanswitch.components.kv_tier.const import (
+    FREE_BATCH_PARTS,
+    FREE_DELAY_S,
+    REPORT_INTERVAL_S,
+)
 from banyanswitch.components.kv_tier.coordinator import PartKey, PartTier, StoreState
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.weight_rollout.tenure import Tenure
@@ -59,7 +63,6 @@
             await asyncio.sleep(STEP_S)
             if not self._tenure.is_holder():
                 self._said.clear()
-                self._exchange.withdraw_floors()
                 continue
             now_s = asyncio.get_running_loop().time()
             self._raise_floors(now_s)
@@ -74,7 +77,8 @@
             )
             view = FloorView(target=target.version, upstream_versions=versions)
             said = self._said.setdefault(model, deque())
-            floor = max(fetch_floor(view), said[-1][1] if said else FetchFloor())
+            before = said[-1][1] if said else self._tier.floor(model)
+            floor = fetch_floor(view, before)
             if not said or floor != said[-1][1]:
                 LOGGER.info(
                     "fetch_floor_raised",
@@ -84,7 +88,7 @@
                     retired_share=round(floor.retired_share, 2),
                 )
             said.append((now_s, floor))
-            self._exchange.set_floor(model, floor)
+            self._tier.note_floor(model, floor)
         self._exchange.report_now()
 
     async def _async_free(self, now_s: float) -> None:
@@ -97,16 +101,17 @@
             if state.is_usable and state.epoch is not None and state.node.is_managed:
                 await self._async_free_store(state, floor)
 
-    @staticmethod
     def _settled(
-        said: deque[tuple[float, FetchFloor]], now_s: float
+        self, said: deque[tuple[float, FetchFloor]], now_s: float
     ) -> FetchFloor | None:
         """Return the newest floor that was said long enough ago."""
+        slower_s = max(0.0, self._exchange.interval_s() - REPORT_INTERVAL_S)
+        delay_s = FREE_DELAY_S + 2.0 * slower_s
         settled: FetchFloor | None = None
-        while said and now_s - said[0][0] >= FREE_DELAY_S:
+        while said and now_s - said[0][0] >= delay_s:
             settled = said.popleft()[1]
         if settled is not None:
-            said.appendleft((now_s - FREE_DELAY_S, settled))
+            said.appendleft((now_s - delay_s, settled))
         return settled
 
     async def _async_free_store(self, state: StoreState, floor: FetchFloor) -> None:
--- a/src/banyanswitch/components/kv_tier/const.py
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -15,12 +15,17 @@
 """Part of a store's event calls that instances may hold at once; the rest is for
 those that disagree on who reads."""
 
-FLOOR_LIFETIME_S: Final = 1.0
-"""Age at which word of what may be fetched is no longer relied on."""
+FLOOR_LIFETIME_S: Final = 0.8
+"""Time without word from any other instance after which parts of older weights are
+not fetched; reports come every 0.1 to 0.4 s."""
 
-FREE_DELAY_S: Final = 2.2
-"""Time from the word that a part is no longer fetched to its free: the age of that
-word (1.0 s), the lifetime of a fetch (0.8 s) and a margin."""
+FREE_DELAY_S: Final = 2.5
+"""Time from the word that a part is no longer fetched to its free: its way over
+another instance (0.4 s), the time for which that may be missed (0.8 s), the lifetime
+of a fetch (0.8 s) and a margin for lost datagrams."""
+
+REPORT_INTERVAL_S: Final = 0.4
+"""Interval of reports that `FREE_DELAY_S` counts with; longer ones add to it twice."""
 
 FREE_BATCH_PARTS: Final = 400
 """Parts that one call frees; about 20 kB."""
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -22,6 +22,7 @@
     rounded_tokens,
 )
 from banyanswitch.exceptions import UpstreamError
+from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import StoreId
 
 LOGGER = structlog.get_logger(__name__)
@@ -75,17 +76,26 @@
         Makes the calls.
     newest_version : callable
         Returns the wanted weight version of a model, or ``None``.
+    watch : SuspensionWatch
+        Tells whether what was heard before may be outdated.
     """
 
     def __init__(
-        self, client: PartStoreClient, newest_version: Callable[[str], int | None]
+        self,
+        client: PartStoreClient,
+        newest_version: Callable[[str], int | None],
+        watch: SuspensionWatch,
     ) -> None:
+        self._watch = watch
+        self._fetches_from_s = float("-inf")
+        watch.subscribe(self._distrust)
         self._client = client
         self._newest_version = newest_version
         self._stores: dict[StoreId, StoreState] = {}
         self._tasks: dict[StoreId, asyncio.Task[None]] = {}
         self._pending: dict[PartKey, tuple[float, StoreId, int]] = {}
-        self._floors: dict[str, tuple[FetchFloor, float]] = {}
+        self._floors: dict[str, FetchFloor] = {}
+        self._heard_at_s = float("-inf")
         self._clock_offset_ms: float | None = None
 
     @property
@@ -128,9 +138,12 @@
 
         Word of a holder that was paused may be older than what is known.
         """
-        known = self._floors.get(model)
-        if known is None or floor >= known[0]:
-            self._floors[model] = (floor, _now_s())
+        self._floors[model] = max(floor, self.floor(model))
+
+    @callback
+    def note_heard(self) -> None:
+        """Take in that another instance was heard; it passes on what it knows."""
+        self._heard_at_s = _now_s()
 
     @callback
     def forget(self, state: StoreState, keys: Iterable[PartKey]) -> None:
@@ -151,6 +164,8 @@
         """Return what to fetch and save for a prompt; its last part is its own."""
         if not self._stores or version is None:
             return PartPlan()
+        self._watch.check()
+        is_trusted = _now_s() >= self._fetches_from_s
         newest = self._newest_version(model)
         is_newest = newest is None or version >= newest
         fetches: list[str] = []
@@ -160,7 +175,7 @@
         for part in parts[:-1]:
             key = (salt, part.name)
             can_fetch = is_newest or self._is_allowed(model, version, part.name)
-            holder = self._holder(key) if can_fetch else None
+            holder = self._holder(key) if can_fetch and is_trusted else None
             fetches.append(holder.node.address if holder else "")
             stored_tokens += part.tokens if holder else 0
             is_missing = holder is None and is_newest
@@ -176,11 +191,29 @@
         for save in plan.promised:
             self._pending[save.key] = (ends_at_s, save.store, save.tokens)
 
+    @property
+    def floors(self) -> dict[str, FetchFloor]:
+        """Last word on what may be fetched, by model."""
+        return self._floors
+
+    @callback
+    def floor(self, model: str) -> FetchFloor:
+        """Return the last word on what may be fetched."""
+        return self._floors.get(model, FetchFloor())
+
+    def _distrust(self) -> None:
+        """Fetch nothing until the other instances have been heard again."""
+        self._fetches_from_s = _now_s() + FLOOR_LIFETIME_S
+
     def _is_allowed(self, model: str, version: int, part: str) -> bool:
-        floor, heard_at_s = self._floors.get(model, (FetchFloor(), float("-inf")))
-        if _now_s() - heard_at_s > FLOOR_LIFETIME_S:
+        """Return whether a part of older weights may be fetched.
+
+        What is about to be freed is passed on by all instances, so one that hears
+        any of the others knows it in time.
+        """
+        if _now_s() - self._heard_at_s > FLOOR_LIFETIME_S:
             return False
-        return floor.allows(version, part)
+        return self.floor(model).allows(version, part)
 
     def _holder(self, key: PartKey) -> StoreState | None:
         holders = [
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -21,7 +21,6 @@
 from banyanswitch.components.state_exchange.models import InstanceReport
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
-from banyanswitch.decisions.fetch_floor import FetchFloor
 from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.interfaces import PeerDirectory
@@ -65,7 +64,6 @@
         self._mirrors = mirrors
         self._versions: dict[str, tuple[float, dict[str, int]]] = {}
         self._own_loading: dict[str, int] = {}
-        self._own_floors: dict[str, FetchFloor] = {}
         self._weights: dict[str, _Seen] = {}
         self._sent_changes = -1
         self.on_report: Callable[[], None] = lambda: None
@@ -76,8 +74,7 @@
         sent_at_s = 0.0
         loop = asyncio.get_running_loop()
         while True:
-            count = max(1, len(self._peers.peers()))
-            interval_s = max(INTERVAL_MIN_S, count / REPORTS_PER_S)
+            interval_s = self.interval_s()
             await asyncio.sleep(interval_s)
             has_changed = self._board.loads.change_count != self._sent_changes
             idle_s = max(INTERVAL_IDLE_S, interval_s)
@@ -85,6 +82,11 @@
                 sent_at_s = loop.time()
                 self.report_now()
 
+    @callback
+    def interval_s(self) -> float:
+        """Return the time between two reports while something changes."""
+        return max(INTERVAL_MIN_S, len(self._peers.peers()) / REPORTS_PER_S)
+
     @callback
     def report_now(self) -> None:
         """Tell all others at once."""
@@ -106,7 +108,7 @@
                 for name, seen in self._weights.items()
                 if now_s - seen.seen_at_s <= WEIGHTS_MEMORY_S
             },
-            fetch_floors=dict(self._own_floors),
+            fetch_floors=dict(self._tier.floors),
             named_ages_s={
                 model: {
                     version: round(now_s - at_s, 3)
@@ -158,21 +160,11 @@
         """Say no longer who loads."""
         self._own_loading.clear()
 
-    @callback
-    def withdraw_floors(self) -> None:
-        """Say no longer what may be fetched."""
-        self._own_floors.clear()
-
-    @callback
-    def set_floor(self, model: str, floor: FetchFloor) -> None:
-        """Say which stored parts may still be fetched."""
-        self._own_floors[model] = floor
-        self._tier.note_floor(model, floor)
-
     def _on_report(self, report: InstanceReport) -> None:
         now_s = _now_s()
         self._versions[report.peer_address] = (now_s, report.table_versions)
         self._board.loads.note_remote(report.instance, report.loads, now_s)
+        self._tier.note_heard()
         self.on_report()
         for name, version in report.loading.items():
             self._board.note_loading(UpstreamId(name), version, now_s)
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -22,7 +22,7 @@
     weights : dict of str to tuple
         Model and version that upstreams were seen to have.
     fetch_floors : dict of str to FetchFloor
-        Which stored parts of each model are about to be freed; said by who frees.
+        Which stored parts of each model are about to be freed; passed on by all.
     named_ages_s : dict of str to dict of int to float
         How long ago each weight version of a model was named, in seconds.
     """
--- a/src/banyanswitch/components/weight_rollout/const.py
+++ b/src/banyanswitch/components/weight_rollout/const.py
@@ -36,9 +36,6 @@
 """Time beyond the exclusion that a new holder waits; covers orders on their way and
 clocks that do not run quite alike."""
 
-SUSPENSION_LIMIT_S: Final = 0.05
-"""Suspension after which a lease may have passed to another holder."""
-
 LOADS_SHARE: Final = 0.34
 """Share of a service's upstreams that load at once."""
 
--- a/src/banyanswitch/components/weight_rollout/tenure.py
+++ b/src/banyanswitch/components/weight_rollout/tenure.py
@@ -9,10 +9,9 @@
     HANDOVER_MARGIN_S,
     LEASE_S,
     ORDER_WINDOW_S,
-    SUSPENSION_LIMIT_S,
 )
 from banyanswitch.core import callback
-from banyanswitch.helpers.suspension import SuspensionClock
+from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.interfaces import LeaseManager
 
 LOGGER = structlog.get_logger(__name__)
@@ -27,7 +26,7 @@
         Holds the lease.
     exclusion_s : float
         Time for which orders of one holder exclude those of others, in seconds.
-    suspension : SuspensionClock
+    watch : SuspensionWatch
         Tells whether the machine was suspended, when the lease ran on unseen.
     is_leaving : callable
         Returns whether this instance is about to give the lease back.
@@ -37,21 +36,22 @@
         self,
         leases: LeaseManager,
         exclusion_s: float,
-        suspension: SuspensionClock,
+        watch: SuspensionWatch,
         is_leaving: Callable[[], bool],
     ) -> None:
         self._is_leaving = is_leaving
         self._leases = leases
         self._exclusion_s = exclusion_s
-        self._suspension = suspension
-        self._suspended_s = suspension.suspended_s()
+        self._watch = watch
+        # The lease may have passed on meanwhile; only a new tenure is safe.
+        watch.subscribe(self.burn)
         self._token = 0
         self._starts_at_s = 0.0
 
     @callback
     def token(self, now_s: float) -> int | None:
         """Return the fencing token if orders may be given now."""
-        self._notice_suspension()
+        self._watch.check()
         lease = self._leases.held(DUTY)
         if lease is None or self._is_leaving():
             self._token = 0
@@ -67,6 +67,7 @@
     @callback
     def is_holder(self) -> bool:
         """Return whether this instance holds the lease, orders or not."""
+        self._watch.check()
         return self._leases.held(DUTY) is not None
 
     @callback
@@ -84,13 +85,3 @@
         """
         passed_s = LEASE_S - ORDER_WINDOW_S
         return max(0.0, self._exclusion_s + HANDOVER_MARGIN_S - passed_s)
-
-    def _notice_suspension(self) -> None:
-        suspended_s = self._suspension.suspended_s()
-        if suspended_s - self._suspended_s > SUSPENSION_LIMIT_S:
-            LOGGER.warning(
-                "machine_was_suspended", for_s=suspended_s - self._suspended_s
-            )
-            # The lease may have passed on; only a new tenure is safe.
-            self.burn()
-        self._suspended_s = suspended_s
--- a/src/banyanswitch/decisions/fetch_floor.py
+++ b/src/banyanswitch/decisions/fetch_floor.py
@@ -51,20 +51,26 @@
         return _position(part) >= self.retired_share
 
 
-def fetch_floor(view: FloorView) -> FetchFloor:
-    """Return what may still be fetched.
+def fetch_floor(view: FloorView, said: FetchFloor) -> FetchFloor:
+    """Return what may still be fetched; what was retired stays so.
 
     The stores hold about one set of parts. The old set gives way step by step as
     upstreams move; all of it once half of them have the new weights.
     """
     if not view.upstream_versions:
-        return FetchFloor()
+        return said
     moved = sum(version >= view.target for version in view.upstream_versions)
     if 2 * moved >= len(view.upstream_versions):
-        return FetchFloor(view.target, view.target, 1.0)
-    oldest = min(*view.upstream_versions, view.target)
+        return max(said, FetchFloor(view.target, view.target, 1.0))
+    oldest = max(said.version, min(*view.upstream_versions, view.target))
     share = 2.0 * moved / len(view.upstream_versions)
-    return FetchFloor(oldest, view.target, share)
+    if view.target == said.target:
+        return FetchFloor(oldest, view.target, max(share, said.retired_share))
+    if said.retired_share > 0.0:
+        # Parts below the last target are partly retired; a share of the next one
+        # would bring some of them back.
+        oldest = max(oldest, said.target)
+    return max(said, FetchFloor(oldest, view.target, share))
 
 
 def _position(part: str) -> float:
--- a/src/banyanswitch/decisions/part_stores.py
+++ b/src/banyanswitch/decisions/part_stores.py
@@ -20,8 +20,9 @@
 FILL_SHARE: Final = 0.97
 """Part of a store's room that is used; the rest covers saves under way."""
 
-SPILL_SHARE: Final = 0.5
-"""Free share of a store of the other kind from which it takes a part too."""
+SPILL_SHARE: Final = 0.1
+"""Free share of a store of the other kind from which it takes a part too; reading a
+part again costs far more than a slower fetch."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/banyanswitch/decisions/upstream_choice.py
+++ b/src/banyanswitch/decisions/upstream_choice.py
@@ -58,6 +58,8 @@
         Prompt tokens that are still to be read there.
     memory_tokens : int
         Tokens that its running requests hold.
+    stored_tokens : int
+        Shared tokens of the request that a store keeps for its weights.
     health : float
         Share of its normal work that it may get, above 0 to 1.
     """
@@ -70,6 +72,7 @@
     slots: int = 1
     capacity_tokens: int = 0
     health: float = 1.0
+    stored_tokens: int = 0
     has_newest_weights: bool = True
 
 
@@ -83,10 +86,8 @@
         What requests share that should meet at one upstream; empty for none.
     own_tokens : int
         Prompt tokens that no other request has.
-    stored_tokens : int
-        Shared tokens that a store keeps.
-    unstored_tokens : int
-        Shared tokens that no store keeps.
+    shared_tokens : int
+        Prompt tokens that other requests have too.
     output_tokens : int
         Most tokens that will be made.
     """
@@ -94,8 +95,7 @@
     home_key: str
     failure_domain: FailureDomainId
     own_tokens: int = 0
-    stored_tokens: int = 0
-    unstored_tokens: int = 0
+    shared_tokens: int = 0
     output_tokens: int = 0
 
 
@@ -121,7 +121,7 @@
 
     Heavy requests wait where short ones can overtake them.
     """
-    cost = prefill_cost_tokens(request, policy, is_home=False)
+    cost = prefill_cost_tokens(view, request, policy, is_home=False)
     if cost < policy.heavy_tokens:
         return False
     if view.prefill_tokens > policy.max_queued_tokens:
@@ -144,17 +144,19 @@
 
 
 def prefill_cost_tokens(
-    request: ChoiceRequest, policy: ChoicePolicy, *, is_home: bool
+    view: UpstreamView, request: ChoiceRequest, policy: ChoicePolicy, *, is_home: bool
 ) -> float:
     """Return what must be read or fetched before the first token, in tokens read."""
-    shared = request.stored_tokens * policy.fetch_share + request.unstored_tokens
+    unstored_tokens = request.shared_tokens - view.stored_tokens
+    shared = view.stored_tokens * policy.fetch_share + unstored_tokens
     return request.own_tokens + shared * (policy.home_share if is_home else 1.0)
 
 
 def _cost(
     view: UpstreamView, request: ChoiceRequest, policy: ChoicePolicy, *, is_home: bool
 ) -> float:
-    cost = view.prefill_tokens + prefill_cost_tokens(request, policy, is_home=is_home)
+    cost = float(view.prefill_tokens)
+    cost += prefill_cost_tokens(view, request, policy, is_home=is_home)
     # A plain service has no tokens: its requests wait for a slot.
     cost += policy.running_tokens * view.running_requests
     waiting = max(0, view.running_requests + 1 - view.slots)
@@ -170,8 +172,7 @@
 
 
 def _memory_tokens(request: ChoiceRequest) -> int:
-    shared = request.stored_tokens + request.unstored_tokens
-    return request.own_tokens + shared + request.output_tokens
+    return request.own_tokens + request.shared_tokens + request.output_tokens
 
 
 def _order(key: str, name: UpstreamId) -> int:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -48,7 +48,10 @@
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
 from banyanswitch.helpers.signing import SigningKeys
-from banyanswitch.helpers.suspension import SystemSuspensionClock
+from banyanswitch.helpers.suspension import (
+    SuspensionWatch,
+    SystemSuspensionClock,
+)
 from banyanswitch.helpers.wall_clock import SystemWallClock
 from banyanswitch.identifiers import FailureDomainId, InstanceId
 from banyanswitch.platform.calls import HeaderTranslator
@@ -146,7 +149,8 @@
         ),
         on_new_incarnation=transport.raise_incarnation,
     )
-    tier = PartTier(engines, lambda model: _newest(routing, model))
+    watch = SuspensionWatch(SystemSuspensionClock())
+    tier = PartTier(engines, lambda model: _newest(routing, model), watch)
     exchange = StateExchange(
         transport=transport,
         peers=membership,
@@ -175,7 +179,7 @@
     tenure = Tenure(
         leases,
         settings.lease_s,
-        SystemSuspensionClock(),
+        watch,
         lambda: stop.is_leaving,
     )
     named_times = NamedTimes(table=tables, clock=tables, routing=routing, tenure=tenure)
--- a/tests/decisions/test_upstream_choice.py
+++ b/tests/decisions/test_upstream_choice.py
@@ -12,6 +12,7 @@
     UpstreamView,
     choose_upstream,
     home_of,
+    must_wait,
 )
 from banyanswitch.identifiers import FailureDomainId, UpstreamId
 
@@ -29,13 +30,12 @@
     return replace(base, **values)  # type: ignore[arg-type]
 
 
-def long_prompt(part: str, stored: bool = True) -> ChoiceRequest:
+def long_prompt(part: str, shared_tokens: int = 12_800) -> ChoiceRequest:
     return ChoiceRequest(
         home_key=part,
         failure_domain=ZONE,
         own_tokens=4_260,
-        stored_tokens=12_800 if stored else 0,
-        unstored_tokens=0 if stored else 12_800,
+        shared_tokens=shared_tokens,
         output_tokens=30,
     )
 
@@ -47,7 +47,7 @@
 def test_requests_with_a_shared_part_meet_on_idle_upstreams() -> None:
     views = [view(f"u{number}") for number in range(6)]
     for number in range(50):
-        request = long_prompt(f"part{number}", stored=False)
+        request = long_prompt(f"part{number}")
         assert choose_upstream(views, request, POLICY) == home_of(
             request.home_key, views
         )
@@ -66,8 +66,10 @@
 
 def test_a_hot_part_of_34000_tokens_spills_when_its_home_is_full() -> None:
     """One part is asked for far more often than all others."""
-    views = {f"u{number}": view(f"u{number}") for number in range(6)}
-    request = replace(long_prompt("hot"), stored_tokens=34_000)
+    views = {
+        f"u{number}": view(f"u{number}", stored_tokens=34_000) for number in range(6)
+    }
+    request = long_prompt("hot", 34_000)
     counts: Counter[str] = Counter()
     for _ in range(12):
         name = choose_upstream(list(views.values()), request, POLICY)
@@ -92,7 +94,7 @@
             home_key=f"part{generator.randrange(40)}",
             failure_domain=ZONE,
             own_tokens=82,
-            unstored_tokens=301,
+            shared_tokens=301,
             output_tokens=11,
         )
         name = choose_upstream(list(views.values()), request, POLICY)
@@ -110,7 +112,7 @@
 def test_short_prompts_avoid_the_upstream_that_reads_a_long_one() -> None:
     views = [view("u0", prefill_tokens=17_000), view("u1")]
     request = ChoiceRequest(
-        home_key="x", failure_domain=ZONE, own_tokens=82, unstored_tokens=301
+        home_key="x", failure_domain=ZONE, own_tokens=82, shared_tokens=301
     )
     assert choose_upstream(views, request, POLICY) == "u1"
 
@@ -166,3 +168,24 @@
     views = [view("u0", health=0.1), view("u1", running_requests=2)]
     request = ChoiceRequest(home_key="", failure_domain=ZONE, own_tokens=400)
     assert choose_upstream(views, request, POLICY) == "u1"
+
+
+def test_an_upstream_for_whose_weights_the_part_is_stored_is_quicker() -> None:
+    views = [view("cold"), view("warm", prefill_tokens=3_000, stored_tokens=12_800)]
+    assert choose_upstream(views, long_prompt("a"), POLICY) == "warm"
+
+
+def test_heavy_requests_wait_before_a_long_queue_and_short_ones_do_not() -> None:
+    """Cold long prompts arrive faster than the few engines read them."""
+    busy = view("u0", prefill_tokens=17_000)
+    short = ChoiceRequest(
+        home_key="x", failure_domain=ZONE, own_tokens=82, shared_tokens=301
+    )
+    assert must_wait(busy, long_prompt("a"), POLICY)
+    assert not must_wait(busy, short, POLICY)
+    assert not must_wait(view("u0"), long_prompt("a"), POLICY)
+
+
+def test_a_heavy_request_waits_for_memory_unless_the_engine_is_empty() -> None:
+    assert must_wait(view("u0", memory_tokens=60_000), long_prompt("a"), POLICY)
+    assert not must_wait(view("u0"), long_prompt("a", 90_000), POLICY)
