Fetch parts that no store has from their home's memory

Cause: requests that spilled from their home read shared parts again while stores had no room (weights changing). A miss costs a millisecond. Fetches of the newest weights may take 1.6 s, since 10 fetches on a slow link were thrown away after 0.8 s.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -46,6 +46,10 @@
 """Time within which a fetch must end, or the prompt is read instead; the longest take
 70 ms, and links may be 8 times slower. Stores free nothing sooner than after it."""
 
+NEWEST_FETCH_LIFETIME_MS: Final = 1600
+"""The same for parts of the newest weights, of which nothing is freed before the next
+ones are named and an upstream has loaded them, 1.5 s later at the least."""
+
 MIN_TIME_LEFT_S: Final = 0.03
 """Remaining time below which an attempt is not worth sending."""
 
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -7,6 +7,7 @@
 from banyanswitch.components.forwarding.const import (
     CONNECTION_SHARE,
     FETCH_LIFETIME_MS,
+    NEWEST_FETCH_LIFETIME_MS,
 )
 from banyanswitch.components.forwarding.loads import InFlight
 from banyanswitch.components.forwarding.models import (
@@ -134,7 +135,10 @@
         view = next(view for view in views if view.name == name)
         used = self._weights_of(state, model)
         parts = plans[used]
-        is_home = home_of(choice.home_key, views) == name
+        home = home_of(choice.home_key, views)
+        is_home = home == name
+        if home is not None and not is_home:
+            parts = self._with_home(parts, states, home, used, model)
         prefill = prefill_cost_tokens(view, choice, self._policy, is_home=is_home)
         memory = request.facts.prompt_tokens + request.facts.output_tokens
         is_heavy = prefill >= self._policy.heavy_tokens
@@ -191,6 +195,20 @@
         serving = max(state.weight_versions.get(model, 0) for state in states)
         return max(target.version if target else 0, serving)
 
+    def _with_home(
+        self,
+        parts: PartPlan,
+        states: list[UpstreamState],
+        home: UpstreamId,
+        used: int | None,
+        model: str | None,
+    ) -> PartPlan:
+        """Let parts come from the home's own memory; a miss costs a millisecond."""
+        state = next(state for state in states if state.record.name == home)
+        if self._weights_of(state, model) != used:
+            return parts
+        return parts.with_source(state.record.address)
+
     @staticmethod
     def _weights_of(state: UpstreamState, model: str | None) -> int | None:
         return state.weight_versions.get(model) if model is not None else None
@@ -261,6 +279,9 @@
         is_model = model is not None
         salt = self._salt(request, model, version) if model is not None else None
         clock_ms = self._tier.clock_ms()
+        target = self._routing.targets.get(model) if model else None
+        is_newest = target is None or (version or 0) >= target.version
+        lifetime_ms = NEWEST_FETCH_LIFETIME_MS if is_newest else FETCH_LIFETIME_MS
         return CallPlan(
             upstream=record.name,
             workspace=workspace.name if workspace else None,
@@ -270,7 +291,7 @@
             expected_weights=version if is_model else None,
             fetches=parts.fetches,
             saves=parts.saves,
-            fetch_until_ms=clock_ms + FETCH_LIFETIME_MS if clock_ms else None,
+            fetch_until_ms=clock_ms + lifetime_ms if clock_ms else None,
             resume_after=request.resume_after,
         )
 
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -54,6 +54,13 @@
     stored_tokens: int = 0
     promised: tuple[Save, ...] = ()
 
+    def with_source(self, address: str) -> "PartPlan":
+        """Return the plan with a source for the shared parts that no store has."""
+        if not self.fetches:
+            return self
+        shared = [known or address for known in self.fetches[:-1]]
+        return replace(self, fetches=(*shared, self.fetches[-1]))
+
 
 @dataclass(slots=True)
 class StoreState:
