--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -13,6 +13,10 @@
 """Time for which word of a load under way is believed; who ordered it repeats it with
 each report, so its end is noticed even if that instance is gone."""
 
+FULL_MEMORY_S: Final = 0.2
+"""Time for which an upstream that refused a request is passed over; requests of plain
+services take some 0.1 s, so a place is free again by then."""
+
 REPLACED_MEMORY_S: Final = 5.0
 """Time for which an upstream at whose address another answered gets no work; its entry
 lapses after three heartbeats of 1.2 s."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -312,10 +312,11 @@
 
     def _note_not_run(self, placed: Placed, error: NotRunError) -> None:
         self._metrics.count_not_run(placed.record.service)
+        name = placed.record.name
         if not error.is_misdirected:
+            self._board.note_refused(name, self._loop.time())
             return
         self._pool.close_idle(placed.record.address)
-        name = placed.record.name
         if error.answered_by is not None and error.answered_by != name:
             self._board.note_replaced(name, self._loop.time())
             self._on_replaced(name)
--- a/src/banyanswitch/components/forwarding/upstream_board.py
+++ b/src/banyanswitch/components/forwarding/upstream_board.py
@@ -6,6 +6,7 @@
 import structlog
 
 from banyanswitch.components.forwarding.const import (
+    FULL_MEMORY_S,
     LAPSE_PATIENCE_S,
     NOTICE_LIFETIME_S,
     OUTAGE_MEMORY_S,
@@ -38,6 +39,8 @@
         Loop time at which it is dropped, after its entry vanished.
     replaced_until_s : float
         Loop time until which another upstream is believed to have its address.
+    full_until_s : float
+        Loop time until which it gets no work that others can take, after a refusal.
     """
 
     record: UpstreamRecord
@@ -48,6 +51,7 @@
     loading_version: int = 0
     gone_at_s: float | None = None
     replaced_until_s: float = 0.0
+    full_until_s: float = 0.0
 
 
 class UpstreamBoard:
@@ -111,6 +115,8 @@
     @callback
     def health(self, state: UpstreamState, now_s: float) -> float:
         """Return the share of its normal work that an upstream may get."""
+        if now_s < state.full_until_s:
+            return 0.0
         waiting_since_s = self.loads.oldest_unanswered_s(state.record.name)
         if waiting_since_s is not None:
             silent_since_s = max(waiting_since_s, state.heard_at_s)
@@ -149,6 +155,13 @@
         state.loading_version = version
         state.loading_until_s = now_s + NOTICE_LIFETIME_S
 
+    @callback
+    def note_refused(self, upstream: UpstreamId, now_s: float) -> None:
+        """Take in that an upstream refused a request without running it."""
+        state = self._states.get(upstream)
+        if state is not None:
+            state.full_until_s = now_s + FULL_MEMORY_S
+
     @callback
     def note_replaced(self, upstream: UpstreamId, now_s: float) -> None:
         """Take in that another upstream answers at this one's address.
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -239,7 +239,7 @@
     entrance = Entrance(
         calls=EntranceTranslator(),
         peers=membership,
-        is_ready=lambda: routing.configuration is not None and not stop.is_leaving,
+        is_ready=lambda: not membership.this_instance().is_leaving,
         ttl_s=min(ADDRESS_TTL_S, settings.address_ttl_s),
     )
     entrance_server = CallerServer(entrance.async_handle)
--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -28,7 +28,7 @@
     events : int
         Events of a stream.
     breaks_after : int or None
-        Events after which streams are cut, the next time only.
+        Event after which the next stream that sends it is cut.
     load_s : float
         Time that it takes to load weights, in seconds.
     """
@@ -137,7 +137,7 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         breaks_after, self.breaks_after = self.breaks_after, None
         for number in range(first, self.events + 1):
-            if breaks_after is not None and number > breaks_after:
+            if breaks_after is not None and number > breaks_after >= first:
                 await response.write(f"id: {number}\ndata: ha".encode())
                 await asyncio.sleep(EVENT_PAUSE_S)
                 if request.transport is not None:
--- a/tests/components/forwarding/test_upstream_board.py
+++ b/tests/components/forwarding/test_upstream_board.py
@@ -130,3 +130,35 @@
     assert upstreams.loads.total(name, now_s()) == Load(3, 300, 420)
     await asyncio.sleep(5.0)
     assert upstreams.loads.total(name, now_s()) == Load(1, 0, 20)
+
+
+async def test_an_address_at_which_another_answered_gets_no_work() -> None:
+    """A third of the upstreams crash and start again under new ids."""
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.put(record("b"))
+    upstreams.board.note_replaced(UpstreamId("a"), now_s())
+    assert upstreams.accepting(now_s()) == ["b"]
+    upstreams.put(record("a", is_leaving=False))
+    assert upstreams.accepting(now_s()) == ["b"]
+    upstreams.put(record("a", started_at_ms=2))
+    assert upstreams.accepting(now_s()) == ["a", "b"]
+
+
+async def test_an_upstream_that_refused_is_passed_over_for_a_moment() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    (state,) = upstreams.board.of_service(SERVICE)
+    upstreams.board.note_refused(UpstreamId("a"), now_s())
+    assert upstreams.board.health(state, now_s()) == 0.0
+    await asyncio.sleep(0.3)
+    assert upstreams.board.health(state, now_s()) == 1.0
+
+
+async def test_a_service_whose_upstreams_all_crashed_and_came_back_recovers() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.board.note_replaced(UpstreamId("a"), now_s())
+    upstreams.remove("a")
+    upstreams.put(record("c"))
+    assert upstreams.accepting(now_s()) == ["c"]
--- /dev/null
+++ b/tests/components/kv_tier/test_coordinator.py
@@ -0,0 +1,215 @@
+"""Plans of fetches and saves by what the stores have said."""
+
+import asyncio
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+import pytest
+
+from banyanswitch.components.forwarding.loads import InFlight, LoadBook
+from banyanswitch.components.forwarding.models import KvStoreNode, PromptPart
+from banyanswitch.components.forwarding.protocols import PartEvent, PartEvents
+from banyanswitch.components.kv_tier.const import FLOOR_LIFETIME_S
+from banyanswitch.components.kv_tier.coordinator import PartPlan, PartTier
+from banyanswitch.decisions.fetch_floor import FetchFloor
+from banyanswitch.decisions.prefix import salt_version, versioned_cache_salt
+from banyanswitch.exceptions import UpstreamBrokenError
+from banyanswitch.helpers.suspension import SuspensionWatch
+from banyanswitch.identifiers import FailureDomainId, StoreId, UpstreamId, WorkspaceId
+
+pytestmark = pytest.mark.looptime
+MODEL = "m"
+PARTS = (PromptPart("shared", 12_800), PromptPart("own", 4_260))
+ADDRESS = "10.0.0.2:1"
+
+
+class FakeClock:
+    """Implements ``SuspensionClock``."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def suspended_s(self) -> float:
+        return self.seconds
+
+
+@dataclass
+class FakeStore:
+    """Implements ``PartStoreClient`` for one store."""
+
+    epoch: int = 1
+    held: list[PartEvent] = field(default_factory=list)
+    events: list[PartEvent] = field(default_factory=list)
+    is_down: bool = False
+    has_gap: bool = False
+
+    async def async_events(self, address: str, since: int, wait_s: float) -> PartEvents:
+        await asyncio.sleep(0.01)
+        if self.is_down:
+            raise UpstreamBrokenError("down")
+        events, self.events = tuple(self.events), []
+        has_gap, self.has_gap = self.has_gap, False
+        return PartEvents(
+            epoch=self.epoch,
+            next_event=since + len(events),
+            has_gap=has_gap,
+            events=events,
+            clock_ms=5,
+        )
+
+    async def async_list(self, address: str) -> PartEvents:
+        if self.is_down:
+            raise UpstreamBrokenError("down")
+        return PartEvents(
+            epoch=self.epoch,
+            next_event=0,
+            has_gap=False,
+            events=tuple(self.held),
+            clock_ms=5,
+        )
+
+    async def async_free(
+        self, address: str, epoch: int, parts: Sequence[tuple[str, str]]
+    ) -> bool:
+        return True
+
+
+class Setup:
+    def __init__(self) -> None:
+        self.store = FakeStore()
+        self.newest = 1
+        self.loads = LoadBook()
+        self.clock = FakeClock()
+        self.tier = PartTier(
+            self.store,
+            lambda _model: self.newest,
+            SuspensionWatch(self.clock),
+            self.loads,
+        )
+
+    async def async_start(self) -> None:
+        node = KvStoreNode(
+            name=StoreId("s"),
+            address=ADDRESS,
+            failure_domain=FailureDomainId("z"),
+            capacity_tokens=100_000,
+            bandwidth_mbps=45_000.0,
+            first_byte_s=0.0005,
+            max_event_readers=12,
+            is_managed=True,
+        )
+        self.tier.set_stores([node])
+        await asyncio.sleep(0.1)
+
+    def plan(self, version: int = 1) -> PartPlan:
+        salt = versioned_cache_salt(MODEL, version)
+        return self.tier.plan(PARTS, salt, MODEL, version, 18_432)
+
+    def kept(self, version: int = 1) -> PartEvent:
+        salt = versioned_cache_salt(MODEL, version)
+        return PartEvent(True, salt, "shared", 12_800)
+
+
+@pytest.fixture
+def setup() -> Iterator[Setup]:
+    setup = Setup()
+    yield setup
+    setup.tier.stop()
+
+
+async def test_a_part_is_saved_once_and_fetched_when_it_is_complete(
+    setup: Setup,
+) -> None:
+    await setup.async_start()
+    plan = setup.plan()
+    assert plan.saves == (ADDRESS, "")
+    assert plan.fetches == ("", "")
+    setup.tier.promise(plan)
+    assert setup.plan().saves == ("", "")
+    setup.store.events.append(setup.kept())
+    await asyncio.sleep(0.1)
+    assert setup.plan().fetches == (ADDRESS, "")
+    assert setup.plan().stored_tokens == 12_800
+
+
+async def test_a_plan_that_is_not_sent_promises_nothing(setup: Setup) -> None:
+    """A heavy request is planned again and again while it waits for its turn."""
+    await setup.async_start()
+    for _ in range(5):
+        assert setup.plan().saves == (ADDRESS, "")
+
+
+async def test_a_store_that_restarted_empty_is_believed_empty(setup: Setup) -> None:
+    await setup.async_start()
+    setup.store.events.append(setup.kept())
+    await asyncio.sleep(0.1)
+    setup.store.is_down = True
+    await asyncio.sleep(0.1)
+    assert setup.plan() == PartPlan(("", ""), ("", ""))
+    setup.store.is_down = False
+    setup.store.epoch = 2
+    await asyncio.sleep(2.0)
+    assert setup.plan().fetches == ("", "")
+    assert setup.plan().saves == (ADDRESS, "")
+
+
+async def test_after_lost_events_the_store_is_listed(setup: Setup) -> None:
+    await setup.async_start()
+    setup.store.held.append(setup.kept())
+    setup.store.has_gap = True
+    await asyncio.sleep(0.5)
+    assert setup.plan().fetches == (ADDRESS, "")
+
+
+async def test_parts_of_older_weights_follow_the_floor(setup: Setup) -> None:
+    await setup.async_start()
+    setup.store.events.append(setup.kept())
+    await asyncio.sleep(0.1)
+    setup.newest = 2
+    assert setup.plan().fetches == ("", "")
+    setup.tier.note_heard()
+    assert setup.plan().fetches == (ADDRESS, "")
+    setup.tier.note_floor(MODEL, FetchFloor(2, 2, 1.0))
+    assert setup.plan().fetches == ("", "")
+    setup.tier.note_floor(MODEL, FetchFloor(1, 2, 0.0))
+    assert setup.plan().fetches == ("", "")
+
+
+async def test_who_hears_nobody_fetches_nothing_of_older_weights(setup: Setup) -> None:
+    await setup.async_start()
+    setup.store.events.append(setup.kept())
+    setup.newest = 2
+    setup.tier.note_heard()
+    await asyncio.sleep(FLOOR_LIFETIME_S + 0.1)
+    assert setup.plan().fetches == ("", "")
+
+
+async def test_nothing_is_fetched_right_after_a_suspension(setup: Setup) -> None:
+    await setup.async_start()
+    setup.store.events.append(setup.kept())
+    await asyncio.sleep(0.1)
+    setup.clock.seconds += 3.0
+    assert setup.plan().fetches == ("", "")
+    await asyncio.sleep(FLOOR_LIFETIME_S)
+    assert setup.plan().fetches == (ADDRESS, "")
+
+
+async def test_a_part_behind_a_long_queue_is_read(setup: Setup) -> None:
+    await setup.async_start()
+    setup.store.events.append(setup.kept())
+    await asyncio.sleep(0.1)
+    call = InFlight(UpstreamId("a"), 1, 1, 0.0, fetches={ADDRESS: 200_000})
+    number = setup.loads.begin(call)
+    assert setup.plan().fetches == ("", "")
+    assert setup.plan().saves == ("", "")
+    setup.loads.answered(number)
+    assert setup.plan().fetches == (ADDRESS, "")
+
+
+def test_salts_hold_the_version_and_the_wall() -> None:
+    walls = [None, WorkspaceId("a"), WorkspaceId("b")]
+    salts = {versioned_cache_salt(MODEL, 3, wall) for wall in walls}
+    assert len(salts) == 3
+    assert {salt_version(salt) for salt in salts} == {3}
+    assert versioned_cache_salt(MODEL, 4) not in salts
+    assert salt_version("other") is None
