--- a/src/banyanswitch/components/entrance/planned_stop.py
+++ b/src/banyanswitch/components/entrance/planned_stop.py
@@ -63,7 +63,9 @@
         self._server.stop_listening()
         self._server.close_idle()
         ends_at_s = began_at_s + DRAIN_SHARE * self._grace_s
-        while self._server.busy_count and loop.time() < ends_at_s:
+        while True:
+            if not self._server.busy_count or loop.time() >= ends_at_s:
+                break
             await asyncio.sleep(DRAIN_STEP_S)
         LOGGER.info(
             "stopped",
--- a/src/banyanswitch/components/state_exchange/const.py
+++ b/src/banyanswitch/components/state_exchange/const.py
@@ -12,6 +12,9 @@
 """Reports that one instance takes in each second, whatever the number of instances;
 one costs about 60 us."""
 
+URGENT_REPORTS_PER_S: Final = 200.0
+"""The same for reports that do not wait for their interval."""
+
 WEIGHTS_MEMORY_S: Final = 3.0
 """Time for which a seen weight version is repeated; entries in the store say it
 after about 2 s."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -15,6 +15,7 @@
     INTERVAL_MIN_S,
     NAMED_MEMORY_S,
     REPORTS_PER_S,
+    URGENT_REPORTS_PER_S,
     VERSIONS_LIFETIME_S,
     WEIGHTS_MEMORY_S,
 )
@@ -67,20 +68,19 @@
         self._weights: dict[str, _Seen] = {}
         self._replaced: dict[str, float] = {}
         self._sent_changes = -1
+        self._sent_at_s = float("-inf")
+        self._urgent: asyncio.TimerHandle | None = None
         self.on_report: Callable[[], None] = lambda: None
         transport.subscribe(InstanceReport, self._on_report)
 
     async def async_run(self) -> None:
         """Report until cancelled."""
-        sent_at_s = 0.0
-        loop = asyncio.get_running_loop()
         while True:
             interval_s = self.interval_s()
             await asyncio.sleep(interval_s)
             has_changed = self._board.loads.change_count != self._sent_changes
             idle_s = max(INTERVAL_IDLE_S, interval_s)
-            if has_changed or loop.time() - sent_at_s >= idle_s:
-                sent_at_s = loop.time()
+            if has_changed or _now_s() - self._sent_at_s >= idle_s:
                 self.report_now()
 
     @callback
@@ -88,9 +88,29 @@
         """Return the time between two reports while something changes."""
         return max(INTERVAL_MIN_S, len(self._peers.peers()) / REPORTS_PER_S)
 
+    @callback
+    def report_soon(self) -> None:
+        """Tell all others at once, or as soon as their number allows.
+
+        What all instances together send grows with the square of their number.
+        """
+        if self._urgent is not None:
+            return
+        gap_s = len(self._peers.peers()) / URGENT_REPORTS_PER_S
+        due_at_s = self._sent_at_s + gap_s
+        if _now_s() >= due_at_s:
+            self.report_now()
+            return
+        loop = asyncio.get_running_loop()
+        self._urgent = loop.call_at(due_at_s, self.report_now)
+
     @callback
     def report_now(self) -> None:
         """Tell all others at once."""
+        if self._urgent is not None:
+            self._urgent.cancel()
+            self._urgent = None
+        self._sent_at_s = _now_s()
         self._sent_changes = self._board.loads.change_count
         now_s = _now_s()
         this = self._peers.this_instance()
@@ -147,10 +167,10 @@
     def announce_replaced(self, upstream: UpstreamId) -> None:
         """Say that another upstream answered at this one's address."""
         now_s = _now_s()
-        is_news = now_s - self._replaced.get(upstream, 0.0) > WEIGHTS_MEMORY_S
+        is_news = now_s - self._replaced.get(upstream, float("-inf")) > WEIGHTS_MEMORY_S
         self._replaced[upstream] = now_s
         if is_news:
-            self.report_now()
+            self.report_soon()
 
     @callback
     def announce_loading(self, upstream: UpstreamId, version: int) -> None:
--- a/src/banyanswitch/components/weight_rollout/named_times.py
+++ b/src/banyanswitch/components/weight_rollout/named_times.py
@@ -48,12 +48,13 @@
 
     async def async_run(self) -> None:
         """Read once, then write what is new until cancelled."""
-        while not await self._async_read():
-            await asyncio.sleep(NAMED_STEP_S)
+        is_read = False
         while True:
-            await asyncio.sleep(NAMED_STEP_S)
-            if self._tenure.is_holder():
+            if not is_read:
+                is_read = await self._async_read()
+            elif self._tenure.is_holder():
                 await self._async_write_new()
+            await asyncio.sleep(NAMED_STEP_S)
 
     async def _async_read(self) -> bool:
         try:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -80,6 +80,8 @@
 EJECTION: Final = EjectionPolicy(failures=3, base_s=1.0, max_s=8.0, ramp_s=2.0)
 """Short, since an upstream of this platform is replaced within seconds."""
 
+METRICS_PATH: Final = b"/metrics"
+STATUS_OK: Final = 200
 MILLISECONDS_PER_S: Final = 1000.0
 
 
@@ -114,175 +116,248 @@
 
 async def async_compose_forwarding(settings: ForwardingSettings) -> ForwardingProcess:
     """Wire and start all parts."""
-    generator = random.Random()
-    decoder = RowDecoder()
-    incarnation = int(SystemWallClock().now_unix_s() * MILLISECONDS_PER_S)
-    store_client = HttpClient(ConnectionPool())
-    engine_client = HttpClient(ConnectionPool())
-    peer_client = HttpClient(ConnectionPool())
-    tables = PlatformTables(store_client, settings.store_address, STORE_TIMEOUT_S)
-    engines = PlatformEngines(engine_client)
-    mirrors = {
-        name: TableMirror(name, tables, generator)
-        for name in (TABLE_OPERATOR, TABLE_UPSTREAMS)
-    }
-    routing = RoutingState(mirrors[TABLE_OPERATOR], decoder, KEY_CONFIGURATION)
-    loads = LoadBook()
-    board = UpstreamBoard(
-        mirrors[TABLE_UPSTREAMS], decoder, loads, Ejector(EJECTION, generator)
-    )
-    transport = DatagramPeerTransport(
-        instance=InstanceId(settings.instance),
-        incarnation=incarnation,
-        host=settings.host,
-        port=settings.peer_port,
-        keys=SigningKeys(INTERNAL_KEY, None),
-    )
-    await transport.async_start()
-    membership = MembershipCoordinator(
-        transport=transport,
-        this_member=_this_member(settings, transport),
-        seeds=settings.peer_seeds,
-        heartbeat_s=HEARTBEAT_S,
-        generator=generator,
-        on_change=lambda: LOGGER.info(
-            "instances_changed", live=len(membership.peers())
-        ),
-        on_new_incarnation=transport.raise_incarnation,
-    )
-    watch = SuspensionWatch(SystemSuspensionClock())
-    tier = PartTier(engines, lambda model: _newest(routing, model), watch, loads)
-    exchange = StateExchange(
-        transport=transport,
-        peers=membership,
-        board=board,
-        tier=tier,
-        mirrors=mirrors,
-        routing=routing,
-    )
-    turns = Turns()
-
-    def on_heavy_change() -> None:
-        exchange.report_now()
-        turns.notify()
-
-    board.loads.on_heavy_change = on_heavy_change
-    exchange.on_report = turns.notify
-    relay = TableRelay(mirrors, exchange, peer_client, generator)
-    leases = LeaseCoordinator(
-        table=tables,
-        peers=membership,
-        holder=f"{settings.instance}/{incarnation}",
-        lease_s=LEASE_S,
-        generator=generator,
-    )
-    leases.campaign(DUTY)
-    tenure = Tenure(
-        leases,
-        settings.lease_s,
-        watch,
-        lambda: stop.is_leaving,
-    )
-    named_times = NamedTimes(table=tables, clock=tables, routing=routing, tenure=tenure)
-    rollout = WeightRollout(
-        tenure=tenure,
-        routing=routing,
-        board=board,
-        engines=engines,
-        exchange=exchange,
-        holder=settings.instance,
-    )
-    cleaner = StoreCleaner(
-        tenure=tenure,
-        routing=routing,
-        board=board,
-        tier=tier,
-        stores=engines,
-        exchange=exchange,
-    )
-    pool = ConnectionPool()
-    metrics = ForwardingMetrics()
-
-    def instance_count() -> int:
-        return max(1, len(membership.peers()))
-
-    placement = Placement(
-        routing=routing,
-        board=board,
-        tier=tier,
-        pool=pool,
-        failure_domain=FailureDomainId(settings.failure_domain),
-        weights_deadline_s=settings.weights_deadline_s,
-        instance_count=instance_count,
-        generator=generator,
-    )
-    forwarder = Forwarder(
-        translator=HeaderTranslator(),
-        routing=routing,
-        placement=placement,
-        board=board,
-        pool=pool,
-        metrics=metrics,
-        retry_bounds=RetryBounds(
-            ratio=settings.retry_ratio,
-            slack=settings.retry_slack,
-            window_s=settings.retry_window_s,
-        ),
-        instance_count=instance_count,
-        is_leaving=lambda: stop.is_refusing,
-        generator=generator,
-        turns=turns,
-        on_replaced=exchange.announce_replaced,
-    )
-    server = CallerServer(forwarder.async_handle, lambda: routing.limits)
-    stop = PlannedStop(server, settings.grace_s, [membership.begin_leaving])
-    entrance = Entrance(
-        calls=EntranceTranslator(),
-        peers=membership,
-        is_ready=lambda: not membership.this_instance().is_leaving,
-        ttl_s=min(ADDRESS_TTL_S, settings.address_ttl_s),
-    )
-    entrance_server = CallerServer(entrance.async_handle)
-    readiness_server = CallerServer(entrance.async_handle)
-    internal_server = CallerServer(_internal_handler(relay, metrics))
-
-    async def async_housekeep() -> None:
+    return await _Wiring(settings).async_start()
+
+
+class _Wiring:
+    """The parts of one process, each made once and handed to those that need it."""
+
+    def __init__(self, settings: ForwardingSettings) -> None:
+        self._settings = settings
+        self._random = random.Random()
+        self._incarnation = int(SystemWallClock().now_unix_s() * MILLISECONDS_PER_S)
+        self._make_clients()
+        self._make_beliefs()
+        self._make_membership()
+        self._make_exchange()
+        self._make_serving()
+        self._make_duties()
+
+    async def async_start(self) -> ForwardingProcess:
+        """Listen and start all tasks."""
+        settings = self._settings
+        await self._transport.async_start()
+        await self._server.async_start(*host_and_port(settings.caller_address))
+        await self._directory.async_start(*host_and_port(settings.directory_address))
+        await self._readiness.async_start(*host_and_port(settings.readiness_address))
+        await self._internal.async_start(settings.host, settings.peer_port)
+        coroutines: dict[str, Coroutine[Any, Any, None]] = {
+            "membership": self._membership.async_run(),
+            "operator_table": self._mirrors[TABLE_OPERATOR].async_run(),
+            "upstream_table": self._mirrors[TABLE_UPSTREAMS].async_run(),
+            "exchange": self._exchange.async_run(),
+            "relay": self._relay.async_run(),
+            "named_times": self._named_times.async_run(),
+            "rollout": self._rollout.async_run(),
+            "cleaner": self._cleaner.async_run(),
+            "housekeeping": self._async_housekeep(),
+            "sweep": self._server.async_sweep(),
+        }
+        tasks = tuple(_start(name, coroutine) for name, coroutine in coroutines.items())
+        LOGGER.info(
+            "started", instance=settings.instance, incarnation=self._incarnation
+        )
+        return ForwardingProcess(
+            stop=self._stop,
+            metrics=self._metrics,
+            tasks=tasks,
+            transport=self._transport,
+            leases=self._leases,
+            lease_task=_start("leases", self._leases.async_run()),
+            membership=self._membership,
+        )
+
+    def _make_clients(self) -> None:
+        self._store_client = HttpClient(ConnectionPool())
+        self._engine_client = HttpClient(ConnectionPool())
+        self._peer_client = HttpClient(ConnectionPool())
+        self._pool = ConnectionPool()
+        self._tables = PlatformTables(
+            self._store_client, self._settings.store_address, STORE_TIMEOUT_S
+        )
+        self._engines = PlatformEngines(self._engine_client)
+
+    def _make_beliefs(self) -> None:
+        decoder = RowDecoder()
+        self._mirrors = {
+            name: TableMirror(name, self._tables, self._random)
+            for name in (TABLE_OPERATOR, TABLE_UPSTREAMS)
+        }
+        self._routing = RoutingState(
+            self._mirrors[TABLE_OPERATOR], decoder, KEY_CONFIGURATION
+        )
+        self._loads = LoadBook()
+        self._board = UpstreamBoard(
+            self._mirrors[TABLE_UPSTREAMS],
+            decoder,
+            self._loads,
+            Ejector(EJECTION, self._random),
+        )
+        self._watch = SuspensionWatch(SystemSuspensionClock())
+        self._tier = PartTier(
+            self._engines,
+            lambda model: _newest(self._routing, model),
+            self._watch,
+            self._loads,
+        )
+
+    def _make_membership(self) -> None:
+        settings = self._settings
+        self._transport = DatagramPeerTransport(
+            instance=InstanceId(settings.instance),
+            incarnation=self._incarnation,
+            host=settings.host,
+            port=settings.peer_port,
+            keys=SigningKeys(INTERNAL_KEY, None),
+        )
+        self._membership = MembershipCoordinator(
+            transport=self._transport,
+            this_member=_this_member(settings, self._transport),
+            seeds=settings.peer_seeds,
+            heartbeat_s=HEARTBEAT_S,
+            generator=self._random,
+            on_change=lambda: LOGGER.info(
+                "instances_changed", live=len(self._membership.peers())
+            ),
+            on_new_incarnation=self._transport.raise_incarnation,
+        )
+
+    def _make_exchange(self) -> None:
+        self._exchange = StateExchange(
+            transport=self._transport,
+            peers=self._membership,
+            board=self._board,
+            tier=self._tier,
+            mirrors=self._mirrors,
+            routing=self._routing,
+        )
+        self._turns = Turns()
+        self._loads.on_heavy_change = self._on_heavy_change
+        self._exchange.on_report = self._turns.notify
+        self._relay = TableRelay(
+            self._mirrors, self._exchange, self._peer_client, self._random
+        )
+
+    def _make_serving(self) -> None:
+        settings = self._settings
+        self._metrics = ForwardingMetrics()
+        placement = Placement(
+            routing=self._routing,
+            board=self._board,
+            tier=self._tier,
+            pool=self._pool,
+            failure_domain=FailureDomainId(settings.failure_domain),
+            weights_deadline_s=settings.weights_deadline_s,
+            instance_count=self._instance_count,
+            generator=self._random,
+        )
+        forwarder = Forwarder(
+            translator=HeaderTranslator(),
+            routing=self._routing,
+            placement=placement,
+            board=self._board,
+            pool=self._pool,
+            metrics=self._metrics,
+            retry_bounds=RetryBounds(
+                ratio=settings.retry_ratio,
+                slack=settings.retry_slack,
+                window_s=settings.retry_window_s,
+            ),
+            instance_count=self._instance_count,
+            is_leaving=lambda: self._stop.is_refusing,
+            generator=self._random,
+            turns=self._turns,
+            on_replaced=self._exchange.announce_replaced,
+        )
+        self._server = CallerServer(
+            forwarder.async_handle, lambda: self._routing.limits
+        )
+        self._stop = PlannedStop(
+            self._server, settings.grace_s, [self._membership.begin_leaving]
+        )
+        entrance = Entrance(
+            calls=EntranceTranslator(),
+            peers=self._membership,
+            is_ready=lambda: not self._membership.this_instance().is_leaving,
+            ttl_s=min(ADDRESS_TTL_S, settings.address_ttl_s),
+        )
+        self._directory = CallerServer(entrance.async_handle)
+        self._readiness = CallerServer(entrance.async_handle)
+        self._internal = CallerServer(self._async_answer_internal)
+
+    def _make_duties(self) -> None:
+        settings = self._settings
+        self._leases = LeaseCoordinator(
+            table=self._tables,
+            peers=self._membership,
+            holder=f"{settings.instance}/{self._incarnation}",
+            lease_s=LEASE_S,
+            generator=self._random,
+        )
+        self._leases.campaign(DUTY)
+        tenure = Tenure(
+            self._leases,
+            settings.lease_s,
+            self._watch,
+            lambda: self._stop.is_leaving,
+        )
+        self._named_times = NamedTimes(
+            table=self._tables,
+            clock=self._tables,
+            routing=self._routing,
+            tenure=tenure,
+        )
+        self._rollout = WeightRollout(
+            tenure=tenure,
+            routing=self._routing,
+            board=self._board,
+            engines=self._engines,
+            exchange=self._exchange,
+            holder=settings.instance,
+        )
+        self._cleaner = StoreCleaner(
+            tenure=tenure,
+            routing=self._routing,
+            board=self._board,
+            tier=self._tier,
+            stores=self._engines,
+            exchange=self._exchange,
+        )
+
+    @callback
+    def _on_heavy_change(self) -> None:
+        self._exchange.report_soon()
+        self._turns.notify()
+
+    @callback
+    def _instance_count(self) -> int:
+        return max(1, len(self._membership.peers()))
+
+    async def _async_housekeep(self) -> None:
         loop = asyncio.get_running_loop()
+        clients = (
+            self._store_client,
+            self._engine_client,
+            self._peer_client,
+            self._pool,
+        )
         configured_version = -1
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            now_s = loop.time()
-            board.drop_gone(now_s)
-            for client in (store_client, engine_client, peer_client, pool):
-                client.sweep(now_s)
-            configuration = routing.configuration
+            self._board.drop_gone(loop.time())
+            for client in clients:
+                client.sweep(loop.time())
+            configuration = self._routing.configuration
             if configuration and configuration.version != configured_version:
                 configured_version = configuration.version
-                tier.set_stores(configuration.stores)
-                membership.accept_callers()
-
-    await server.async_start(*host_and_port(settings.caller_address))
-    await entrance_server.async_start(*host_and_port(settings.directory_address))
-    await readiness_server.async_start(*host_and_port(settings.readiness_address))
-    await internal_server.async_start(settings.host, settings.peer_port)
-    coroutines: dict[str, Coroutine[Any, Any, None]] = {
-        "membership": membership.async_run(),
-        "operator_table": mirrors[TABLE_OPERATOR].async_run(),
-        "upstream_table": mirrors[TABLE_UPSTREAMS].async_run(),
-        "exchange": exchange.async_run(),
-        "relay": relay.async_run(),
-        "named_times": named_times.async_run(),
-        "rollout": rollout.async_run(),
-        "cleaner": cleaner.async_run(),
-        "housekeeping": async_housekeep(),
-        "sweep": server.async_sweep(),
-    }
-    tasks = tuple(_start(name, coroutine) for name, coroutine in coroutines.items())
-    LOGGER.info("started", instance=settings.instance, incarnation=incarnation)
-    lease_task = _start("leases", leases.async_run())
-    return ForwardingProcess(
-        stop, metrics, tasks, transport, leases, lease_task, membership
-    )
+                self._tier.set_stores(configuration.stores)
+                self._membership.accept_callers()
+
+    async def _async_answer_internal(self, request: Request, reply: Reply) -> None:
+        if request.path == METRICS_PATH:
+            reply.send(STATUS_OK, (), self._metrics.render())
+            return
+        await self._relay.async_answer(request, reply)
 
 
 def _start(name: str, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
@@ -317,16 +392,3 @@
         is_leaving=True,
         service_mask=0,
     )
-
-
-METRICS_PATH: Final = b"/metrics"
-
-
-def _internal_handler(relay: TableRelay, metrics: ForwardingMetrics) -> Any:
-    async def async_handle(request: Request, reply: Reply) -> None:
-        if request.path == METRICS_PATH:
-            reply.send(200, (), metrics.render())
-            return
-        await relay.async_answer(request, reply)
-
-    return async_handle
--- /dev/null
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -0,0 +1,133 @@
+"""Reports between instances: what they bring, and how many there are."""
+
+import asyncio
+import random
+
+import pytest
+
+from banyanswitch.components.forwarding.loads import InFlight, Load
+from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.state_exchange.const import URGENT_REPORTS_PER_S
+from banyanswitch.components.state_exchange.coordinator import StateExchange
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.helpers.signing import SigningKeys
+from banyanswitch.helpers.suspension import SuspensionWatch
+from banyanswitch.identifiers import FailureDomainId, InstanceId, UpstreamId
+from banyanswitch.interfaces import Peer
+from tests.components.forwarding.fakes import (
+    MODEL,
+    NoFeed,
+    PlainDecoder,
+    Upstreams,
+    record,
+)
+from tests.components.kv_tier.test_coordinator import FakeClock, FakeStore
+
+pytestmark = pytest.mark.looptime
+KEYS = SigningKeys(b"k" * 16, None)
+
+
+class WiredTransport(DatagramPeerTransport):
+    """Transport whose datagrams reach the others without a socket."""
+
+    def __init__(self, name: str, wires: dict[str, "WiredTransport"]) -> None:
+        super().__init__(
+            instance=InstanceId(name), incarnation=1, host=name, port=1, keys=KEYS
+        )
+        self._wires = wires
+        self.sent = 0
+
+    def send(self, peer_address: str, message: object) -> None:
+        self.sent += 1
+        if peer_address in self._wires:
+            self._wires[peer_address].deliver(self.frame(peer_address, message))
+
+
+class Node:
+    def __init__(
+        self, name: str, names: list[str], wires: dict[str, WiredTransport]
+    ) -> None:
+        self.transport = WiredTransport(name, wires)
+        wires[self.transport.address] = self.transport
+        self.upstreams = Upstreams()
+        self.upstreams.put(record("u"))
+        self._peers = tuple(
+            Peer(InstanceId(n), FailureDomainId("z"), f"{n}:1", "", 1) for n in names
+        )
+        self._name = name
+        mirror = TableMirror("op", NoFeed(), random.Random(1))
+        self.routing = RoutingState(mirror, PlainDecoder(), "config")
+        self.tier = PartTier(
+            FakeStore(),
+            lambda _model: 1,
+            SuspensionWatch(FakeClock()),
+            self.upstreams.loads,
+        )
+        self.exchange = StateExchange(
+            transport=self.transport,
+            peers=self,
+            board=self.upstreams.board,
+            tier=self.tier,
+            mirrors={"servers": self.upstreams.mirror},
+            routing=self.routing,
+        )
+
+    def this_instance(self) -> Peer:
+        return next(peer for peer in self._peers if peer.instance == self._name)
+
+    def peers(self) -> tuple[Peer, ...]:
+        return self._peers
+
+
+def make_nodes(count: int, known: int | None = None) -> list[Node]:
+    names = [f"n{number}" for number in range(known or count)]
+    wires: dict[str, WiredTransport] = {}
+    return [Node(name, names, wires) for name in names[:count]]
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def test_work_loads_and_weights_reach_the_others() -> None:
+    first, second = make_nodes(2)
+    name = UpstreamId("u")
+    first.upstreams.loads.begin(InFlight(name, 300, 400, now_s()))
+    first.exchange.announce_loading(name, 2)
+    assert second.upstreams.loads.total(name, now_s()) == Load(1, 300, 400)
+    assert second.upstreams.accepting(now_s()) == []
+    first.exchange.announce_weights(name, MODEL, 2)
+    assert second.upstreams.accepting(now_s()) == ["u"]
+    state = second.upstreams.board.state(name)
+    assert state is not None
+    assert state.weight_versions[MODEL] == 2
+
+
+async def test_a_replaced_upstream_is_left_by_all() -> None:
+    first, second = make_nodes(2)
+    first.exchange.announce_replaced(UpstreamId("u"))
+    assert second.upstreams.accepting(now_s()) == []
+
+
+async def test_the_age_of_named_weights_reaches_who_restarted() -> None:
+    first, second = make_nodes(2)
+    first.routing.note_named(MODEL, 2, now_s() - 30.0)
+    first.exchange.report_now()
+    target = second.routing.targets[MODEL]
+    assert now_s() - target.named_at_s[2] == pytest.approx(30.0, abs=0.01)
+
+
+@pytest.mark.parametrize("instances", [8, 91, 330])
+async def test_urgent_reports_are_bounded_whatever_the_number(instances: int) -> None:
+    """Every long prompt starts and ends at some instance, 50 times a second."""
+    (node,) = make_nodes(1, instances)
+    began_at_s = now_s()
+    for _ in range(500):
+        node.exchange.report_soon()
+        await asyncio.sleep(0.02)
+    elapsed_s = now_s() - began_at_s
+    # The first report goes out at once, whenever the last one was.
+    assert node.transport.sent <= URGENT_REPORTS_PER_S * elapsed_s + instances
+    assert node.transport.sent > 0
