Wait for a turn at most a quarter of the time left; say not run if it never was sent

It queues at the upstream after a quarter of its time, and a request that was never sent ends with 503 and a time to come back.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -72,6 +72,10 @@
 """Longest time for which a heavy request waits for its turn; then it queues at the
 upstream. Its objective of 1 s is lost by then, its deadline of 10 s is not."""
 
+MAX_TURN_SHARE: Final = 0.25
+"""Part of a caller's remaining time that its request may wait for its turn; the rest
+is for the upstream."""
+
 TURN_STEP_S: Final = 0.05
 """Time after which a waiting request looks again without a change."""
 
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from banyanswitch.components.forwarding.const import (
     BUDGET_SHARE,
     BUSY_RETRY_S,
+    MAX_TURN_SHARE,
     MAX_TURN_WAIT_S,
     MAX_UNSENT_TRIES,
     MIN_TIME_LEFT_S,
@@ -229,7 +230,9 @@
         """Place a request; a heavy one waits for its turn, though not for long."""
         service = call.service.name
         number = self._turns.take()
-        gives_up_at_s = self._loop.time() + MAX_TURN_WAIT_S
+        time_left_s = call.ends_at_s - self._loop.time()
+        wait_s = min(MAX_TURN_WAIT_S, MAX_TURN_SHARE * time_left_s)
+        gives_up_at_s = self._loop.time() + wait_s
         try:
             while True:
                 now_s = self._loop.time()
@@ -399,6 +402,8 @@
             call.reply.abort()
             return
         refusal = Refusal(STATUS_TIMEOUT, RefusalReason.TIMEOUT)
+        if call.sent == 0:
+            refusal = Refusal(STATUS_UNAVAILABLE, RefusalReason.TIMEOUT, BUSY_RETRY_S)
         self._refuse(call.request, call.facts, call.reply, refusal, call)
 
     def _refuse(
--- a/tests/process/test_forward.py
+++ b/tests/process/test_forward.py
@@ -285,6 +285,21 @@
     await platform.async_until(async_is_cancelled, 2.0)
 
 
+async def test_a_request_that_no_upstream_can_take_is_refused_at_once(
+    platform: Platform,
+) -> None:
+    for name in platform.upstreams:
+        await platform.async_register(name, "draining")
+    await asyncio.sleep(0.3)
+    loop = asyncio.get_running_loop()
+    began_at_s = loop.time()
+    status, _, headers = await platform.async_call("/stream/", "a1", headers=PROMPT)
+    assert status == 503
+    assert 0.0 < float(headers["Retry-After"]) < 2.0
+    assert loop.time() - began_at_s < 0.3
+    assert platform.runs("a1") == 0
+
+
 async def test_a_new_configuration_is_in_force_and_outlasts_an_outage(
     platform: Platform,
 ) -> None:
