--- /dev/null
+++ b/src/banyanswitch/cli/explain.py
@@ -0,0 +1,107 @@
+"""``banyanswitch-explain``: the lines that tell what became of one request."""
+
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import fire
+import msgspec
+from fire.decorators import SetParseFn
+
+AROUND_S = 3.0
+"""Time around a request's lines in which beliefs about its upstreams are shown."""
+
+EXIT_NOT_FOUND = 1
+BELIEFS = frozenset(
+    {
+        "upstream_entry_missing",
+        "upstream_gone",
+        "upstream_joined",
+        "upstream_leaving",
+        "upstream_loading",
+        "upstream_replaced",
+        "upstream_weights",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a log file."""
+
+    source: str
+    at_s: float
+    fields: dict[str, Any]
+
+
+def read_lines(path: Path) -> Iterator[LogLine]:
+    """Return the readable lines of a log file."""
+    for text in path.read_text(errors="replace").splitlines():
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = msgspec.json.decode(text[start:], type=dict[str, Any])
+        except msgspec.DecodeError:
+            # A line that was cut when its process ended.
+            continue
+        at_s = fields.get("at_s")
+        if isinstance(at_s, float | int):
+            yield LogLine(path.name, float(at_s), fields)
+
+
+def explain(request: str, lines: Iterable[LogLine]) -> list[LogLine]:
+    """Return a request's lines and what its instance believed of its upstreams.
+
+    Each instance has a clock of its own, so beliefs count only within one file.
+    """
+    known = list(lines)
+    own = [line for line in known if line.fields.get("request") == request]
+    upstreams = {line.fields.get("upstream") for line in own} - {None, ""}
+    chosen = list(own)
+    for line in known:
+        if line.fields.get("event") not in BELIEFS:
+            continue
+        if line.fields.get("upstream") not in upstreams:
+            continue
+        if any(
+            line.source == other.source and abs(line.at_s - other.at_s) <= AROUND_S
+            for other in own
+        ):
+            chosen.append(line)
+    return sorted(chosen, key=lambda line: (line.source, line.at_s))
+
+
+def run(request: str, *logs: str) -> None:
+    """Print what became of a request.
+
+    Parameters
+    ----------
+    request : str
+        Identifier of the caller's try.
+    *logs : str
+        Log files, one an instance.
+    """
+    lines = [line for log in logs for line in read_lines(Path(log))]
+    found = explain(str(request), lines)
+    if not found:
+        print(f"no line of {len(logs)} files names request {request}", file=sys.stderr)
+        sys.exit(EXIT_NOT_FOUND)
+    for line in found:
+        fields = dict(line.fields)
+        event = fields.pop("event", "")
+        for name in ("at_s", "level", "request"):
+            fields.pop(name, None)
+        shown = " ".join(f"{key}={value}" for key, value in fields.items())
+        print(f"{line.source} {line.at_s:.3f} {event} {shown}")
+
+
+def main() -> None:
+    """Entry point of the binary."""
+    fire.Fire(SetParseFn(str)(run), name="banyanswitch-explain")
+
+
+if __name__ == "__main__":
+    main()
