--- a/src/banyanswitch/components/state_exchange/const.py
+++ b/src/banyanswitch/components/state_exchange/const.py
@@ -10,7 +10,7 @@
 
 REPORTS_PER_S: Final = 80.0
 """Reports that one instance takes in each second, whatever the number of instances;
-one costs about 60 us."""
+eight instances with a report every 0.1 s receive 70."""
 
 URGENT_REPORTS_PER_S: Final = 200.0
 """The same for reports that do not wait for their interval."""
