Wait for the end of an overdue call before its outcome reads as unknown

Cause: the write of a refused call's claim landed when the table came back, after claim_s; another entry read the record, pending and overdue, before the claimant's next try replaced it by a released one, and answered 409 outcome_unknown for a call that was never sent. Ruled out: a shorter first retry alone (the other entry's read may come first whatever it is); answering 'pending' from first sight (a dead claimant's key then reads pending, which test_state_of_a_claim_whose_process_died forbids). Change: who finds an overdue pending record reads it again for OVERDUE_WAIT_S, once an attempt; the claimant tries every 2 s at most (8 s before; the outage gate refuses most tries locally). Two tests without a process, both red with the wait taken out.

--- a/src/banyanswitch/components/idempotency/claim_store.py
+++ b/src/banyanswitch/components/idempotency/claim_store.py
@@ -8,6 +8,9 @@
 
 from banyanswitch.components.idempotency.const import (
     MAX_INLINE_ANSWER_BYTES,
+    MAX_REMEMBERED_OVERDUE,
+    OVERDUE_POLL_S,
+    OVERDUE_WAIT_S,
     PENDING_RETRY_AFTER_S,
     RELEASED_KEPT_S,
 )
@@ -85,6 +88,8 @@
         self._batcher = WriteBatcher(table, WriteClass.CLAIM)
         self._settler = ClaimSettler(table, objects, self._batcher)
         self._open: dict[str, OpenClaim] = {}
+        # Attempts whose records stayed pending although they were waited for.
+        self._silent: dict[str, None] = {}
 
     async def async_claim(
         self, workspace: WorkspaceId, key: str, request_digest: str
@@ -188,10 +193,42 @@
         found = decode_record(item.value)
         if found.attempt == claim.record.attempt:
             return self._claimed(claim, item.revision)
+        if self._is_overdue(found):
+            item = await self._async_wait_for_end(item, found)
+            found = decode_record(item.value)
         if found.state is RecordState.RELEASED:
             return await self._async_take_over(claim, item.revision)
         return await self._async_answer_of(found, claim.record.request_digest)
 
+    def _is_overdue(self, record: ClaimRecord) -> bool:
+        if record.state is not RecordState.PENDING:
+            return False
+        return self._wall_clock.now_unix_s() >= record.pending_until_unix_s
+
+    async def _async_wait_for_end(self, item: Item, found: ClaimRecord) -> Item:
+        """Return the record once it is no longer pending, or after a bounded time.
+
+        The write of a claim may land long after its call was refused as not run. Its
+        claimant then releases the key within the time waited here.
+        """
+        if found.attempt in self._silent:
+            return item
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + OVERDUE_WAIT_S
+        while loop.time() < deadline_s:
+            await asyncio.sleep(OVERDUE_POLL_S)
+            latest = await self._async_read(item.key)
+            if latest is None or latest.revision != item.revision:
+                return latest or item
+        self._remember_silent(found.attempt)
+        return item
+
+    def _remember_silent(self, attempt: str) -> None:
+        if len(self._silent) >= MAX_REMEMBERED_OVERDUE:
+            del self._silent[next(iter(self._silent))]
+        self._silent[attempt] = None
+        LOGGER.warning("claimant_silent", attempt=attempt, waited_s=OVERDUE_WAIT_S)
+
     async def _async_take_over(self, claim: OpenClaim, revision: int) -> ClaimResult:
         """Replace the record of an attempt that ended unsent."""
         try:
--- a/src/banyanswitch/components/idempotency/const.py
+++ b/src/banyanswitch/components/idempotency/const.py
@@ -28,8 +28,19 @@
 SETTLE_RETRY_S: Final = 0.25
 """Time before the second try to record a result, in seconds; it doubles."""
 
-MAX_SETTLE_RETRY_S: Final = 8.0
-"""Longest time between tries to record a result, in seconds."""
+MAX_SETTLE_RETRY_S: Final = 2.0
+"""Longest time between tries to record a result, in seconds; while the table is
+down, most tries are refused locally."""
+
+OVERDUE_WAIT_S: Final = 4.0
+"""Time that a claimant gets to record the end of an overdue call, in seconds: one
+pause between its tries and the two calls of a try."""
+
+OVERDUE_POLL_S: Final = 0.25
+"""Time between two reads of the record of an overdue call, in seconds."""
+
+MAX_REMEMBERED_OVERDUE: Final = 1_000
+"""Overdue calls of which a process remembers that it has waited for them."""
 
 MAX_SETTLING: Final = 1_000
 """Results that may wait to be recorded at the same time."""
--- a/tests/components/idempotency/test_claim_store.py
+++ b/tests/components/idempotency/test_claim_store.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from banyanswitch.components.idempotency.const import MAX_INLINE_ANSWER_BYTES
+from banyanswitch.components.idempotency.const import (
+    MAX_INLINE_ANSWER_BYTES,
+    OVERDUE_POLL_S,
+    OVERDUE_WAIT_S,
+)
 from banyanswitch.exceptions import PlatformError, PlatformUnavailableError
 from banyanswitch.identifiers import WorkspaceId
 from banyanswitch.interfaces import ClaimState, StoredAnswer
@@ -162,6 +166,36 @@
     assert result.state is ClaimState.CLAIMED
 
 
+async def test_claim_write_that_lands_overdue_is_waited_for(
+    make_store: StoreFactory, table: FakeTable
+) -> None:
+    """The write lands after the claim lapsed, and another process sees it first."""
+    table.late_s = CLAIM_S + 1.0
+    table.write_faults = [TableFault.APPLY_LATE]
+    with pytest.raises(PlatformError):
+        await make_store("a").async_claim(SHOP, "k", "digest")
+    table.is_down = True
+    await asyncio.sleep(CLAIM_S + 0.5)
+    table.is_down = False
+    await asyncio.sleep(0.5)
+    result = await make_store("b").async_claim(SHOP, "k", "digest")
+    assert result.state is ClaimState.CLAIMED
+
+
+async def test_silent_claimant_is_waited_for_once(make_store: StoreFactory) -> None:
+    await make_store("a").async_claim(SHOP, "k", "digest")
+    await asyncio.sleep(CLAIM_S + 1.0)
+    second = make_store("b")
+    loop = asyncio.get_running_loop()
+    waits_s = []
+    for _ in range(2):
+        started_s = loop.time()
+        result = await second.async_claim(SHOP, "k", "digest")
+        waits_s.append(loop.time() - started_s)
+        assert result.state is ClaimState.OUTCOME_UNKNOWN
+    assert waits_s == [pytest.approx(OVERDUE_WAIT_S, abs=OVERDUE_POLL_S), 0.0]
+
+
 async def test_late_claim_write_never_displaces_the_next_attempt(
     make_store: StoreFactory, table: FakeTable
 ) -> None:
