Let two instances read each KV store and pass its events on

Ruled out: longer pauses after a 429 (the stores stay unknown); relays by HTTP polls (27 stores by 91 instances). Change: up to 8 instances (and 3/4 of a store's event calls) all read as before; of more, two chosen by rendezvous read each store and add what they heard to their reports, each event once; who misses one asks the reader for its list. A message to many peers is encoded once. The rendezvous score of the lease's watchers moved to decisions/.

--- a/src/banyanswitch/components/kv_tier/cleaner.py
+++ b/src/banyanswitch/components/kv_tier/cleaner.py
@@ -13,7 +13,9 @@
     FREE_DELAY_S,
     REPORT_INTERVAL_S,
 )
-from banyanswitch.components.kv_tier.coordinator import PartKey, PartTier, StoreState
+from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.kv_tier.models import PartKey
+from banyanswitch.components.kv_tier.store_follower import StoreFollower
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.weight_rollout.tenure import Tenure
 from banyanswitch.core import callback
@@ -114,7 +116,7 @@
             said.appendleft((now_s - delay_s, settled))
         return settled
 
-    async def _async_free_store(self, state: StoreState, floor: FetchFloor) -> None:
+    async def _async_free_store(self, state: StoreFollower, floor: FetchFloor) -> None:
         dead = [key for key in state.parts if not _is_allowed(key, floor)]
         dead = dead[:FREE_BATCH_PARTS]
         if not dead or state.epoch is None:
@@ -129,7 +131,7 @@
             LOGGER.info("parts_not_freed", store=state.node.name, reason=str(error))
             return
         if is_done:
-            self._tier.forget(state, dead)
+            state.forget(dead)
         LOGGER.info(
             "parts_freed",
             store=state.node.name,
--- a/src/banyanswitch/components/kv_tier/const.py
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -15,6 +15,26 @@
 """Part of a store's event calls that instances may hold at once; the rest is for
 those that disagree on who reads."""
 
+RELAY_READERS: Final = 2
+"""Instances that read a store for all; one is left when the other dies."""
+
+ROLE_CHECK_S: Final = 0.5
+"""Time between two looks at who reads a store."""
+
+RELAY_SILENCE_S: Final = 4.0
+"""Time without word of a store's readers after which nothing is fetched from it; a
+dead reader is noticed and followed by another within some 2 s, and reports of 90
+instances come every 1.1 s."""
+
+SNAPSHOT_INTERVAL_S: Final = 0.5
+"""Shortest time between two reads of a whole store's list from one instance."""
+
+SNAPSHOT_TIMEOUT_S: Final = 1.0
+"""Deadline of such a read; a list of 4,000 parts has some 300 kB."""
+
+MAX_RELAYED_EVENTS: Final = 300
+"""Events of one store in one report; about 20 kB. Who misses more reads the list."""
+
 FLOOR_LIFETIME_S: Final = 0.8
 """Time without word from any other instance after which parts of older weights are
 not fetched; reports come every 0.1 to 0.4 s."""
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -1,20 +1,20 @@
 """Belief of what the stores keep, and plans for what to fetch and save."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
-
-import structlog
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
 
 from banyanswitch.components.forwarding.loads import LoadBook
 from banyanswitch.components.forwarding.models import KvStoreNode, PromptPart
-from banyanswitch.components.forwarding.protocols import PartEvents, PartStoreClient
-from banyanswitch.components.kv_tier.const import (
-    EVENTS_WAIT_S,
-    FLOOR_LIFETIME_S,
-    PENDING_S,
-    RETRY_S,
+from banyanswitch.components.forwarding.protocols import PartStoreClient
+from banyanswitch.components.kv_tier.const import FLOOR_LIFETIME_S, PENDING_S
+from banyanswitch.components.kv_tier.models import (
+    PartKey,
+    RelayedEvents,
+    StoreList,
 )
+from banyanswitch.components.kv_tier.store_follower import StoreFollower
+from banyanswitch.components.peers.reader_choice import ReaderChoice
 from banyanswitch.core import callback
 from banyanswitch.decisions.fetch_floor import FetchFloor
 from banyanswitch.decisions.part_stores import (
@@ -24,13 +24,10 @@
     rounded_tokens,
     transfer_s,
 )
-from banyanswitch.exceptions import UpstreamError
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import StoreId
 
-LOGGER = structlog.get_logger(__name__)
 MILLISECONDS_PER_S = 1000.0
-PartKey = tuple[str, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,18 +62,6 @@
         return replace(self, fetches=(*shared, self.fetches[-1]))
 
 
-@dataclass(slots=True)
-class StoreState:
-    """One store as last heard of."""
-
-    node: KvStoreNode
-    epoch: int | None = None
-    next_event: int = 0
-    is_usable: bool = False
-    used_tokens: int = 0
-    parts: dict[PartKey, int] = field(default_factory=dict)
-
-
 class PartTier:
     """Plan transfers by the events of all stores.
 
@@ -88,6 +73,8 @@
         Returns the wanted weight version of a model, or ``None``.
     watch : SuspensionWatch
         Tells whether what was heard before may be outdated.
+    readers : ReaderChoice
+        Says whether this instance reads a store itself.
     """
 
     def __init__(
@@ -96,14 +83,16 @@
         newest_version: Callable[[str], int | None],
         watch: SuspensionWatch,
         loads: LoadBook,
+        readers: ReaderChoice,
     ) -> None:
         self._loads = loads
+        self._readers = readers
         self._watch = watch
         self._fetches_from_s = float("-inf")
         watch.subscribe(self._distrust)
         self._client = client
         self._newest_version = newest_version
-        self._stores: dict[StoreId, StoreState] = {}
+        self._stores: dict[StoreId, StoreFollower] = {}
         self._tasks: dict[StoreId, asyncio.Task[None]] = {}
         self._pending: dict[PartKey, tuple[float, StoreId, int]] = {}
         self._floors: dict[str, FetchFloor] = {}
@@ -111,7 +100,7 @@
         self._clock_offset_ms: float | None = None
 
     @property
-    def stores(self) -> tuple[StoreState, ...]:
+    def stores(self) -> tuple[StoreFollower, ...]:
         """All stores of the configuration."""
         return tuple(self._stores.values())
 
@@ -125,10 +114,12 @@
                 del self._stores[name]
         for name, node in wanted.items():
             if name not in self._stores:
-                state = StoreState(node)
-                self._stores[name] = state
+                follower = StoreFollower(
+                    node, self._client, self._readers, self._note_kept, self._note_clock
+                )
+                self._stores[name] = follower
                 self._tasks[name] = asyncio.get_running_loop().create_task(
-                    self._async_follow(state), name=f"kv_store_{name}"
+                    follower.async_run(), name=f"kv_store_{name}"
                 )
 
     @callback
@@ -157,14 +148,6 @@
         """Take in that another instance was heard; it passes on what it knows."""
         self._heard_at_s = _now_s()
 
-    @callback
-    def forget(self, state: StoreState, keys: Iterable[PartKey]) -> None:
-        """Take in that parts were freed; the events of some are lost."""
-        for key in keys:
-            tokens = state.parts.pop(key, None)
-            if tokens is not None:
-                state.used_tokens -= rounded_tokens(tokens)
-
     @callback
     def plan(
         self,
@@ -235,7 +218,9 @@
             state.is_usable and key in state.parts for state in self._stores.values()
         )
 
-    def _holder(self, key: PartKey, tokens: int, token_bytes: int) -> StoreState | None:
+    def _holder(
+        self, key: PartKey, tokens: int, token_bytes: int
+    ) -> StoreFollower | None:
         """Return the store from which a part comes soonest, unless that is too late."""
         times_s = [
             (transfer_s(self._view(state), tokens, token_bytes), state.node.name)
@@ -247,7 +232,7 @@
             return None
         return self._stores[name]
 
-    def _view(self, state: StoreState) -> StoreView:
+    def _view(self, state: StoreFollower) -> StoreView:
         node = state.node
         return StoreView(
             name=node.name,
@@ -280,57 +265,40 @@
         for key in expired:
             del self._pending[key]
 
-    async def _async_follow(self, state: StoreState) -> None:
-        while True:
-            try:
-                await self._async_step(state)
-            except UpstreamError as error:
-                if state.is_usable:
-                    LOGGER.warning(
-                        "kv_store_lost", store=state.node.name, reason=str(error)
-                    )
-                state.is_usable = False
-                await asyncio.sleep(RETRY_S)
-
-    async def _async_step(self, state: StoreState) -> None:
-        address = state.node.address
-        if state.epoch is None:
-            events = await self._client.async_list(address)
-            self._restart(state, events)
-            return
-        events = await self._client.async_events(
-            address, state.next_event, EVENTS_WAIT_S
-        )
-        if events.epoch != state.epoch or events.has_gap:
-            LOGGER.info("kv_store_resync", store=state.node.name, epoch=events.epoch)
-            state.is_usable = False
-            state.epoch = None
-            return
-        self._apply(state, events)
-        state.is_usable = True
-
-    def _restart(self, state: StoreState, events: PartEvents) -> None:
-        state.epoch = events.epoch
-        state.parts.clear()
-        state.used_tokens = 0
-        self._apply(state, events)
-        state.is_usable = True
-        LOGGER.info("kv_store_regained", store=state.node.name, parts=len(state.parts))
-
-    def _apply(self, state: StoreState, events: PartEvents) -> None:
-        state.next_event = events.next_event
-        if events.clock_ms is not None:
-            self._clock_offset_ms = events.clock_ms - _now_s() * MILLISECONDS_PER_S
-        for event in events.events:
-            key = (event.salt, event.part)
-            before = state.parts.pop(key, None)
-            if before is not None:
-                state.used_tokens -= rounded_tokens(before)
-            # The count says how much is kept now; nothing is kept of a lost part.
-            if event.is_kept and event.tokens > 0:
-                state.parts[key] = event.tokens
-                state.used_tokens += rounded_tokens(event.tokens)
-                self._pending.pop(key, None)
+    @callback
+    def take_unsent(self) -> dict[str, RelayedEvents]:
+        """Return what was read since the last call, for instances that do not read."""
+        clock_ms = self.clock_ms()
+        return {
+            name: follower.take_unsent(clock_ms)
+            for name, follower in self._stores.items()
+            if follower.is_relaying()
+        }
+
+    @callback
+    def take_relayed(self, name: StoreId, word: RelayedEvents) -> bool:
+        """Take in a reader's word; return whether events before it were missed."""
+        follower = self._stores.get(name)
+        return follower is not None and follower.take_relayed(word)
+
+    @callback
+    def list_of(self, name: StoreId) -> StoreList | None:
+        """Return all parts of a store, if this instance knows them."""
+        follower = self._stores.get(name)
+        return follower.listed() if follower is not None else None
+
+    @callback
+    def take_list(self, name: StoreId, listed: StoreList) -> None:
+        """Take in another instance's list of all parts of a store."""
+        follower = self._stores.get(name)
+        if follower is not None:
+            follower.take_list(listed)
+
+    def _note_clock(self, clock_ms: int) -> None:
+        self._clock_offset_ms = clock_ms - _now_s() * MILLISECONDS_PER_S
+
+    def _note_kept(self, key: PartKey) -> None:
+        self._pending.pop(key, None)
 
 
 def _now_s() -> float:
--- /dev/null
+++ b/src/banyanswitch/components/kv_tier/list_relay.py
@@ -0,0 +1,84 @@
+"""Reading of a store's whole list from an instance that reads the store."""
+
+import asyncio
+
+import msgspec
+import structlog
+
+from banyanswitch.components.http1.caller_connection import Reply
+from banyanswitch.components.http1.client import HttpClient
+from banyanswitch.components.http1.models import Request
+from banyanswitch.components.kv_tier.const import (
+    SNAPSHOT_INTERVAL_S,
+    SNAPSHOT_TIMEOUT_S,
+)
+from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.kv_tier.models import RelayedEvents, StoreList
+from banyanswitch.core import callback
+from banyanswitch.exceptions import UpstreamError
+from banyanswitch.identifiers import StoreId
+
+LOGGER = structlog.get_logger(__name__)
+LIST_PATH = "/stores/"
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+
+
+class ListRelay:
+    """Take in what the readers of stores say, and ask them for what was missed.
+
+    Parameters
+    ----------
+    tier : PartTier
+        Follows the stores.
+    client : HttpClient
+        Makes the calls.
+    """
+
+    def __init__(self, tier: PartTier, client: HttpClient) -> None:
+        self._tier = tier
+        self._client = client
+        self._asked_at_s: dict[StoreId, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @callback
+    def take(self, peer_address: str, words: dict[str, RelayedEvents]) -> None:
+        """Take in a report of the instance at ``peer_address``."""
+        for name, word in words.items():
+            store = StoreId(name)
+            if self._tier.take_relayed(store, word):
+                self._ask(store, peer_address)
+
+    async def async_answer(self, request: Request, reply: Reply) -> None:
+        """Answer another instance with a store's whole list."""
+        name = request.path.decode("latin-1").removeprefix(LIST_PATH)
+        listed = self._tier.list_of(StoreId(name))
+        if listed is None:
+            reply.send(STATUS_NOT_FOUND, (), b"")
+            return
+        reply.send(STATUS_OK, (), msgspec.msgpack.encode(listed))
+
+    def _ask(self, store: StoreId, peer_address: str) -> None:
+        loop = asyncio.get_running_loop()
+        asked_at_s = self._asked_at_s.get(store, float("-inf"))
+        if loop.time() - asked_at_s < SNAPSHOT_INTERVAL_S:
+            return
+        self._asked_at_s[store] = loop.time()
+        task = loop.create_task(self._async_ask(store, peer_address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _async_ask(self, store: StoreId, peer_address: str) -> None:
+        try:
+            answer = await self._client.async_call(
+                "GET", peer_address, LIST_PATH + store, timeout_s=SNAPSHOT_TIMEOUT_S
+            )
+            if answer.status != STATUS_OK:
+                return
+            listed = msgspec.msgpack.decode(answer.body, type=StoreList)
+        except (UpstreamError, msgspec.MsgspecError) as error:
+            LOGGER.info(
+                "relay_failed", store=store, peer=peer_address, reason=str(error)
+            )
+            return
+        self._tier.take_list(store, listed)
--- a/src/banyanswitch/components/lease/candidates.py
+++ b/src/banyanswitch/components/lease/candidates.py
@@ -2,9 +2,8 @@
 
 import random
 
-import xxhash
-
 from banyanswitch.components.lease.const import CANDIDATE_COUNT, SPARE_WATCHERS
+from banyanswitch.decisions.rendezvous import is_among_first
 from banyanswitch.identifiers import InstanceId
 from banyanswitch.interfaces import PeerDirectory
 
@@ -51,11 +50,8 @@
     def is_candidate(self, name: str) -> bool:
         """Return whether this instance is among the few that always watch."""
         if name not in self._is_candidate:
-            own_score = _score(name, self._peers.this_instance().instance)
-            better = sum(_score(name, other) > own_score for other in self._staying)
-            self._is_candidate[name] = better < CANDIDATE_COUNT
+            this = self._peers.this_instance().instance
+            self._is_candidate[name] = is_among_first(
+                name, this, self._staying, CANDIDATE_COUNT
+            )
         return self._is_candidate[name]
-
-
-def _score(name: str, instance: InstanceId) -> int:
-    return xxhash.xxh64_intdigest(f"{name}\0{instance}".encode())
--- a/src/banyanswitch/components/peers/signed_frames.py
+++ b/src/banyanswitch/components/peers/signed_frames.py
@@ -44,6 +44,8 @@
         self._codec = MessageCodec()
         self._handlers: dict[type, list[Callable[[Any], None]]] = defaultdict(list)
         self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+        self._last_message: object = None
+        self._last_encoded = ("", b"")
         self.dropped_frames = 0
 
     @property
@@ -70,7 +72,7 @@
     @callback
     def frame(self, peer_address: str, message: object) -> bytes:
         """Return the signed bytes that carry a message to a peer."""
-        tag, payload = self._codec.encode(message)
+        tag, payload = self._encoded(message)
         self._sequence += 1
         content = msgspec.msgpack.encode(
             Envelope(
@@ -84,6 +86,13 @@
         )
         return self._keys.sign(SIGNATURE_PURPOSE, content) + content
 
+    def _encoded(self, message: object) -> tuple[str, bytes]:
+        """Return the content of a message; it mostly goes to many peers in turn."""
+        if message is not self._last_message:
+            self._last_message = message
+            self._last_encoded = self._codec.encode(message)
+        return self._last_encoded
+
     @callback
     def deliver(self, frame: bytes) -> None:
         """Check a frame and hand its message to the subscribers."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -9,6 +9,7 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.kv_tier.list_relay import ListRelay
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.state_exchange.const import (
     INTERVAL_IDLE_S,
@@ -56,8 +57,10 @@
         tier: PartTier,
         mirrors: Mapping[str, TableMirror],
         routing: RoutingState,
+        lists: ListRelay,
     ) -> None:
         self._routing = routing
+        self._lists = lists
         self._transport = transport
         self._peers = peers
         self._board = board
@@ -144,6 +147,7 @@
                 }
                 for model, target in self._routing.targets.items()
             },
+            part_events=self._tier.take_unsent(),
         )
         for peer in self._peers.peers():
             if peer.instance == this.instance:
@@ -202,6 +206,8 @@
         self._board.loads.note_remote(report.instance, report.loads, now_s)
         self._board.loads.note_remote_fetches(report.instance, report.fetches, now_s)
         self._tier.note_heard()
+        if report.part_events:
+            self._lists.take(report.peer_address, report.part_events)
         self.on_report()
         for name, version in report.loading.items():
             self._board.note_loading(UpstreamId(name), version, now_s)
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -30,10 +30,12 @@
 from banyanswitch.components.http1.models import Request
 from banyanswitch.components.kv_tier.cleaner import StoreCleaner
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.kv_tier.list_relay import LIST_PATH, ListRelay
 from banyanswitch.components.lease.coordinator import LeaseCoordinator
 from banyanswitch.components.membership.coordinator import MembershipCoordinator
 from banyanswitch.components.membership.models import Member, MemberState
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.peers.reader_choice import ReaderChoice
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
@@ -127,8 +129,8 @@
         self._random = random.Random()
         self._incarnation = int(SystemWallClock().now_unix_s() * MILLISECONDS_PER_S)
         self._make_clients()
-        self._make_beliefs()
         self._make_membership()
+        self._make_beliefs()
         self._make_exchange()
         self._make_serving()
         self._make_duties()
@@ -179,6 +181,7 @@
 
     def _make_beliefs(self) -> None:
         decoder = RowDecoder()
+        feed = RelayedFeed(self._tables, self._readers, self._peer_client, self._random)
         self._mirrors = {
             name: TableMirror(name, self._tables, self._random)
             for name in (TABLE_OPERATOR, TABLE_UPSTREAMS)
@@ -199,7 +202,9 @@
             lambda model: _newest(self._routing, model),
             self._watch,
             self._loads,
+            self._readers,
         )
+        self._lists = ListRelay(self._tier, self._peer_client)
 
     def _make_membership(self) -> None:
         settings = self._settings
@@ -221,6 +226,7 @@
             ),
             on_new_incarnation=self._transport.raise_incarnation,
         )
+        self._readers = ReaderChoice(self._membership)
 
     def _make_exchange(self) -> None:
         self._exchange = StateExchange(
@@ -230,6 +236,7 @@
             tier=self._tier,
             mirrors=self._mirrors,
             routing=self._routing,
+            lists=self._lists,
         )
         self._turns = Turns()
         self._loads.on_heavy_change = self._on_heavy_change
@@ -357,6 +364,9 @@
         if request.path == METRICS_PATH:
             reply.send(STATUS_OK, (), self._metrics.render())
             return
+        if request.path.startswith(LIST_PATH.encode()):
+            await self._lists.async_answer(request, reply)
+            return
         await self._relay.async_answer(request, reply)
 
 
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -2,19 +2,25 @@
 
 import asyncio
 import random
+from typing import Any
 
+import msgspec
 import pytest
 
 from banyanswitch.components.forwarding.loads import InFlight, Load
 from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.http1.client import Answer, HttpClient
+from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.kv_tier.list_relay import ListRelay
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.peers.reader_choice import ReaderChoice
 from banyanswitch.components.state_exchange.const import URGENT_REPORTS_PER_S
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import SuspensionWatch
-from banyanswitch.identifiers import FailureDomainId, InstanceId, UpstreamId
+from banyanswitch.identifiers import FailureDomainId, InstanceId, StoreId, UpstreamId
 from banyanswitch.interfaces import Peer
 from tests.components.forwarding.fakes import (
     MODEL,
@@ -45,6 +51,22 @@
             self._wires[peer_address].deliver(self.frame(peer_address, message))
 
 
+class PeerLists(HttpClient):
+    """Calls of other instances for their lists of stores."""
+
+    def __init__(self) -> None:
+        super().__init__(ConnectionPool())
+        self.nodes: dict[str, Node] = {}
+        self.calls = 0
+
+    async def async_call(self, method: str, address: str, target: str, **_: Any) -> Any:
+        self.calls += 1
+        listed = self.nodes[address].tier.list_of(StoreId(target.rpartition("/")[2]))
+        if listed is None:
+            return Answer(404, (), b"")
+        return Answer(200, (), msgspec.msgpack.encode(listed))
+
+
 class Node:
     def __init__(
         self, name: str, names: list[str], wires: dict[str, WiredTransport]
@@ -64,7 +86,9 @@
             lambda _model: 1,
             SuspensionWatch(FakeClock()),
             self.upstreams.loads,
+            ReaderChoice(self),
         )
+        self.client = PeerLists()
         self.exchange = StateExchange(
             transport=self.transport,
             peers=self,
@@ -72,6 +96,7 @@
             tier=self.tier,
             mirrors={"servers": self.upstreams.mirror},
             routing=self.routing,
+            lists=ListRelay(self.tier, self.client),
         )
 
     def this_instance(self) -> Peer:
