Keep a row that was removed and written again within one feed answer

Cause: the feed tells each change in order, a row several times; the adapter sorted them into written and removed rows, and the mirror removes last. Entries that had lapsed and were back before the feed was read again were dropped for good. Ruled out: servers that did not come back (the store's version went on, and 12 of them had joined again); the patience after an outage (it ended 2.6 s later with nothing new). Change: the last word on a row counts, in platform/tables.py. The stand-in's feed is a log as well. The test fails on the former code.

--- a/src/banyanswitch/platform/tables.py
+++ b/src/banyanswitch/platform/tables.py
@@ -163,8 +163,10 @@
             raise HistoryGoneError(f"history of table {table} after {after} is gone")
         _check(answer)
         changes = _decode(answer, _Rows, PlatformUnavailableError)
-        kept = [_item(table, row) for row in changes.rows if not row.removed]
-        removed = [_key(table, row) for row in changes.rows if row.removed]
+        # Each change in order; a row may have been removed and written again.
+        last = {row.key: row for row in changes.rows}.values()
+        kept = [_item(table, row) for row in last if not row.removed]
+        removed = [_key(table, row) for row in last if row.removed]
         return TableChanges(changes.ver, tuple(kept), tuple(removed))
 
     async def _async_rows(self, query: dict[str, str]) -> _Rows:
--- a/src/banyanswitch_standins/users_platform/store.py
+++ b/src/banyanswitch_standins/users_platform/store.py
@@ -32,6 +32,7 @@
     """Rows in memory."""
 
     rows: dict[RowName, Row] = field(default_factory=dict)
+    history: list[tuple[int, RowName, Row]] = field(default_factory=list)
     version: int = 0
     oldest_version: int = 0
     faults: StoreFaults = field(default_factory=StoreFaults)
@@ -49,7 +50,9 @@
     async def async_put(self, table: str, key: str, value: bytes | None) -> int:
         """Write or remove a row, as an operator or an upstream does."""
         self.version += 1
-        self.rows[table, "", key] = Row(value, self.version)
+        name = (table, "", key)
+        self.rows[name] = Row(value, self.version)
+        self.history.append((self.version, name, self.rows[name]))
         async with self._changed:
             self._changed.notify_all()
         return self.version
@@ -121,12 +124,12 @@
         )
 
     def _changes(self, table: str, after: int) -> list[dict[str, object]]:
-        found = [
-            (row.version, name, row)
-            for name, row in self.rows.items()
-            if name[0] == table and row.version > after
+        """Return each change in order; a row may be among them several times."""
+        return [
+            self._document(name, row)
+            for version, name, row in self.history
+            if name[0] == table and version > after
         ]
-        return [self._document(name, row) for _, name, row in sorted(found)]
 
     def _admit(self, call: str) -> None:
         self.call_counts[call] = self.call_counts.get(call, 0) + 1
--- a/tests/platform/test_tables.py
+++ b/tests/platform/test_tables.py
@@ -86,6 +86,17 @@
     assert setup.tables.clock_s() is not None
 
 
+async def test_a_row_that_was_removed_and_written_again_is_kept(setup: Setup) -> None:
+    """Entries that lapsed in an outage are back before the feed is read again."""
+    await setup.store.async_put("op", "back", b"1")
+    await setup.store.async_put("op", "gone", b"1")
+    for key, value in (("back", None), ("back", b"2"), ("gone", b"2"), ("gone", None)):
+        await setup.store.async_put("op", key, value)
+    changes = await setup.tables.async_changes("op", 1, 0.05)
+    assert [(item.key, item.value) for item in changes.items] == [("op/back", b"2")]
+    assert changes.removed == ("op/gone",)
+
+
 async def test_a_feed_without_changes_ends_after_its_wait(setup: Setup) -> None:
     changes = await setup.tables.async_changes("op", 0, 0.05)
     assert changes.items == ()
