Spread reports over time, and pass on events without gaps

(2) Each of 15 loads was announced in a report of its own, five times a second: 1.6 MB, so the holder could not renew its lease or reach the upstreams; 15 loads in 15 s, the duty changed hands twice. (3) An instance that read a store for a moment passed on events that did not follow on what the others had heard. (4) 1 s of suspicion is shorter than an objection's way among 91. Ruled out: slow processes (5 % of a core), a failing store, cuts. Change: reports leave in bursts of 8 kB, 300 kB/s, in changing order; loads that begin together are one report and are repeated with the regular ones; unsent events are kept by who does not pass them on; a list is asked of any instance; suspicion grows with the doublings of members. Small fleets: one burst, as before.

--- a/src/banyanswitch/components/kv_tier/cleaner.py
+++ b/src/banyanswitch/components/kv_tier/cleaner.py
@@ -91,7 +91,7 @@
                 )
             said.append((now_s, floor))
             self._tier.note_floor(model, floor)
-        self._exchange.report_now()
+        self._exchange.report_soon()
 
     async def _async_free(self, now_s: float) -> None:
         floors = [self._settled(said, now_s) for said in self._said.values()]
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -9,6 +9,7 @@
 from banyanswitch.components.forwarding.protocols import PartStoreClient
 from banyanswitch.components.kv_tier.const import FLOOR_LIFETIME_S, PENDING_S
 from banyanswitch.components.kv_tier.models import (
+    Missed,
     PartKey,
     RelayedEvents,
     StoreList,
@@ -276,10 +277,10 @@
         }
 
     @callback
-    def take_relayed(self, name: StoreId, word: RelayedEvents) -> bool:
-        """Take in a reader's word; return whether events before it were missed."""
+    def take_relayed(self, name: StoreId, word: RelayedEvents) -> Missed:
+        """Take in a reader's word; return what was missed before it."""
         follower = self._stores.get(name)
-        return follower is not None and follower.take_relayed(word)
+        return Missed.NOTHING if follower is None else follower.take_relayed(word)
 
     @callback
     def list_of(self, name: StoreId) -> StoreList | None:
--- a/src/banyanswitch/components/kv_tier/list_relay.py
+++ b/src/banyanswitch/components/kv_tier/list_relay.py
@@ -1,6 +1,7 @@
 """Reading of a store's whole list from an instance that reads the store."""
 
 import asyncio
+import random
 
 import msgspec
 import structlog
@@ -13,10 +14,11 @@
     SNAPSHOT_TIMEOUT_S,
 )
 from banyanswitch.components.kv_tier.coordinator import PartTier
-from banyanswitch.components.kv_tier.models import RelayedEvents, StoreList
+from banyanswitch.components.kv_tier.models import Missed, RelayedEvents, StoreList
 from banyanswitch.core import callback
 from banyanswitch.exceptions import UpstreamError
 from banyanswitch.identifiers import StoreId
+from banyanswitch.interfaces import PeerDirectory
 
 LOGGER = structlog.get_logger(__name__)
 LIST_PATH = "/stores/"
@@ -33,11 +35,23 @@
         Follows the stores.
     client : HttpClient
         Makes the calls.
+    peers : PeerDirectory
+        Instances to ask; one alone could not send its list to all at once.
+    generator : random.Random
+        Chooses among them.
     """
 
-    def __init__(self, tier: PartTier, client: HttpClient) -> None:
+    def __init__(
+        self,
+        tier: PartTier,
+        client: HttpClient,
+        peers: PeerDirectory,
+        generator: random.Random,
+    ) -> None:
         self._tier = tier
         self._client = client
+        self._peers = peers
+        self._random = generator
         self._asked_at_s: dict[StoreId, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -46,8 +60,11 @@
         """Take in a report of the instance at ``peer_address``."""
         for name, word in words.items():
             store = StoreId(name)
-            if self._tier.take_relayed(store, word):
+            missed = self._tier.take_relayed(store, word)
+            if missed is Missed.RESTART:
                 self._ask(store, peer_address)
+            elif missed is Missed.EVENTS:
+                self._ask(store, self._any_address() or peer_address)
 
     async def async_answer(self, request: Request, reply: Reply) -> None:
         """Answer another instance with a store's whole list."""
@@ -58,6 +75,11 @@
             return
         reply.send(STATUS_OK, (), msgspec.msgpack.encode(listed))
 
+    def _any_address(self) -> str | None:
+        this = self._peers.this_instance().instance
+        others = [p.peer_address for p in self._peers.peers() if p.instance != this]
+        return self._random.choice(others) if others else None
+
     def _ask(self, store: StoreId, peer_address: str) -> None:
         loop = asyncio.get_running_loop()
         asked_at_s = self._asked_at_s.get(store, float("-inf"))
--- a/src/banyanswitch/components/kv_tier/models.py
+++ b/src/banyanswitch/components/kv_tier/models.py
@@ -1,5 +1,7 @@
 """Word of a store's readers to the other instances."""
 
+from enum import Enum
+
 import msgspec
 
 from banyanswitch.components.forwarding.protocols import PartEvent
@@ -32,6 +34,16 @@
     clock_ms: int | None
 
 
+class Missed(Enum):
+    """What an instance has missed before a reader's word."""
+
+    NOTHING = "nothing"
+    EVENTS = "events"
+    """Every instance that heard them has the list."""
+    RESTART = "restart"
+    """Perhaps only the readers have noticed it."""
+
+
 class StoreList(msgspec.Struct, frozen=True, array_like=True):
     """All parts that a reader believes a store keeps."""
 
--- a/src/banyanswitch/components/kv_tier/store_follower.py
+++ b/src/banyanswitch/components/kv_tier/store_follower.py
@@ -21,6 +21,7 @@
     ROLE_CHECK_S,
 )
 from banyanswitch.components.kv_tier.models import (
+    Missed,
     PartKey,
     RelayedEvents,
     StoreList,
@@ -74,7 +75,8 @@
         self.parts: dict[PartKey, int] = {}
         self._next_event = 0
         self._heard_at_s = float("-inf")
-        # Last event of each part since `_unsent_since`, for the other instances.
+        # Last event of each part since `_unsent_since`, which all others have heard.
+        # Kept also while this instance does not pass it on: it may be chosen next.
         self._unsent: dict[PartKey, PartEvent] = {}
         self._unsent_since = 0
 
@@ -126,16 +128,17 @@
         )
 
     @callback
-    def take_relayed(self, word: RelayedEvents) -> bool:
-        """Take in a reader's word; return whether events before it were missed."""
+    def take_relayed(self, word: RelayedEvents) -> Missed:
+        """Take in a reader's word; return what was missed before it."""
         if self._is_reading():
-            return False
+            return Missed.NOTHING
         if self.epoch != word.epoch:
             # While the present epoch is heard, another one is that of a reader that
             # has not noticed the restart yet, or was paused.
-            return _now_s() - self._heard_at_s >= EVENTS_WAIT_S
+            is_silent = _now_s() - self._heard_at_s >= EVENTS_WAIT_S
+            return Missed.RESTART if is_silent else Missed.NOTHING
         if word.since > self._next_event:
-            return True
+            return Missed.EVENTS
         if word.next_event >= self._next_event:
             self._next_event = word.next_event
             if word.clock_ms is not None:
@@ -143,7 +146,7 @@
             self._apply(PartEvent(*event) for event in word.events)
             self._clear_unsent()
         self._note_heard()
-        return False
+        return Missed.NOTHING
 
     @callback
     def listed(self) -> StoreList | None:
@@ -181,7 +184,7 @@
         self._take_clock(answer)
         self._apply(answer.events)
         self._note_heard()
-        if not self.is_relaying():
+        if not self._readers.is_relayed(self._direct_readers()):
             self._clear_unsent()
 
     def _take_clock(self, answer: PartEvents) -> None:
--- a/src/banyanswitch/components/membership/const.py
+++ b/src/banyanswitch/components/membership/const.py
@@ -28,7 +28,11 @@
 """Time to wait for a direct answer, in heartbeats."""
 
 SUSPICION_HEARTBEATS: Final = 4.0
-"""Time from suspicion to death, in heartbeats."""
+"""Time from suspicion to death among few members, in heartbeats."""
+
+SUSPICION_DOUBLINGS: Final = 3.0
+"""From 2 to this power of members on, that time grows with each doubling, as does the
+way of an objection through rumours."""
 
 RECONNECT_HEARTBEATS: Final = 5
 """A dead or merely listed instance is probed once in so many heartbeats."""
--- a/src/banyanswitch/components/membership/failure_detector.py
+++ b/src/banyanswitch/components/membership/failure_detector.py
@@ -1,6 +1,7 @@
 """Probes of the other members and suspicion of those that do not answer."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -10,6 +11,7 @@
     INDIRECT_PROBES,
     PAUSE_HEARTBEATS,
     PROBE_TIMEOUT_HEARTBEATS,
+    SUSPICION_DOUBLINGS,
     SUSPICION_HEARTBEATS,
 )
 from banyanswitch.components.membership.member_list import MemberList
@@ -120,7 +122,9 @@
 
     @property
     def _suspicion_s(self) -> float:
-        return SUSPICION_HEARTBEATS * self._heartbeat_s
+        doublings = math.log2(max(2, len(self._members.table.live())))
+        scale = max(1.0, doublings / SUSPICION_DOUBLINGS)
+        return SUSPICION_HEARTBEATS * scale * self._heartbeat_s
 
     def _next_target(self) -> Member | None:
         while True:
--- a/src/banyanswitch/components/state_exchange/const.py
+++ b/src/banyanswitch/components/state_exchange/const.py
@@ -25,3 +25,14 @@
 NAMED_MEMORY_S: Final = 120.0
 """Time for which the age of a weight version is told; after it no upstream is left
 on an older one."""
+
+BURST_BYTES: Final = 8 * 1024
+"""Bytes of reports that are sent at once; those of eight instances fit. Of 90 reports
+of 0.8 kB sent at once over 10 Mbit/s, those to the last instances were lost."""
+
+SPREAD_BYTES_PER_S: Final = 300_000.0
+"""Rate of the bursts after the first, in bytes a second; half of the slowest link of
+the platform's machines, 5 Mbit/s."""
+
+ENVELOPE_BYTES: Final = 150
+"""Bytes of a datagram around the report: headers, signature, names."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -1,11 +1,10 @@
 """Sending and taking in of reports between instances."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+import random
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
-import structlog
-
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
 from banyanswitch.components.kv_tier.coordinator import PartTier
@@ -21,14 +20,12 @@
     WEIGHTS_MEMORY_S,
 )
 from banyanswitch.components.state_exchange.models import InstanceReport
+from banyanswitch.components.state_exchange.spreader import ReportSpreader
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
-from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.interfaces import PeerDirectory
 
-LOGGER = structlog.get_logger(__name__)
-
 
 @dataclass(frozen=True, slots=True)
 class _Seen:
@@ -46,6 +43,8 @@
         Carries the reports.
     peers : PeerDirectory
         The other instances.
+    generator : random.Random
+        Chooses whom to tell first.
     """
 
     def __init__(
@@ -58,6 +57,7 @@
         mirrors: Mapping[str, TableMirror],
         routing: RoutingState,
         lists: ListRelay,
+        generator: random.Random,
     ) -> None:
         self._routing = routing
         self._lists = lists
@@ -72,7 +72,10 @@
         self._replaced: dict[str, float] = {}
         self._sent_changes = -1
         self._sent_at_s = float("-inf")
+        self._urgent_at_s = float("-inf")
         self._urgent: asyncio.TimerHandle | None = None
+        self._is_due = False
+        self._spreader = ReportSpreader(transport, generator, self._on_spread)
         self.on_report: Callable[[], None] = lambda: None
         transport.subscribe(InstanceReport, self._on_report)
 
@@ -80,11 +83,15 @@
         """Report until cancelled."""
         while True:
             interval_s = self.interval_s()
-            await asyncio.sleep(interval_s)
+            wait_s = interval_s - (_now_s() - self._sent_at_s)
+            if wait_s > 0.0:
+                await asyncio.sleep(wait_s)
+                continue
             has_changed = self._board.loads.change_count != self._sent_changes
             idle_s = max(INTERVAL_IDLE_S, interval_s)
             if has_changed or _now_s() - self._sent_at_s >= idle_s:
                 self.report_now()
+            await asyncio.sleep(interval_s)
 
     @callback
     def interval_s(self) -> float:
@@ -100,19 +107,27 @@
         if self._urgent is not None:
             return
         gap_s = len(self._peers.peers()) / URGENT_REPORTS_PER_S
-        due_at_s = self._sent_at_s + gap_s
+        due_at_s = self._urgent_at_s + gap_s
         if _now_s() >= due_at_s:
-            self.report_now()
+            self._report_urgently()
             return
         loop = asyncio.get_running_loop()
-        self._urgent = loop.call_at(due_at_s, self.report_now)
+        self._urgent = loop.call_at(due_at_s, self._report_urgently)
+
+    def _report_urgently(self) -> None:
+        self._urgent_at_s = _now_s()
+        self.report_now()
 
     @callback
     def report_now(self) -> None:
-        """Tell all others at once."""
+        """Tell all others at once, or after the report that is being sent."""
         if self._urgent is not None:
             self._urgent.cancel()
             self._urgent = None
+        if self._spreader.is_busy:
+            self._is_due = True
+            return
+        self._is_due = False
         self._sent_at_s = _now_s()
         self._sent_changes = self._board.loads.change_count
         now_s = _now_s()
@@ -149,13 +164,22 @@
             },
             part_events=self._tier.take_unsent(),
         )
-        for peer in self._peers.peers():
-            if peer.instance == this.instance:
-                continue
-            try:
-                self._transport.send(peer.peer_address, report)
-            except PeerError as error:
-                LOGGER.debug("report_not_sent", reason=str(error))
+        addresses = [
+            peer.peer_address
+            for peer in self._peers.peers()
+            if peer.instance != this.instance
+        ]
+        self._spreader.send(report, addresses)
+
+    @callback
+    def spread_s(self) -> float:
+        """Return the time until a report begun now has reached all others."""
+        waiting_s = self._spreader.spread_s if self._spreader.is_busy else 0.0
+        return waiting_s + self._spreader.spread_s
+
+    def _on_spread(self) -> None:
+        if self._is_due:
+            self.report_now()
 
     @callback
     def table_versions(self, table: str) -> dict[str, int]:
@@ -177,11 +201,17 @@
             self.report_soon()
 
     @callback
-    def announce_loading(self, upstream: UpstreamId, version: int) -> None:
-        """Say that an upstream is about to load weights."""
+    def announce_loading(self, upstreams: Iterable[UpstreamId], version: int) -> None:
+        """Say at once that upstreams are about to load weights."""
+        for upstream in upstreams:
+            self.keep_loading(upstream, version)
+        self.report_now()
+
+    @callback
+    def keep_loading(self, upstream: UpstreamId, version: int) -> None:
+        """Take in that an upstream still loads; the next reports say so."""
         self._own_loading[upstream] = version
         self._board.note_loading(upstream, version, _now_s())
-        self.report_now()
 
     @callback
     def announce_weights(
@@ -193,7 +223,7 @@
         if version is not None:
             self._board.note_weights(upstream, model, version)
             self._weights[upstream] = _Seen(model, version, _now_s())
-        self.report_now()
+        self.report_soon()
 
     @callback
     def withdraw(self) -> None:
--- a/src/banyanswitch/components/weight_rollout/const.py
+++ b/src/banyanswitch/components/weight_rollout/const.py
@@ -12,7 +12,7 @@
 """Time between two looks when all weights are as wanted."""
 
 ANNOUNCE_S: Final = 0.08
-"""Time between the word to the other instances that an upstream loads and the
+"""Time between the last word to the other instances that an upstream loads and the
 order; a datagram takes some ms, and its receiver acts on the next request."""
 
 POLL_S: Final = 0.2
--- a/src/banyanswitch/components/weight_rollout/coordinator.py
+++ b/src/banyanswitch/components/weight_rollout/coordinator.py
@@ -115,12 +115,18 @@
             loads_at_once=loads_at_once, min_serving_share=MIN_SERVING_SHARE
         )
         views = [self._view(state, model, version, now_s) for state in states]
-        for name in next_loads(views, WeightVersion(str(version)), policy, now_s):
+        chosen = next_loads(views, WeightVersion(str(version)), policy, now_s)
+        names = [name for name in chosen if name not in self._tasks]
+        wait_s = ANNOUNCE_S
+        if names:
+            self._exchange.announce_loading(names, version)
+            wait_s += self._exchange.spread_s()
+        for name in names:
             state = self._board.state(name)
-            if state is None or name in self._tasks:
+            if state is None:
                 continue
             task = asyncio.get_running_loop().create_task(
-                self._async_load(state, model, version), name=f"load_{name}"
+                self._async_load(state, model, version, wait_s), name=f"load_{name}"
             )
             self._tasks[name] = task
             task.add_done_callback(self._forget)
@@ -149,12 +155,13 @@
             retry_at_s=self._retry_at_s.get(name, 0.0),
         )
 
-    async def _async_load(self, state: UpstreamState, model: str, version: int) -> None:
+    async def _async_load(
+        self, state: UpstreamState, model: str, version: int, wait_s: float
+    ) -> None:
         name = state.record.name
         reached: int | None = None
         try:
-            self._exchange.announce_loading(name, version)
-            await asyncio.sleep(ANNOUNCE_S)
+            await asyncio.sleep(wait_s)
             reached = await self._async_order_and_follow(state, model, version)
         except FencedError as error:
             LOGGER.warning("orders_fenced", upstream=name, reason=str(error))
@@ -217,7 +224,7 @@
             name = state.record.name
             if self._board.state(name) is not state:
                 return None
-            self._exchange.announce_loading(name, version)
+            self._exchange.keep_loading(name, version)
             try:
                 report = await self._engines.async_report(state.record.address)
             except UpstreamError as error:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -204,7 +204,9 @@
             self._loads,
             self._readers,
         )
-        self._lists = ListRelay(self._tier, self._peer_client)
+        self._lists = ListRelay(
+            self._tier, self._peer_client, self._membership, self._random
+        )
 
     def _make_membership(self) -> None:
         settings = self._settings
@@ -237,6 +239,7 @@
             mirrors=self._mirrors,
             routing=self._routing,
             lists=self._lists,
+            generator=self._random,
         )
         self._turns = Turns()
         self._loads.on_heavy_change = self._on_heavy_change
--- a/tests/components/kv_tier/test_relayed_events.py
+++ b/tests/components/kv_tier/test_relayed_events.py
@@ -14,7 +14,9 @@
 from banyanswitch.components.forwarding.protocols import PartEvent, PartEvents
 from banyanswitch.components.kv_tier.const import RELAY_READERS, RELAY_SILENCE_S
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.kv_tier.models import Missed
 from banyanswitch.components.peers.reader_choice import ReaderChoice
+from banyanswitch.decisions.rendezvous import first_of
 from banyanswitch.exceptions import UpstreamBrokenError
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import FailureDomainId, StoreId
@@ -81,6 +83,8 @@
         self.name = name
         self.fleet = fleet
         self.lost_reports = 0
+        self.lists_read = 0
+        self.unseen: set[str] = set()
         watch = SuspensionWatch(FakeClock())
         self.tier = PartTier(
             fleet.store, lambda _model: 1, watch, LoadBook(), ReaderChoice(self)
@@ -91,7 +95,8 @@
         return make_peer(self.name)
 
     def peers(self) -> tuple[Peer, ...]:
-        return tuple(make_peer(name) for name in self.fleet.nodes)
+        names = [name for name in self.fleet.nodes if name not in self.unseen]
+        return tuple(make_peer(name) for name in names)
 
     def parts(self) -> set[str] | None:
         (state,) = self.tier.stores
@@ -102,18 +107,23 @@
     async def async_report(self) -> None:
         while True:
             await asyncio.sleep(REPORT_S)
-            words = self.tier.take_unsent()
-            for other in tuple(self.fleet.nodes.values()):
-                if other is not self:
-                    other.take(self, words)
+            self.report()
+
+    def report(self) -> None:
+        words = self.tier.take_unsent()
+        for other in tuple(self.fleet.nodes.values()):
+            if other is not self:
+                other.take(self, words)
 
     def take(self, sender: "Node", words: dict) -> None:
         if self.lost_reports:
             self.lost_reports -= bool(words)
             return
         for store, word in words.items():
-            if not self.tier.take_relayed(store, word):
+            missed = self.tier.take_relayed(store, word)
+            if missed is Missed.NOTHING:
                 continue
+            self.lists_read += 1
             listed = sender.tier.list_of(store)
             if listed is not None:
                 self.tier.take_list(store, listed)
@@ -212,7 +222,7 @@
     fleet.keep("new")
     await asyncio.sleep(4.0)
     for node in fleet.nodes.values():
-        assert not node.tier.take_relayed(STORE, old)
+        assert node.tier.take_relayed(STORE, old) is Missed.NOTHING
     assert fleet.beliefs() == [{"new"}] * 40
 
 
@@ -235,3 +245,28 @@
     await asyncio.sleep(RELAY_SILENCE_S + 1.0)
     believers = [name for name, node in fleet.nodes.items() if node.parts() is not None]
     assert sorted(believers) == sorted(readers)
+
+
+async def test_who_reads_for_a_moment_makes_nobody_miss_events() -> None:
+    """An instance loses sight of the readers twice, with an event between.
+
+    Its report reaches the others before those of the readers.
+    """
+    fleet = Fleet(40)
+    await asyncio.sleep(3.0)
+    readers = set(fleet.readers())
+    for node in fleet.nodes.values():
+        node.lists_read = 0
+    (third,) = first_of(f"store/{STORE}", fleet.nodes, 3) - readers
+    wrong = fleet.nodes[third]
+    wrong.unseen = readers
+    await asyncio.sleep(0.75)
+    wrong.unseen = set()
+    fleet.keep("a")
+    await asyncio.sleep(0.1)
+    wrong.unseen = readers
+    wrong.report()
+    wrong.unseen = set()
+    await asyncio.sleep(1.0)
+    assert fleet.beliefs() == [{"a"}] * 40
+    assert sum(node.lists_read for node in fleet.nodes.values()) == 0
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -15,7 +15,11 @@
 from banyanswitch.components.kv_tier.list_relay import ListRelay
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.reader_choice import ReaderChoice
-from banyanswitch.components.state_exchange.const import URGENT_REPORTS_PER_S
+from banyanswitch.components.state_exchange.const import (
+    BURST_BYTES,
+    SPREAD_BYTES_PER_S,
+    URGENT_REPORTS_PER_S,
+)
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.helpers.signing import SigningKeys
@@ -44,9 +48,13 @@
         )
         self._wires = wires
         self.sent = 0
+        self.sent_bytes = 0
+        self.recipients: list[str] = []
 
     def send(self, peer_address: str, message: object) -> None:
         self.sent += 1
+        self.sent_bytes += len(self.frame(peer_address, message))
+        self.recipients.append(peer_address)
         if peer_address in self._wires:
             self._wires[peer_address].deliver(self.frame(peer_address, message))
 
@@ -96,7 +104,8 @@
             tier=self.tier,
             mirrors={"servers": self.upstreams.mirror},
             routing=self.routing,
-            lists=ListRelay(self.tier, self.client),
+            lists=ListRelay(self.tier, self.client, self, random.Random(1)),
+            generator=random.Random(1),
         )
 
     def this_instance(self) -> Peer:
@@ -120,7 +129,7 @@
     first, second = make_nodes(2)
     name = UpstreamId("u")
     first.upstreams.loads.begin(InFlight(name, 300, 400, now_s()))
-    first.exchange.announce_loading(name, 2)
+    first.exchange.announce_loading([name], 2)
     assert second.upstreams.loads.total(name, now_s()) == Load(1, 300, 400)
     assert second.upstreams.accepting(now_s()) == []
     first.exchange.announce_weights(name, MODEL, 2)
@@ -156,3 +165,50 @@
     # The first report goes out at once, whenever the last one was.
     assert node.transport.sent <= URGENT_REPORTS_PER_S * elapsed_s + instances
     assert node.transport.sent > 0
+
+
+async def test_loads_that_start_together_are_one_report() -> None:
+    """15 of 45 upstreams are ordered at once; each report goes to 90 instances."""
+    (node,) = make_nodes(1, 91)
+    names = [UpstreamId(f"u{number}") for number in range(15)]
+    node.exchange.announce_loading(names, 2)
+    await asyncio.sleep(node.exchange.spread_s())
+    assert node.transport.sent == 90
+    for _ in range(5):
+        for name in names:
+            node.exchange.keep_loading(name, 2)
+        await asyncio.sleep(0.2)
+    for name in names:
+        node.exchange.announce_weights(name, MODEL, 2)
+    await asyncio.sleep(1.0)
+    assert node.transport.sent <= 90 + URGENT_REPORTS_PER_S * 2.0
+
+
+async def test_reports_to_many_do_not_fill_the_link() -> None:
+    """90 reports at once over 10 Mbit/s lost those to the last instances."""
+    (node,) = make_nodes(1, 91)
+    for number in range(20):
+        call = InFlight(UpstreamId(f"upstream-{number}"), 12_800, 17_000, now_s())
+        node.upstreams.loads.begin(call)
+    sent = []
+    for _ in range(100):
+        node.exchange.report_soon()
+        node.exchange.report_now()
+        sent.append(node.transport.sent_bytes)
+        await asyncio.sleep(0.02)
+    in_half_a_second = [
+        late - early for early, late in zip(sent, sent[25:], strict=False)
+    ]
+    assert max(in_half_a_second) <= BURST_BYTES + 0.5 * SPREAD_BYTES_PER_S * 1.1
+    assert node.transport.sent >= 2 * 90
+
+
+async def test_nobody_is_always_told_last() -> None:
+    nodes = make_nodes(20)
+    first_told = set()
+    for _ in range(40):
+        nodes[0].transport.recipients.clear()
+        nodes[0].exchange.report_now()
+        first_told.add(nodes[0].transport.recipients[0])
+        await asyncio.sleep(1.0)
+    assert len(first_told) >= 10
