Let six instances read the tables' feeds and the others follow them

Ruled out: longer waits (a connection gone silent is noticed later), pushes in the datagrams (250 B a row by 90 instances by six readers). Change: of more than eight instances six follow the store's feed; the others follow a reader's, as a feed with the same versions, and read the store themselves for each answer that a reader does not give. A reader that knows too short a history says so; one that lost the store answers 503 at once. Tests: tests/components/table_mirror/test_relayed_feed.py, 40 instances, readers that die, lose the store or started later; and a row is not removed by older word.

--- a/src/banyanswitch/components/table_mirror/const.py
+++ b/src/banyanswitch/components/table_mirror/const.py
@@ -22,3 +22,11 @@
 
 RELAY_TIMEOUT_S: Final = 1.0
 """Deadline of a read from another instance."""
+
+TABLE_READERS: Final = 6
+"""Instances that read a table's feed for all, if they are many. With a third of the
+instances refused by the store, all of six are refused once in 700 times."""
+
+READER_SLACK_S: Final = 0.4
+"""Time beyond the wait of a feed call to another instance before it counts as lost;
+the way takes some 10 ms."""
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -44,7 +44,10 @@
         self._removed_at: dict[str, int] = {}
         self._handlers: list[ChangeHandler] = []
         self._cursor: int | None = None
-        self._is_connected = False
+        # From this version on, each change that the feed told of is known.
+        self._history_from = 0
+        self._waiting: set[asyncio.Future[None]] = set()
+        self.is_connected = False
         self.is_known = False
         self.content_version = 0
         self.last_contact_s = float("-inf")
@@ -62,9 +65,41 @@
 
     @callback
     def snapshot(self) -> TableChanges:
-        """Return the whole copy, for another instance."""
+        """Return the whole copy as of its newest change."""
         return TableChanges(self.content_version, self.items, ())
 
+    @callback
+    def whole(self) -> TableChanges:
+        """Return the whole copy, with the version from which changes are known."""
+        version = max(self.content_version, self._history_from)
+        return TableChanges(version, self.items, ())
+
+    @callback
+    def changes_since(self, version: int) -> TableChanges:
+        """Return what changed after a version, for another instance.
+
+        Raises
+        ------
+        HistoryGoneError
+            If rows may have been removed since without this copy's knowing.
+        """
+        if version < self._history_from:
+            raise HistoryGoneError(f"table {self.table} is known from a later version")
+        items = [item for item in self._items.values() if item.revision > version]
+        removed = [key for key, at in self._removed_at.items() if at > version]
+        newest = max(version, self.content_version)
+        still_removed = [key for key in removed if key not in self._items]
+        return TableChanges(newest, tuple(items), tuple(still_removed))
+
+    async def async_wait_newer(self, version: int, wait_s: float) -> None:
+        """Wait for a change after a version, or for a bounded time."""
+        if self.content_version > version:
+            return
+        waiting = asyncio.get_running_loop().create_future()
+        self._waiting.add(waiting)
+        await asyncio.wait({waiting}, timeout=wait_s)
+        self._waiting.discard(waiting)
+
     @callback
     def apply_snapshot(self, snapshot: TableChanges) -> None:
         """Take in all rows of the table as of a version."""
@@ -75,6 +110,7 @@
         removed = tuple(key for key in self._items if key not in present)
         changes = TableChanges(snapshot.version, snapshot.items, removed)
         self._apply(changes)
+        self._history_from = max(self.content_version, snapshot.version)
 
     @callback
     def apply_changes(self, changes: TableChanges) -> None:
@@ -107,6 +143,7 @@
             version = max(newest, self.content_version)
             self.apply_snapshot(TableChanges(version, snapshot.items, ()))
             self._cursor = snapshot.version
+            self._history_from = max(self._history_from, snapshot.version)
             return
         changes = await self._feed.async_changes(self.table, self._cursor, FEED_WAIT_S)
         self._cursor = max(self._cursor, changes.version)
@@ -115,12 +152,16 @@
 
     def _apply(self, changes: TableChanges) -> None:
         changed = tuple(item for item in changes.items if self._is_newer(item))
-        removed = tuple(key for key in changes.removed if key in self._items)
+        removed = tuple(
+            key for key in changes.removed if self._is_outdated(key, changes.version)
+        )
         for item in changed:
             self._items[item.key] = item
         for key in removed:
             del self._items[key]
-            self._removed_at[key] = changes.version
+        for key in changes.removed:
+            # Also of rows that came and went unseen; other copies may have them.
+            self._removed_at[key] = max(changes.version, self._removed_at.get(key, 0))
         newest = max((item.revision for item in changed), default=0)
         removal = changes.version if removed else 0
         self.content_version = max(self.content_version, newest, removal)
@@ -128,6 +169,13 @@
             return
         for handler in self._handlers:
             handler(changed, removed)
+        self._wake()
+
+    def _wake(self) -> None:
+        for waiting in self._waiting:
+            if not waiting.done():
+                waiting.set_result(None)
+        self._waiting.clear()
 
     def _is_newer(self, item: Item) -> bool:
         known = self._items.get(item.key)
@@ -135,14 +183,20 @@
             return item.revision > known.revision
         return item.revision > self._removed_at.get(item.key, 0)
 
+    def _is_outdated(self, key: str, version: int) -> bool:
+        """Return whether a row is known as it was at a version or before."""
+        known = self._items.get(key)
+        return known is not None and known.revision <= version
+
     def _note_contact(self) -> None:
         self.last_contact_s = asyncio.get_running_loop().time()
-        if not self._is_connected:
-            self._is_connected = True
+        if not self.is_connected:
+            self.is_connected = True
             LOGGER.info("store_regained", table=self.table, version=self._cursor)
 
     def _note_failure(self, reason: str) -> None:
         self.last_failure_s = asyncio.get_running_loop().time()
-        if self._is_connected:
-            self._is_connected = False
+        if self.is_connected:
+            self.is_connected = False
+            self._wake()
             LOGGER.warning("store_lost", table=self.table, reason=reason)
--- a/src/banyanswitch/components/table_mirror/relay.py
+++ b/src/banyanswitch/components/table_mirror/relay.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Mapping
 from typing import Protocol
+from urllib.parse import parse_qs, urlencode, urlsplit
 
 import msgspec
 import structlog
@@ -12,18 +13,31 @@
 from banyanswitch.components.http1.client import HttpClient
 from banyanswitch.components.http1.models import Request
 from banyanswitch.components.table_mirror.const import (
+    FEED_WAIT_S,
     RELAY_INTERVAL_S,
     RELAY_PATIENCE_S,
     RELAY_TIMEOUT_S,
 )
 from banyanswitch.components.table_mirror.mirror import TableMirror
-from banyanswitch.exceptions import UpstreamError
+from banyanswitch.exceptions import HistoryGoneError, UpstreamError
 from banyanswitch.interfaces import TableChanges
 
 LOGGER = structlog.get_logger(__name__)
 TABLE_PATH = "/tables/"
+"""Copies as of their newest change, for who lags."""
+WHOLE_PATH = "/feed/whole/"
+"""Copies from which `CHANGES_PATH` goes on."""
+CHANGES_PATH = "/feed/changes/"
 STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
+STATUS_GONE = 410
+STATUS_UNAVAILABLE = 503
+
+
+def changes_target(table: str, after: int, wait_s: float) -> str:
+    """Return the target of a read of what changed."""
+    return f"{CHANGES_PATH}{table}?{urlencode({'after': after, 'wait_s': wait_s})}"
 
 
 class KnownVersions(Protocol):
@@ -69,13 +83,24 @@
                 await self._async_compare(table, mirror)
 
     async def async_answer(self, request: Request, reply: Reply) -> None:
-        """Answer another instance with a whole copy."""
-        table = request.path.decode("latin-1").removeprefix(TABLE_PATH)
+        """Answer another instance with a whole copy, or with what changed."""
+        target = urlsplit(request.target.decode("latin-1"))
+        directory, _, table = target.path.rpartition("/")
+        path = directory + "/"
         mirror = self._mirrors.get(table)
         if mirror is None or not mirror.is_known:
             reply.send(STATUS_NOT_FOUND, (), b"")
             return
-        reply.send(STATUS_OK, (), msgspec.msgpack.encode(mirror.snapshot()))
+        if path == TABLE_PATH:
+            reply.send(STATUS_OK, (), msgspec.msgpack.encode(mirror.snapshot()))
+        elif not mirror.is_connected:
+            reply.send(STATUS_UNAVAILABLE, (), b"")
+        elif path == WHOLE_PATH:
+            reply.send(STATUS_OK, (), msgspec.msgpack.encode(mirror.whole()))
+        elif path == CHANGES_PATH:
+            await _async_answer_changes(mirror, parse_qs(target.query), reply)
+        else:
+            reply.send(STATUS_NOT_FOUND, (), b"")
 
     async def _async_compare(self, table: str, mirror: TableMirror) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -110,3 +135,23 @@
             from_version=before,
             to_version=mirror.content_version,
         )
+
+
+async def _async_answer_changes(
+    mirror: TableMirror, query: Mapping[str, list[str]], reply: Reply
+) -> None:
+    try:
+        after, wait_s = int(query["after"][0]), float(query["wait_s"][0])
+    except (KeyError, ValueError):
+        reply.send(STATUS_BAD_REQUEST, (), b"")
+        return
+    await mirror.async_wait_newer(after, min(wait_s, FEED_WAIT_S))
+    if not mirror.is_connected:
+        reply.send(STATUS_UNAVAILABLE, (), b"")
+        return
+    try:
+        changes = mirror.changes_since(after)
+    except HistoryGoneError:
+        reply.send(STATUS_GONE, (), b"")
+        return
+    reply.send(STATUS_OK, (), msgspec.msgpack.encode(changes))
--- /dev/null
+++ b/src/banyanswitch/components/table_mirror/relayed_feed.py
@@ -0,0 +1,112 @@
+"""Feed of a table that comes from the store, or from an instance that reads it."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import structlog
+
+from banyanswitch.components.http1.client import HttpClient
+from banyanswitch.components.peers.reader_choice import ReaderChoice
+from banyanswitch.components.table_mirror.const import (
+    READER_SLACK_S,
+    RELAY_TIMEOUT_S,
+    TABLE_READERS,
+)
+from banyanswitch.components.table_mirror.relay import (
+    STATUS_GONE,
+    STATUS_OK,
+    WHOLE_PATH,
+    changes_target,
+)
+from banyanswitch.exceptions import (
+    HistoryGoneError,
+    PlatformUnavailableError,
+    UpstreamError,
+)
+from banyanswitch.interfaces import Peer, TableChanges, TableFeed
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class RelayedFeed:
+    """Implements ``TableFeed``; reads the store only where no reader helps.
+
+    Parameters
+    ----------
+    store : TableFeed
+        The store's own feed.
+    readers : ReaderChoice
+        Says who reads the store.
+    client : HttpClient
+        Makes the calls to other instances.
+    generator : random.Random
+        Chooses among the readers.
+    """
+
+    def __init__(
+        self,
+        store: TableFeed,
+        readers: ReaderChoice,
+        client: HttpClient,
+        generator: random.Random,
+    ) -> None:
+        self._store = store
+        self._readers = readers
+        self._client = client
+        self._random = generator
+
+    def clock_s(self) -> float | None:
+        """Return the store's steady clock now, in seconds, if it is known."""
+        return self._store.clock_s()
+
+    async def async_read_table(self, table: str) -> TableChanges:
+        """Return all rows of a table."""
+        return await self._async_read(
+            table,
+            WHOLE_PATH + table,
+            RELAY_TIMEOUT_S,
+            lambda: self._store.async_read_table(table),
+        )
+
+    async def async_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        """Return what changed after a version, waiting for the first change."""
+        return await self._async_read(
+            table,
+            changes_target(table, after, wait_s),
+            wait_s + READER_SLACK_S,
+            lambda: self._store.async_changes(table, after, wait_s),
+        )
+
+    async def _async_read(
+        self,
+        table: str,
+        target: str,
+        timeout_s: float,
+        read_store: Callable[[], Awaitable[TableChanges]],
+    ) -> TableChanges:
+        topic = f"table/{table}"
+        if self._readers.is_reader(topic, TABLE_READERS):
+            return await read_store()
+        reader = self._random.choice(self._readers.readers(topic, TABLE_READERS))
+        try:
+            return await self._async_ask(reader, target, timeout_s)
+        except (UpstreamError, PlatformUnavailableError, msgspec.MsgspecError) as error:
+            LOGGER.info(
+                "relay_failed", table=table, peer=reader.instance, reason=str(error)
+            )
+            return await read_store()
+
+    async def _async_ask(
+        self, reader: Peer, target: str, timeout_s: float
+    ) -> TableChanges:
+        answer = await self._client.async_call(
+            "GET", reader.peer_address, target, timeout_s=timeout_s
+        )
+        if answer.status == STATUS_GONE:
+            raise HistoryGoneError(f"{reader.instance} knows a later history only")
+        if answer.status != STATUS_OK:
+            raise PlatformUnavailableError(f"answered with status {answer.status}")
+        return msgspec.msgpack.decode(answer.body, type=TableChanges)
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -39,6 +39,7 @@
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
+from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
 from banyanswitch.components.weight_rollout.const import (
     DUTY,
     LEASE_S,
@@ -183,7 +184,7 @@
         decoder = RowDecoder()
         feed = RelayedFeed(self._tables, self._readers, self._peer_client, self._random)
         self._mirrors = {
-            name: TableMirror(name, self._tables, self._random)
+            name: TableMirror(name, feed, self._random)
             for name in (TABLE_OPERATOR, TABLE_UPSTREAMS)
         }
         self._routing = RoutingState(
--- a/tests/components/table_mirror/test_mirror.py
+++ b/tests/components/table_mirror/test_mirror.py
@@ -127,3 +127,11 @@
     assert revisions(mirror) == {}
     mirror.apply_changes(TableChanges(8, (item("a", 8),), ()))
     assert revisions(mirror) == {"t/a": 8}
+
+
+async def test_a_row_is_not_removed_by_older_word() -> None:
+    """A lagging instance still says that a row is gone which was written again."""
+    mirror = TableMirror("t", ScriptedFeed(), random.Random(1))
+    mirror.apply_changes(TableChanges(9, (item("a", 9),), ()))
+    mirror.apply_changes(TableChanges(7, (), ("t/a",)))
+    assert revisions(mirror) == {"t/a": 9}
--- /dev/null
+++ b/tests/components/table_mirror/test_relayed_feed.py
@@ -0,0 +1,261 @@
+"""Many instances follow a table of which a few read the store's feed.
+
+Pattern: 40 instances, a change every second, readers that die or lose the store.
+"""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from banyanswitch.components.http1.client import Answer, HttpClient
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.http1.models import Request
+from banyanswitch.components.peers.reader_choice import ReaderChoice
+from banyanswitch.components.table_mirror.const import (
+    FEED_WAIT_S,
+    READER_SLACK_S,
+    TABLE_READERS,
+)
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.components.table_mirror.relay import TableRelay
+from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
+from banyanswitch.exceptions import (
+    HistoryGoneError,
+    PlatformUnavailableError,
+    UpstreamBrokenError,
+    UpstreamNotSentError,
+)
+from banyanswitch.interfaces import Item, Peer, TableChanges
+from tests.components.lease.conftest import make_peer
+
+pytestmark = pytest.mark.looptime
+TABLE = "t"
+READERS = "table/t"
+
+
+class SharedStore:
+    """Implements ``TableFeed``; remembers who calls."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.removed: dict[str, int] = {}
+        self.version = 0
+        self.calls = 0
+        self.is_down = False
+
+    def put(self, key: str) -> None:
+        self.version += 1
+        self.items[key] = Item(f"{TABLE}/{key}", self.version, b"")
+
+    def remove(self, key: str) -> None:
+        self.version += 1
+        del self.items[key]
+        self.removed[f"{TABLE}/{key}"] = self.version
+
+    def clock_s(self) -> float | None:
+        return None
+
+    async def async_read_table(self, table: str) -> TableChanges:
+        self._check()
+        return TableChanges(self.version, tuple(self.items.values()), ())
+
+    async def async_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        self._check()
+        ends_at_s = now_s() + wait_s
+        while self.version <= after and now_s() < ends_at_s:
+            await asyncio.sleep(0.01)
+        items = tuple(i for i in self.items.values() if i.revision > after)
+        removed = tuple(key for key, at in self.removed.items() if at > after)
+        return TableChanges(self.version, items, removed)
+
+    def _check(self) -> None:
+        self.calls += 1
+        if self.is_down:
+            raise PlatformUnavailableError("down")
+
+
+class CutOff(SharedStore):
+    """A store that refuses one instance."""
+
+    async def async_read_table(self, table: str) -> TableChanges:
+        raise PlatformUnavailableError("refused")
+
+    async def async_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        raise PlatformUnavailableError("refused")
+
+
+class AnswerReply:
+    """Keeps what a handler answers."""
+
+    def __init__(self) -> None:
+        self.answer = Answer(500, (), b"")
+
+    def send(self, status: int, headers: Any, body: bytes) -> None:
+        self.answer = Answer(status, (), body)
+
+
+class InternalClient(HttpClient):
+    """Calls the relays of the other instances."""
+
+    def __init__(self, fleet: "Fleet") -> None:
+        super().__init__(ConnectionPool())
+        self._fleet = fleet
+
+    async def async_call(
+        self, method: str, address: str, target: str, **options: Any
+    ) -> Answer:
+        node = self._fleet.nodes.get(address.removeprefix("tcp://"))
+        if node is None:
+            raise UpstreamNotSentError("no such instance")
+        if node.is_frozen:
+            await asyncio.sleep(options["timeout_s"])
+            raise UpstreamBrokenError("no answer in time")
+        reply = AnswerReply()
+        request = Request(b"GET", target.encode(), (), b"", now_s())
+        await node.relay.async_answer(request, reply)  # type: ignore[arg-type]
+        return reply.answer
+
+
+class Node:
+    """One instance with a copy of the table."""
+
+    def __init__(self, name: str, fleet: "Fleet") -> None:
+        self.name = name
+        self.fleet = fleet
+        self.is_frozen = False
+        generator = random.Random(name)
+        client = InternalClient(fleet)
+        self.readers = ReaderChoice(self)
+        feed = RelayedFeed(fleet.store, self.readers, client, generator)
+        self.mirror = TableMirror(TABLE, feed, generator)
+        self.relay = TableRelay({TABLE: self.mirror}, self, client, generator)
+        self.tasks = [
+            asyncio.create_task(self.mirror.async_run()),
+            asyncio.create_task(self.relay.async_run()),
+        ]
+
+    def this_instance(self) -> Peer:
+        return make_peer(self.name)
+
+    def peers(self) -> tuple[Peer, ...]:
+        return tuple(make_peer(name) for name in self.fleet.names)
+
+    def table_versions(self, table: str) -> dict[str, int]:
+        """Return nothing, as if no report arrived."""
+        return {}
+
+    def keys(self) -> set[str]:
+        return {item.key.partition("/")[2] for item in self.mirror.items}
+
+
+class Fleet:
+    """Instances over one store."""
+
+    def __init__(self, count: int) -> None:
+        self.store = SharedStore()
+        self.names = [f"n{number}" for number in range(count)]
+        self.nodes: dict[str, Node] = {}
+        for name in self.names:
+            self.nodes[name] = Node(name, self)
+
+    def readers(self) -> list[Node]:
+        return [
+            node
+            for node in self.nodes.values()
+            if node.readers.is_reader(READERS, TABLE_READERS)
+        ]
+
+    def beliefs(self) -> list[set[str]]:
+        return [node.keys() for node in self.nodes.values()]
+
+    def kill(self, node: Node) -> None:
+        del self.nodes[node.name]
+        for task in node.tasks:
+            task.cancel()
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def test_changes_reach_all_with_the_calls_of_a_few() -> None:
+    fleet = Fleet(40)
+    fleet.store.put("a")
+    await asyncio.sleep(2.0)
+    fleet.store.calls = 0
+    for number in range(20):
+        fleet.store.put(f"k{number}")
+        if number:
+            fleet.store.remove(f"k{number - 1}")
+        await asyncio.sleep(1.0)
+    assert fleet.beliefs() == [{"a", "k19"}] * 40
+    # A reader calls once more for each change.
+    assert fleet.store.calls <= TABLE_READERS * 2 * 20
+
+
+async def test_few_instances_all_read_the_store() -> None:
+    fleet = Fleet(8)
+    fleet.store.put("a")
+    await asyncio.sleep(1.0)
+    assert len(fleet.readers()) == 8
+    assert fleet.beliefs() == [{"a"}] * 8
+
+
+async def test_readers_that_died_unnoticed_are_passed_over() -> None:
+    fleet = Fleet(40)
+    await asyncio.sleep(1.0)
+    for node in fleet.readers():
+        fleet.kill(node)
+    fleet.store.put("a")
+    await asyncio.sleep(FEED_WAIT_S + READER_SLACK_S + 1.0)
+    assert fleet.beliefs() == [{"a"}] * len(fleet.nodes)
+
+
+async def test_readers_that_the_store_refuses_are_passed_over() -> None:
+    fleet = Fleet(40)
+    await asyncio.sleep(1.0)
+    for node in fleet.readers():
+        node.mirror._feed._store = CutOff()  # type: ignore[attr-defined]
+    await asyncio.sleep(4.0)
+    fleet.store.put("a")
+    await asyncio.sleep(4.0)
+    cut = {node.name for node in fleet.readers()}
+    for name, node in fleet.nodes.items():
+        assert name in cut or node.keys() == {"a"}
+
+
+async def test_an_outage_of_the_store_is_noticed_by_all() -> None:
+    fleet = Fleet(40)
+    await asyncio.sleep(1.0)
+    fleet.store.is_down = True
+    await asyncio.sleep(8.0)
+    for node in fleet.nodes.values():
+        assert now_s() - node.mirror.last_failure_s < 2.0
+    fleet.store.is_down = False
+    fleet.store.put("a")
+    await asyncio.sleep(2.0)
+    assert fleet.beliefs() == [{"a"}] * 40
+
+
+async def test_a_reader_that_started_later_admits_what_it_missed() -> None:
+    """A row came and went before it read the table; others still have it."""
+    fleet = Fleet(1)
+    store, node = fleet.store, fleet.nodes["n0"]
+    await asyncio.sleep(1.0)
+    behind = store.version
+    store.put("a")
+    store.remove("a")
+    late = TableMirror(TABLE, store, random.Random(1))
+    task = asyncio.create_task(late.async_run())
+    await asyncio.sleep(1.0)
+    task.cancel()
+    assert late.changes_since(late.whole().version).items == ()
+    with pytest.raises(HistoryGoneError):
+        late.changes_since(behind)
+    assert node.mirror.changes_since(behind).removed == (f"{TABLE}/a",)
