Follow the settings file when it changes without a signal

The file is looked at every 2 s and on SIGHUP. New seeds and the time to stop take effect at once; the log says what waits for the next start. Before, SIGHUP only checked it, and a change without a signal was not seen.

--- a/src/banyanswitch/cli/forward.py
+++ b/src/banyanswitch/cli/forward.py
@@ -6,9 +6,9 @@
 import sys
 from pathlib import Path
 
-import structlog
 import uvloop
 
+from banyanswitch.components.forwarding.settings_file import SettingsFile
 from banyanswitch.exceptions import SettingsError
 from banyanswitch.helpers.log_buffer import LogBuffer, set_up_buffered_logs
 from banyanswitch.platform.const import SETTINGS_PATH_VARIABLE
@@ -17,7 +17,6 @@
 
 EXIT_SETTINGS = 2
 CHECK_FLAG = "--check_settings"
-LOGGER = structlog.get_logger(__name__)
 
 
 async def async_serve(path: Path, logs: LogBuffer) -> None:
@@ -28,11 +27,14 @@
     process = await async_compose_forwarding(settings)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, process.stop.request)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    file = SettingsFile(path, load_node_settings, settings, process.apply)
+    loop.add_signal_handler(signal.SIGHUP, file.reload)
+    watcher = loop.create_task(file.async_run(), name="settings_file")
     giving_back = loop.create_task(process.async_give_back(), name="give_back")
     await process.stop.async_wait_stopped()
     await giving_back
     await process.async_end()
+    watcher.cancel()
     flusher.cancel()
     logs.flush()
 
@@ -56,15 +58,5 @@
         runner.run(async_serve(path, logs))
 
 
-def _reload(path: Path) -> None:
-    """Check a changed settings file; addresses in use stay until the next start."""
-    try:
-        load_node_settings(path)
-    except SettingsError as error:
-        LOGGER.warning("settings_unusable", reason=str(error))
-        return
-    LOGGER.info("settings_checked", path=str(path))
-
-
 if __name__ == "__main__":
     main()
--- a/src/banyanswitch/components/entrance/planned_stop.py
+++ b/src/banyanswitch/components/entrance/planned_stop.py
@@ -36,7 +36,7 @@
         on_leaving: Sequence[Callable[[], None]],
     ) -> None:
         self._server = server
-        self._grace_s = grace_s
+        self.grace_s = grace_s
         self._on_leaving = tuple(on_leaving)
         self.requested = asyncio.Event()
         self.is_leaving = False
@@ -47,7 +47,7 @@
         """Begin the stop."""
         if not self.is_leaving:
             self.is_leaving = True
-            LOGGER.info("stop_requested", grace_s=self._grace_s)
+            LOGGER.info("stop_requested", grace_s=self.grace_s)
             for handler in self._on_leaving:
                 handler()
             self._server.announce_close()
@@ -58,11 +58,11 @@
         await self.requested.wait()
         loop = asyncio.get_running_loop()
         began_at_s = loop.time()
-        await asyncio.sleep(LINGER_SHARE * self._grace_s)
+        await asyncio.sleep(LINGER_SHARE * self.grace_s)
         self.is_refusing = True
         self._server.stop_listening()
         self._server.close_idle()
-        ends_at_s = began_at_s + DRAIN_SHARE * self._grace_s
+        ends_at_s = began_at_s + DRAIN_SHARE * self.grace_s
         while True:
             if not self._server.busy_count or loop.time() >= ends_at_s:
                 break
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/settings_file.py
@@ -0,0 +1,86 @@
+"""Following of a settings file while the process runs."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import structlog
+
+from banyanswitch.components.forwarding.settings import ForwardingSettings
+from banyanswitch.core import callback
+from banyanswitch.exceptions import SettingsError
+
+LOGGER = structlog.get_logger(__name__)
+
+CHECK_INTERVAL_S: Final = 2.0
+"""Time between two looks at the file; it may change without a signal."""
+
+LIVE_FIELDS: Final = frozenset({"peer_seeds", "grace_s"})
+"""Settings that take effect at once; others do at the next start."""
+
+
+class SettingsFile:
+    """Read the file again when it changes, and hand on what can be applied.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    load : callable
+        Reads and checks it.
+    settings : ForwardingSettings
+        Settings in force.
+    on_change : callable
+        Is given new settings.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        load: Callable[[Path], ForwardingSettings],
+        settings: ForwardingSettings,
+        on_change: Callable[[ForwardingSettings], None],
+    ) -> None:
+        self._path = path
+        self._load = load
+        self._settings = settings
+        self._on_change = on_change
+        self._content = self._read()
+
+    async def async_run(self) -> None:
+        """Look at the file until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            content = self._read()
+            if content != self._content:
+                self._content = content
+                self.reload()
+
+    @callback
+    def reload(self) -> None:
+        """Read the file; unusable settings change nothing."""
+        try:
+            settings = self._load(self._path)
+        except (SettingsError, OSError) as error:
+            LOGGER.warning("settings_unusable", reason=str(error))
+            return
+        before = dataclasses.asdict(self._settings)
+        after = dataclasses.asdict(settings)
+        changed = sorted(name for name in after if after[name] != before[name])
+        LOGGER.info(
+            "settings_checked",
+            path=str(self._path),
+            applied=[name for name in changed if name in LIVE_FIELDS],
+            at_next_start=[name for name in changed if name not in LIVE_FIELDS],
+        )
+        self._settings = settings
+        self._on_change(settings)
+
+    def _read(self) -> bytes:
+        try:
+            return self._path.read_bytes()
+        except OSError as error:
+            LOGGER.warning("settings_unusable", reason=str(error))
+            return b""
--- a/src/banyanswitch/components/membership/coordinator.py
+++ b/src/banyanswitch/components/membership/coordinator.py
@@ -66,7 +66,7 @@
         on_new_incarnation: Callable[[int], None],
     ) -> None:
         self._outbox = Outbox(transport)
-        self._seeds = tuple(a for a in seeds if a != this_member.peer_address)
+        self._seeds: tuple[str, ...] = ()
         self._heartbeat_s = heartbeat_s
         self._random = generator
         self._members = MemberList(
@@ -82,6 +82,7 @@
         )
         self._is_behind = True
         self._heartbeats = 0
+        self.set_seeds(seeds)
         transport.subscribe(Heartbeat, self._on_heartbeat)
         transport.subscribe(HeartbeatAnswer, self._on_heartbeat_answer)
         transport.subscribe(IndirectProbe, self._on_indirect_probe)
@@ -100,6 +101,12 @@
         """Return the live instances that serve a service, in a fixed order."""
         return self._members.serving(service)
 
+    @callback
+    def set_seeds(self, seeds: Sequence[str]) -> None:
+        """Replace the addresses to probe while no other instance is known."""
+        own = self._members.this.peer_address
+        self._seeds = tuple(address for address in seeds if address != own)
+
     def is_wrongly_leaving(self) -> bool:
         """Return whether only others say that this instance leaves."""
         return self._members.this.is_leaving and not self._members.is_stopping
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -100,6 +100,12 @@
     lease_task: asyncio.Task[Any]
     membership: MembershipCoordinator
 
+    @callback
+    def apply(self, settings: ForwardingSettings) -> None:
+        """Take over the settings that may change while the process runs."""
+        self.membership.set_seeds(settings.peer_seeds)
+        self.stop.grace_s = settings.grace_s
+
     async def async_give_back(self) -> None:
         """Give the lease back once the successor may order."""
         await self.stop.requested.wait()
