--- a/src/banyanswitch/cli/platform_access.py
+++ b/src/banyanswitch/cli/platform_access.py
@@ -11,8 +11,9 @@
 import aiohttp
 import fire
 
-from banyanswitch.components.table_service import HttpObjectStore, HttpTableStore
 from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.object_store import HttpObjectStore
+from banyanswitch.components.table_service.table_store import HttpTableStore
 from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.identifiers import InstanceId
 from banyanswitch.interfaces import ObjectStore, TableStore
--- a/src/banyanswitch/composition.py
+++ b/src/banyanswitch/composition.py
@@ -29,6 +29,13 @@
     "shutdown",
 )
 COMPONENTS_PACKAGE = "banyanswitch.components"
+SETUP_MODULES = {
+    "table_service": "table_service.setup",
+    "peers": "peers.setup",
+    "membership": "membership.setup",
+}
+"""Setups that stand apart: other processes use these components without aiohttp and
+pynng, which they import."""
 
 
 def disable_io_uring() -> None:
@@ -47,7 +54,8 @@
         If a component can't be set up; what was set up has been stopped.
     """
     for domain in domains:
-        importlib.import_module(f"{COMPONENTS_PACKAGE}.{domain}")
+        module = SETUP_MODULES.get(domain, domain)
+        importlib.import_module(f"{COMPONENTS_PACKAGE}.{module}")
     kernel = Kernel(settings)
     _provide_shared(kernel, settings)
     try:
--- a/tests/components/table_service/conftest.py
+++ b/tests/components/table_service/conftest.py
@@ -8,8 +8,9 @@
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
 
-from banyanswitch.components.table_service import HttpObjectStore, HttpTableStore
 from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.object_store import HttpObjectStore
+from banyanswitch.components.table_service.table_store import HttpTableStore
 from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.identifiers import InstanceId
 from banyanswitch_standins.table import TableStandIn
--- a/tests/components/table_service/test_shared_budget.py
+++ b/tests/components/table_service/test_shared_budget.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from banyanswitch.components.table_service import HttpTableStore
 from banyanswitch.components.table_service.models import PlatformAnswer, RevisionsAnswer
+from banyanswitch.components.table_service.table_store import HttpTableStore
 from banyanswitch.components.table_service.write_budget import WriteBudget
 from banyanswitch.exceptions import PlatformUnavailableError, WriteBudgetExceededError
 from banyanswitch.interfaces import Write, WriteClass
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -1,6 +1,8 @@
 """The platform's names stay within its adapter."""
 
 import ast
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -72,3 +74,12 @@
 def test_modules_of_the_adapter_are_small() -> None:
     sizes = {p.name: len(p.read_text().splitlines()) for p in ADAPTER.glob("*.py")}
     assert {name: size for name, size in sizes.items() if size >= MAX_LINES} == {}
+
+
+def test_the_process_does_without_the_entry_s_libraries() -> None:
+    """Memory at its peak is priced, and each process starts on its own machine."""
+    code = "import sys, banyanswitch.cli.forward; print(*sys.modules)"
+    found = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert not {"aiohttp", "pynng", "statsd"} & set(found.stdout.split())
