Take the upstreams' clock from the least late of the last readings

Cause: fetches end at a time on the upstreams' clock, which each reading set anew. Change: the highest offset of the last 10 to 20 s counts; a reading can only be late.

--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -14,6 +14,7 @@
     RelayedEvents,
     StoreList,
 )
+from banyanswitch.components.kv_tier.remote_clock import RemoteClock
 from banyanswitch.components.kv_tier.store_follower import StoreFollower
 from banyanswitch.components.peers.reader_choice import ReaderChoice
 from banyanswitch.core import callback
@@ -28,8 +29,6 @@
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import StoreId
 
-MILLISECONDS_PER_S = 1000.0
-
 
 @dataclass(frozen=True, slots=True)
 class Save:
@@ -98,7 +97,7 @@
         self._pending: dict[PartKey, tuple[float, StoreId, int]] = {}
         self._floors: dict[str, FetchFloor] = {}
         self._heard_at_s = float("-inf")
-        self._clock_offset_ms: float | None = None
+        self._clock = RemoteClock()
 
     @property
     def stores(self) -> tuple[StoreFollower, ...]:
@@ -132,9 +131,7 @@
     @callback
     def clock_ms(self) -> int | None:
         """Return the upstreams' clock now, if it is known."""
-        if self._clock_offset_ms is None:
-            return None
-        return int(_now_s() * MILLISECONDS_PER_S + self._clock_offset_ms)
+        return self._clock.read_ms(_now_s())
 
     @callback
     def note_floor(self, model: str, floor: FetchFloor) -> None:
@@ -296,7 +293,7 @@
             follower.take_list(listed)
 
     def _note_clock(self, clock_ms: int) -> None:
-        self._clock_offset_ms = clock_ms - _now_s() * MILLISECONDS_PER_S
+        self._clock.note(clock_ms, _now_s())
 
     def _note_kept(self, key: PartKey) -> None:
         self._pending.pop(key, None)
