--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: setup format lint test demo bench capacity faults clean
+.PHONY: setup format lint test demo bench capacity faults soak clean
 
 setup: $(VENV)/.installed
 
@@ -37,5 +37,10 @@
 faults: setup
 	$(PYTHON) -m bench.faults
 
+FIRST ?= 1
+COUNT ?= 50
+soak: setup
+	$(PYTHON) -m tests.soak $(FIRST) $(COUNT)
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real process of the users' platform."""
