--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -64,7 +64,7 @@
 
 
 def test_only_the_composition_root_imports_the_adapter() -> None:
-    allowed = {"platform_composition.py", "forward.py"}
+    allowed = {"platform_composition.py", "forward_process.py"}
     found = {
         path.name
         for path in SOURCE.rglob("*.py")
@@ -80,7 +80,7 @@
 
 def test_the_process_does_without_the_entry_s_libraries() -> None:
     """Memory at its peak is priced, and each process starts on its own machine."""
-    code = "import sys, banyanswitch.cli.forward; print(*sys.modules)"
+    code = "import sys, banyanswitch.cli.forward_process; print(*sys.modules)"
     found = subprocess.run(
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     )
--- a/tests/process/test_forward.py
+++ b/tests/process/test_forward.py
@@ -385,6 +385,31 @@
     assert await asyncio.wait_for(process.wait(), GRACE_S) == 0
 
 
+async def test_a_signal_during_the_start_ends_nothing(tmp_path: Path) -> None:
+    """The settings file changes again and again while the process starts."""
+    path = tmp_path / "node.toml"
+    path.write_text('nodeName = "n"')
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-X",
+        "importtime",
+        "-m",
+        "banyanswitch.cli.forward",
+        "--check_settings",
+        str(path),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    assert process.stderr is not None
+    is_serving = False
+    while line := await process.stderr.readline():
+        # The first import of the process itself; the interpreter has started.
+        is_serving = is_serving or b"uvloop" in line or b"structlog" in line
+        if is_serving and process.returncode is None:
+            process.send_signal(signal.SIGHUP)
+    assert is_serving
+    assert await process.wait() == 2
+
+
 async def test_settings_are_checked(tmp_path: Path) -> None:
     path = tmp_path / "node.toml"
     path.write_text('nodeName = "n"')
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+import re
 import signal
 from collections import Counter
 from dataclasses import dataclass, field
@@ -33,6 +34,7 @@
 RECOVERY_S = 8.0
 EVENTS = 6
 MAX_ATTEMPTS = 2
+DISCONNECTED = (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError)
 SIGNALS = {
     Action.KILL: signal.SIGKILL,
     Action.STOP: signal.SIGTERM,
@@ -76,6 +78,14 @@
                 content = json.dumps(document).encode()
                 await self.store.async_put("servers", name, content)
 
+    def logged_requests(self) -> set[str]:
+        """Return the requests that the processes wrote lines about."""
+        found: set[str] = set()
+        for host in HOSTS:
+            text = (self.folder / f"{host}.log").read_text()
+            found.update(re.findall(r'"request":"([^"]*)"', text))
+        return found
+
     async def async_apply(self, fault: Fault) -> None:
         """Let one fault happen; returns when it is over."""
         match fault:
@@ -137,6 +147,7 @@
         self._seed = seed
         self._calls = 0
         self._is_over = False
+        self._disconnected: set[str] = set()
         self.outcome = Outcome(seed)
 
     async def async_run(self) -> Outcome:
@@ -162,6 +173,7 @@
         await asyncio.gather(*workers)
         await self._async_check_recovery()
         self._check_runs()
+        self._check_planned_stops(faults)
         beat.cancel()
         return self.outcome
 
@@ -182,6 +194,8 @@
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.outcome.statuses[type(error).__name__] += 1
+            if isinstance(error, DISCONNECTED):
+                self._disconnected.add(attempt)
             return False
         self.outcome.statuses[str(status)] += 1
         stamp = received.get("Server-Stamp", "")
@@ -216,6 +230,18 @@
             most = 1 if attempt.startswith("once") else MAX_ATTEMPTS
             self._expect(count <= most, f"{attempt}: ran {count} times")
 
+    def _check_planned_stops(self, faults: list[Fault]) -> None:
+        """Without kills and pauses, what a process has begun it also answers.
+
+        A connection that it never took is reset when it listens no more.
+        """
+        actions = {fault.action for fault in faults if isinstance(fault, ProcessFault)}
+        if actions & {Action.KILL, Action.PAUSE}:
+            return
+        begun = self._platform.logged_requests()
+        lost = sorted(self._disconnected & begun)
+        self._expect(not lost, f"lost around planned stops: {lost}")
+
     async def _async_check_recovery(self) -> None:
         """Every process serves every kind again, in a row, within a bounded time."""
         loop = asyncio.get_running_loop()
