Walk the list of instances once a change, not for each store and report

Read as a newcomer: whether this instance reads a store was asked for each store in each report, and each time the set of all instances was made anew. The membership hands out the same list until it changes, so the choice compares that. Measured on one process, 91 instances and 27 stores, questions of one report: 754 us -> 32 us of processor time (one run each). The test counts walks and fails before.

--- a/src/banyanswitch/components/peers/reader_choice.py
+++ b/src/banyanswitch/components/peers/reader_choice.py
@@ -19,6 +19,7 @@
 
     def __init__(self, peers: PeerDirectory) -> None:
         self._peers = peers
+        self._seen: tuple[Peer, ...] = ()
         self._staying: frozenset[str] = frozenset()
         self._is_reader: dict[tuple[str, int], bool] = {}
         self._chosen: dict[tuple[str, int], tuple[Peer, ...]] = {}
@@ -62,6 +63,10 @@
 
     def _refreshed(self) -> frozenset[str]:
         peers = self._peers.peers()
+        # Asked for each store in each report; the list is the same until it changes.
+        if peers is self._seen:
+            return self._staying
+        self._seen = peers
         staying = frozenset(peer.instance for peer in peers if not peer.is_leaving)
         if staying != self._staying:
             self._staying = staying
