Bound the removed rows that a table's copy remembers; name a list read again so

The keys of removed rows were kept for good, one for each upstream that ever left. The copy forgets the oldest beyond 2,000 and then no longer claims that part of the history; the test fails before. kv_store_regained was also logged when a list was only read again: that is kv_store_listed now.

--- a/src/banyanswitch/components/kv_tier/store_follower.py
+++ b/src/banyanswitch/components/kv_tier/store_follower.py
@@ -200,8 +200,9 @@
         self.used_tokens = 0
         self._apply(events)
         self._clear_unsent()
+        event = "kv_store_listed" if self.is_usable else "kv_store_regained"
+        LOGGER.info(event, store=self.node.name, parts=len(self.parts))
         self._note_heard()
-        LOGGER.info("kv_store_regained", store=self.node.name, parts=len(self.parts))
 
     def _apply(self, events: Iterable[PartEvent]) -> None:
         for event in events:
--- a/src/banyanswitch/components/table_mirror/const.py
+++ b/src/banyanswitch/components/table_mirror/const.py
@@ -30,3 +30,7 @@
 READER_SLACK_S: Final = 0.4
 """Time beyond the wait of a feed call to another instance before it counts as lost;
 the way takes some 10 ms."""
+
+MAX_REMOVED_ROWS: Final = 2_000
+"""Removed rows that a copy remembers; at the target size, with 780 upstreams, two full
+replacements. Who lags behind more reads the whole table."""
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -8,6 +8,7 @@
 
 from banyanswitch.components.table_mirror.const import (
     FEED_WAIT_S,
+    MAX_REMOVED_ROWS,
     RETRY_MAX_S,
     RETRY_MIN_S,
 )
@@ -161,7 +162,9 @@
             del self._items[key]
         for key in changes.removed:
             # Also of rows that came and went unseen; other copies may have them.
-            self._removed_at[key] = max(changes.version, self._removed_at.get(key, 0))
+            at = max(changes.version, self._removed_at.pop(key, 0))
+            self._removed_at[key] = at
+        self._forget_removed()
         newest = max((item.revision for item in changed), default=0)
         removal = changes.version if removed else 0
         self.content_version = max(self.content_version, newest, removal)
@@ -177,6 +180,13 @@
                 waiting.set_result(None)
         self._waiting.clear()
 
+    def _forget_removed(self) -> None:
+        """Forget the rows that were removed first, and who would ask for them."""
+        while len(self._removed_at) > MAX_REMOVED_ROWS:
+            key = next(iter(self._removed_at))
+            version = self._removed_at.pop(key)
+            self._history_from = max(self._history_from, version)
+
     def _is_newer(self, item: Item) -> bool:
         known = self._items.get(item.key)
         if known is not None:
--- a/tests/components/table_mirror/test_mirror.py
+++ b/tests/components/table_mirror/test_mirror.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from banyanswitch.components.table_mirror.const import MAX_REMOVED_ROWS
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.exceptions import HistoryGoneError, PlatformUnavailableError
 from banyanswitch.interfaces import Item, TableChanges
@@ -135,3 +136,18 @@
     mirror.apply_changes(TableChanges(9, (item("a", 9),), ()))
     mirror.apply_changes(TableChanges(7, (), ("t/a",)))
     assert revisions(mirror) == {"t/a": 9}
+
+
+async def test_removed_rows_are_remembered_up_to_a_bound() -> None:
+    """Upstreams come and go for months; the copy says what it has forgotten."""
+    mirror = TableMirror("t", ScriptedFeed(), random.Random(1))
+    count = 3 * MAX_REMOVED_ROWS
+    for number in range(1, count + 1):
+        mirror.apply_changes(
+            TableChanges(2 * number, (item(f"u{number}", 2 * number - 1),), ())
+        )
+        mirror.apply_changes(TableChanges(2 * number, (), (f"t/u{number}",)))
+    with pytest.raises(HistoryGoneError):
+        mirror.changes_since(10)
+    recent = mirror.changes_since(2 * (count - 100))
+    assert recent.removed == tuple(f"t/u{n}" for n in range(count - 99, count + 1))
