Read from other instances in one place

Three modules called an instance, checked its status and decoded its answer, and two of them dropped an unexpected status without a line. async_read_peer does it once and each failure is logged. HTTPStatus replaces the numbers that entrance, composition and relays each wrote again. The size of a report comes from the encoding that is sent, not from a second one.

--- a/src/banyanswitch/components/entrance/coordinator.py
+++ b/src/banyanswitch/components/entrance/coordinator.py
@@ -1,6 +1,7 @@
 """Answers to address questions and readiness checks."""
 
 from collections.abc import Callable, Sequence
+from http import HTTPStatus
 from typing import Protocol
 
 from banyanswitch.components.entrance.const import MAX_ADDRESSES
@@ -10,9 +11,6 @@
 from banyanswitch.identifiers import FailureDomainId, WorkspaceId
 from banyanswitch.interfaces import PeerDirectory
 
-STATUS_OK = 200
-STATUS_NOT_FOUND = 404
-STATUS_UNAVAILABLE = 503
 JSON_HEADERS: tuple[Header, ...] = ((b"Content-Type", b"application/json"),)
 
 
@@ -58,19 +56,21 @@
     async def async_handle(self, request: Request, reply: Reply) -> None:
         """Answer one call."""
         if self._calls.is_readiness(request.path):
-            status = STATUS_OK if self._is_ready() else STATUS_UNAVAILABLE
+            status = (
+                HTTPStatus.OK if self._is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+            )
             reply.send(status, (), b"")
             return
         question = self._calls.read_resolve(request.target)
         if question is None:
-            reply.send(STATUS_NOT_FOUND, (), b"")
+            reply.send(HTTPStatus.NOT_FOUND, (), b"")
             return
         addresses = self._addresses(*question)
         if not addresses:
-            reply.send(STATUS_UNAVAILABLE, (), b"")
+            reply.send(HTTPStatus.SERVICE_UNAVAILABLE, (), b"")
             return
         body = self._calls.addresses(addresses, self._ttl_s)
-        reply.send(STATUS_OK, JSON_HEADERS, body)
+        reply.send(HTTPStatus.OK, JSON_HEADERS, body)
 
     def _addresses(self, host: str, failure_domain: FailureDomainId) -> list[str]:
         peers = {peer.instance: peer for peer in self._peers.peers()}
--- a/src/banyanswitch/components/kv_tier/list_relay.py
+++ b/src/banyanswitch/components/kv_tier/list_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from http import HTTPStatus
 
 import msgspec
 import structlog
@@ -15,15 +16,14 @@
 )
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.models import Missed, RelayedEvents, StoreList
+from banyanswitch.components.peers.internal_read import async_read_peer
 from banyanswitch.core import callback
-from banyanswitch.exceptions import UpstreamError
+from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import StoreId
 from banyanswitch.interfaces import PeerDirectory
 
 LOGGER = structlog.get_logger(__name__)
 LIST_PATH = "/stores/"
-STATUS_OK = 200
-STATUS_NOT_FOUND = 404
 
 
 class ListRelay:
@@ -71,9 +71,9 @@
         name = request.path.decode("latin-1").removeprefix(LIST_PATH)
         listed = self._tier.list_of(StoreId(name))
         if listed is None:
-            reply.send(STATUS_NOT_FOUND, (), b"")
+            reply.send(HTTPStatus.NOT_FOUND, (), b"")
             return
-        reply.send(STATUS_OK, (), msgspec.msgpack.encode(listed))
+        reply.send(HTTPStatus.OK, (), msgspec.msgpack.encode(listed))
 
     def _any_address(self) -> str | None:
         this = self._peers.this_instance().instance
@@ -92,13 +92,14 @@
 
     async def _async_ask(self, store: StoreId, peer_address: str) -> None:
         try:
-            answer = await self._client.async_call(
-                "GET", peer_address, LIST_PATH + store, timeout_s=SNAPSHOT_TIMEOUT_S
+            listed = await async_read_peer(
+                self._client,
+                peer_address,
+                LIST_PATH + store,
+                timeout_s=SNAPSHOT_TIMEOUT_S,
+                answer_type=StoreList,
             )
-            if answer.status != STATUS_OK:
-                return
-            listed = msgspec.msgpack.decode(answer.body, type=StoreList)
-        except (UpstreamError, msgspec.MsgspecError) as error:
+        except PeerError as error:
             LOGGER.info(
                 "relay_failed", store=store, peer=peer_address, reason=str(error)
             )
--- a/src/banyanswitch/components/peers/signed_frames.py
+++ b/src/banyanswitch/components/peers/signed_frames.py
@@ -86,6 +86,11 @@
         )
         return self._keys.sign(SIGNATURE_PURPOSE, content) + content
 
+    @callback
+    def content_bytes(self, message: object) -> int:
+        """Return the size of a message without its frame."""
+        return len(self._encoded(message)[1])
+
     def _encoded(self, message: object) -> tuple[str, bytes]:
         """Return the content of a message; it mostly goes to many peers in turn."""
         if message is not self._last_message:
--- a/src/banyanswitch/components/state_exchange/spreader.py
+++ b/src/banyanswitch/components/state_exchange/spreader.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Callable, Sequence
 
-import msgspec
 import structlog
 
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
@@ -55,7 +54,7 @@
     @callback
     def send(self, report: InstanceReport, addresses: Sequence[str]) -> None:
         """Send a report to all addresses, the first of them at once."""
-        size_bytes = len(msgspec.msgpack.encode(report)) + ENVELOPE_BYTES
+        size_bytes = self._transport.content_bytes(report) + ENVELOPE_BYTES
         burst = max(1, BURST_BYTES // size_bytes)
         order = self._random.sample(addresses, len(addresses))
         self._send_burst(report, order[:burst])
--- a/src/banyanswitch/components/table_mirror/relay.py
+++ b/src/banyanswitch/components/table_mirror/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Protocol
 from urllib.parse import parse_qs, urlencode, urlsplit
 
@@ -12,6 +13,7 @@
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.client import HttpClient
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.peers.internal_read import async_read_peer
 from banyanswitch.components.table_mirror.const import (
     FEED_WAIT_S,
     RELAY_INTERVAL_S,
@@ -19,7 +21,7 @@
     RELAY_TIMEOUT_S,
 )
 from banyanswitch.components.table_mirror.mirror import TableMirror
-from banyanswitch.exceptions import HistoryGoneError, UpstreamError
+from banyanswitch.exceptions import HistoryGoneError, PeerError
 from banyanswitch.interfaces import TableChanges
 
 LOGGER = structlog.get_logger(__name__)
@@ -28,11 +30,6 @@
 WHOLE_PATH = "/feed/whole/"
 """Copies from which `CHANGES_PATH` goes on."""
 CHANGES_PATH = "/feed/changes/"
-STATUS_OK = 200
-STATUS_BAD_REQUEST = 400
-STATUS_NOT_FOUND = 404
-STATUS_GONE = 410
-STATUS_UNAVAILABLE = 503
 
 
 def changes_target(table: str, after: int, wait_s: float) -> str:
@@ -89,18 +86,18 @@
         path = directory + "/"
         mirror = self._mirrors.get(table)
         if mirror is None or not mirror.is_known:
-            reply.send(STATUS_NOT_FOUND, (), b"")
+            reply.send(HTTPStatus.NOT_FOUND, (), b"")
             return
         if path == TABLE_PATH:
-            reply.send(STATUS_OK, (), msgspec.msgpack.encode(mirror.snapshot()))
+            reply.send(HTTPStatus.OK, (), msgspec.msgpack.encode(mirror.snapshot()))
         elif not mirror.is_connected:
-            reply.send(STATUS_UNAVAILABLE, (), b"")
+            reply.send(HTTPStatus.SERVICE_UNAVAILABLE, (), b"")
         elif path == WHOLE_PATH:
-            reply.send(STATUS_OK, (), msgspec.msgpack.encode(mirror.whole()))
+            reply.send(HTTPStatus.OK, (), msgspec.msgpack.encode(mirror.whole()))
         elif path == CHANGES_PATH:
             await _async_answer_changes(mirror, parse_qs(target.query), reply)
         else:
-            reply.send(STATUS_NOT_FOUND, (), b"")
+            reply.send(HTTPStatus.NOT_FOUND, (), b"")
 
     async def _async_compare(self, table: str, mirror: TableMirror) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -116,13 +113,14 @@
 
     async def _async_read(self, table: str, mirror: TableMirror, address: str) -> None:
         try:
-            answer = await self._client.async_call(
-                "GET", address, TABLE_PATH + table, timeout_s=RELAY_TIMEOUT_S
+            snapshot = await async_read_peer(
+                self._client,
+                address,
+                TABLE_PATH + table,
+                timeout_s=RELAY_TIMEOUT_S,
+                answer_type=TableChanges,
             )
-            if answer.status != STATUS_OK:
-                return
-            snapshot = msgspec.msgpack.decode(answer.body, type=TableChanges)
-        except (UpstreamError, msgspec.MsgspecError) as error:
+        except PeerError as error:
             LOGGER.info("relay_failed", table=table, peer=address, reason=str(error))
             return
         before = mirror.content_version
@@ -143,15 +141,15 @@
     try:
         after, wait_s = int(query["after"][0]), float(query["wait_s"][0])
     except (KeyError, ValueError):
-        reply.send(STATUS_BAD_REQUEST, (), b"")
+        reply.send(HTTPStatus.BAD_REQUEST, (), b"")
         return
     await mirror.async_wait_newer(after, min(wait_s, FEED_WAIT_S))
     if not mirror.is_connected:
-        reply.send(STATUS_UNAVAILABLE, (), b"")
+        reply.send(HTTPStatus.SERVICE_UNAVAILABLE, (), b"")
         return
     try:
         changes = mirror.changes_since(after)
     except HistoryGoneError:
-        reply.send(STATUS_GONE, (), b"")
+        reply.send(HTTPStatus.GONE, (), b"")
         return
-    reply.send(STATUS_OK, (), msgspec.msgpack.encode(changes))
+    reply.send(HTTPStatus.OK, (), msgspec.msgpack.encode(changes))
--- a/src/banyanswitch/components/table_mirror/relayed_feed.py
+++ b/src/banyanswitch/components/table_mirror/relayed_feed.py
@@ -3,28 +3,19 @@
 import random
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import structlog
 
 from banyanswitch.components.http1.client import HttpClient
+from banyanswitch.components.peers.internal_read import async_read_peer
 from banyanswitch.components.peers.reader_choice import ReaderChoice
 from banyanswitch.components.table_mirror.const import (
     READER_SLACK_S,
     RELAY_TIMEOUT_S,
     TABLE_READERS,
 )
-from banyanswitch.components.table_mirror.relay import (
-    STATUS_GONE,
-    STATUS_OK,
-    WHOLE_PATH,
-    changes_target,
-)
-from banyanswitch.exceptions import (
-    HistoryGoneError,
-    PlatformUnavailableError,
-    UpstreamError,
-)
-from banyanswitch.interfaces import Peer, TableChanges, TableFeed
+from banyanswitch.components.table_mirror.relay import WHOLE_PATH, changes_target
+from banyanswitch.exceptions import GoneAtPeerError, HistoryGoneError, PeerError
+from banyanswitch.interfaces import TableChanges, TableFeed
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -92,21 +83,20 @@
             return await read_store()
         reader = self._random.choice(self._readers.readers(topic, TABLE_READERS))
         try:
-            return await self._async_ask(reader, target, timeout_s)
-        except (UpstreamError, PlatformUnavailableError, msgspec.MsgspecError) as error:
+            return await async_read_peer(
+                self._client,
+                reader.peer_address,
+                target,
+                timeout_s=timeout_s,
+                answer_type=TableChanges,
+            )
+        except GoneAtPeerError as error:
+            raise HistoryGoneError(str(error)) from error
+        except PeerError as error:
             LOGGER.info(
-                "relay_failed", table=table, peer=reader.instance, reason=str(error)
+                "relay_failed",
+                table=table,
+                peer=reader.peer_address,
+                reason=str(error),
             )
             return await read_store()
-
-    async def _async_ask(
-        self, reader: Peer, target: str, timeout_s: float
-    ) -> TableChanges:
-        answer = await self._client.async_call(
-            "GET", reader.peer_address, target, timeout_s=timeout_s
-        )
-        if answer.status == STATUS_GONE:
-            raise HistoryGoneError(f"{reader.instance} knows a later history only")
-        if answer.status != STATUS_OK:
-            raise PlatformUnavailableError(f"answered with status {answer.status}")
-        return msgspec.msgpack.decode(answer.body, type=TableChanges)
--- a/src/banyanswitch/exceptions.py
+++ b/src/banyanswitch/exceptions.py
@@ -125,6 +125,10 @@
     """A message from or to another instance could not be handled."""
 
 
+class GoneAtPeerError(PeerError):
+    """An instance no longer has what it was asked for."""
+
+
 class SettingsError(BanyanswitchError):
     """The settings of a process are wrong; carries every finding."""
 
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Coroutine
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any, Final
 
 import structlog
@@ -84,7 +85,6 @@
 """Short, since an upstream of this platform is replaced within seconds."""
 
 METRICS_PATH: Final = b"/metrics"
-STATUS_OK: Final = 200
 MILLISECONDS_PER_S: Final = 1000.0
 
 
@@ -372,7 +372,7 @@
 
     async def _async_answer_internal(self, request: Request, reply: Reply) -> None:
         if request.path == METRICS_PATH:
-            reply.send(STATUS_OK, (), self._metrics.render())
+            reply.send(HTTPStatus.OK, (), self._metrics.render())
             return
         if request.path.startswith(LIST_PATH.encode()):
             await self._lists.async_answer(request, reply)
