--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import random
-from typing import Any
 
-import msgspec
 import pytest
 
 from banyanswitch.components.forwarding.loads import InFlight, Load
 from banyanswitch.components.forwarding.routing_state import RoutingState
-from banyanswitch.components.http1.client import Answer, HttpClient
+from banyanswitch.components.http1.client import HttpClient
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.list_relay import ListRelay
@@ -24,7 +22,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import SuspensionWatch
-from banyanswitch.identifiers import FailureDomainId, InstanceId, StoreId, UpstreamId
+from banyanswitch.identifiers import FailureDomainId, InstanceId, UpstreamId
 from banyanswitch.interfaces import Peer
 from tests.components.forwarding.fakes import (
     MODEL,
@@ -59,22 +57,6 @@
             self._wires[peer_address].deliver(self.frame(peer_address, message))
 
 
-class PeerLists(HttpClient):
-    """Calls of other instances for their lists of stores."""
-
-    def __init__(self) -> None:
-        super().__init__(ConnectionPool())
-        self.nodes: dict[str, Node] = {}
-        self.calls = 0
-
-    async def async_call(self, method: str, address: str, target: str, **_: Any) -> Any:
-        self.calls += 1
-        listed = self.nodes[address].tier.list_of(StoreId(target.rpartition("/")[2]))
-        if listed is None:
-            return Answer(404, (), b"")
-        return Answer(200, (), msgspec.msgpack.encode(listed))
-
-
 class Node:
     def __init__(
         self, name: str, names: list[str], wires: dict[str, WiredTransport]
@@ -96,7 +78,6 @@
             self.upstreams.loads,
             ReaderChoice(self),
         )
-        self.client = PeerLists()
         self.exchange = StateExchange(
             transport=self.transport,
             peers=self,
@@ -104,7 +85,9 @@
             tier=self.tier,
             mirrors={"servers": self.upstreams.mirror},
             routing=self.routing,
-            lists=ListRelay(self.tier, self.client, self, random.Random(1)),
+            lists=ListRelay(
+                self.tier, HttpClient(ConnectionPool()), self, random.Random(1)
+            ),
             generator=random.Random(1),
         )
 
--- a/tests/process/test_forward.py
+++ b/tests/process/test_forward.py
@@ -2,205 +2,23 @@
 
 import asyncio
 import json
-import os
 import signal
 import sys
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
-import aiohttp
 import pytest
-from aiohttp import web
 
-from banyanswitch_standins.users_platform.store import PlatformStore
-from banyanswitch_standins.users_platform.upstream import PlatformUpstream
+from tests.process.platform_fleet import (
+    GRACE_S,
+    HOSTS,
+    PROMPT,
+    Platform,
+    configuration,
+)
 
 pytestmark = pytest.mark.process
-HOSTS = ("127.0.0.2", "127.0.0.3")
-KEY = {"Authorization": "Bearer key-1"}
-PROMPT = {
-    "Model": "m",
-    "Token-Usage": "17060,30",
-    "Prompt-Prefix": "aa:12800,bb:4260",
-    "Deadline-Ms": "5000",
-}
-GRACE_S = 3.0
-
-
-def configuration(version: int, prefixes: tuple[str, ...] = ("/once/",)) -> bytes:
-    kinds = [(prefix, "non_idempotent", False) for prefix in prefixes]
-    kinds += [("/again/", "idempotent", False), ("/stream/", "streaming", True)]
-    routes = [
-        {
-            "name": f"r{prefix}",
-            "host": "h.example",
-            "prefix": prefix,
-            "kind": kind,
-            "timeoutMs": 1500,
-            "service": "llm",
-            "maxAttempts": 2,
-            "resumable": is_resumable,
-        }
-        for prefix, kind, is_resumable in kinds
-    ]
-    engine = {
-        "slots": 8,
-        "kvCapacityTokens": 100000,
-        "kvTokenBytes": 18432,
-        "models": [{"name": "m"}],
-    }
-    document = {
-        "version": version,
-        "routes": routes,
-        "services": [{"name": "llm", "maxConnections": 100, "engine": engine}],
-        "tenants": [{"name": "ws", "apiKeys": ["key-1"], "priority": 1}],
-    }
-    return json.dumps(document).encode()
-
-
-def entry(name: str, address: str, state: str = "ready") -> bytes:
-    document = {
-        "service": "llm",
-        "address": address,
-        "zone": "z1",
-        "version": "v1",
-        "slots": 8,
-        "state": state,
-        "sequence": 1,
-        "coldRemainingMs": 0,
-        "models": [{"name": "m", "version": 1, "adapters": []}],
-        "born": 1700000000000,
-    }
-    return json.dumps(document).encode()
-
-
-def free_port() -> int:
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind((HOSTS[0], 0))
-        return int(probe.getsockname()[1])
-
-
-class Platform:
-    """Stand-ins and processes of one test."""
-
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.store = PlatformStore()
-        self.upstreams = {name: PlatformUpstream(name) for name in ("i-1", "i-2")}
-        self.ports = {
-            name: free_port() for name in ("front", "ready", "directory", "internal")
-        }
-        self.processes: dict[str, asyncio.subprocess.Process] = {}
-        self._runners: list[web.AppRunner] = []
-        self._addresses: dict[str, str] = {}
-        self.session = aiohttp.ClientSession()
-
-    async def async_start(self) -> None:
-        self._store_address = await self._async_listen(self.store.make_app())
-        for name, upstream in self.upstreams.items():
-            self._addresses[name] = await self._async_listen(upstream.make_app())
-            await self.async_register(name)
-        await self.store.async_put("op", "config", configuration(1))
-        for host in HOSTS:
-            await self.async_start_process(host)
-        for host in HOSTS:
-            await self.async_until(lambda host=host: self.async_is_ready(host))
-
-    async def async_register(self, name: str, state: str = "ready") -> None:
-        await self.store.async_put(
-            "servers", name, entry(name, self._addresses[name], state)
-        )
-
-    async def async_start_process(self, host: str) -> None:
-        path = self.folder / f"{host}.toml"
-        path.write_text(self._settings(host))
-        self.processes[host] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "banyanswitch.cli.forward",
-            str(path),
-            stdout=(self.folder / f"{host}.log").open("ab"),
-            env={**os.environ, "UV_USE_IO_URING": "0"},
-        )
-
-    async def async_stop(self) -> None:
-        for process in self.processes.values():
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-        await self.session.close()
-        for runner in self._runners:
-            await runner.cleanup()
-
-    async def async_is_ready(self, host: str) -> bool:
-        url = f"http://{host}:{self.ports['ready']}/-/readiness"
-        try:
-            async with self.session.get(url) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
-
-    async def async_addresses(self, host: str) -> list[str]:
-        url = f"http://{host}:{self.ports['directory']}/-/resolve?name=h.example&zone=z"
-        async with self.session.get(url) as response:
-            return list((await response.json())["addresses"])
-
-    async def async_call(
-        self,
-        path: str,
-        attempt: str,
-        *,
-        host: str = HOSTS[0],
-        headers: dict[str, str] | None = None,
-    ) -> tuple[int, bytes, dict[str, str]]:
-        sent = {"Host": "h.example", "Attempt-Id": attempt, **KEY, **(headers or {})}
-        url = f"http://{host}:{self.ports['front']}{path}"
-        async with self.session.post(url, headers=sent, data=b"body") as response:
-            return response.status, await response.read(), dict(response.headers)
-
-    async def async_until(
-        self, condition: Callable[[], Awaitable[bool]], timeout_s: float = 15.0
-    ) -> None:
-        async with asyncio.timeout(timeout_s):
-            while not await condition():
-                await asyncio.sleep(0.05)
-
-    def runs(self, attempt: str) -> int:
-        return sum(
-            seen.attempt == attempt
-            for upstream in self.upstreams.values()
-            for seen in upstream.seen
-        )
-
-    async def _async_listen(self, app: web.Application) -> str:
-        runner = web.AppRunner(app, handler_cancellation=True)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        self._runners.append(runner)
-        return f"127.0.0.1:{runner.addresses[0][1]}"
-
-    def _settings(self, host: str) -> str:
-        internal = self.ports["internal"]
-        return f"""
-nodeName = "node-{host}"
-ip = "{host}"
-zone = "z1"
-internalPortRange = [{internal}, {internal + 5}]
-seedAddresses = ["{HOSTS[0]}:1", "{HOSTS[1]}:1"]
-[listen]
-front = "{host}:{self.ports["front"]}"
-readyAddr = "{host}:{self.ports["ready"]}"
-directory = "{host}:{self.ports["directory"]}"
-[bounds]
-gracePeriodS = {GRACE_S}
-leaseMs = 1000
-[platform]
-address = "{self._store_address}"
-"""
 
 
 @pytest.fixture
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,7 +13,7 @@
 import aiohttp
 from aiohttp import web
 
-from tests.process.test_forward import HOSTS, PROMPT, Platform, entry
+from tests.process.platform_fleet import HOSTS, PROMPT, Platform, entry
 from tests.soak.proxy import Proxy
 from tests.soak.schedule import (
     Action,
