Pass on what readers of stores hear in messages of their own

Change: kv_tier/word_exchange.py sends them, with a rate of its own; what is heard while a word goes out goes with the next. StateExchange no longer knows of stores' lists. Both senders stop with their tasks.

--- a/src/banyanswitch/components/kv_tier/const.py
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -23,17 +23,17 @@
 
 RELAY_SILENCE_S: Final = 4.0
 """Time without word of a store's readers after which nothing is fetched from it; a
-dead reader is noticed and followed by another within some 2 s, and reports of 90
+dead reader is noticed and followed by another within some 2 s, and words among 91
 instances come every 1.1 s."""
 
 SNAPSHOT_INTERVAL_S: Final = 0.5
 """Shortest time between two reads of a whole store's list from one instance."""
 
 SNAPSHOT_TIMEOUT_S: Final = 1.0
-"""Deadline of such a read; a list of 4,000 parts has 144 kB."""
+"""Deadline of such a read; a list of 4,000 parts has 84 kB."""
 
 MAX_RELAYED_EVENTS: Final = 300
-"""Events of one store in one report; 11 kB. Who misses more reads the list."""
+"""Events of one store in one word; 6 kB. Who misses more reads the list."""
 
 FLOOR_LIFETIME_S: Final = 0.8
 """Time without word from any other instance after which parts of older weights are
@@ -49,3 +49,15 @@
 
 FREE_BATCH_PARTS: Final = 400
 """Parts that one call frees; about 12 kB."""
+
+WORD_INTERVAL_MIN_S: Final = 0.2
+"""Shortest time between two words of a reader."""
+
+WORDS_PER_S: Final = 80.0
+"""Words that one instance takes in each second if all are readers; their interval grows
+with the instances. Among 91 with 27 stores, about half are."""
+
+WORD_BYTES_PER_S: Final = 200_000.0
+"""Rate at which a word goes out, in bytes a second; a third of the slowest link, which
+leaves room for reports. One of 300 events reaches 90 instances within
+`RELAY_SILENCE_S`."""
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -115,7 +115,7 @@
         for name, node in wanted.items():
             if name not in self._stores:
                 follower = StoreFollower(
-                    node, self._client, self._readers, self._note_kept, self._note_clock
+                    node, self._client, self._readers, self._note_kept, self.note_clock
                 )
                 self._stores[name] = follower
                 self._tasks[name] = asyncio.get_running_loop().create_task(
@@ -266,9 +266,8 @@
     @callback
     def take_unsent(self) -> dict[str, RelayedEvents]:
         """Return what was read since the last call, for instances that do not read."""
-        clock_ms = self.clock_ms()
         return {
-            name: follower.take_unsent(clock_ms)
+            name: follower.take_unsent()
             for name, follower in self._stores.items()
             if follower.is_relaying()
         }
@@ -292,7 +291,9 @@
         if follower is not None:
             follower.take_list(listed)
 
-    def _note_clock(self, clock_ms: int) -> None:
+    @callback
+    def note_clock(self, clock_ms: int) -> None:
+        """Take in a reading of the upstreams' clock."""
         self._clock.note(clock_ms, _now_s())
 
     def _note_kept(self, key: PartKey) -> None:
--- a/src/banyanswitch/components/kv_tier/list_relay.py
+++ b/src/banyanswitch/components/kv_tier/list_relay.py
@@ -57,7 +57,7 @@
 
     @callback
     def take(self, peer_address: str, words: dict[str, RelayedEvents]) -> None:
-        """Take in a report of the instance at ``peer_address``."""
+        """Take in words of the instance at ``peer_address``."""
         for name, word in words.items():
             store = StoreId(name)
             missed = self._tier.take_relayed(store, word)
--- a/src/banyanswitch/components/kv_tier/models.py
+++ b/src/banyanswitch/components/kv_tier/models.py
@@ -1,5 +1,6 @@
 """Word of a store's readers to the other instances."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
@@ -9,9 +10,12 @@
 PartKey = tuple[str, str]
 """Salt and name of a part."""
 
+GroupedParts = dict[str, list[tuple[str, int]]]
+"""Names of parts, by salt, and the tokens of each that are kept; 0 for none."""
+
 
 class RelayedEvents(msgspec.Struct, frozen=True, array_like=True):
-    """What a reader has heard of a store since its last report.
+    """What a reader has heard of a store since its last word on it.
 
     Parameters
     ----------
@@ -21,17 +25,32 @@
         Where the events begin; who has not come so far has missed some.
     next_event : int
         Where the next events begin.
-    events : list of tuple
-        The last event of each part: whether it is kept, salt, name and tokens.
-    clock_ms : int or None
-        The upstreams' clock when this is sent.
+    parts : dict of str to list
+        By salt, the parts that changed, each with its name and the tokens kept now.
     """
 
     epoch: int
     since: int
     next_event: int
-    events: list[tuple[bool, str, str, int]]
+    parts: GroupedParts
+
+
+class StoreWords(msgspec.Struct, frozen=True, array_like=True):
+    """What one reader has to say of all the stores that it reads.
+
+    A message of its own: reports of work under way must not wait behind it.
+
+    Parameters
+    ----------
+    peer_address : str
+        Where the sender serves whole lists.
+    clock_ms : int or None
+        The upstreams' clock when this is sent.
+    """
+
+    peer_address: str
     clock_ms: int | None
+    words: dict[str, RelayedEvents]
 
 
 class Missed(Enum):
@@ -49,9 +68,21 @@
 
     epoch: int
     next_event: int
-    parts: list[tuple[str, str, int]]
+    parts: GroupedParts
+
+
+def group_parts(parts: Iterable[tuple[PartKey, int]]) -> GroupedParts:
+    """Return parts and their tokens by salt; the salt is most of a part's bytes."""
+    grouped: GroupedParts = {}
+    for (salt, part), tokens in parts:
+        grouped.setdefault(salt, []).append((part, tokens))
+    return grouped
 
 
-def relayed(event: PartEvent) -> tuple[bool, str, str, int]:
-    """Return an event as it is passed on."""
-    return (event.is_kept, event.salt, event.part, event.tokens)
+def part_events(grouped: GroupedParts) -> list[PartEvent]:
+    """Return the events that lead to the parts as they are."""
+    return [
+        PartEvent(tokens > 0, salt, part, tokens)
+        for salt, parts in grouped.items()
+        for part, tokens in parts
+    ]
--- a/src/banyanswitch/components/kv_tier/store_follower.py
+++ b/src/banyanswitch/components/kv_tier/store_follower.py
@@ -25,7 +25,8 @@
     PartKey,
     RelayedEvents,
     StoreList,
-    relayed,
+    group_parts,
+    part_events,
 )
 from banyanswitch.components.peers.reader_choice import ReaderChoice
 from banyanswitch.core import callback
@@ -39,7 +40,7 @@
     """One store as last heard of.
 
     A store answers only some event calls at once. Of many instances a few read it
-    and pass on what they hear with their reports; the others miss nothing, or ask a
+    and pass on what they hear; the others miss nothing, or ask a
     reader for its whole list.
 
     Parameters
@@ -75,9 +76,9 @@
         self.parts: dict[PartKey, int] = {}
         self._next_event = 0
         self._heard_at_s = float("-inf")
-        # Last event of each part since `_unsent_since`, which all others have heard.
+        # Tokens of each part that changed since `_unsent_since`, which all have heard.
         # Kept also while this instance does not pass it on: it may be chosen next.
-        self._unsent: dict[PartKey, PartEvent] = {}
+        self._unsent: dict[PartKey, int] = {}
         self._unsent_since = 0
 
     async def async_run(self) -> None:
@@ -112,20 +113,19 @@
         return is_relayed and self.is_usable and self._is_reading()
 
     @callback
-    def take_unsent(self, clock_ms: int | None) -> RelayedEvents:
+    def take_unsent(self) -> RelayedEvents:
         """Return what was read since the last call."""
-        events = list(self._unsent.values())
-        since = self._unsent_since
-        if len(events) > MAX_RELAYED_EVENTS:
-            events, since = [], self._next_event
-        self._clear_unsent()
-        return RelayedEvents(
+        changed, since = self._unsent, self._unsent_since
+        if len(changed) > MAX_RELAYED_EVENTS:
+            changed, since = {}, self._next_event
+        word = RelayedEvents(
             epoch=self.epoch or 0,
             since=since,
             next_event=self._next_event,
-            events=[relayed(event) for event in events],
-            clock_ms=clock_ms,
+            parts=group_parts(changed.items()),
         )
+        self._clear_unsent()
+        return word
 
     @callback
     def take_relayed(self, word: RelayedEvents) -> Missed:
@@ -141,9 +141,7 @@
             return Missed.EVENTS
         if word.next_event >= self._next_event:
             self._next_event = word.next_event
-            if word.clock_ms is not None:
-                self._on_clock(word.clock_ms)
-            self._apply(PartEvent(*event) for event in word.events)
+            self._apply(part_events(word.parts))
             self._clear_unsent()
         self._note_heard()
         return Missed.NOTHING
@@ -153,7 +151,7 @@
         """Return all parts, if they are known."""
         if not self.is_usable or self.epoch is None:
             return None
-        parts = [(salt, part, tokens) for (salt, part), tokens in self.parts.items()]
+        parts = group_parts(self.parts.items())
         return StoreList(self.epoch, self._next_event, parts)
 
     @callback
@@ -162,8 +160,7 @@
         is_older = listed.next_event < self._next_event
         if self._is_reading() or (listed.epoch == self.epoch and is_older):
             return
-        events = [PartEvent(True, *part) for part in listed.parts]
-        self._restart(listed.epoch, listed.next_event, events)
+        self._restart(listed.epoch, listed.next_event, part_events(listed.parts))
 
     async def _async_read(self) -> None:
         address = self.node.address
@@ -207,14 +204,15 @@
     def _apply(self, events: Iterable[PartEvent]) -> None:
         for event in events:
             key = (event.salt, event.part)
-            self._unsent[key] = event
+            # The count says how much is kept now; nothing is kept of a lost part.
+            tokens = event.tokens if event.is_kept else 0
+            self._unsent[key] = tokens
             before = self.parts.pop(key, None)
             if before is not None:
                 self.used_tokens -= rounded_tokens(before)
-            # The count says how much is kept now; nothing is kept of a lost part.
-            if event.is_kept and event.tokens > 0:
-                self.parts[key] = event.tokens
-                self.used_tokens += rounded_tokens(event.tokens)
+            if tokens > 0:
+                self.parts[key] = tokens
+                self.used_tokens += rounded_tokens(tokens)
                 self._on_kept(key)
 
     def _clear_unsent(self) -> None:
--- a/src/banyanswitch/components/peers/const.py
+++ b/src/banyanswitch/components/peers/const.py
@@ -35,3 +35,11 @@
 DIRECT_INSTANCES: Final = 8
 """Up to so many instances read each source for themselves; a source of the users'
 platform takes 12 readers at the least."""
+
+BURST_BYTES: Final = 8 * 1024
+"""Bytes of reports that are sent at once; those to eight instances fit. A report among
+91 instances has 0.43 kB on average, and of 90 sent at once over 10 Mbit/s those to the
+last instances were lost most."""
+
+ENVELOPE_BYTES: Final = 150
+"""Bytes of a datagram around the message: headers, signature, names."""
--- /dev/null
+++ b/src/banyanswitch/components/peers/spreader.py
@@ -0,0 +1,88 @@
+"""Sending of one message to many instances without filling the link."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import structlog
+
+from banyanswitch.components.peers.const import BURST_BYTES, ENVELOPE_BYTES
+from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.core import callback
+from banyanswitch.exceptions import PeerError
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class Spreader:
+    """Send messages a few datagrams at a time, in an order that changes.
+
+    A link that is full drops datagrams, and always those sent last.
+
+    Parameters
+    ----------
+    transport : DatagramPeerTransport
+        Carries the messages.
+    bytes_per_s : float
+        Rate after the first burst, in bytes a second.
+    generator : random.Random
+        Chooses the order.
+    on_done : callable
+        Called when a message that took more than one burst has been sent.
+    """
+
+    def __init__(
+        self,
+        transport: DatagramPeerTransport,
+        bytes_per_s: float,
+        generator: random.Random,
+        on_done: Callable[[], None],
+    ) -> None:
+        self._transport = transport
+        self._bytes_per_s = bytes_per_s
+        self._random = generator
+        self._on_done = on_done
+        self._task: asyncio.Task[None] | None = None
+        self.spread_s = 0.0
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a message is still being sent."""
+        return self._task is not None
+
+    @callback
+    def send(self, message: object, addresses: Sequence[str]) -> None:
+        """Send a message to all addresses, the first of them at once."""
+        size_bytes = self._transport.content_bytes(message) + ENVELOPE_BYTES
+        burst = max(1, BURST_BYTES // size_bytes)
+        order = self._random.sample(addresses, len(addresses))
+        self._send_burst(message, order[:burst])
+        rest = order[burst:]
+        self.spread_s = len(rest) * size_bytes / self._bytes_per_s
+        if rest:
+            pause_s = burst * size_bytes / self._bytes_per_s
+            self._task = asyncio.get_running_loop().create_task(
+                self._async_spread(message, rest, burst, pause_s)
+            )
+
+    @callback
+    def stop(self) -> None:
+        """Send nothing more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _async_spread(
+        self, message: object, rest: list[str], burst: int, pause_s: float
+    ) -> None:
+        for start in range(0, len(rest), burst):
+            await asyncio.sleep(pause_s)
+            self._send_burst(message, rest[start : start + burst])
+        self._task = None
+        self._on_done()
+
+    def _send_burst(self, message: object, addresses: Sequence[str]) -> None:
+        for address in addresses:
+            try:
+                self._transport.send(address, message)
+            except PeerError as error:
+                LOGGER.debug("datagram_not_sent", reason=str(error))
--- a/src/banyanswitch/components/state_exchange/const.py
+++ b/src/banyanswitch/components/state_exchange/const.py
@@ -26,14 +26,6 @@
 """Time for which the age of a weight version is told; after it no upstream is left
 on an older one."""
 
-BURST_BYTES: Final = 8 * 1024
-"""Bytes of reports that are sent at once; those to eight instances fit. A report among
-91 instances has 0.43 kB on average, and of 90 sent at once over 10 Mbit/s those to the
-last instances were lost most."""
-
 SPREAD_BYTES_PER_S: Final = 300_000.0
-"""Rate of the bursts after the first, in bytes a second; half of the slowest link of
-the platform's machines, 5 Mbit/s."""
-
-ENVELOPE_BYTES: Final = 150
-"""Bytes of a datagram around the report: headers, signature, names."""
+"""Rate at which a report goes out, in bytes a second; half of the slowest link of the
+platform's machines, 5 Mbit/s."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -8,19 +8,19 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_board import UpstreamBoard
 from banyanswitch.components.kv_tier.coordinator import PartTier
-from banyanswitch.components.kv_tier.list_relay import ListRelay
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.peers.spreader import Spreader
 from banyanswitch.components.state_exchange.const import (
     INTERVAL_IDLE_S,
     INTERVAL_MIN_S,
     NAMED_MEMORY_S,
     REPORTS_PER_S,
+    SPREAD_BYTES_PER_S,
     URGENT_REPORTS_PER_S,
     VERSIONS_LIFETIME_S,
     WEIGHTS_MEMORY_S,
 )
 from banyanswitch.components.state_exchange.models import InstanceReport
-from banyanswitch.components.state_exchange.spreader import ReportSpreader
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
 from banyanswitch.identifiers import UpstreamId
@@ -56,11 +56,9 @@
         tier: PartTier,
         mirrors: Mapping[str, TableMirror],
         routing: RoutingState,
-        lists: ListRelay,
         generator: random.Random,
     ) -> None:
         self._routing = routing
-        self._lists = lists
         self._transport = transport
         self._peers = peers
         self._board = board
@@ -75,12 +73,20 @@
         self._urgent_at_s = float("-inf")
         self._urgent: asyncio.TimerHandle | None = None
         self._is_due = False
-        self._spreader = ReportSpreader(transport, generator, self._on_spread)
+        self._spreader = Spreader(
+            transport, SPREAD_BYTES_PER_S, generator, self._on_spread
+        )
         self.on_report: Callable[[], None] = lambda: None
         transport.subscribe(InstanceReport, self._on_report)
 
     async def async_run(self) -> None:
         """Report until cancelled."""
+        try:
+            await self._async_report()
+        finally:
+            self._spreader.stop()
+
+    async def _async_report(self) -> None:
         while True:
             interval_s = self.interval_s()
             wait_s = interval_s - (_now_s() - self._sent_at_s)
@@ -162,7 +168,6 @@
                 }
                 for model, target in self._routing.targets.items()
             },
-            part_events=self._tier.take_unsent(),
         )
         addresses = [
             peer.peer_address
@@ -236,8 +241,6 @@
         self._board.loads.note_remote(report.instance, report.loads, now_s)
         self._board.loads.note_remote_fetches(report.instance, report.fetches, now_s)
         self._tier.note_heard()
-        if report.part_events:
-            self._lists.take(report.peer_address, report.part_events)
         self.on_report()
         for name, version in report.loading.items():
             self._board.note_loading(UpstreamId(name), version, now_s)
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from banyanswitch.components.forwarding.loads import Load
-from banyanswitch.components.kv_tier.models import RelayedEvents
 from banyanswitch.decisions.fetch_floor import FetchFloor
 
 
@@ -30,9 +29,6 @@
         Upstreams whose addresses other upstreams were seen to have.
     named_ages_s : dict of str to dict of int to float
         How long ago each weight version of a model was named, in seconds.
-    part_events : dict of str to RelayedEvents
-        What the sender has read of stores since its last report, for those that do
-        not read them.
     """
 
     instance: str
@@ -45,4 +41,3 @@
     fetch_floors: dict[str, FetchFloor]
     replaced: list[str]
     named_ages_s: dict[str, dict[int, float]]
-    part_events: dict[str, RelayedEvents] = {}
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -32,6 +32,7 @@
 from banyanswitch.components.kv_tier.cleaner import StoreCleaner
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.list_relay import LIST_PATH, ListRelay
+from banyanswitch.components.kv_tier.word_exchange import WordExchange
 from banyanswitch.components.lease.coordinator import LeaseCoordinator
 from banyanswitch.components.membership.coordinator import MembershipCoordinator
 from banyanswitch.components.membership.models import Member, MemberState
@@ -155,6 +156,7 @@
             "operator_table": self._mirrors[TABLE_OPERATOR].async_run(),
             "upstream_table": self._mirrors[TABLE_UPSTREAMS].async_run(),
             "exchange": self._exchange.async_run(),
+            "words": self._words.async_run(),
             "relay": self._relay.async_run(),
             "named_times": self._named_times.async_run(),
             "rollout": self._rollout.async_run(),
@@ -245,6 +247,12 @@
             tier=self._tier,
             mirrors=self._mirrors,
             routing=self._routing,
+            generator=self._random,
+        )
+        self._words = WordExchange(
+            transport=self._transport,
+            peers=self._membership,
+            tier=self._tier,
             lists=self._lists,
             generator=self._random,
         )
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -7,14 +7,11 @@
 
 from banyanswitch.components.forwarding.loads import InFlight, Load
 from banyanswitch.components.forwarding.routing_state import RoutingState
-from banyanswitch.components.http1.client import HttpClient
-from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.kv_tier.coordinator import PartTier
-from banyanswitch.components.kv_tier.list_relay import ListRelay
+from banyanswitch.components.peers.const import BURST_BYTES
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.reader_choice import ReaderChoice
 from banyanswitch.components.state_exchange.const import (
-    BURST_BYTES,
     SPREAD_BYTES_PER_S,
     URGENT_REPORTS_PER_S,
 )
@@ -85,9 +82,6 @@
             tier=self.tier,
             mirrors={"servers": self.upstreams.mirror},
             routing=self.routing,
-            lists=ListRelay(
-                self.tier, HttpClient(ConnectionPool()), self, random.Random(1)
-            ),
             generator=random.Random(1),
         )
 
