--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -477,9 +477,14 @@
         )
 
     def _log_placed(self, context: _RequestContext, placed: PlacementResult) -> None:
+        superseded_for_s = placed.superseded_for_s
+        if superseded_for_s is not None:
+            superseded_for_s = round(superseded_for_s, 3)
         self._log(
             context,
             "request_placed",
+            must_wait=placed.must_wait,
+            superseded_for_s=superseded_for_s,
             time_left_s=round(placed.plan.time_left_s, 3),
             entry_age_s=round(placed.entry_age_s, 3),
             candidates=placed.candidates,
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -67,7 +67,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementResult:
-    """Selected upstream of a request, with the plan and the load of the request."""
+    """Selected upstream of a request, with the plan and the load of the request.
+
+    Parameters
+    ----------
+    superseded_for_s : float or None
+        Time since a newer weight version than the upstream's became the target;
+        ``None`` if there is none.
+    """
 
     record: UpstreamRecord
     plan: UpstreamRequestPlan
@@ -80,6 +87,7 @@
     held_tokens: int = 0
     running_requests: int = 0
     entry_age_s: float = 0.0
+    superseded_for_s: float | None = None
     parts: PartPlan = field(default_factory=PartPlan)
     must_wait: bool = False
     is_large_prefill: bool = False
@@ -174,6 +182,7 @@
             held_tokens=view.memory_tokens,
             running_requests=view.running_requests,
             entry_age_s=now_s - state.entry_read_at_s,
+            superseded_for_s=self._superseded_for_s(model, weight_version, now_s),
             parts=parts,
             must_wait=must_wait(view, choice, self._policy),
             is_large_prefill=is_large_prefill,
@@ -199,13 +208,19 @@
         version = state.weight_versions.get(model)
         if version is None:
             return False
-        target = self._routing.targets.get(model)
-        superseded_at_s = target.superseded_at_s(version) if target else None
-        if superseded_at_s is None:
+        superseded_for_s = self._superseded_for_s(model, version, now_s)
+        if superseded_for_s is None:
             return True
-        return (
-            now_s - superseded_at_s < WEIGHTS_DEADLINE_SHARE * self._weights_deadline_s
-        )
+        return superseded_for_s < WEIGHTS_DEADLINE_SHARE * self._weights_deadline_s
+
+    def _superseded_for_s(
+        self, model: str | None, version: int | None, now_s: float
+    ) -> float | None:
+        target = self._routing.targets.get(model) if model is not None else None
+        if target is None or version is None:
+            return None
+        superseded_at_s = target.superseded_at_s(version)
+        return None if superseded_at_s is None else now_s - superseded_at_s
 
     def _newest_version(
         self, model: str | None, states: list[UpstreamState]
--- a/src/banyanswitch/components/weight_rollout/target_time_store.py
+++ b/src/banyanswitch/components/weight_rollout/target_time_store.py
@@ -84,6 +84,14 @@
                 self._routing.note_target_time(
                     model, version, now_s - (clock_s - stored_s)
                 )
+            LOGGER.info(
+                "named_times_read",
+                model=model,
+                ages_s={
+                    version: round(clock_s - stored_s, 3)
+                    for version, stored_s in times.items()
+                },
+            )
         return True
 
     async def _async_write_new(self) -> None:
