Reproduce requests that wait on superseded weights beyond the deadline

Cause that the tests act on: `Placement._has_weights` checks the age of the weights only when it chooses an upstream. Nothing ends the wait in the upstream's queue, and at the end of its local wait a large request is sent to an upstream without room.

The stand-in's upstream can refuse load orders and keeps the times of cancellations; the platform of the process tests takes an optional bound and route timeout.

--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -43,6 +43,8 @@
         Whether requests get 500.
     hangs : bool
         Whether requests get no response for 60 s.
+    refuses_orders : bool
+        Whether orders get 409.
     load_s : float
         Time to load weights, in seconds.
     received : list of ReceivedRequest
@@ -51,6 +53,8 @@
         Accepted orders.
     cancelled : int
         Number of requests cancelled during the wait caused by ``hangs``.
+    cancelled_at_s : list of float
+        Loop times of these cancellations.
     """
 
     name: str
@@ -61,10 +65,12 @@
     refuses: bool = False
     fails: bool = False
     hangs: bool = False
+    refuses_orders: bool = False
     load_s: float = 0.05
     received: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, object]] = field(default_factory=list)
     cancelled: int = 0
+    cancelled_at_s: list[float] = field(default_factory=list)
     _loading_until_s: float = 0.0
     _highest_fencing_token: int = 0
 
@@ -89,7 +95,8 @@
         order = await request.json()
         if order["fencingToken"] < self._highest_fencing_token:
             return web.Response(status=412)
-        if self._is_loading() or order["expectedRevision"] != len(self.orders):
+        is_outdated = order["expectedRevision"] != len(self.orders)
+        if self.refuses_orders or self._is_loading() or is_outdated:
             return web.Response(status=409)
         self._highest_fencing_token = order["fencingToken"]
         self.orders.append(order)
@@ -145,6 +152,7 @@
             await asyncio.sleep(60.0)
         except asyncio.CancelledError:
             self.cancelled += 1
+            self.cancelled_at_s.append(asyncio.get_running_loop().time())
             raise
 
     async def _async_stream(
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -1,15 +1,35 @@
-"""Fake rows and decoders for tests of the upstream registry."""
+"""Fake rows, decoders, upstreams and callers for tests of forwarding."""
 
+import asyncio
 import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
 from banyanswitch.components.forwarding.loads import LoadTracker
 from banyanswitch.components.forwarding.models import (
     ForwardingConfiguration,
+    PromptPart,
+    RequestMetadata,
+    ResponseMetadata,
     UpstreamRecord,
+    UpstreamRequestPlan,
 )
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.http1.const import DEFAULT_MAX_IDLE_S
+from banyanswitch.components.http1.models import (
+    BodyFraming,
+    Header,
+    Headers,
+    Request,
+    ResponseHead,
+    encode_head,
+    header_value,
+)
+from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
@@ -17,6 +37,10 @@
 
 SERVICE = ServiceName("llm")
 MODEL = "m"
+HOST = "h.example"
+RETRY_AFTER = b"Retry-After"
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 class NoFeed:
@@ -96,3 +120,192 @@
 
     def accepting(self, now_s: float) -> list[str]:
         return [s.record.name for s in self.registry.accepting(SERVICE, now_s)]
+
+
+class PlainTranslator:
+    """Implements ``RequestTranslator`` for requests that `model_request` returns."""
+
+    def read_request_metadata(self, request: Request) -> RequestMetadata:
+        prompt_tokens = int(header_value(request.headers, b"prompt-tokens") or 0)
+        return RequestMetadata(
+            attempt=b"a1",
+            host=HOST,
+            key=None,
+            time_left_s=float(header_value(request.headers, b"time-left-s") or 0),
+            model=MODEL,
+            parts=(PromptPart("own", prompt_tokens),),
+            prompt_tokens=prompt_tokens,
+            output_tokens=30,
+        )
+
+    def upstream_request(self, request: Request, plan: UpstreamRequestPlan) -> bytes:
+        return encode_head(b"%b %b HTTP/1.1" % (request.method, request.target), ())
+
+    def read_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
+        return ResponseMetadata(
+            attempt=None,
+            is_signed=True,
+            is_not_run=False,
+            is_misdirected=False,
+            answered_by=None,
+            load=None,
+            weight_version=None,
+            retry_after_s=None,
+        )
+
+    def caller_headers(self, head: ResponseHead) -> Headers:
+        return head.headers
+
+    def generated_headers(
+        self, metadata: RequestMetadata | None, retry_after_s: float | None
+    ) -> list[Header]:
+        return [] if retry_after_s is None else [(RETRY_AFTER, b"%f" % retry_after_s)]
+
+
+def model_request(path: str, *, prompt_tokens: int, time_left_s: float) -> Request:
+    headers = (
+        (b"prompt-tokens", b"%d" % prompt_tokens),
+        (b"time-left-s", b"%f" % time_left_s),
+    )
+    now_s = asyncio.get_running_loop().time()
+    return Request(b"POST", path.encode(), headers, b"", now_s)
+
+
+@dataclass
+class FakeReply:
+    """Response to a caller, in place of ``Reply``."""
+
+    status: int | None = None
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytes = b""
+    is_aborted: bool = False
+    ended_at_s: float | None = None
+
+    def send(
+        self, status: int, headers: Iterable[Header], body: bytes, reason: bytes = b""
+    ) -> None:
+        self.start(status, headers, BodyFraming.LENGTH, reason)
+        self.write(body)
+        self.end()
+
+    def start(
+        self,
+        status: int,
+        headers: Iterable[Header],
+        framing: BodyFraming,
+        reason: bytes = b"",
+    ) -> None:
+        self.status = status
+        self.headers = dict(headers)
+
+    def write(self, data: bytes) -> None:
+        self.body += data
+
+    def end(self) -> None:
+        self.ended_at_s = asyncio.get_running_loop().time()
+
+    def abort(self) -> None:
+        self.is_aborted = True
+        self.end()
+
+    async def async_drain(self) -> None:
+        return
+
+
+@dataclass
+class FakeUpstream:
+    """Upstream that queues each request for a time before it begins to respond.
+
+    Parameters
+    ----------
+    queue_s : float or None
+        Time that a request waits in its queue; ``None`` means without end.
+    response_s : float
+        Time from the head of a response to its end.
+    """
+
+    name: str
+    queue_s: float | None = 0.0
+    response_s: float = 0.0
+    exchanges: list["FakeExchange"] = field(default_factory=list)
+
+
+class FakeExchange(asyncio.Transport):
+    """Transport of a connection that carries one request to a `FakeUpstream`.
+
+    Attributes
+    ----------
+    begun_at_s : float or None
+        Loop time of the head of the response.
+    closed_at_s : float or None
+        Loop time at which the connection was closed before the response ended.
+    """
+
+    def __init__(self, upstream: FakeUpstream, connection: UpstreamConnection) -> None:
+        super().__init__()
+        self._loop = asyncio.get_running_loop()
+        self._upstream = upstream
+        self._connection = connection
+        self._is_closed = False
+        self.begun_at_s: float | None = None
+        self.ended_at_s: float | None = None
+        self.closed_at_s: float | None = None
+
+    def write(self, data: Any) -> None:
+        self._upstream.exchanges.append(self)
+        if self._upstream.queue_s is not None:
+            self._call_later(self._upstream.queue_s, self._begin)
+
+    def _call_later(self, delay_s: float, step: Callable[[], None]) -> None:
+        self._loop.call_later(delay_s, lambda: self._is_closed or step())
+
+    def _begin(self) -> None:
+        self.begun_at_s = self._loop.time()
+        self._connection.data_received(HEAD + self._event(1))
+        self._call_later(self._upstream.response_s, self._end)
+
+    def _end(self) -> None:
+        self.ended_at_s = self._loop.time()
+        self._connection.data_received(self._event(2) + LAST_CHUNK)
+
+    def _event(self, number: int) -> bytes:
+        event = f"id: {number}\ndata: {self._upstream.name}\n\n".encode()
+        return b"%x\r\n%b\r\n" % (len(event), event)
+
+    def abort(self) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self.ended_at_s is None:
+            self.closed_at_s = self._loop.time()
+        self._loop.call_soon(self._connection.connection_lost, None)
+
+    def close(self) -> None:
+        self.abort()
+
+    def is_closing(self) -> bool:
+        return self._is_closed
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def pause_reading(self) -> None:
+        return
+
+    def resume_reading(self) -> None:
+        return
+
+
+class FakePool(ConnectionPool):
+    """Pool whose connections lead to `FakeUpstream` objects, without a network."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.upstreams: dict[str, FakeUpstream] = {}
+
+    async def async_acquire(
+        self, address: str, *, max_idle_s: float = DEFAULT_MAX_IDLE_S
+    ) -> UpstreamConnection:
+        connection = UpstreamConnection()
+        connection.connection_made(FakeExchange(self.upstreams[address], connection))
+        return connection
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -28,7 +28,9 @@
 GRACE_S = 3.0
 
 
-def configuration(version: int, prefixes: tuple[str, ...] = ("/once/",)) -> bytes:
+def configuration(
+    version: int, prefixes: tuple[str, ...] = ("/once/",), timeout_ms: int = 1500
+) -> bytes:
     kinds = [(prefix, "non_idempotent", False) for prefix in prefixes]
     kinds += [("/again/", "idempotent", False), ("/stream/", "streaming", True)]
     routes = [
@@ -37,7 +39,7 @@
             "host": "h.example",
             "prefix": prefix,
             "kind": kind,
-            "timeoutMs": 1500,
+            "timeoutMs": timeout_ms,
             "service": "llm",
             "maxAttempts": 2,
             "resumable": is_resumable,
@@ -82,10 +84,19 @@
 
 
 class Platform:
-    """Stand-ins and processes of one test."""
+    """Stand-ins and processes of one test.
 
-    def __init__(self, folder: Path) -> None:
+    Parameters
+    ----------
+    version_propagation_ms : int or None
+        Bound in the settings of the processes; ``None`` means their default.
+    """
+
+    def __init__(
+        self, folder: Path, *, version_propagation_ms: int | None = None
+    ) -> None:
         self.folder = folder
+        self._version_propagation_ms = version_propagation_ms
         self.store = PlatformStore()
         self.upstreams = {name: PlatformUpstream(name) for name in ("i-1", "i-2")}
         self.ports = {
@@ -190,6 +201,10 @@
 
     def _settings(self, host: str) -> str:
         internal = self.ports["internal"]
+        propagation_ms = self._version_propagation_ms
+        propagation = (
+            f"versionPropagationMs = {propagation_ms}" if propagation_ms else ""
+        )
         return f"""
 nodeName = "node-{host}"
 ip = "{host}"
@@ -203,6 +218,7 @@
 [bounds]
 gracePeriodS = {GRACE_S}
 leaseMs = 1000
+{propagation}
 [platform]
 address = "{self._store_address}"
 """
