Withdraw requests that have not begun when an upstream's weights are too old

Cause: the age of superseded weights was checked only when an upstream was chosen (Placement._has_weights, 10.2 s of 12 s). Nothing limited how long the request then waited in the upstream's queue, and at the end of its local wait a large request was sent even to an upstream without room for it. Class: a permission with a time limit that is checked when something is started and not when it takes effect.

Ruled out: an unknown target time after the restart (requests were refused from 10.2 s on, as with the right time), an upstream believed to have the new version (requests carry the expected version).

Change: an attempt on superseded weights is withdrawn at 0.95 of the deadline if its response has not begun; the limit follows target versions and times that are learned while it waits. It counts as one that may have run: repeated elsewhere if allowed, else 502. At the end of its local wait a request is sent to an upstream without room for it only if it ends before that limit or the upstream has the newest weights; else it is refused at once with Retry-After. An upstream can't send a response head before it leaves its queue, since until then it may still report that it did not run the request.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -15,6 +15,7 @@
 )
 from banyanswitch.components.forwarding.placement import PlacementResult
 from banyanswitch.components.forwarding.protocols import RequestTranslator
+from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
@@ -74,6 +75,7 @@
         translator: RequestTranslator,
         pool: ConnectionPool,
         registry: UpstreamRegistry,
+        start_limits: StartLimits,
     ) -> None:
         self._request = request
         self._metadata = metadata
@@ -83,6 +85,7 @@
         self._translator = translator
         self._pool = pool
         self._registry = registry
+        self._start_limits = start_limits
         self._loop = asyncio.get_running_loop()
         self.has_sent = False
         self.status = 0
@@ -101,6 +104,8 @@
             If no byte of the request was sent.
         NotRunError
             If the upstream reports that it did not run the request.
+        StartTimeoutError
+            If the upstream did not begin to respond before its weights were too old.
         UpstreamFailureError
             If the upstream responded with a server error and ``is_last`` is false.
         UpstreamBrokenError
@@ -111,11 +116,14 @@
         connection: UpstreamConnection | None = None
         is_released = False
         try:
-            connection = await self._pool.async_acquire(
-                address, max_idle_s=self._max_idle_s()
-            )
-            self._send(connection, placed)
-            head, response = await self._async_response_head(connection, placed)
+            async with self._start_limits.async_limit(
+                self._metadata.model, placed.plan.expected_weights
+            ):
+                connection = await self._pool.async_acquire(
+                    address, max_idle_s=self._max_idle_s()
+                )
+                self._send(connection, placed)
+                head, response = await self._async_response_head(connection, placed)
             self._registry.loads.note_answered(number)
             self._pool.note_keep_alive(address, head.headers)
             await self._async_relay(connection, head, response, placed, is_last=is_last)
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -49,6 +49,7 @@
     RoutingState,
     pick_service,
 )
+from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
 from banyanswitch.components.http1.caller_connection import Reply
@@ -64,6 +65,7 @@
 from banyanswitch.exceptions import (
     NotRunError,
     RunOutcome,
+    StartTimeoutError,
     UpstreamBrokenError,
     UpstreamError,
     UpstreamFailureError,
@@ -125,6 +127,7 @@
         routing: RoutingState,
         placement: Placement,
         registry: UpstreamRegistry,
+        start_limits: StartLimits,
         pool: ConnectionPool,
         metrics: ForwardingMetrics,
         retry_budget: RetryBudget,
@@ -138,6 +141,7 @@
         self._routing = routing
         self._placement = placement
         self._registry = registry
+        self._start_limits = start_limits
         self._pool = pool
         self._metrics = metrics
         self._retry_budget = retry_budget
@@ -217,6 +221,7 @@
                 translator=self._translator,
                 pool=self._pool,
                 registry=self._registry,
+                start_limits=self._start_limits,
             )
             context.sent += 1
             is_last = not self._may_repeat(context)
@@ -239,12 +244,9 @@
         try:
             while True:
                 now_s = self._loop.time()
-                placed = self._place(context, now_s)
-                if (
-                    placed is None
-                    or not placed.is_large_prefill
-                    or now_s >= queue_deadline_s
-                ):
+                is_wait_over = now_s >= queue_deadline_s
+                placed = self._place(context, now_s, is_wait_over=is_wait_over)
+                if placed is None or not placed.is_large_prefill or is_wait_over:
                     return placed
                 if not placed.must_wait and self._wait_queue.is_first(service, number):
                     return placed
@@ -255,7 +257,9 @@
         finally:
             self._wait_queue.remove(service, number)
 
-    def _place(self, context: _RequestContext, now_s: float) -> PlacementResult | None:
+    def _place(
+        self, context: _RequestContext, now_s: float, *, is_wait_over: bool
+    ) -> PlacementResult | None:
         time_left_s = context.ends_at_s - now_s
         if time_left_s < MIN_TIME_LEFT_S:
             return None
@@ -271,6 +275,7 @@
                 excluded=context.excluded,
                 time_left_s=time_left_s,
                 resume_after=resume_after,
+                is_wait_over=is_wait_over,
             ),
             now_s,
         )
@@ -295,6 +300,10 @@
         if isinstance(error, NotRunError):
             outcome = RunOutcome.NOT_RUN
             self._note_not_run(placed, error)
+        elif isinstance(error, StartTimeoutError):
+            # No failure of the upstream, so it is not ejected.
+            context.may_have_run = True
+            self._metrics.count_withdrawn(placed.record.service)
         else:
             context.may_have_run = True
             self._registry.ejector.on_failure(name, now_s)
--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -26,6 +26,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._withdrawn = Counter(
+            "banyanswitch_attempts_withdrawn",
+            "Attempts withdrawn before the upstream's weights were too old, by service",
+            ("service",),
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "banyanswitch_first_byte_seconds",
             "Time from a request's head to the first byte of its answer",
@@ -44,6 +50,11 @@
         """Count an attempt that an upstream did not run."""
         self._not_run.labels(service).inc()
 
+    @callback
+    def count_withdrawn(self, service: ServiceName) -> None:
+        """Count an attempt that was withdrawn because of the upstream's weights."""
+        self._withdrawn.labels(service).inc()
+
     @callback
     def observe_first_byte(self, route: str, duration_s: float) -> None:
         """Record the time to the first byte of a response."""
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -19,6 +19,7 @@
     UpstreamRequestPlan,
 )
 from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import (
     UpstreamRegistry,
     UpstreamState,
@@ -36,6 +37,7 @@
     must_wait,
     prefill_cost_tokens,
 )
+from banyanswitch.decisions.weight_age import may_queue_at_upstream
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 
 MIN_HEALTH = 0.05
@@ -43,9 +45,6 @@
 the candidates if too few are healthy."""
 MIN_HEALTHY_SHARE = 0.5
 """Minimum healthy share of the eligible upstreams; below it, all of them are used."""
-WEIGHTS_DEADLINE_SHARE = 0.85
-"""Share of the weights deadline after which superseded weights are no longer used; the
-rest covers the delay until this instance knows of the new version."""
 MAX_RANK = 9
 """Lowest priority of a request; 0 is the highest."""
 WORKSPACE_RANK_STEP = 3
@@ -54,7 +53,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlacementRequest:
-    """Request to be placed, with its constraints."""
+    """Request to be placed, with its constraints.
+
+    Parameters
+    ----------
+    is_wait_over : bool
+        Whether the request can't wait at this instance any longer, so that it is sent
+        to an upstream without room for it if there is no other.
+    """
 
     metadata: RequestMetadata
     route: Route
@@ -63,6 +69,7 @@
     excluded: Collection[UpstreamId]
     time_left_s: float
     resume_after: bytes | None = None
+    is_wait_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +117,7 @@
         tier: PartTier,
         pool: ConnectionPool,
         failure_domain: FailureDomainId,
-        weights_deadline_s: float,
+        start_limits: StartLimits,
         instance_count: Callable[[], int],
         generator: random.Random,
         policy: UpstreamChoicePolicy | None = None,
@@ -120,7 +127,7 @@
         self._tier = tier
         self._pool = pool
         self._failure_domain = failure_domain
-        self._weights_deadline_s = weights_deadline_s
+        self._start_limits = start_limits
         self._instance_count = instance_count
         self._random = generator
         self._policy = policy or UpstreamChoicePolicy()
@@ -143,6 +150,8 @@
             self._view(state, request, newest_version, plans, now_s) for state in states
         ]
         choice = self._choice_request(request)
+        if request.is_wait_over:
+            views = self._startable(views, states, request, choice, now_s)
         name = choose_upstream(views, choice, self._policy)
         if name is None:
             return None
@@ -208,18 +217,39 @@
         version = state.weight_versions.get(model)
         if version is None:
             return False
-        superseded_for_s = self._superseded_for_s(model, version, now_s)
-        if superseded_for_s is None:
-            return True
-        return superseded_for_s < WEIGHTS_DEADLINE_SHARE * self._weights_deadline_s
+        return self._start_limits.may_send(model, version, now_s)
+
+    def _startable(
+        self,
+        views: list[UpstreamView],
+        states: list[UpstreamState],
+        request: PlacementRequest,
+        choice: UpstreamChoiceRequest,
+        now_s: float,
+    ) -> list[UpstreamView]:
+        """Return the upstreams that begin the request before their weights are too old.
+
+        An upstream without room for the request begins it at an unknown time.
+        """
+        model = request.metadata.model if request.service.engine else None
+        ends_at_s = now_s + request.time_left_s
+        startable = []
+        for view, state in zip(views, states, strict=True):
+            version = self._weight_version(state, model)
+            start_by_s = None
+            if model is not None and version is not None:
+                start_by_s = self._start_limits.start_by_s(model, version)
+            has_room = not must_wait(view, choice, self._policy)
+            if has_room or may_queue_at_upstream(start_by_s, ends_at_s):
+                startable.append(view)
+        return startable
 
     def _superseded_for_s(
         self, model: str | None, version: int | None, now_s: float
     ) -> float | None:
-        target = self._routing.targets.get(model) if model is not None else None
-        if target is None or version is None:
+        if model is None or version is None:
             return None
-        superseded_at_s = target.superseded_at_s(version)
+        superseded_at_s = self._routing.superseded_at_s(model, version)
         return None if superseded_at_s is None else now_s - superseded_at_s
 
     def _newest_version(
--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -67,6 +68,7 @@
         self._routes_by_host: dict[str, list[Route]] = {}
         self._workspaces_by_key: dict[str, ForwardedWorkspace] = {}
         self._targets: dict[str, WeightTarget] = {}
+        self._target_handlers: list[Callable[[str], None]] = []
         self.configuration: ForwardingConfiguration | None = None
         self.applied_at_s = 0.0
         mirror.subscribe(self._on_rows)
@@ -88,6 +90,20 @@
         """Target weight version by model."""
         return self._targets
 
+    @callback
+    def subscribe_targets(self, handler: Callable[[str], None]) -> None:
+        """Call ``handler`` with a model whose target versions or times change."""
+        self._target_handlers.append(handler)
+
+    @callback
+    def superseded_at_s(self, model: str, version: int) -> float | None:
+        """Return the loop time from which a weight version of a model is outdated.
+
+        ``None`` means that no newer version is known.
+        """
+        target = self._targets.get(model)
+        return target.superseded_at_s(version) if target is not None else None
+
     @callback
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches the path."""
@@ -108,6 +124,7 @@
         known_s = target.target_since_s.get(version)
         if known_s is None or target_since_s < known_s:
             target.target_since_s[version] = target_since_s
+            self._notify_targets(model)
 
     @callback
     def apply(self, configuration: ForwardingConfiguration) -> None:
@@ -155,6 +172,11 @@
         target.version = version
         target.target_since_s.setdefault(version, now_s)
         LOGGER.info("weights_named", model=model, version=version, revision=revision)
+        self._notify_targets(model)
+
+    def _notify_targets(self, model: str) -> None:
+        for handler in self._target_handlers:
+            handler(model)
 
 
 def pick_service(route: Route, generator: random.Random) -> ServiceName | None:
--- a/src/banyanswitch/exceptions.py
+++ b/src/banyanswitch/exceptions.py
@@ -95,6 +95,13 @@
     """
 
 
+class StartTimeoutError(UpstreamError):
+    """A sent request was withdrawn before the upstream began to respond.
+
+    Its weights would have been too old. The request may have run all the same.
+    """
+
+
 class NotRunError(UpstreamError):
     """An upstream reported that it did not run a request.
 
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -21,6 +21,7 @@
     ForwardingSettings,
     host_and_port,
 )
+from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
 from banyanswitch.components.http1.caller_connection import Reply
@@ -52,6 +53,7 @@
 from banyanswitch.components.weight_rollout.target_time_store import TargetTimeStore
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
+from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import (
     SuspensionWatch,
@@ -277,13 +279,16 @@
     def _make_serving(self) -> None:
         settings = self._settings
         self._metrics = ForwardingMetrics()
+        start_limits = StartLimits(
+            self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
+        )
         placement = Placement(
             routing=self._routing,
             registry=self._registry,
             tier=self._tier,
             pool=self._pool,
             failure_domain=FailureDomainId(settings.failure_domain),
-            weights_deadline_s=settings.weights_deadline_s,
+            start_limits=start_limits,
             instance_count=self._instance_count,
             generator=self._random,
         )
@@ -292,6 +297,7 @@
             routing=self._routing,
             placement=placement,
             registry=self._registry,
+            start_limits=start_limits,
             pool=self._pool,
             metrics=self._metrics,
             retry_budget=RetryBudget(
--- a/tests/components/forwarding/test_start_on_superseded_weights.py
+++ b/tests/components/forwarding/test_start_on_superseded_weights.py
@@ -18,10 +18,12 @@
 )
 from banyanswitch.components.forwarding.placement import Placement
 from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import FailureDomainId, UpstreamId
 from banyanswitch.interfaces import Item, TableChanges
@@ -89,13 +91,15 @@
         upstreams.loads,
         ReaderAssignment(FixedPeers(make_peer("a"), [])),
     )
+    policy = WeightAgePolicy(deadline_s=WEIGHTS_DEADLINE_S)
+    start_limits = StartLimits(routing, policy)
     placement = Placement(
         routing=routing,
         registry=upstreams.registry,
         tier=tier,
         pool=pool,
         failure_domain=FailureDomainId("z1"),
-        weights_deadline_s=WEIGHTS_DEADLINE_S,
+        start_limits=start_limits,
         instance_count=lambda: 1,
         generator=generator,
     )
@@ -106,6 +110,7 @@
         routing=routing,
         placement=placement,
         registry=upstreams.registry,
+        start_limits=start_limits,
         pool=pool,
         metrics=ForwardingMetrics(),
         retry_budget=RetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
