Send no order after its permission ended while its connection was made

A load order's fencing token was checked before async_order_load, which may then wait up to CONNECT_TIMEOUT_S (0.5 s) for a connection. The order could leave 0.5 s after its window, after a stop request, or after a suspension forfeited the lease, while a successor waits as if the last order had been sent within ORDER_WINDOW_S; its margin is 0.3 s. The call that frees parts had the same gap against the end of the lease. An order that found no connection counted as possibly accepted, so its upstream got no requests although nothing had been sent to it.

Cause: HttpClient.async_call limited only the time from sending on, and nothing was checked between making the connection and sending.

Change: timeout_s covers the connection too, and a connection that isn't made in time raises UpstreamNotSentError. send_by_s, asked when the connection is made, returns the loop time until which the request may be sent; orders take it from the order window of their token, frees from the end of the lease. It is a function and not a fixed time, since a stop request, a suspension and a refused token end the permission earlier. The rollout no longer counts an order that was not sent as possibly accepted.

Ruled out: a limit fixed when the order is made.

Other callers of async_call: all now have up to 0.5 s less if they need a connection. Store reads and transactions keep their meaning (not sent: had no effect). The margins of the waiting calls (0.4 s feed at a reader, 0.6 s feed, 0.8 s events) now include the connection, two ways of 20 ms at most.

The fakes of async_call and async_free take the new argument; no check changed.

--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -1,6 +1,6 @@
 """Protocols that a platform implements for forwarding."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -79,6 +79,9 @@
     orders_accepted : int
         Number of orders that the upstream must have accepted before; with another
         number it rejects the order.
+    send_by_s : callable
+        Returns the loop time until which the order may be sent; in the past once its
+        fencing token is no longer valid.
     """
 
     upstream: UpstreamId
@@ -87,6 +90,7 @@
     holder: str
     fencing_token: int
     orders_accepted: int
+    send_by_s: Callable[[], float]
 
 
 class EngineClient(Protocol):
@@ -108,6 +112,8 @@
         ------
         FencedError
             If the upstream has seen a higher fencing token.
+        UpstreamNotSentError
+            If the order was not sent, for example as no connection was made in time.
         UpstreamError
             If it is unknown whether the order was accepted.
         """
@@ -162,6 +168,20 @@
         """Return all complete parts, each as an event that reports it as stored."""
 
     async def async_free(
-        self, address: str, epoch: int, parts: Sequence[tuple[str, str]]
+        self,
+        address: str,
+        epoch: int,
+        parts: Sequence[tuple[str, str]],
+        send_by_s: Callable[[], float],
     ) -> bool:
-        """Free parts, given as salt and name; return whether the store accepted."""
+        """Free parts, given as salt and name; return whether the store accepted.
+
+        ``send_by_s`` returns the loop time until which the call may be sent.
+
+        Raises
+        ------
+        UpstreamNotSentError
+            If the call was not sent, for example as no connection was made in time.
+        UpstreamError
+            If it is unknown whether the store accepted.
+        """
--- a/src/banyanswitch/components/http1/client.py
+++ b/src/banyanswitch/components/http1/client.py
@@ -1,14 +1,14 @@
 """Client for small requests and responses over persistent connections."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.models import Header, Headers, encode_head
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.core import callback
-from banyanswitch.exceptions import UpstreamBrokenError
+from banyanswitch.exceptions import UpstreamBrokenError, UpstreamNotSentError
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,22 +41,36 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Iterable[Header] = (),
+        send_by_s: Callable[[], float] | None = None,
     ) -> HttpResponse:
         """Send one request without retries and return the response.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Time limit of the whole call, including a new connection, in seconds.
+        send_by_s : callable, optional
+            Returns the loop time until which the request may be sent. It is called
+            when the connection is made, since a permission to send may have been
+            withdrawn meanwhile.
+
         Raises
         ------
         UpstreamNotSentError
-            If no connection could be made.
+            If no connection could be made in time; no byte was sent.
         UpstreamBrokenError
             If no complete response was received in time, or the connection failed;
             the request may have been sent.
         """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        connection = await self._pool.async_acquire(address)
+        connection = await self._async_connect(address, deadline_s)
         is_released = False
         try:
+            limit_s = deadline_s if send_by_s is None else min(deadline_s, send_by_s())
+            if loop.time() > limit_s:
+                reason = f"too late to send {method} {target} to {address}"
+                raise UpstreamNotSentError(reason)
             async with asyncio.timeout_at(deadline_s):
                 connection.send(_encode_request(method, address, target, body, headers))
                 response = await _async_read_response(connection)
@@ -80,6 +94,15 @@
         """Close all idle connections."""
         self._pool.close_all()
 
+    async def _async_connect(
+        self, address: str, deadline_s: float
+    ) -> UpstreamConnection:
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await self._pool.async_acquire(address)
+        except TimeoutError as error:
+            raise UpstreamNotSentError(f"can't connect to {address} in time") from error
+
 
 async def _async_read_response(connection: UpstreamConnection) -> HttpResponse:
     head = await connection.async_head()
--- a/src/banyanswitch/components/kv_tier/cleaner.py
+++ b/src/banyanswitch/components/kv_tier/cleaner.py
@@ -148,7 +148,10 @@
             return
         try:
             is_done = await self._stores.async_free(
-                follower.node.address, follower.epoch, unused
+                follower.node.address,
+                follower.epoch,
+                unused,
+                self._order_lease.held_until_s,
             )
         except UpstreamError as error:
             LOGGER.info("parts_not_freed", store=follower.node.name, reason=str(error))
--- a/src/banyanswitch/components/weight_rollout/coordinator.py
+++ b/src/banyanswitch/components/weight_rollout/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from functools import partial
 
 import structlog
 
@@ -28,7 +29,7 @@
 from banyanswitch.config.models import SwapPolicy
 from banyanswitch.core import callback
 from banyanswitch.decisions.swap_order import SwapView, next_loads
-from banyanswitch.exceptions import FencedError, UpstreamError
+from banyanswitch.exceptions import FencedError, UpstreamError, UpstreamNotSentError
 from banyanswitch.identifiers import UpstreamId, WeightVersion
 
 LOGGER = structlog.get_logger(__name__)
@@ -201,6 +202,7 @@
                 holder=self._holder,
                 fencing_token=token,
                 orders_accepted=report.orders_accepted,
+                send_by_s=partial(self._order_lease.send_by_s, token),
             )
             is_accepted = await self._async_order(address, order)
             LOGGER.info(
@@ -215,9 +217,17 @@
         return await self._async_wait_until_loaded(state, model, version)
 
     async def _async_order(self, address: str, order: LoadOrder) -> bool:
-        """Send the order; one without an answer counts as possibly accepted."""
+        """Send the order; one without an answer counts as possibly accepted.
+
+        Raises
+        ------
+        UpstreamNotSentError
+            If the order was not sent.
+        """
         try:
             return await self._engines.async_order_load(address, order)
+        except UpstreamNotSentError:
+            raise
         except UpstreamError as error:
             LOGGER.info("order_unanswered", upstream=order.upstream, reason=str(error))
             return True
--- a/src/banyanswitch/components/weight_rollout/order_lease.py
+++ b/src/banyanswitch/components/weight_rollout/order_lease.py
@@ -67,6 +67,28 @@
         is_fresh = now_s - lease.renewed_at_s <= ORDER_WINDOW_S
         return self._token if now_s >= self._starts_at_s and is_fresh else None
 
+    @callback
+    def send_by_s(self, token: int) -> float:
+        """Return the loop time until which orders with this token may be sent.
+
+        It is in the past if the token is no longer valid.
+        """
+        self._watch.check()
+        lease = self._leases.held(DUTY)
+        if lease is None or self._is_leaving() or lease.fencing_token != token:
+            return float("-inf")
+        return lease.renewed_at_s + ORDER_WINDOW_S
+
+    @callback
+    def held_until_s(self) -> float:
+        """Return the loop time until which this instance holds the lease.
+
+        It is in the past if it doesn't hold the lease.
+        """
+        self._watch.check()
+        lease = self._leases.held(DUTY)
+        return lease.expires_at_s if lease is not None else float("-inf")
+
     @callback
     def is_holder(self) -> bool:
         """Return whether this instance holds the lease, even without sending orders."""
--- a/src/banyanswitch/platform/engines.py
+++ b/src/banyanswitch/platform/engines.py
@@ -1,6 +1,6 @@
 """Client of the platform's model servers and KV cache stores."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
 
 import msgspec
@@ -96,6 +96,10 @@
         ------
         FencedError
             If a higher fencing token has been used.
+        UpstreamNotSentError
+            If the order was not sent, for example as no connection was made in time.
+        UpstreamBrokenError
+            If it is unknown whether the order was accepted.
         """
         document: dict[str, Any] = {
             "operation": LOAD_OPERATION,
@@ -113,6 +117,7 @@
             timeout_s=CALL_TIMEOUT_S,
             body=msgspec.json.encode(document),
             headers=[(HEADER_EXPECTED_UPSTREAM, order.upstream.encode())],
+            send_by_s=order.send_by_s,
         )
         if response.status == STATUS_FENCED:
             raise FencedError(
@@ -163,15 +168,28 @@
         )
 
     async def async_free(
-        self, address: str, epoch: int, parts: Sequence[tuple[str, str]]
+        self,
+        address: str,
+        epoch: int,
+        parts: Sequence[tuple[str, str]],
+        send_by_s: Callable[[], float],
     ) -> bool:
-        """Free parts, given as salt and name; return whether the store accepted."""
+        """Free parts, given as salt and name; return whether the store accepted.
+
+        Raises
+        ------
+        UpstreamNotSentError
+            If the call was not sent, for example as no connection was made in time.
+        UpstreamBrokenError
+            If it is unknown whether the store accepted.
+        """
         response = await self._client.async_call(
             "POST",
             address,
             PATH_PART_FREE,
             timeout_s=CALL_TIMEOUT_S,
             body=msgspec.json.encode({"parts": list(parts), "bootEpoch": epoch}),
+            send_by_s=send_by_s,
         )
         return response.status in (STATUS_OK, STATUS_ACCEPTED)
 
--- a/tests/components/kv_tier/test_coordinator.py
+++ b/tests/components/kv_tier/test_coordinator.py
@@ -1,7 +1,7 @@
 """Plans of fetches and saves from the events of the stores."""
 
 import asyncio
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import pytest
@@ -71,7 +71,11 @@
         )
 
     async def async_free(
-        self, address: str, epoch: int, parts: Sequence[tuple[str, str]]
+        self,
+        address: str,
+        epoch: int,
+        parts: Sequence[tuple[str, str]],
+        send_by_s: Callable[[], float],
     ) -> bool:
         return True
 
--- a/tests/components/kv_tier/test_relayed_events.py
+++ b/tests/components/kv_tier/test_relayed_events.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import pytest
@@ -59,7 +59,11 @@
         return self._answer(0)
 
     async def async_free(
-        self, address: str, epoch: int, parts: Sequence[tuple[str, str]]
+        self,
+        address: str,
+        epoch: int,
+        parts: Sequence[tuple[str, str]],
+        send_by_s: Callable[[], float],
     ) -> bool:
         return True
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -94,6 +94,7 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: Iterable[Header] = (),
+        send_by_s: Callable[[], float] | None = None,
     ) -> HttpResponse:
         return self.response
 
