Reserve the ports of started processes until they end

Callers saw tests of real processes fail with "TimeoutError" while waiting for readiness.

Cause: free_port() of tests/process/platform_fleet.py and of bench/processes.py closed its probe before the next draw and before the process listened. The first host alone was probed, and no datagram port, although the peers' datagrams use the internal port. An engine of the bench that is restarted came back on a port of the ephemeral range that nothing held meanwhile.

Change: reserve_ports() in bench/processes.py, used by the platform's tests, the soak and the bench's fleet, binds every port on every host and keeps it bound, outside the ephemeral range where the kernel leaves enough room. SO_REUSEADDR is set after the bind, so that listeners of the started processes can share the port and no other reservation can. Datagram ports are checked only, since datagram listeners do not set the option. bench/capacity/entry_cost.py keeps its retry without the reason that no longer holds.

The whole range is reserved because the settings promise it.

--- a/bench/capacity/entry_cost.py
+++ b/bench/capacity/entry_cost.py
@@ -55,10 +55,7 @@
 
 
 def measure(count: int) -> EntryPoint:
-    """Measure ``count`` entries; retry if processes fail to start.
-
-    A port that was free when it was chosen can be taken before its process binds it.
-    """
+    """Measure ``count`` entries; retry if processes fail to start."""
     for _ in range(MAX_START_ATTEMPTS - 1):
         try:
             return measure_once(count)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -33,7 +33,6 @@
     ChildProcess,
     ProcessError,
     ProcessGroup,
-    free_port,
     is_ready,
     request_json,
     run_config,
@@ -97,12 +96,13 @@
     def __init__(self, group: ProcessGroup, plan: FleetPlan) -> None:
         self._group = group
         self._plan = plan
-        self._ports: list[tuple[int, int]] = []
+        self._ports: list[list[int]] = []
         self.table = group.start_standin("table", **plan.table_options)
         self.instances = group.start_standin("instances", lag_s=plan.instance_lag_s)
         self.weights = group.start_standin("weights")
         self.store = group.start_standin("kv-store", bytes_per_s=LINK_BYTES_PER_S)
-        self.engines = [self._start_engine(i) for i in range(plan.engines)]
+        engine_ports = group.reserve_ports(plan.engines)
+        self.engines = [self._start_engine(i, p) for i, p in enumerate(engine_ports)]
         self.plain = [
             group.start_standin("plain", **plan.plain_options)
             for _ in range(plan.plain_services)
@@ -119,7 +119,7 @@
 
     def start_entry(self) -> ChildProcess:
         """Start another entry without waiting until it is ready."""
-        self._ports.append((free_port(), free_port()))
+        self._ports.append(self._group.reserve_ports(2))
         entry = self._launch_entry(len(self._ports) - 1)
         self.entries.append(entry)
         return entry
@@ -223,7 +223,7 @@
             **self._plan.entry_settings,
         )
 
-    def _start_engine(self, index: int, port: int = 0) -> ChildProcess:
+    def _start_engine(self, index: int, port: int) -> ChildProcess:
         return self._group.start_standin(
             "engine",
             port=port,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,5 +1,6 @@
 """Processes on loopback for demo, benchmarks, process tests and fault runs."""
 
+import errno
 import json
 import os
 import random
@@ -13,8 +14,10 @@
 import urllib.error
 import urllib.request
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from functools import cached_property
+from itertools import product
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Final, Self
@@ -25,7 +28,10 @@
 HTTP_TIMEOUT_S: Final = 5.0
 HOST: Final = "127.0.0.1"
 FIRST_PORT: Final = 12_000
-LAST_PORT: Final = 32_000
+LAST_PORT: Final = 65_535
+MIN_PORTS: Final = 1_000
+MAX_PORT_DRAWS: Final = 1_000
+EPHEMERAL_RANGE_PATH: Final = Path("/proc/sys/net/ipv4/ip_local_port_range")
 PEER_KEY: Final = "loopback-peer-key-0123456789"
 STANDIN_MODULE: Final = "banyanswitch_standins.cli"
 ENTRY_MODULE: Final = "banyanswitch.cli.entry"
@@ -145,6 +151,7 @@
 
     def __enter__(self) -> Self:
         self._directory = tempfile.TemporaryDirectory(prefix="banyanswitch-")
+        self._ports = ExitStack()
         return self
 
     def __exit__(
@@ -158,8 +165,13 @@
             child.signal(signal.SIGKILL)
         for child in self.children:
             child.process.wait(STOP_TIMEOUT_S)
+        self._ports.close()
         self._directory.cleanup()
 
+    def reserve_ports(self, count: int) -> list[int]:
+        """Reserve ports on `HOST` until the group exits."""
+        return reserve_ports((HOST,), (1,) * count, self._ports)
+
     def start(
         self,
         name: str,
@@ -260,21 +272,87 @@
     return time.monotonic() - started_at_s
 
 
-def free_port() -> int:
-    """Return a port on which no process listens.
+def reserve_ports(
+    hosts: Sequence[str], sizes: Sequence[int], reservations: ExitStack
+) -> list[int]:
+    """Reserve disjoint ranges of ports that are free on every host.
+
+    A socket stays bound to each port on each host until ``reservations`` closes. No
+    other reservation and no socket that lets the kernel choose its port gets the port
+    meanwhile. A process can listen on it, because the reserving sockets don't listen
+    and listeners set ``SO_REUSEADDR``. For datagrams a port is only checked, because
+    datagram listeners don't set that option.
+
+    Parameters
+    ----------
+    hosts : sequence of str
+        Addresses on which processes will listen.
+    sizes : sequence of int
+        Number of consecutive ports in each range.
+    reservations : ExitStack
+        Releases the ports when it closes.
+
+    Returns
+    -------
+    first_ports : list of int
+        First port of each range.
+
+    Raises
+    ------
+    ProcessError
+        If `MAX_PORT_DRAWS` draws give no free range.
+    OSError
+        If a host isn't an address of this machine.
+    """
+    ports = ports_outside(EPHEMERAL_RANGE_PATH.read_text())
+    return [_reserve_range(hosts, size, ports, reservations) for size in sizes]
+
 
-    The port is below the ephemeral range, so no outgoing connection can take it
-    before the process listens. It is not reserved: another process can still listen
-    on it first.
+def ports_outside(ephemeral_range: str) -> range:
+    """Return the ports to reserve from, given the kernel's ephemeral range.
+
+    Outgoing connections take their ports from the ephemeral range. If too few ports
+    are outside it, all ports are returned.
+
+    Parameters
+    ----------
+    ephemeral_range : str
+        Lowest and highest port of the range, as the kernel prints them.
     """
-    while True:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as listener:
+    lowest, highest = map(int, ephemeral_range.split())
+    below = range(FIRST_PORT, lowest)
+    above = range(max(FIRST_PORT, highest + 1), LAST_PORT + 1)
+    ports = max(below, above, key=len)
+    return ports if len(ports) >= MIN_PORTS else range(FIRST_PORT, LAST_PORT + 1)
+
+
+def _reserve_range(
+    hosts: Sequence[str], size: int, ports: range, reservations: ExitStack
+) -> int:
+    for _ in range(MAX_PORT_DRAWS):
+        first = random.randrange(ports.start, ports.stop - size + 1)
+        with ExitStack() as draw:
             try:
-                listener.bind((HOST, port))
-            except OSError:
+                for port, host in product(range(first, first + size), hosts):
+                    _reserve_port(host, port, draw)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
                 continue
-        return port
+            reservations.enter_context(draw.pop_all())
+            return first
+    raise ProcessError(f"no {size} consecutive free ports on {', '.join(hosts)}")
+
+
+def _reserve_port(host: str, port: int, reservations: ExitStack) -> None:
+    reserving = reservations.enter_context(socket.socket())
+    reserving.bind((host, port))
+    # Set after the bind, which would otherwise succeed on another reservation's port.
+    reserving.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Checked after the bind, so that the check can't disturb a process that starts on
+    # a reserved port.
+    with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+        datagrams.bind((host, port))
 
 
 def _flags(options: Mapping[str, object]) -> list[str]:
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -6,13 +6,14 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from pathlib import Path
 
 import aiohttp
 from aiohttp import web
+from bench.processes import reserve_ports
 
 from banyanswitch_standins.users_platform.store import PlatformStore
 from banyanswitch_standins.users_platform.upstream import PlatformUpstream
@@ -26,6 +27,8 @@
     "Deadline-Ms": "5000",
 }
 GRACE_S = 3.0
+PORTS = {"front": 1, "ready": 1, "directory": 1, "internal": 6}
+"""Number of consecutive ports of each listener."""
 
 
 def configuration(version: int, prefixes: tuple[str, ...] = ("/once/",)) -> bytes:
@@ -75,12 +78,6 @@
     return json.dumps(document).encode()
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOSTS[0], 0))
-        return int(probe.getsockname()[1])
-
-
 class Platform:
     """Stand-ins and processes of one test."""
 
@@ -88,9 +85,9 @@
         self.folder = folder
         self.store = PlatformStore()
         self.upstreams = {name: PlatformUpstream(name) for name in ("i-1", "i-2")}
-        self.ports = {
-            name: free_port() for name in ("front", "ready", "directory", "internal")
-        }
+        self._reservations = ExitStack()
+        first_ports = reserve_ports(HOSTS, tuple(PORTS.values()), self._reservations)
+        self.ports = dict(zip(PORTS, first_ports, strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._runners: list[web.AppRunner] = []
         self._addresses: dict[str, str] = {}
@@ -129,6 +126,7 @@
             if process.returncode is None:
                 process.kill()
             await process.wait()
+        self._reservations.close()
         await self.session.close()
         for runner in self._runners:
             await runner.cleanup()
@@ -194,7 +192,7 @@
 nodeName = "node-{host}"
 ip = "{host}"
 zone = "z1"
-internalPortRange = [{internal}, {internal + 5}]
+internalPortRange = [{internal}, {internal + PORTS["internal"] - 1}]
 seedAddresses = ["{HOSTS[0]}:1", "{HOSTS[1]}:1"]
 [listen]
 front = "{host}:{self.ports["front"]}"
