Test a target time that is learned as a start limit expires

Without the check for an expired limit in StartLimits._on_targets, a target time learned in the same iteration of the loop raises RuntimeError ("Cannot change state of expiring Timeout") in the handlers of the table and of reports.

--- a/tests/components/forwarding/test_start_limits.py
+++ b/tests/components/forwarding/test_start_limits.py
@@ -13,6 +13,7 @@
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from tests.components.forwarding import test_start_on_superseded_weights
 from tests.components.forwarding.fakes import (
+    MODEL,
     RETRY_AFTER,
     SERVICE,
     FakePool,
@@ -253,3 +254,26 @@
     await handling
     assert only_exchange(old).closed_at_s is not None
     assert reply.status == 504
+
+
+# Guards against an error in the table's handlers from a limit that has just expired.
+async def test_target_time_that_is_learned_as_the_limit_expires_is_recorded() -> None:
+    instance = Instance()
+    instance.add("old", 1, queue_s=None)
+    superseded_at_s = instance.name_target(2)
+    _, handling = instance.send(Repeatability.ONCE)
+    await asyncio.sleep(1.0)
+    recorded = asyncio.get_running_loop().create_future()
+
+    def note_time() -> None:
+        try:
+            instance.routing.note_target_time(MODEL, 2, superseded_at_s - 0.1)
+        except RuntimeError as error:
+            recorded.set_exception(error)
+        else:
+            recorded.set_result(None)
+
+    # Due in the same iteration of the loop, after the limit.
+    asyncio.get_running_loop().call_at(superseded_at_s + START_BY_S + 1e-10, note_time)
+    await recorded
+    await handling
