Report a request that was withdrawn while connecting as not run

Callers saw: 502 for a request that may run once, though no byte of it had been sent. Cause: the start limit also covers making the connection, and every expiry counted as a request that may have run. The upstream is not ejected, as it did not fail.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -24,6 +24,7 @@
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.exceptions import (
     NotRunError,
+    StartTimeoutError,
     UpstreamBrokenError,
     UpstreamFailureError,
 )
@@ -103,9 +104,10 @@
         UpstreamNotSentError
             If no byte of the request was sent.
         NotRunError
-            If the upstream reports that it did not run the request.
+            If the upstream reports that it did not run the request, or its weights
+            became too old before the request was sent.
         StartTimeoutError
-            If the upstream did not begin to respond before its weights were too old.
+            If the upstream did not start to respond before its weights were too old.
         UpstreamFailureError
             If the upstream responded with a server error and ``is_last`` is false.
         UpstreamBrokenError
@@ -129,6 +131,10 @@
             await self._async_relay(connection, head, response, placed, is_last=is_last)
             self._pool.release(address, connection)
             is_released = True
+        except StartTimeoutError as error:
+            if self.has_sent:
+                raise
+            raise NotRunError(str(error)) from error
         except (NotRunError, UpstreamFailureError):
             if connection is not None:
                 self._pool.release(address, connection)
