Spend no retry budget on withdrawn requests that no upstream can take

When the weights of all upstreams become too old at the same moment, every request that waits at one is withdrawn at once. Now the upstream is looked for first. The test failed before at instance.retry_budget_left() >= before.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -58,6 +58,7 @@
 from banyanswitch.decisions.retry import (
     FailedAttempt,
     GiveUp,
+    GiveUpReason,
     Retrier,
     Retry,
     shared_retry_policy,
@@ -356,6 +357,10 @@
         outcome: RunOutcome,
         now_s: float,
     ) -> Retry | GiveUp:
+        if isinstance(error, StartTimeoutError) and not self._has_upstream(
+            context, now_s
+        ):
+            return GiveUp(GiveUpReason.NO_UPSTREAM, 0.0)
         attempts = context.sent
         if attempts >= context.route.max_attempts:
             attempts = Retrier.ATTEMPTS_EXHAUSTED
@@ -373,6 +378,14 @@
         )
         return self._retrier(context.service.name).decide(failed, now_s)
 
+    def _has_upstream(self, context: _RequestContext, now_s: float) -> bool:
+        """Return whether an upstream can take another attempt.
+
+        At the end of a start limit all its requests are withdrawn at once. Without this
+        check they would spend the retry budget of later failures for nothing.
+        """
+        return self._place(context, now_s, is_wait_over=False) is not None
+
     def _retrier(self, service: ServiceName) -> Retrier:
         instances = max(1, self._instance_count())
         now_s = self._loop.time()
--- a/src/banyanswitch/decisions/retry.py
+++ b/src/banyanswitch/decisions/retry.py
@@ -75,6 +75,7 @@
     MAY_HAVE_RUN = "may_have_run"
     ATTEMPTS = "attempts"
     BUDGET = "budget"
+    NO_UPSTREAM = "no_upstream"
     DEADLINE = "deadline"
 
 
--- a/tests/components/forwarding/test_start_limits.py
+++ b/tests/components/forwarding/test_start_limits.py
@@ -277,3 +277,17 @@
     asyncio.get_running_loop().call_at(superseded_at_s + START_BY_S + 1e-10, note_time)
     await recorded
     await handling
+
+
+# Guards against spending the retry budget on attempts that no upstream can take.
+async def test_withdrawn_request_without_another_upstream_spends_no_budget() -> None:
+    instance = Instance()
+    old = instance.add("old", 1, queue_s=None)
+    instance.name_target(2)
+    await asyncio.sleep(1.0)
+    before = instance.retry_budget_left()
+    reply, handling = instance.send(Repeatability.REPEATABLE)
+    await handling
+    assert only_exchange(old).closed_at_s == pytest.approx(now_s())
+    assert reply.status == 502
+    assert instance.retry_budget_left() >= before
--- a/tests/components/forwarding/test_start_on_superseded_weights.py
+++ b/tests/components/forwarding/test_start_on_superseded_weights.py
@@ -166,6 +166,9 @@
         loads = {upstream.name: Load(4, tokens, CAPACITY_TOKENS - 1_000)}
         self.upstreams.loads.note_remote("other", loads, now_s())
 
+    def retry_budget_left(self) -> float:
+        return self._forwarder._retrier(SERVICE).budget_left(now_s())
+
     def send(
         self, repeatability: Repeatability, *, time_left_s: float = 30.0
     ) -> tuple[FakeReply, asyncio.Task[None]]:
