Keep target times from moving with each report between instances

Reports state the age of a target version in milliseconds, rounded to the nearest one, and receivers keep the earliest time that they know. Half of the reports made the time earlier, and each change was reported on. Ages are rounded down now, and differences below their resolution don't count.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -64,6 +64,9 @@
 before the next version is named, an upstream has loaded it, which takes at least 1.5 s,
 and `FREE_DELAY_S` has passed."""
 
+TARGET_TIME_RESOLUTION_S: Final = 0.001
+"""Resolution of the ages of target weight versions in the instances' reports."""
+
 MIN_TIME_LEFT_S: Final = 0.03
 """Remaining time below which no attempt is sent."""
 
--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from banyanswitch.components.forwarding.const import TARGET_TIME_RESOLUTION_S
 from banyanswitch.components.forwarding.models import (
     ForwardedWorkspace,
     ForwardingConfiguration,
@@ -119,10 +120,13 @@
 
     @callback
     def note_target_time(self, model: str, version: int, target_since_s: float) -> None:
-        """Record when a version became the target, unless an earlier time is known."""
+        """Record when a version became the target, unless an earlier time is known.
+
+        Differences below `TARGET_TIME_RESOLUTION_S` don't count.
+        """
         target = self._targets.setdefault(model, WeightTarget(0, {}))
         known_s = target.target_since_s.get(version)
-        if known_s is None or target_since_s < known_s:
+        if known_s is None or target_since_s <= known_s - TARGET_TIME_RESOLUTION_S:
             target.target_since_s[version] = target_since_s
             self._notify_targets(model)
 
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -1,6 +1,7 @@
 """Sending and receiving of reports between instances."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -26,6 +27,8 @@
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.interfaces import PeerDirectory
 
+MILLISECONDS_PER_S = 1000.0
+
 
 @dataclass(frozen=True, slots=True)
 class _ObservedWeights:
@@ -176,7 +179,7 @@
             ],
             target_ages_s={
                 model: {
-                    version: round(now_s - at_s, 3)
+                    version: _reported_age_s(now_s - at_s)
                     for version, at_s in target.target_since_s.items()
                     if now_s - at_s <= VERSION_AGE_RETENTION_S
                 }
@@ -276,5 +279,14 @@
             self._tier.note_floor(model, floor)
 
 
+def _reported_age_s(age_s: float) -> float:
+    """Round an age down to milliseconds.
+
+    The earliest known time of a version applies, so an age that was rounded up would
+    make it earlier with each report.
+    """
+    return math.floor(age_s * MILLISECONDS_PER_S) / MILLISECONDS_PER_S
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -130,6 +130,20 @@
     assert now_s() - target.target_since_s[2] == pytest.approx(30.0, abs=0.01)
 
 
+# Guards against target times that become earlier with each report between instances.
+async def test_reports_do_not_move_target_times() -> None:
+    first, second = make_nodes(2)
+    at_s = now_s() - 0.0307
+    for node in (first, second):
+        node.routing.note_target_time(MODEL, 2, at_s)
+    for _ in range(200):
+        await asyncio.sleep(0.0123)
+        first.exchange.report_now()
+        second.exchange.report_now()
+    for node in (first, second):
+        assert node.routing.targets[MODEL].target_since_s[2] == at_s
+
+
 @pytest.mark.parametrize("instances", [8, 91, 330])
 async def test_rate_of_urgent_reports_is_bounded(instances: int) -> None:
     """Long prompts start or end 50 times a second, each with an urgent report."""
