--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -37,7 +37,6 @@
     must_wait,
     prefill_cost_tokens,
 )
-from banyanswitch.decisions.weight_age import may_queue_at_upstream
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 
 MIN_HEALTH = 0.05
@@ -58,8 +57,9 @@
     Parameters
     ----------
     is_wait_over : bool
-        Whether the request can't wait at this instance any longer, so that it is sent
-        to an upstream without room for it if there is no other.
+        Whether the request can't wait at this instance any longer. It is then sent to
+        an upstream without room for it, unless the upstream's weights would soon be too
+        old to start it.
     """
 
     metadata: RequestMetadata
@@ -227,20 +227,23 @@
         choice: UpstreamChoiceRequest,
         now_s: float,
     ) -> list[UpstreamView]:
-        """Return the upstreams that begin the request before their weights are too old.
+        """Return the upstreams that have time to start a request that can't wait here.
 
-        An upstream without room for the request begins it at an unknown time.
+        An upstream without room for it starts it at an unknown time, and superseded
+        weights may be too old by then.
         """
         model = request.metadata.model if request.service.engine else None
         ends_at_s = now_s + request.time_left_s
         startable = []
         for view, state in zip(views, states, strict=True):
             version = self._weight_version(state, model)
-            start_by_s = None
-            if model is not None and version is not None:
-                start_by_s = self._start_limits.start_by_s(model, version)
             has_room = not must_wait(view, choice, self._policy)
-            if has_room or may_queue_at_upstream(start_by_s, ends_at_s):
+            if (
+                has_room
+                or model is None
+                or version is None
+                or self._start_limits.may_queue(model, version, ends_at_s, now_s)
+            ):
                 startable.append(view)
         return startable
 
--- a/src/banyanswitch/components/forwarding/start_limits.py
+++ b/src/banyanswitch/components/forwarding/start_limits.py
@@ -1,4 +1,4 @@
-"""Limits on the time at which upstreams begin requests on superseded weights."""
+"""Limits on the time at which upstreams start requests on superseded weights."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -21,7 +21,7 @@
 class StartLimits:
     """Limit how long requests wait at upstreams whose weights are superseded.
 
-    A request may wait in an upstream's queue until its weights are too old to begin it.
+    A request may wait in an upstream's queue until its weights are too old to start it.
     A version can also be superseded while the request waits.
 
     Parameters
@@ -48,17 +48,25 @@
 
     @callback
     def start_by_s(self, model: str, version: int) -> float | None:
-        """Return the loop time by which requests must begin, ``None`` for no limit."""
+        """Return the loop time by which requests must start, ``None`` for no limit."""
         superseded_at_s = self._routing.superseded_at_s(model, version)
         if superseded_at_s is None:
             return None
         return self._policy.start_by_s(superseded_at_s)
 
+    @callback
+    def may_queue(
+        self, model: str, version: int, ends_at_s: float, now_s: float
+    ) -> bool:
+        """Return whether a request may wait at an upstream that has no room for it."""
+        superseded_at_s = self._routing.superseded_at_s(model, version)
+        return self._policy.may_queue_at_upstream(superseded_at_s, ends_at_s, now_s)
+
     @asynccontextmanager
     async def async_limit(
         self, model: str | None, version: int | None
     ) -> AsyncIterator[None]:
-        """Limit the time in the context, which ends when the request has begun.
+        """Limit the time in the context, which ends when the request has started.
 
         The limit follows the target versions. Without a model or a version there is
         none.
@@ -66,7 +74,7 @@
         Raises
         ------
         StartTimeoutError
-            If the request has not begun in time.
+            If the request has not started in time.
         """
         if model is None or version is None:
             yield
@@ -84,7 +92,7 @@
             if not timeout.expired():
                 raise
             raise StartTimeoutError(
-                f"not begun before weight version {version} of {model} was too old"
+                f"not started before weight version {version} of {model} was too old"
             ) from error
 
     def _on_targets(self, model: str) -> None:
--- a/tests/components/forwarding/test_start_limits.py
+++ b/tests/components/forwarding/test_start_limits.py
@@ -32,7 +32,7 @@
 pytestmark = pytest.mark.looptime
 POLICY = WeightAgePolicy(deadline_s=WEIGHTS_DEADLINE_S)
 SEND_UNTIL_S = POLICY.send_share * WEIGHTS_DEADLINE_S
-START_BY_S = POLICY.start_share * WEIGHTS_DEADLINE_S
+START_BY_S = POLICY.start_by_s(0.0)
 
 
 class SlowPool(FakePool):
