Tell a withdrawn request from a broken one in logs and pages

A 502 after a withdrawal had the reason upstream_broke_off, though this instance ended the attempt. Its reason is weights_too_old now.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -80,7 +80,8 @@
 
 MAX_QUEUE_WAIT_S: Final = 2.5
 """Maximum time that a request with a large prefill waits in the local queue; after it,
-the request is sent and queues at the upstream. By then the request has missed its
+the request is sent and queues at the upstream, or is refused if the weights of all
+upstreams would soon be too old to start it. By then the request has missed its
 latency objective of 1 s, but not its deadline of 10 s."""
 
 MAX_QUEUE_WAIT_SHARE: Final = 0.25
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -411,7 +411,10 @@
             context.reply.abort()
             return
         if context.may_have_run:
-            refusal = Refusal(STATUS_BAD_GATEWAY, RefusalReason.BROKEN)
+            reason = RefusalReason.BROKEN
+            if isinstance(error, StartTimeoutError):
+                reason = RefusalReason.WITHDRAWN
+            refusal = Refusal(STATUS_BAD_GATEWAY, reason)
         else:
             reason = RefusalReason.REFUSED
             if isinstance(error, UpstreamNotSentError):
--- a/src/banyanswitch/components/forwarding/refusals.py
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -23,6 +23,7 @@
     NOT_REACHED = "upstream_not_reached"
     REFUSED = "refused_by_upstream"
     BROKEN = "upstream_broke_off"
+    WITHDRAWN = "weights_too_old"
     TIMEOUT = "timeout"
     LEAVING = "instance_leaving"
     MEMORY = "instance_memory"
--- a/src/banyanswitch/components/forwarding/wait_queue.py
+++ b/src/banyanswitch/components/forwarding/wait_queue.py
@@ -11,7 +11,7 @@
 
     A change wakes all of them, but only the first request of each service is sent to an
     upstream with capacity, so that later ones do not overtake it. A request that has
-    reached its maximum wait is sent regardless of its position.
+    reached its maximum wait is sent or refused regardless of its position.
     """
 
     def __init__(self) -> None:
--- a/src/banyanswitch/exceptions.py
+++ b/src/banyanswitch/exceptions.py
@@ -96,7 +96,7 @@
 
 
 class StartTimeoutError(UpstreamError):
-    """A sent request was withdrawn before the upstream began to respond.
+    """A request was withdrawn before the upstream started to respond.
 
     Its weights would have been too old. The request may have run all the same.
     """
