Keep an upstream without an entry only for a time after the store's return

The entry vanished at 25.5 s, and since a call had failed in the last 3 s the instance took it for one that expired in the outage, and kept the upstream for 2.2 s from then on. The platform restores such entries within about 2 s of the store's return, so the time counts from that return; later, a missing entry means a departure. Class: a permission that is not bound to the event that justifies it.

Ruled out: the withdrawal of requests, which concerns model services only; six other instances dropped the upstream at 25.53 to 25.59 s.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -3,12 +3,9 @@
 from typing import Final
 
 MISSING_ENTRY_GRACE_S: Final = 2.2
-"""Time for which an upstream is kept after its entry vanished around an outage of the
-store; the platform restores expired entries within about 2 s."""
-
-OUTAGE_WINDOW_S: Final = 3.0
-"""Time after a failed call to the store in which a missing entry may have expired
-because of the outage."""
+"""Time after the store's return for which an upstream without an entry is kept. The
+platform restores the entries that expired in an outage within about 2 s; one that
+vanishes later has left."""
 
 LOADING_NOTICE_TTL_S: Final = 2.0
 """Validity of a notice that an upstream is loading weights. The instance that ordered
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -8,7 +8,6 @@
 from banyanswitch.components.forwarding.const import (
     LOADING_NOTICE_TTL_S,
     MISSING_ENTRY_GRACE_S,
-    OUTAGE_WINDOW_S,
     REFUSAL_COOLDOWN_S,
     REPLACED_COOLDOWN_S,
     SILENCE_TIMEOUT_S,
@@ -248,12 +247,25 @@
         state = self._states.get(name)
         if state is None:
             return
-        had_store_outage = now_s - self._mirror.last_failure_s < OUTAGE_WINDOW_S
-        if had_store_outage and not state.record.is_leaving:
-            state.expires_at_s = now_s + MISSING_ENTRY_GRACE_S
-            LOGGER.info("upstream_entry_missing", upstream=name)
+        expires_at_s = self._store_regained_at_s(now_s) + MISSING_ENTRY_GRACE_S
+        if now_s >= expires_at_s or state.record.is_leaving:
+            self._drop(name, "entry_removed")
             return
-        self._drop(name, "entry_removed")
+        state.expires_at_s = expires_at_s
+        LOGGER.info(
+            "upstream_entry_missing",
+            upstream=name,
+            kept_for_s=round(expires_at_s - now_s, 3),
+        )
+
+    def _store_regained_at_s(self, now_s: float) -> float:
+        """Return the loop time of the store's last return, as seen by this instance.
+
+        It is minus infinity without an outage, and the current time during one.
+        """
+        if self._mirror.last_failure_s > self._mirror.regained_at_s:
+            return now_s
+        return self._mirror.regained_at_s
 
     def _drop(self, name: UpstreamId, reason: str) -> None:
         self._states.pop(name, None)
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -44,6 +44,11 @@
         Whether the rows of the whole table were received at least once.
     content_version : int
         Version of the newest change in the copy.
+    last_failure_s : float
+        Loop time of the last failed call; minus infinity before the first one.
+    regained_at_s : float
+        Loop time of the first contact after the last failed call; minus infinity
+        before the first one.
     """
 
     def __init__(self, table: str, feed: TableFeed, generator: random.Random) -> None:
@@ -63,6 +68,7 @@
         self.content_version = 0
         self.last_contact_s = float("-inf")
         self.last_failure_s = float("-inf")
+        self.regained_at_s = float("-inf")
 
     @property
     def items(self) -> tuple[Item, ...]:
@@ -216,6 +222,8 @@
 
     def _note_contact(self) -> None:
         self.last_contact_s = asyncio.get_running_loop().time()
+        if self.last_failure_s > self.regained_at_s:
+            self.regained_at_s = self.last_contact_s
         if not self.is_connected:
             self.is_connected = True
             LOGGER.info("store_regained", table=self.table, version=self._cursor)
--- a/tests/components/forwarding/test_upstream_registry.py
+++ b/tests/components/forwarding/test_upstream_registry.py
@@ -49,6 +49,24 @@
     assert upstreams.registry.state(UpstreamId("b")) is None
 
 
+# Guards against requests to an upstream that has left after the store's return.
+@pytest.mark.parametrize("removed_after_s", [0.5, 1.4, 2.3])
+async def test_entry_is_kept_no_longer_than_the_time_after_the_stores_return(
+    removed_after_s: float,
+) -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a"))
+    upstreams.mirror.last_failure_s = now_s()
+    await asyncio.sleep(0.2)
+    upstreams.mirror.regained_at_s = regained_at_s = now_s()
+    await asyncio.sleep(removed_after_s)
+    upstreams.remove("a")
+    is_restorable = removed_after_s < MISSING_ENTRY_GRACE_S
+    assert upstreams.accepting(now_s()) == (["a"] if is_restorable else [])
+    await asyncio.sleep(regained_at_s + MISSING_ENTRY_GRACE_S + 0.01 - now_s())
+    assert upstreams.accepting(now_s()) == []
+
+
 async def test_a_leaving_entry_that_is_removed_in_an_outage_is_dropped() -> None:
     upstreams = Upstreams()
     upstreams.put(record("a", is_leaving=True))
--- a/tests/components/table_mirror/test_mirror.py
+++ b/tests/components/table_mirror/test_mirror.py
@@ -154,3 +154,18 @@
         mirror.changes_since(10)
     recent = mirror.changes_since(2 * (count - 100))
     assert recent.removed == tuple(f"t/u{n}" for n in range(count - 99, count + 1))
+
+
+async def test_time_of_the_stores_return_is_that_of_the_first_contact() -> None:
+    feed = ScriptedFeed()
+    feed.snapshots = [TableChanges(5, (), ())]
+    feed.changes = [
+        PlatformUnavailableError("down"),
+        PlatformUnavailableError("down"),
+        TableChanges(5, (), ()),
+    ]
+    mirror = TableMirror("t", feed, random.Random(1))
+    assert mirror.regained_at_s == float("-inf")
+    await async_follow(mirror)
+    assert mirror.last_failure_s < mirror.regained_at_s < mirror.last_failure_s + 1.0
+    assert mirror.last_contact_s == mirror.regained_at_s
