Let the stand-in store return from an older copy, in a new era

The stand-in could only be down or lose its history.

It is in the stand-ins since tests/standins, tests/process and tests/soak need it.

Platform.async_run_drill ran in trials with real processes, not in a committed test.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -14,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 
+from banyanswitch_standins.users_platform.drill import StoreDrill
 from banyanswitch_standins.users_platform.store import PlatformStore
 from banyanswitch_standins.users_platform.upstream import PlatformUpstream
 
@@ -98,6 +99,7 @@
         self.folder = folder
         self._version_propagation_ms = version_propagation_ms
         self.store = PlatformStore()
+        self.store_drill = StoreDrill(self.store, seed=1)
         self.upstreams = {name: PlatformUpstream(name) for name in ("i-1", "i-2")}
         self.ports = {
             name: free_port() for name in ("front", "ready", "directory", "internal")
@@ -123,6 +125,9 @@
             "servers", name, registry_entry(name, self._addresses[name], state)
         )
 
+    async def async_run_drill(self, copy_age_s: float, down_s: float) -> None:
+        await self.store_drill.async_run(copy_age_s, down_s)
+
     async def async_start_process(self, host: str) -> None:
         path = self.folder / f"{host}.toml"
         path.write_text(self._settings(host))
