Resume orders soon after a total restart by the store's clock

Cause: a started instance watched the lease record for the whole duration, as it could not know its age, and then waited as if the last renewal had been one duration ago.

Change: a record contains the time of the store's clock at which it was sent, if the writer's estimate is too low by at most CLOCK_MARGIN_S. Others count the duration from that time plus the margin, if it's earlier than their first read. The new holder's wait ends at the earlier of two limits of the previous holder's last order. Without a clock, the second limit counts from the first read of the last renewal. Suspensions are included. duty_taken logs the age and wait.

Ruled out: a shorter lease or exclusion, which would weaken the safety. Not verified: that the platform's own store sends its clock with responses to writes, as the stand-in does; without it a holder's records contain no time 20 s after its last read.

--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -17,7 +17,6 @@
     RelayedEvents,
     StoreList,
 )
-from banyanswitch.components.kv_tier.remote_clock import RemoteClock
 from banyanswitch.components.kv_tier.store_follower import StoreFollower
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.core import callback
@@ -29,6 +28,7 @@
     rounded_tokens,
     transfer_s,
 )
+from banyanswitch.helpers.remote_clock import RemoteClock
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import StoreId
 
--- a/src/banyanswitch/components/lease/const.py
+++ b/src/banyanswitch/components/lease/const.py
@@ -14,6 +14,10 @@
 MARGIN_SHARE: Final = 0.1
 """Share of the lease duration, at its end, that the holder does not use."""
 
+CLOCK_MARGIN_S: Final = 0.25
+"""Maximum error of the store's clock in a record. The time in a record counts as later
+by this margin, since the writer's estimate of the clock may be too low."""
+
 RENEWALS_PER_LEASE: Final = 3
 """Number of renewal intervals per lease duration."""
 
--- a/src/banyanswitch/components/lease/coordinator.py
+++ b/src/banyanswitch/components/lease/coordinator.py
@@ -9,6 +9,7 @@
 
 from banyanswitch.components.lease.candidates import WatcherSelector
 from banyanswitch.components.lease.const import (
+    CLOCK_MARGIN_S,
     JITTER_SHARE,
     RENEWALS_PER_LEASE,
     WRITE_ATTEMPTS,
@@ -25,6 +26,7 @@
 from banyanswitch.interfaces import (
     Lease,
     PeerDirectory,
+    StoreClock,
     TableStore,
     WriteClass,
 )
@@ -49,6 +51,9 @@
         Source of the jitter and of the random selection of reads.
     on_change : callable, optional
         Called for each duty whose lease this instance has acquired or lost.
+    clock : StoreClock, optional
+        Clock of the table service. With it, an instance that starts knows for how long
+        a lease has not been renewed, and need not watch it for its whole duration.
     """
 
     def __init__(
@@ -60,7 +65,9 @@
         lease_s: float,
         generator: random.Random,
         on_change: Callable[[LeaseChanged], None] | None = None,
+        clock: StoreClock | None = None,
     ) -> None:
+        self._clock = clock
         self._table = table
         self._on_change = on_change
         self._holder = holder
@@ -147,14 +154,16 @@
         items = await self._table.async_get([duty.key for duty in duties])
         by_key = {item.key: item for item in items}
         now_s = _now_s()
+        clock_s = self._clock.clock_s() if self._clock else None
         for duty in duties:
-            duty.observe(by_key.get(duty.key), now_s)
+            duty.observe(by_key.get(duty.key), now_s, clock_s)
 
     async def _async_write(self, duty: Duty) -> None:
         """Write the renewal or claim due; retry after a conflict or unknown outcome."""
         for _ in range(WRITE_ATTEMPTS):
             sent_at_s = _now_s()
-            write = duty.next_write(sent_at_s)
+            clock_s = self._clock.clock_s(CLOCK_MARGIN_S) if self._clock else None
+            write = duty.next_write(sent_at_s, clock_s)
             if write is None:
                 return
             try:
--- a/src/banyanswitch/components/lease/duty.py
+++ b/src/banyanswitch/components/lease/duty.py
@@ -1,8 +1,10 @@
 """State of one duty on one instance: observe, acquire, renew and release."""
 
+import math
+
 import msgspec
 
-from banyanswitch.components.lease.const import MARGIN_SHARE
+from banyanswitch.components.lease.const import CLOCK_MARGIN_S, MARGIN_SHARE
 from banyanswitch.components.lease.models import (
     LeaseRecord,
     Observation,
@@ -16,9 +18,22 @@
     """State machine of one duty, without I/O or a clock.
 
     The holder counts the lease duration from before its write is sent, and other
-    instances count it from after they have read that write. So two instances never
-    hold the lease at the same time, as long as the rates of their monotonic clocks
-    differ by less than the margin.
+    instances count it from a later time: from after they have read that write, or from
+    the time of the store's clock in the record plus `CLOCK_MARGIN_S`, if that is
+    earlier. So two instances never hold the lease at the same time, as long as the
+    rates of their monotonic clocks differ by less than the margin.
+
+    The second count needs a store's clock that is never set forward. Estimates of it
+    are never too high. A reader's that is too low only makes it wait longer; a holder's
+    makes the record look older than it is, by at most `CLOCK_MARGIN_S`, as a record
+    contains no time if the error may be larger.
+
+    The clock of a suspended machine's event loop stands still, so a holder that wakes
+    up may count its lease as valid although another one has acquired it or may do so.
+    It must check for suspensions and call `forfeit` before each effect. Its next
+    renewal may be sent before that check, but has no effect under it, and its time is
+    not before that of the last renewal that had one. The same applies to a write that
+    was delayed by the suspension and whose time is from before.
 
     Parameters
     ----------
@@ -37,6 +52,7 @@
         self._duration_s = duration_s
         self._seen: Observation | None = None
         self._lease: Lease | None = None
+        self._predecessor_renewed_by_s: float | None = None
         self._forfeited_at_s = float("-inf")
 
     def held(self, now_s: float) -> Lease | None:
@@ -45,15 +61,24 @@
             return None
         return self._lease
 
-    def observe(self, item: Item | None, now_s: float) -> None:
-        """Update the state from a record that was read."""
+    def observe(
+        self, item: Item | None, now_s: float, clock_s: float | None = None
+    ) -> None:
+        """Update the state from a record that was read.
+
+        Parameters
+        ----------
+        clock_s : float, optional
+            Time of the store's clock, in seconds; may be too low, but not too high.
+        """
         if item is None:
             self._seen = None
             return
         if self._seen is not None and self._seen.revision >= item.revision:
             return
         record = decode_lease(item.value)
-        self._seen = Observation(item.revision, record, now_s)
+        renewed_by_s = min(now_s, self._renewed_by_s(record, now_s, clock_s))
+        self._seen = Observation(item.revision, record, renewed_by_s)
         if record.holder != self._holder:
             self._lease = None
 
@@ -66,17 +91,23 @@
         self._seen = None
         self._forfeited_at_s = now_s
 
-    def next_write(self, now_s: float) -> Write | None:
-        """Return the write that renews or acquires the lease, if one is due."""
+    def next_write(self, now_s: float, clock_s: float | None = None) -> Write | None:
+        """Return the write that renews or acquires the lease, if one is due.
+
+        Parameters
+        ----------
+        clock_s : float, optional
+            Time of the store's clock, in seconds, too low by at most `CLOCK_MARGIN_S`.
+        """
         seen = self._seen
         if seen is None:
-            return self._write(fencing_token=1, renewal=0, revision=0)
-        record = seen.record
+            return self._write(1, 0, 0, clock_s)
+        token, renewal = seen.record.fencing_token, seen.record.renewal
         if self.held(now_s) is not None:
-            return self._write(record.fencing_token, record.renewal + 1, seen.revision)
+            return self._write(token, renewal + 1, seen.revision, clock_s)
         if not self._is_free(seen, now_s):
             return None
-        return self._write(record.fencing_token + 1, 0, seen.revision)
+        return self._write(token + 1, 0, seen.revision, clock_s)
 
     def release_write(self) -> Write | None:
         """Invalidate the lease and return the write that releases it, if held."""
@@ -92,20 +123,43 @@
         if sent_at_s <= self._forfeited_at_s:
             return
         record = decode_lease(write.value or b"")
+        if record.renewal == 0:
+            seen = self._seen
+            self._predecessor_renewed_by_s = seen.renewed_by_s if seen else None
         self._seen = Observation(revision, record, sent_at_s)
-        expires_at_s = sent_at_s + record.duration_s * (1.0 - MARGIN_SHARE)
-        self._lease = Lease(self.name, record.fencing_token, expires_at_s, sent_at_s)
+        self._lease = Lease(
+            name=self.name,
+            fencing_token=record.fencing_token,
+            expires_at_s=sent_at_s + record.duration_s * (1.0 - MARGIN_SHARE),
+            renewed_at_s=sent_at_s,
+            predecessor_renewed_by_s=self._predecessor_renewed_by_s,
+        )
 
     def _is_free(self, seen: Observation, now_s: float) -> bool:
         if seen.record.holder in ("", self._holder):
             return True
-        return now_s - seen.seen_at_s >= seen.record.duration_s
+        return now_s - seen.renewed_by_s >= seen.record.duration_s
+
+    def _renewed_by_s(
+        self, record: LeaseRecord, now_s: float, clock_s: float | None
+    ) -> float:
+        """Return the loop time by which the record's write had been sent, or infinity.
+
+        It's too late by the error of ``clock_s`` and by what `CLOCK_MARGIN_S` exceeds
+        the error of the record's time, and never too early.
+        """
+        if clock_s is None or record.renewed_at_s is None:
+            return math.inf
+        return now_s - (clock_s - record.renewed_at_s) + CLOCK_MARGIN_S
 
-    def _write(self, fencing_token: int, renewal: int, revision: int) -> Write:
+    def _write(
+        self, fencing_token: int, renewal: int, revision: int, clock_s: float | None
+    ) -> Write:
         record = LeaseRecord(
             holder=self._holder,
             fencing_token=fencing_token,
             duration_s=self._duration_s,
             renewal=renewal,
+            renewed_at_s=clock_s,
         )
         return Write(self.key, msgspec.msgpack.encode(record), revision)
--- a/src/banyanswitch/components/lease/models.py
+++ b/src/banyanswitch/components/lease/models.py
@@ -21,12 +21,16 @@
         Validity of the lease after its last write, in seconds.
     renewal : int
         Number of the renewal; makes each write differ from the previous one.
+    renewed_at_s : float or None
+        Time of the store's clock at which the holder sent the write, in seconds; too
+        low by at most `CLOCK_MARGIN_S`. ``None`` if the holder did not know it.
     """
 
     holder: str
     fencing_token: int
     duration_s: float
     renewal: int
+    renewed_at_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,13 +39,13 @@
 
     Parameters
     ----------
-    seen_at_s : float
-        Event loop time at which this revision was first read, or its write was sent.
+    renewed_by_s : float
+        Event loop time by which the write of this revision had been sent.
     """
 
     revision: int
     record: LeaseRecord
-    seen_at_s: float
+    renewed_by_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/banyanswitch/components/table_mirror/relayed_feed.py
+++ b/src/banyanswitch/components/table_mirror/relayed_feed.py
@@ -1,5 +1,6 @@
 """Feed of a table from the store, or from another instance that reads the store."""
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -47,9 +48,9 @@
         self._client = client
         self._random = generator
 
-    def clock_s(self) -> float | None:
+    def clock_s(self, max_error_s: float = math.inf) -> float | None:
         """Return the time of the store's monotonic clock in seconds, if known."""
-        return self._store.clock_s()
+        return self._store.clock_s(max_error_s)
 
     async def async_read_table(self, table: str) -> TableChanges:
         """Return all rows of a table.
--- a/src/banyanswitch/components/weight_rollout/order_lease.py
+++ b/src/banyanswitch/components/weight_rollout/order_lease.py
@@ -12,7 +12,7 @@
 )
 from banyanswitch.core import callback
 from banyanswitch.helpers.suspension import SuspensionWatch
-from banyanswitch.interfaces import LeaseManager
+from banyanswitch.interfaces import Lease, LeaseManager
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -61,9 +61,8 @@
             return None
         if lease.fencing_token != self._token:
             self._token = lease.fencing_token
-            is_first = lease.fencing_token == 1
-            self._starts_at_s = now_s + (0.0 if is_first else self._handover_s())
-            LOGGER.info("duty_taken", duty=DUTY, fencing_token=lease.fencing_token)
+            self._starts_at_s = self._handover_ends_at_s(lease, now_s)
+            self._log_taken(lease, now_s)
         is_fresh = now_s - lease.renewed_at_s <= ORDER_WINDOW_S
         return self._token if now_s >= self._starts_at_s and is_fresh else None
 
@@ -79,13 +78,33 @@
         self._leases.forfeit(DUTY)
         self._token = 0
 
-    def _handover_s(self) -> float:
-        """Return the time that a new holder waits before its first order, in seconds.
+    def _handover_ends_at_s(self, lease: Lease, now_s: float) -> float:
+        """Return the event loop time of a new holder's first order.
 
         The previous holder sent its last order at most `ORDER_WINDOW_S` after a
         renewal, and its lease could be acquired `LEASE_S` after that renewal at the
         earliest. A holder that releases its lease stops sending orders at least
-        `LEASE_S - ORDER_WINDOW_S` before the release.
+        `LEASE_S - ORDER_WINDOW_S` before the release. If a time by which it had sent
+        its last renewal is known, its last order was at most `ORDER_WINDOW_S` later.
+        Both limit the time of the same order, so the earlier limit applies. Holders
+        before the previous one sent their last renewals before it did.
         """
-        passed_s = LEASE_S - ORDER_WINDOW_S
-        return max(0.0, self._exclusion_s + HANDOVER_MARGIN_S - passed_s)
+        if lease.fencing_token == 1:
+            return now_s
+        last_order_s = now_s - (LEASE_S - ORDER_WINDOW_S)
+        renewed_by_s = lease.predecessor_renewed_by_s
+        if renewed_by_s is not None:
+            last_order_s = min(last_order_s, renewed_by_s + ORDER_WINDOW_S)
+        return max(now_s, last_order_s + self._exclusion_s + HANDOVER_MARGIN_S)
+
+    def _log_taken(self, lease: Lease, now_s: float) -> None:
+        renewed_by_s = lease.predecessor_renewed_by_s
+        LOGGER.info(
+            "duty_taken",
+            duty=DUTY,
+            fencing_token=lease.fencing_token,
+            predecessor_age_s=(
+                None if renewed_by_s is None else round(now_s - renewed_by_s, 3)
+            ),
+            wait_s=round(self._starts_at_s - now_s, 3),
+        )
--- a/src/banyanswitch/components/weight_rollout/target_time_store.py
+++ b/src/banyanswitch/components/weight_rollout/target_time_store.py
@@ -12,7 +12,7 @@
 )
 from banyanswitch.components.weight_rollout.order_lease import OrderLease
 from banyanswitch.exceptions import PlatformError
-from banyanswitch.interfaces import TableFeed, TableStore, Write, WriteClass
+from banyanswitch.interfaces import StoreClock, TableStore, Write, WriteClass
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -28,7 +28,7 @@
     ----------
     table : TableStore
         Stores one row per model: times of the store's clock by version, in seconds.
-    clock : TableFeed
+    clock : StoreClock
         Provides the time of the store's clock.
     routing : RoutingState
         Target weight versions and their times.
@@ -40,7 +40,7 @@
         self,
         *,
         table: TableStore,
-        clock: TableFeed,
+        clock: StoreClock,
         routing: RoutingState,
         order_lease: OrderLease,
     ) -> None:
--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -1,5 +1,6 @@
 """Protocols and shared types through which components use each other."""
 
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -126,11 +127,24 @@
     removed: tuple[str, ...]
 
 
-class TableFeed(Protocol):
-    """Change feed of whole tables."""
+class StoreClock(Protocol):
+    """Monotonic clock of the table service, which all instances can read."""
+
+    def clock_s(self, max_error_s: float = math.inf) -> float | None:
+        """Return the clock's time in seconds, if known.
 
-    def clock_s(self) -> float | None:
-        """Return the time of the service's monotonic clock in seconds, if known."""
+        The time may be too low, since a reading is outdated when it arrives, but it is
+        not too high.
+
+        Parameters
+        ----------
+        max_error_s : float
+            Error up to which the time is returned, in seconds.
+        """
+
+
+class TableFeed(StoreClock, Protocol):
+    """Change feed of whole tables."""
 
     async def async_read_table(self, table: str) -> TableChanges:
         """Return all rows of a table.
@@ -278,12 +292,16 @@
         Event loop time at which the lease expires, with the safety margin subtracted.
     renewed_at_s : float
         Event loop time at which the last renewal was sent.
+    predecessor_renewed_by_s : float or None
+        Event loop time by which the last renewal of the previous lease had been sent;
+        ``None`` if unknown.
     """
 
     name: str
     fencing_token: int
     expires_at_s: float
     renewed_at_s: float = 0.0
+    predecessor_renewed_by_s: float | None = None
 
 
 class LeaseManager(Protocol):
--- a/src/banyanswitch/platform/tables.py
+++ b/src/banyanswitch/platform/tables.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store: tables with a change feed."""
 
 import asyncio
+import math
 from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -16,6 +17,8 @@
     UpstreamBrokenError,
     UpstreamNotSentError,
 )
+from banyanswitch.helpers.remote_clock import RemoteClock
+from banyanswitch.helpers.suspension import SuspensionClock
 from banyanswitch.interfaces import Item, TableChanges, Write, WriteClass
 from banyanswitch.platform.const import (
     MILLISECONDS_PER_S,
@@ -51,11 +54,12 @@
     rows: list[_Row] = []
     hasMore: bool = False  # noqa: N815
     ver: int = 0
-    nowMs: float = 0.0  # noqa: N815
+    nowMs: float | None = None  # noqa: N815
 
 
 class _TransactionResult(msgspec.Struct, frozen=True):
     ver: int
+    nowMs: float | None = None  # noqa: N815
 
 
 class PlatformTables:
@@ -71,19 +75,32 @@
         Host and port of the store.
     timeout_s : float
         Timeout of one call, in seconds.
+    suspension : SuspensionClock, optional
+        Time for which the machine was suspended, during which the store's clock runs
+        on while the event loop's clock stands still.
     """
 
-    def __init__(self, client: HttpClient, address: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        address: str,
+        timeout_s: float,
+        suspension: SuspensionClock | None = None,
+    ) -> None:
         self._client = client
         self._address = address
         self._timeout_s = timeout_s
-        self._clock_offset_s: float | None = None
+        self._suspension = suspension
+        self._clock = RemoteClock()
 
-    def clock_s(self) -> float | None:
+    def clock_s(self, max_error_s: float = math.inf) -> float | None:
         """Return the time of the store's monotonic clock in seconds, if known."""
-        if self._clock_offset_s is None:
+        local_s = self._local_s()
+        clock_ms = self._clock.read_ms(local_s)
+        error_s = self._clock.error_ms(local_s) / MILLISECONDS_PER_S
+        if clock_ms is None or error_s > max_error_s:
             return None
-        return asyncio.get_running_loop().time() + self._clock_offset_s
+        return clock_ms / MILLISECONDS_PER_S
 
     async def async_get(self, keys: Sequence[str]) -> tuple[Item, ...]:
         """Return the items that exist; each key is read by a call of its own."""
@@ -120,6 +137,7 @@
     ) -> tuple[int, ...]:
         """Apply all writes or none, and return the new revisions."""
         body = msgspec.json.encode(_transaction(writes))
+        requested_at_s = self._local_s()
         try:
             response = await self._client.async_call(
                 "POST",
@@ -135,8 +153,9 @@
         if response.status == STATUS_CONDITION_FAILED:
             raise ConditionFailedError([write.key for write in writes])
         _raise_for_status(response)
-        version = _decode(response, _TransactionResult, PlatformOutcomeUnknownError).ver
-        return tuple(version for _ in writes)
+        result = _decode(response, _TransactionResult, PlatformOutcomeUnknownError)
+        self._note_clock(result.nowMs, requested_at_s)
+        return tuple(result.ver for _ in writes)
 
     async def async_read_table(self, table: str) -> TableChanges:
         """Return all rows of a table and the version to continue the feed from."""
@@ -179,13 +198,22 @@
         return TableChanges(changes.ver, tuple(kept), tuple(removed))
 
     async def _async_rows(self, query: dict[str, str]) -> _Rows:
+        requested_at_s = self._local_s()
         response = await self._async_read(PATH_ROWS_GET, query, self._timeout_s)
         _raise_for_status(response)
         rows = _decode(response, _Rows, PlatformUnavailableError)
-        now_s = asyncio.get_running_loop().time()
-        self._clock_offset_s = rows.nowMs / MILLISECONDS_PER_S - now_s
+        self._note_clock(rows.nowMs, requested_at_s)
         return rows
 
+    def _note_clock(self, clock_ms: float | None, requested_at_s: float) -> None:
+        if clock_ms is not None:
+            self._clock.note(clock_ms, self._local_s(), requested_at_s)
+
+    def _local_s(self) -> float:
+        """Return the event loop's time plus that of suspensions, in seconds."""
+        suspended_s = self._suspension.suspended_s() if self._suspension else 0.0
+        return asyncio.get_running_loop().time() + suspended_s
+
     async def _async_read(
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> HttpResponse:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -195,7 +195,10 @@
         self._peer_client = HttpClient(ConnectionPool())
         self._pool = ConnectionPool()
         self._tables = PlatformTables(
-            self._store_client, self._settings.store_address, STORE_TIMEOUT_S
+            self._store_client,
+            self._settings.store_address,
+            STORE_TIMEOUT_S,
+            SystemSuspensionClock(),
         )
         self._engines = PlatformEngines(self._engine_client)
 
@@ -329,6 +332,7 @@
             holder=f"{settings.instance}/{self._incarnation}",
             lease_s=LEASE_S,
             generator=self._random,
+            clock=self._tables,
         )
         self._leases.campaign(DUTY)
         order_lease = OrderLease(
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -1,5 +1,6 @@
 """Fake rows and decoders for tests of the upstream registry."""
 
+import math
 import random
 
 import msgspec
@@ -22,7 +23,7 @@
 class NoFeed:
     """Implements ``TableFeed``; the tests apply changes directly."""
 
-    def clock_s(self) -> float | None:
+    def clock_s(self, max_error_s: float = math.inf) -> float | None:
         return None
 
     async def async_read_table(self, table: str) -> TableChanges:
--- a/tests/components/table_mirror/test_mirror.py
+++ b/tests/components/table_mirror/test_mirror.py
@@ -1,6 +1,7 @@
 """Table copies under stale reads, lost history and store outages."""
 
 import asyncio
+import math
 import random
 
 import pytest
@@ -21,7 +22,7 @@
         self.changes: list[TableChanges | Exception] = []
         self.cursors: list[int] = []
 
-    def clock_s(self) -> float | None:
+    def clock_s(self, max_error_s: float = math.inf) -> float | None:
         return None
 
     async def async_read_table(self, table: str) -> TableChanges:
--- a/tests/components/table_mirror/test_relayed_feed.py
+++ b/tests/components/table_mirror/test_relayed_feed.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import random
 from typing import Any
 
@@ -54,7 +55,7 @@
         del self.items[key]
         self.removed[f"{TABLE}/{key}"] = self.version
 
-    def clock_s(self) -> float | None:
+    def clock_s(self, max_error_s: float = math.inf) -> float | None:
         return None
 
     async def async_read_table(self, table: str) -> TableChanges:
--- a/tests/components/weight_rollout/test_order_lease.py
+++ b/tests/components/weight_rollout/test_order_lease.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from banyanswitch.components.weight_rollout.const import (
     DUTY,
@@ -13,21 +14,12 @@
 from banyanswitch.components.weight_rollout.order_lease import OrderLease
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.interfaces import Lease
+from tests.fakes.clocks import SetSuspensionClock
 
 pytestmark = pytest.mark.looptime
 EXCLUSION_S = 3.0
 
 
-class FakeClock:
-    """Implements ``SuspensionClock``."""
-
-    def __init__(self) -> None:
-        self.seconds = 0.0
-
-    def suspended_s(self) -> float:
-        return self.seconds
-
-
 class FakeLeases:
     """Implements ``LeaseManager`` for one duty."""
 
@@ -45,15 +37,15 @@
         self.lease = None
         self.forfeited += 1
 
-    def renew(self, token: int) -> None:
+    def renew(self, token: int, predecessor_renewed_by_s: float | None = None) -> None:
         now = now_s()
-        self.lease = Lease(DUTY, token, now + LEASE_S, now)
+        self.lease = Lease(DUTY, token, now + LEASE_S, now, predecessor_renewed_by_s)
 
 
 class Setup:
     def __init__(self) -> None:
         self.leases = FakeLeases()
-        self.clock = FakeClock()
+        self.clock = SetSuspensionClock()
         self.is_leaving = False
         self.order_lease = OrderLease(
             self.leases,
@@ -91,6 +83,38 @@
     assert now_s() - last_order_s >= EXCLUSION_S + HANDOVER_MARGIN_S - 0.001
 
 
+# A successor of a holder that ended long ago waited as if it had just ended.
+@pytest.mark.parametrize("age_s", [0.5, LEASE_S, 3.5, 60.0])
+async def test_a_successor_waits_no_longer_than_orders_can_be_in_effect(
+    age_s: float,
+) -> None:
+    setup = Setup()
+    renewed_by_s = now_s()
+    await asyncio.sleep(age_s)
+    acquired_at_s = now_s()
+    setup.leases.renew(2, renewed_by_s)
+    while setup.token() is None:
+        await asyncio.sleep(0.05)
+        setup.leases.renew(2, renewed_by_s)
+    handover_s = EXCLUSION_S + HANDOVER_MARGIN_S
+    ends_at_s = min(
+        renewed_by_s + ORDER_WINDOW_S + handover_s,
+        acquired_at_s + handover_s - (LEASE_S - ORDER_WINDOW_S),
+    )
+    assert now_s() >= ends_at_s - 0.001
+    assert now_s() <= max(acquired_at_s, ends_at_s) + 0.051
+
+
+async def test_duty_is_logged_with_the_age_of_its_last_renewal() -> None:
+    setup = Setup()
+    with capture_logs() as logs:
+        setup.leases.renew(2, now_s() - 4.0)
+        setup.token()
+    (line,) = [line for line in logs if line["event"] == "duty_taken"]
+    assert line["predecessor_age_s"] == 4.0
+    assert line["wait_s"] == pytest.approx(0.4)
+
+
 async def test_a_holder_that_can_not_renew_stops_well_before_its_lease_ends() -> None:
     setup = Setup()
     setup.leases.renew(1)
