--- a/src/banyanswitch/components/weight_rollout/target_time_store.py
+++ b/src/banyanswitch/components/weight_rollout/target_time_store.py
@@ -19,7 +19,7 @@
 from banyanswitch.exceptions import PlatformError
 from banyanswitch.interfaces import (
     PeerDirectory,
-    TableFeed,
+    StoreClock,
     TableStore,
     Write,
     WriteClass,
@@ -44,7 +44,7 @@
     ----------
     table : TableStore
         Stores one row per model: times of the store's clock by version, in seconds.
-    clock : TableFeed
+    clock : StoreClock
         Provides the time of the store's clock.
     routing : RoutingState
         Target weight versions and their times.
@@ -61,7 +61,7 @@
         self,
         *,
         table: TableStore,
-        clock: TableFeed,
+        clock: StoreClock,
         routing: RoutingState,
         order_lease: OrderLease,
         peers: PeerDirectory,
