Order the versions of a store by its era, and keep older entries from applying

Also: the first content of a new era counts as the store's return, so missing entries are kept for the same time as after an outage. An entry with a lower sequence than the known one of the same start is ignored, so that a leaving upstream doesn't become ready again. An upstream that was dropped and whose entry reappears unchanged in a new era gets no requests until its removal would have been written again.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -7,6 +7,10 @@
 platform restores the entries that expired in an outage within about 2 s; one that
 vanishes later has left."""
 
+MAX_DROPPED_UPSTREAMS: Final = 2_000
+"""Number of dropped upstreams whose last entry is remembered; at the target size of 780
+upstreams, it covers two full replacements."""
+
 LOADING_NOTICE_TTL_S: Final = 2.0
 """Validity of a notice that an upstream is loading weights. The instance that ordered
 the load repeats the notice with each report; without repeats it expires, so the load
--- a/src/banyanswitch/components/forwarding/models.py
+++ b/src/banyanswitch/components/forwarding/models.py
@@ -163,6 +163,8 @@
     started_at_ms : int
         Unix time of its start, in milliseconds; distinguishes two starts of an
         upstream under one identifier.
+    sequence : int
+        Number of the entry; increases with each entry of one start.
     """
 
     name: UpstreamId
@@ -173,6 +175,7 @@
     is_leaving: bool
     weight_versions: Mapping[str, int]
     started_at_ms: int
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -7,6 +7,7 @@
 
 from banyanswitch.components.forwarding.const import (
     LOADING_NOTICE_TTL_S,
+    MAX_DROPPED_UPSTREAMS,
     MISSING_ENTRY_GRACE_S,
     REFUSAL_COOLDOWN_S,
     REPLACED_COOLDOWN_S,
@@ -18,6 +19,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import Ejector
+from banyanswitch.helpers.store_version import era_of
 from banyanswitch.identifiers import ServiceName, UpstreamId
 from banyanswitch.interfaces import Item
 
@@ -42,7 +44,7 @@
         Loop time at which it is removed, if its entry is missing.
     replaced_until_s : float
         Loop time until which its address is considered to belong to another
-        upstream.
+        upstream, or the upstream to have left.
     cooldown_until_s : float
         Loop time until which it gets no requests that others can take, after a
         refusal.
@@ -59,6 +61,22 @@
     cooldown_until_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Dropped:
+    """Last known entry of a dropped upstream.
+
+    Parameters
+    ----------
+    order : tuple of int
+        Order of the entry among all of its upstream.
+    revision : int
+        Version of the copy of the table when the upstream was dropped.
+    """
+
+    order: tuple[int, int]
+    revision: int
+
+
 class UpstreamRegistry:
     """Registry of the upstreams by service.
 
@@ -90,6 +108,7 @@
         self.ejector = ejector
         self._states: dict[UpstreamId, UpstreamState] = {}
         self._by_service: dict[ServiceName, list[UpstreamId]] = {}
+        self._dropped: dict[UpstreamId, _Dropped] = {}
         mirror.subscribe(self._on_rows)
 
     @callback
@@ -223,14 +242,23 @@
             if known is not None:
                 self._drop(known.record.name, "entry_unusable")
             return
-        is_earlier_start = known and record.started_at_ms < known.record.started_at_ms
-        if known is not None and is_earlier_start:
-            LOGGER.info("entry_of_earlier_life", upstream=key)
+        if known is not None and _order(record) < _order(known.record):
+            # An earlier start, or the store has returned from an older copy.
+            LOGGER.info(
+                "entry_outdated",
+                upstream=key,
+                started_at_ms=record.started_at_ms,
+                sequence=record.sequence,
+            )
             return
         if known is None or record.started_at_ms > known.record.started_at_ms:
             self.ejector.forget(record.name)
             versions = dict(record.weight_versions)
-            self._states[record.name] = UpstreamState(record, versions, now_s, now_s)
+            state = UpstreamState(record, versions, now_s, now_s)
+            if self._may_have_left(record, item.revision):
+                state.replaced_until_s = now_s + MISSING_ENTRY_GRACE_S
+                LOGGER.info("upstream_reappeared", upstream=key, revision=item.revision)
+            self._states[record.name] = state
             LOGGER.info("upstream_joined", upstream=key, revision=item.revision)
             return
         if record.address != known.record.address:
@@ -243,6 +271,16 @@
         for model, version in record.weight_versions.items():
             self.note_weights(record.name, model, version)
 
+    def _may_have_left(self, record: UpstreamRecord, revision: int) -> bool:
+        """Return whether an entry may only be back because the store lost its removal.
+
+        Removals are written again soon after the store's return from an older copy.
+        """
+        dropped = self._dropped.get(record.name)
+        if dropped is None or era_of(revision) <= era_of(dropped.revision):
+            return False
+        return _order(record) <= dropped.order
+
     def _on_removed(self, name: UpstreamId, now_s: float) -> None:
         state = self._states.get(name)
         if state is None:
@@ -268,7 +306,14 @@
         return self._mirror.regained_at_s
 
     def _drop(self, name: UpstreamId, reason: str) -> None:
-        self._states.pop(name, None)
+        state = self._states.pop(name, None)
+        if state is not None:
+            self._dropped.pop(name, None)
+            self._dropped[name] = _Dropped(
+                _order(state.record), self._mirror.content_version
+            )
+            if len(self._dropped) > MAX_DROPPED_UPSTREAMS:
+                del self._dropped[next(iter(self._dropped))]
         self.ejector.forget(name)
         self._rebuild_index()
         LOGGER.info("upstream_gone", upstream=name, reason=reason)
@@ -280,5 +325,10 @@
             self._by_service.setdefault(service, []).append(name)
 
 
+def _order(record: UpstreamRecord) -> tuple[int, int]:
+    """Return the order of an entry among all entries of its upstream."""
+    return record.started_at_ms, record.sequence
+
+
 def _row_key(key: str) -> str:
     return key.partition("/")[2]
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -18,6 +18,7 @@
     PlatformError,
     PlatformUnavailableError,
 )
+from banyanswitch.helpers.store_version import era_of
 from banyanswitch.interfaces import Item, TableChanges, TableFeed
 
 LOGGER = structlog.get_logger(__name__)
@@ -47,8 +48,8 @@
     last_failure_s : float
         Loop time of the last failed call; minus infinity before the first one.
     regained_at_s : float
-        Loop time of the first contact after the last failed call; minus infinity
-        before the first one.
+        Loop time of the first contact after the last failed call, or of the first
+        content of a new era of the store; minus infinity before.
     """
 
     def __init__(self, table: str, feed: TableFeed, generator: random.Random) -> None:
@@ -62,6 +63,7 @@
         self._cursor: int | None = None
         # All changes and removals after this version are known.
         self._history_from = 0
+        self._era = 0
         self._waiters: set[asyncio.Future[None]] = set()
         self.is_connected = False
         self.is_loaded = False
@@ -161,6 +163,7 @@
             snapshot = await self._feed.async_read_table(self.table)
             if snapshot.version < self.content_version:
                 raise PlatformUnavailableError(f"stale read of table {self.table}")
+            self._note_era(era_of(snapshot.version))
             newest = max((item.revision for item in snapshot.items), default=0)
             version = max(newest, self.content_version)
             self.apply_snapshot(TableChanges(version, snapshot.items, ()))
@@ -173,6 +176,7 @@
             self.apply_changes(changes)
 
     def _apply(self, changes: TableChanges) -> None:
+        self._note_era(era_of(changes.version))
         changed = tuple(item for item in changes.items if self._is_newer(item))
         removed = tuple(
             key for key in changes.removed if self._is_outdated(key, changes.version)
@@ -220,6 +224,15 @@
         known = self._items.get(key)
         return known is not None and known.revision <= version
 
+    def _note_era(self, era: int) -> None:
+        """Count the first content of a new era as the store's return."""
+        if era <= self._era:
+            return
+        if self._era:
+            self.regained_at_s = asyncio.get_running_loop().time()
+            LOGGER.info("table_era_changed", table=self.table, era=era)
+        self._era = era
+
     def _note_contact(self) -> None:
         self.last_contact_s = asyncio.get_running_loop().time()
         if self.last_failure_s > self.regained_at_s:
--- a/src/banyanswitch/platform/documents.py
+++ b/src/banyanswitch/platform/documents.py
@@ -178,6 +178,7 @@
             is_leaving=entry.state == STATE_DRAINING,
             weight_versions={model.name: model.version for model in entry.models},
             started_at_ms=entry.born,
+            sequence=entry.sequence,
         )
 
 
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -32,6 +32,7 @@
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
+from banyanswitch.helpers.store_version import make_version
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 from banyanswitch.interfaces import Item, TableChanges
 
@@ -80,6 +81,7 @@
     started_at_ms: int = 1,
     is_leaving: bool = False,
     domain: str = "z1",
+    sequence: int = 0,
 ) -> UpstreamRecord:
     return UpstreamRecord(
         name=UpstreamId(name),
@@ -90,6 +92,7 @@
         is_leaving=is_leaving,
         weight_versions={MODEL: version},
         started_at_ms=started_at_ms,
+        sequence=sequence,
     )
 
 
@@ -114,6 +117,10 @@
             item = Item(f"servers/{value.name}", self._version, content)
         self.mirror.apply_changes(TableChanges(self._version, (item,), ()))
 
+    def begin_era(self, era: int) -> None:
+        """Let the store give out versions of a new era, from a low number on."""
+        self._version = make_version(era, 1)
+
     def remove(self, name: str) -> None:
         self._version += 1
         self.mirror.apply_changes(TableChanges(self._version, (), (f"servers/{name}",)))
--- a/tests/components/forwarding/test_upstream_registry.py
+++ b/tests/components/forwarding/test_upstream_registry.py
@@ -186,3 +186,45 @@
     upstreams.remove("a")
     upstreams.put(record("c"))
     assert upstreams.accepting(now_s()) == ["c"]
+
+
+# Guards against requests to a leaving upstream after the store has lost that it leaves.
+async def test_older_entry_of_a_leaving_upstream_is_ignored() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", sequence=7, is_leaving=True))
+    upstreams.begin_era(2)
+    upstreams.put(record("a", sequence=5))
+    assert upstreams.accepting(now_s()) == []
+    upstreams.put(record("a", sequence=8))
+    assert upstreams.accepting(now_s()) == ["a"]
+
+
+# Guards against requests to an upstream that left, whose removal the store has lost.
+async def test_upstream_that_reappears_in_a_new_era_gets_no_requests_for_a_time() -> (
+    None
+):
+    upstreams = Upstreams()
+    upstreams.put(record("a", sequence=7))
+    upstreams.remove("a")
+    upstreams.begin_era(2)
+    upstreams.put(record("a", sequence=7))
+    assert upstreams.accepting(now_s()) == []
+    await asyncio.sleep(MISSING_ENTRY_GRACE_S + 0.01)
+    assert upstreams.accepting(now_s()) == ["a"]
+
+
+async def test_upstream_that_has_written_again_in_a_new_era_is_used() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", sequence=7))
+    upstreams.remove("a")
+    upstreams.begin_era(2)
+    upstreams.put(record("a", sequence=8))
+    assert upstreams.accepting(now_s()) == ["a"]
+
+
+async def test_entry_that_is_written_again_in_the_same_era_is_used() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", sequence=7))
+    upstreams.remove("a")
+    upstreams.put(record("a", sequence=7))
+    assert upstreams.accepting(now_s()) == ["a"]
--- a/tests/components/table_mirror/test_mirror.py
+++ b/tests/components/table_mirror/test_mirror.py
@@ -8,6 +8,7 @@
 from banyanswitch.components.table_mirror.const import MAX_REMOVED_ROWS
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.exceptions import HistoryGoneError, PlatformUnavailableError
+from banyanswitch.helpers.store_version import make_version
 from banyanswitch.interfaces import Item, TableChanges
 
 pytestmark = pytest.mark.looptime
@@ -169,3 +170,53 @@
     await async_follow(mirror)
     assert mirror.last_failure_s < mirror.regained_at_s < mirror.last_failure_s + 1.0
     assert mirror.last_contact_s == mirror.regained_at_s
+
+
+def in_era(era: int, found: Item) -> Item:
+    return Item(found.key, make_version(era, found.revision), found.value)
+
+
+# Guards against reading whole tables for ever after versions have gone back.
+async def test_rows_of_a_new_era_replace_those_with_higher_numbers() -> None:
+    feed = ScriptedFeed()
+    old = (in_era(1, item("a", 8)), in_era(1, item("gone", 9)))
+    new = (in_era(2, item("a", 5)),)
+    feed.snapshots = [
+        TableChanges(make_version(1, 9), old, ()),
+        TableChanges(make_version(2, 6), new, ()),
+    ]
+    feed.changes = [HistoryGoneError("another era")]
+    mirror = TableMirror("t", feed, random.Random(1))
+    await async_follow(mirror)
+    assert revisions(mirror) == {"t/a": make_version(2, 5)}
+    assert feed.cursors == [make_version(1, 9), make_version(2, 6)]
+    assert feed.snapshots == []
+
+
+# Guards against rows that a copy of an earlier era brings back.
+async def test_copy_of_an_earlier_era_changes_nothing() -> None:
+    mirror = TableMirror("t", ScriptedFeed(), random.Random(1))
+    mirror.apply_snapshot(
+        TableChanges(make_version(2, 5), (in_era(2, item("a", 5)),), ())
+    )
+    old = (in_era(1, item("a", 8)), in_era(1, item("gone", 9)))
+    mirror.apply_snapshot(TableChanges(make_version(1, 9), old, ()))
+    mirror.apply_changes(TableChanges(make_version(1, 9), old, ()))
+    assert mirror.items[0].revision == make_version(2, 5)
+    assert mirror.content_version >= make_version(2, 5)
+
+
+# Guards against dropping upstreams whose entries are missing in an older copy at once.
+async def test_new_era_counts_as_the_stores_return() -> None:
+    mirror = TableMirror("t", ScriptedFeed(), random.Random(1))
+    mirror.apply_snapshot(
+        TableChanges(make_version(1, 5), (in_era(1, item("a", 5)),), ())
+    )
+    assert mirror.regained_at_s == float("-inf")
+    regained_at_s = []
+    mirror.subscribe(
+        lambda _changed, _removed: regained_at_s.append(mirror.regained_at_s)
+    )
+    await asyncio.sleep(3.0)
+    mirror.apply_snapshot(TableChanges(make_version(2, 4), (), ()))
+    assert regained_at_s == [asyncio.get_running_loop().time()]
