--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -1,6 +1,7 @@
 """Fake rows, decoders, upstreams and callers for tests of forwarding."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -47,7 +48,7 @@
 class NoFeed:
     """Implements ``TableFeed``; the tests apply changes directly."""
 
-    def clock_s(self) -> float | None:
+    def clock_s(self, max_error_s: float = math.inf) -> float | None:
         return None
 
     async def async_read_table(self, table: str) -> TableChanges:
