Follow the platform's store after it has returned from an older copy

A cursor of an earlier era reads the whole table, also if its number exists again; a write that expects a revision of an earlier era isn't sent, and one that is answered in another era counts as unknown.

No lease of an earlier era is valid. A record that was acquired in an earlier era, or a missing one, counts as just renewed, whatever holder it names, and tokens of an era are above those of all earlier ones. Stored target times are read and completed again, spread over 2 s.

Two tests of the table client read from versions 0 and 1 of the store; they name the era now, without which such a version belongs to another one.

--- a/src/banyanswitch/components/lease/const.py
+++ b/src/banyanswitch/components/lease/const.py
@@ -7,6 +7,10 @@
 LEASE_PREFIX: Final = "lease/"
 """Key prefix of the lease records in the table service."""
 
+TOKENS_PER_ERA: Final = 2**24
+"""Number of fencing tokens in one era of the store. At one acquisition per second, they
+last for half a year; tokens of the first 127 eras fit into 31 bits."""
+
 CANDIDATE_COUNT: Final = 3
 """Candidates per duty, which read its record in every step while they don't hold it.
 Other instances that read the record can acquire the lease too."""
--- a/src/banyanswitch/components/lease/coordinator.py
+++ b/src/banyanswitch/components/lease/coordinator.py
@@ -27,6 +27,7 @@
     Lease,
     PeerDirectory,
     StoreClock,
+    StoreEra,
     TableStore,
     WriteClass,
 )
@@ -54,6 +55,8 @@
     clock : StoreClock, optional
         Clock of the table service. With it, an instance that starts knows for how long
         a lease has not been renewed, and need not watch it for its whole duration.
+    eras : StoreEra, optional
+        Era of the table service, if it may return from an older copy.
     """
 
     def __init__(
@@ -66,8 +69,10 @@
         generator: random.Random,
         on_change: Callable[[LeaseChanged], None] | None = None,
         clock: StoreClock | None = None,
+        eras: StoreEra | None = None,
     ) -> None:
         self._clock = clock
+        self._eras = eras
         self._table = table
         self._on_change = on_change
         self._holder = holder
@@ -89,6 +94,7 @@
     @callback
     def held(self, name: str) -> Lease | None:
         """Return the lease if it is valid at the current event loop time."""
+        self._note_era()
         duty = self._duties.get(name)
         return duty.held(_now_s()) if duty is not None else None
 
@@ -110,6 +116,7 @@
 
     async def async_step(self) -> None:
         """Read the watched records once, then write the renewals and claims due."""
+        self._note_era()
         self._selector.refresh()
         watched = self._watched()
         try:
@@ -148,10 +155,17 @@
             if duty.held(now_s) is None and self._selector.is_watching(duty.name)
         ]
 
+    def _note_era(self) -> None:
+        if self._eras is None:
+            return
+        for duty in self._duties.values():
+            duty.note_era(self._eras.era())
+
     async def _async_read(self, duties: list[Duty]) -> None:
         if not duties:
             return
         items = await self._table.async_get([duty.key for duty in duties])
+        self._note_era()
         by_key = {item.key: item for item in items}
         now_s = _now_s()
         clock_s = self._clock.clock_s() if self._clock else None
--- a/src/banyanswitch/components/lease/duty.py
+++ b/src/banyanswitch/components/lease/duty.py
@@ -4,13 +4,18 @@
 
 import msgspec
 
-from banyanswitch.components.lease.const import CLOCK_MARGIN_S, MARGIN_SHARE
+from banyanswitch.components.lease.const import (
+    CLOCK_MARGIN_S,
+    MARGIN_SHARE,
+    TOKENS_PER_ERA,
+)
 from banyanswitch.components.lease.models import (
     LeaseRecord,
     Observation,
     decode_lease,
     lease_key,
 )
+from banyanswitch.helpers.store_version import era_of
 from banyanswitch.interfaces import Item, Lease, Write
 
 
@@ -35,6 +40,12 @@
     not before that of the last renewal that had one. The same applies to a write that
     was delayed by the suspension and whose time is from before.
 
+    If the store returns from an older copy, it begins a new era: the record may be an
+    older one or missing, and its token may be given out again. So no lease of a past
+    era is valid in the new one, a record of an earlier era or a missing one counts as
+    renewed when it is first read, and the tokens of an era are higher than those of all
+    earlier eras. In a store with eras, this applies to the first era too.
+
     Parameters
     ----------
     name : str
@@ -54,6 +65,17 @@
         self._lease: Lease | None = None
         self._predecessor_renewed_by_s: float | None = None
         self._forfeited_at_s = float("-inf")
+        self._era = 0
+        self._missing_since_s: float | None = None
+
+    def note_era(self, era: int) -> None:
+        """Invalidate the lease and the record of an earlier era of the store."""
+        if era <= self._era:
+            return
+        self._era = era
+        self._lease = None
+        self._seen = None
+        self._missing_since_s = None
 
     def held(self, now_s: float) -> Lease | None:
         """Return the lease if it is valid."""
@@ -73,11 +95,17 @@
         """
         if item is None:
             self._seen = None
+            if self._missing_since_s is None:
+                self._missing_since_s = now_s
             return
+        self.note_era(era_of(item.revision))
+        self._missing_since_s = None
         if self._seen is not None and self._seen.revision >= item.revision:
             return
         record = decode_lease(item.value)
-        renewed_by_s = min(now_s, self._renewed_by_s(record, now_s, clock_s))
+        renewed_by_s = now_s
+        if self._is_of_era(record):
+            renewed_by_s = min(now_s, self._renewed_by_s(record, now_s, clock_s))
         self._seen = Observation(item.revision, record, renewed_by_s)
         if record.holder != self._holder:
             self._lease = None
@@ -101,13 +129,15 @@
         """
         seen = self._seen
         if seen is None:
-            return self._write(1, 0, 0, clock_s)
+            if not self._is_free_without_record(now_s):
+                return None
+            return self._write(self._next_token(0), 0, 0, clock_s)
         token, renewal = seen.record.fencing_token, seen.record.renewal
         if self.held(now_s) is not None:
             return self._write(token, renewal + 1, seen.revision, clock_s)
         if not self._is_free(seen, now_s):
             return None
-        return self._write(token + 1, 0, seen.revision, clock_s)
+        return self._write(self._next_token(token), 0, seen.revision, clock_s)
 
     def release_write(self) -> Write | None:
         """Invalidate the lease and return the write that releases it, if held."""
@@ -122,6 +152,10 @@
         """Update the state after a write of this duty was applied."""
         if sent_at_s <= self._forfeited_at_s:
             return
+        if era_of(revision) != self._era:
+            # The lease was found free in an earlier era.
+            self.note_era(era_of(revision))
+            return
         record = decode_lease(write.value or b"")
         if record.renewal == 0:
             seen = self._seen
@@ -136,10 +170,24 @@
         )
 
     def _is_free(self, seen: Observation, now_s: float) -> bool:
-        if seen.record.holder in ("", self._holder):
+        is_released = seen.record.holder in ("", self._holder)
+        if is_released and self._is_of_era(seen.record):
             return True
         return now_s - seen.renewed_by_s >= seen.record.duration_s
 
+    def _is_free_without_record(self, now_s: float) -> bool:
+        """Return whether no lease can be valid although there is no record."""
+        if not self._era:
+            return True
+        since_s = self._missing_since_s
+        return since_s is not None and now_s - since_s >= self._duration_s
+
+    def _is_of_era(self, record: LeaseRecord) -> bool:
+        return record.fencing_token // TOKENS_PER_ERA == self._era
+
+    def _next_token(self, token: int) -> int:
+        return max(token, self._era * TOKENS_PER_ERA) + 1
+
     def _renewed_by_s(
         self, record: LeaseRecord, now_s: float, clock_s: float | None
     ) -> float:
--- a/src/banyanswitch/components/weight_rollout/const.py
+++ b/src/banyanswitch/components/weight_rollout/const.py
@@ -58,6 +58,10 @@
 """Time after which instances without the duty store the time of a target version. The
 holder of the duty takes one interval and the difference between the feeds."""
 
+ERA_READ_SPREAD_S: Final = 2.0
+"""Time over which the instances read the stored times again after the store has
+returned from an older copy."""
+
 TARGET_TIME_TOLERANCE_S: Final = 0.5
 """Difference from which an earlier time replaces a stored one. Readings of the store's
 clock are wrong by the time that a response takes, 0.4 s from a slow store."""
--- a/src/banyanswitch/components/weight_rollout/target_time_store.py
+++ b/src/banyanswitch/components/weight_rollout/target_time_store.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState, WeightTarget
 from banyanswitch.components.lease.candidates import WatcherSelector
 from banyanswitch.components.weight_rollout.const import (
+    ERA_READ_SPREAD_S,
     TARGET_TIME_TOLERANCE_S,
     TARGET_TIMES_INTERVAL_S,
     TARGET_TIMES_TABLE,
@@ -20,6 +21,7 @@
 from banyanswitch.interfaces import (
     PeerDirectory,
     StoreClock,
+    StoreEra,
     TableStore,
     Write,
     WriteClass,
@@ -55,6 +57,8 @@
         selected.
     generator : random.Random
         Source of the random part of that selection.
+    eras : StoreEra, optional
+        Era of the table service, if it may return from an older copy.
     """
 
     def __init__(
@@ -66,12 +70,16 @@
         order_lease: OrderLease,
         peers: PeerDirectory,
         generator: random.Random,
+        eras: StoreEra | None = None,
     ) -> None:
         self._table = table
         self._clock = clock
         self._routing = routing
         self._order_lease = order_lease
         self._selector = WatcherSelector(peers, generator)
+        self._generator = generator
+        self._eras = eras
+        self._era = 0
         self._unstored_since_s: dict[tuple[str, int], float] = {}
         self._stored: dict[str, dict[int, float]] = {}
         self._revisions: dict[str, int] = {}
@@ -80,6 +88,9 @@
         """Read the stored times once, then write new ones until cancelled."""
         is_read = False
         while True:
+            if self._begins_era():
+                is_read = False
+                await asyncio.sleep(self._generator.uniform(0.0, ERA_READ_SPREAD_S))
             if not is_read:
                 is_read = await self._async_read()
             elif self._order_lease.is_holder():
@@ -88,6 +99,20 @@
                 await self._async_write_overdue()
             await asyncio.sleep(TARGET_TIMES_INTERVAL_S)
 
+    def _begins_era(self) -> bool:
+        """Forget the rows of an earlier era; return whether there was one.
+
+        The store has returned from an older copy, which may lack the last writes.
+        """
+        era = self._eras.era() if self._eras is not None else 0
+        if era <= self._era:
+            return False
+        has_earlier_era = self._era > 0
+        self._era = era
+        self._stored.clear()
+        self._revisions.clear()
+        return has_earlier_era
+
     async def _async_read(self) -> bool:
         try:
             items = await self._table.async_query(f"{TARGET_TIMES_TABLE}/")
--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -143,6 +143,17 @@
         """
 
 
+class StoreEra(Protocol):
+    """Era of a table service that may return from an older copy of its data."""
+
+    def era(self) -> int:
+        """Return the era, 0 if it is not known or there are none.
+
+        It rises with each return. Versions are ordered by their era first, see
+        `banyanswitch.helpers.store_version`.
+        """
+
+
 class TableFeed(StoreClock, Protocol):
     """Change feed of whole tables."""
 
--- a/src/banyanswitch/platform/tables.py
+++ b/src/banyanswitch/platform/tables.py
@@ -18,6 +18,7 @@
     UpstreamNotSentError,
 )
 from banyanswitch.helpers.remote_clock import RemoteClock
+from banyanswitch.helpers.store_version import era_of, make_version, number_of
 from banyanswitch.helpers.suspension import SuspensionClock
 from banyanswitch.interfaces import Item, TableChanges, Write, WriteClass
 from banyanswitch.platform.const import (
@@ -26,6 +27,15 @@
     PATH_ROWS_GET,
     PATH_ROWS_TRANSACT,
 )
+from banyanswitch.platform.eras import StoreEras
+from banyanswitch.platform.rows import (
+    Rows,
+    TransactionResult,
+    row_item,
+    row_key,
+    split_key,
+    transaction,
+)
 
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -39,34 +49,15 @@
 ResponseT = TypeVar("ResponseT")
 
 
-class _Row(msgspec.Struct, frozen=True):
-    key: str
-    table: str = ""
-    # Base64 on the wire; missing in a removed row.
-    value: bytes = b""
-    # Version of the last write. All tables share one counter, so the version of a row
-    # is not the number of its writes.
-    ver: int = 0
-    removed: bool = False
-
-
-class _Rows(msgspec.Struct, frozen=True):
-    rows: list[_Row] = []
-    hasMore: bool = False  # noqa: N815
-    ver: int = 0
-    nowMs: float | None = None  # noqa: N815
-
-
-class _TransactionResult(msgspec.Struct, frozen=True):
-    ver: int
-    nowMs: float | None = None  # noqa: N815
-
-
 class PlatformTables:
     """Implementation of ``TableStore`` and ``TableFeed`` over the platform's store.
 
     A key ``table/rest`` is stored as the row ``rest`` of the table ``table``.
 
+    The store may return from an older copy, and then gives out version numbers again.
+    Revisions and versions therefore contain the era of the response, see
+    `banyanswitch.helpers.store_version`.
+
     Parameters
     ----------
     client : HttpClient
@@ -92,6 +83,7 @@
         self._timeout_s = timeout_s
         self._suspension = suspension
         self._clock = RemoteClock()
+        self._eras = StoreEras()
 
     def clock_s(self, max_error_s: float = math.inf) -> float | None:
         """Return the time of the store's monotonic clock in seconds, if known."""
@@ -102,15 +94,19 @@
             return None
         return clock_ms / MILLISECONDS_PER_S
 
+    def era(self) -> int:
+        """Return the store's era, 0 if it is not known."""
+        return self._eras.current
+
     async def async_get(self, keys: Sequence[str]) -> tuple[Item, ...]:
         """Return the items that exist; each key is read by a call of its own."""
         items = []
         for key in keys:
-            table, row = _split_key(key)
-            page = await self._async_rows(
+            table, row = split_key(key)
+            page, era = await self._async_rows(
                 {"table": table, "part": "", "from": row, "to": row + "\0"}
             )
-            items += [_item(table, found) for found in page.rows]
+            items += [row_item(table, found, era) for found in page.rows]
         return tuple(items)
 
     async def async_query(
@@ -120,23 +116,36 @@
 
         One call reads at most ``PAGE_ROWS`` rows, also if ``limit`` is higher.
         """
-        table, row = _split_key(prefix)
+        table, row = split_key(prefix)
         query = {
             "table": table,
             "part": "",
-            "from": max(row, _split_key(after)[1] + "\0") if after else row,
+            "from": max(row, split_key(after)[1] + "\0") if after else row,
             "limit": str(min(limit, PAGE_ROWS)),
         }
-        page = await self._async_rows(query)
+        page, era = await self._async_rows(query)
         return tuple(
-            _item(table, found) for found in page.rows if found.key.startswith(row)
+            row_item(table, found, era)
+            for found in page.rows
+            if found.key.startswith(row)
         )
 
     async def async_transact(
         self, writes: Sequence[Write], write_class: WriteClass
     ) -> tuple[int, ...]:
-        """Apply all writes or none, and return the new revisions."""
-        body = msgspec.json.encode(_transaction(writes))
+        """Apply all writes or none, and return the new revisions.
+
+        A write that expects a revision of an earlier era is not sent, since that number
+        may stand for another content by now.
+        """
+        expected_eras = {
+            era_of(write.expected_revision)
+            for write in writes
+            if write.expected_revision
+        }
+        if any(era < self._eras.current for era in expected_eras):
+            raise ConditionFailedError([write.key for write in writes])
+        body = msgspec.json.encode(transaction(writes))
         requested_at_s = self._local_s()
         try:
             response = await self._client.async_call(
@@ -150,60 +159,97 @@
             raise PlatformUnavailableError(str(error)) from error
         except UpstreamBrokenError as error:
             raise PlatformOutcomeUnknownError(str(error)) from error
+        era = self._eras.note(response)
         if response.status == STATUS_CONDITION_FAILED:
             raise ConditionFailedError([write.key for write in writes])
         _raise_for_status(response)
-        result = _decode(response, _TransactionResult, PlatformOutcomeUnknownError)
+        if era < self._eras.current or expected_eras - {era}:
+            raise PlatformOutcomeUnknownError(
+                f"the store wrote in era {era} on conditions of another era"
+            )
+        result = _decode(response, TransactionResult, PlatformOutcomeUnknownError)
         self._note_clock(result.nowMs, requested_at_s)
-        return tuple(result.ver for _ in writes)
+        return tuple(make_version(era, result.ver) for _ in writes)
 
     async def async_read_table(self, table: str) -> TableChanges:
         """Return all rows of a table and the version to continue the feed from."""
-        rows: list[_Row] = []
+        items: list[Item] = []
         version: int | None = None
         query = {"table": table, "part": ""}
         while True:
-            page = await self._async_rows(query)
+            page, era = await self._async_rows(query)
             # Keep the version of the first page, so that the feed delivers changes
             # made between the pages.
-            version = page.ver if version is None else version
-            rows += page.rows
+            if version is None:
+                version = make_version(era, page.ver)
+            if era != era_of(version):
+                raise PlatformUnavailableError(
+                    f"the store's era changed while table {table} was read"
+                )
+            items += [row_item(table, row, era) for row in page.rows]
             if not page.hasMore or not page.rows:
                 break
             query = {"table": table, "part": "", "from": page.rows[-1].key + "\0"}
-        return TableChanges(version, tuple(_item(table, row) for row in rows), ())
+        return TableChanges(version, tuple(items), ())
 
     async def async_changes(
         self, table: str, after: int, wait_s: float
     ) -> TableChanges:
-        """Return the changes after a version; wait up to ``wait_s`` for the first."""
+        """Return the changes after a version; wait up to ``wait_s`` for the first.
+
+        A version of an earlier era has no changes, since its number may stand for
+        another content by now.
+        """
+        if era_of(after) < self._eras.current:
+            raise HistoryGoneError(_other_era(table, after))
         query = {
             "table": table,
-            "after": str(after),
+            "after": str(number_of(after)),
             "waitMs": str(int(wait_s * MILLISECONDS_PER_S)),
         }
         response = await self._async_read(
             PATH_ROWS_FEED, query, wait_s + FEED_TIMEOUT_MARGIN_S
         )
+        era = self._note_era(response)
         if response.status == STATUS_GONE:
             raise HistoryGoneError(
                 f"changes of table {table} after version {after} are not available"
             )
         _raise_for_status(response)
-        changes = _decode(response, _Rows, PlatformUnavailableError)
+        if era != era_of(after):
+            raise HistoryGoneError(_other_era(table, after))
+        changes = _decode(response, Rows, PlatformUnavailableError)
         # Changes are sorted by version; only the last change of each row applies.
         last = {row.key: row for row in changes.rows}.values()
-        kept = [_item(table, row) for row in last if not row.removed]
-        removed = [_key(table, row) for row in last if row.removed]
-        return TableChanges(changes.ver, tuple(kept), tuple(removed))
+        kept = [row_item(table, row, era) for row in last if not row.removed]
+        removed = [row_key(table, row) for row in last if row.removed]
+        version = make_version(era, changes.ver)
+        return TableChanges(version, tuple(kept), tuple(removed))
 
-    async def _async_rows(self, query: dict[str, str]) -> _Rows:
+    async def _async_rows(self, query: dict[str, str]) -> tuple[Rows, int]:
+        """Return the rows of a query, and the era of the response."""
         requested_at_s = self._local_s()
         response = await self._async_read(PATH_ROWS_GET, query, self._timeout_s)
+        era = self._note_era(response)
         _raise_for_status(response)
-        rows = _decode(response, _Rows, PlatformUnavailableError)
+        rows = _decode(response, Rows, PlatformUnavailableError)
         self._note_clock(rows.nowMs, requested_at_s)
-        return rows
+        return rows, era
+
+    def _note_era(self, response: HttpResponse) -> int:
+        """Return the era of a response to a read.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the response is from an earlier era.
+        """
+        era = self._eras.note(response)
+        if era < self._eras.current:
+            raise PlatformUnavailableError(
+                f"the store answered in era {era} after era {self._eras.current}"
+            )
+        return era
 
     def _note_clock(self, clock_ms: float | None, requested_at_s: float) -> None:
         if clock_ms is not None:
@@ -246,37 +292,5 @@
         raise error_type(f"response of the store can't be decoded: {error}") from error
 
 
-def _transaction(writes: Sequence[Write]) -> dict[str, object]:
-    rows = [(write, *_split_key(write.key)) for write in writes]
-    return {
-        "expectedRevision": [
-            {**_row_name(table, row), "ver": write.expected_revision}
-            for write, table, row in rows
-            if write.expected_revision is not None
-        ],
-        "put": [
-            {**_row_name(table, row), "value": write.value}
-            for write, table, row in rows
-            if write.value is not None
-        ],
-        "remove": [
-            _row_name(table, row) for write, table, row in rows if write.value is None
-        ],
-    }
-
-
-def _row_name(table: str, row: str) -> dict[str, object]:
-    return {"table": table, "part": "", "key": row}
-
-
-def _split_key(key: str) -> tuple[str, str]:
-    table, _, row = key.partition("/")
-    return table, row
-
-
-def _key(table: str, row: _Row) -> str:
-    return f"{table}/{row.key}"
-
-
-def _item(table: str, row: _Row) -> Item:
-    return Item(_key(table, row), row.ver, row.value)
+def _other_era(table: str, after: int) -> str:
+    return f"version {after} of table {table} is of another era than the store"
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -339,6 +339,7 @@
             lease_s=LEASE_S,
             generator=self._random,
             clock=self._tables,
+            eras=self._tables,
         )
         self._leases.campaign(DUTY)
         order_lease = OrderLease(
@@ -350,6 +351,7 @@
         self._target_time_store = TargetTimeStore(
             table=self._tables,
             clock=self._tables,
+            eras=self._tables,
             routing=self._routing,
             order_lease=order_lease,
             peers=self._membership,
--- a/tests/platform/test_tables.py
+++ b/tests/platform/test_tables.py
@@ -15,6 +15,7 @@
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
+from banyanswitch.helpers.store_version import make_version
 from banyanswitch.interfaces import Write, WriteClass
 from banyanswitch.platform.tables import PlatformTables
 from banyanswitch_standins.users_platform.store import PlatformStore
@@ -95,13 +96,15 @@
     await setup.store.async_put("op", "gone", b"1")
     for key, value in (("back", None), ("back", b"2"), ("gone", b"2"), ("gone", None)):
         await setup.store.async_put("op", key, value)
-    changes = await setup.tables.async_changes("op", 1, 0.05)
+    first = make_version(setup.store.era, 1)
+    changes = await setup.tables.async_changes("op", first, 0.05)
     assert [(item.key, item.value) for item in changes.items] == [("op/back", b"2")]
     assert changes.removed == ("op/gone",)
 
 
 async def test_feed_without_changes_returns_after_its_wait(setup: Setup) -> None:
-    changes = await setup.tables.async_changes("op", 0, 0.05)
+    start = make_version(setup.store.era, 0)
+    changes = await setup.tables.async_changes("op", start, 0.05)
     assert changes.items == ()
 
 
@@ -109,5 +112,6 @@
     for number in range(3):
         await setup.store.async_put("op", "a", b"%d" % number)
     setup.store.discard_history()
+    first = make_version(setup.store.era, 1)
     with pytest.raises(HistoryGoneError):
-        await setup.tables.async_changes("op", 1, 0.05)
+        await setup.tables.async_changes("op", first, 0.05)
