Use a store's era that skips some only once it is repeated

One response with a wrong, high era made all later ones those of an earlier era, so the instance would not have used the store again. Found while reading the diff. The new test failed before: the response with the wrong value was used (DID NOT RAISE PlatformUnavailableError).

--- a/src/banyanswitch/platform/eras.py
+++ b/src/banyanswitch/platform/eras.py
@@ -21,12 +21,15 @@
 
     def __init__(self) -> None:
         self.current = 0
+        self._unconfirmed = 0
         self._reported_value: bytes | None = b""
 
-    def note(self, response: HttpResponse) -> int:
-        """Return the era of a response; it may be lower than the current one.
+    def note(self, response: HttpResponse) -> int | None:
+        """Return the era of a response, or ``None`` if the response can't be used.
 
-        A missing or invalid value counts as the current era.
+        A missing or invalid value counts as the current era. A response of an earlier
+        era can't be used, nor the first one whose era skips some: a wrong value would
+        make all later responses those of an earlier era.
         """
         value = header_value(response.headers, HEADER_STORE_ERA.lower())
         era = _parse_era(value)
@@ -36,7 +39,13 @@
             return self.current
         if era < self.current:
             self._report("store_era_outdated", value)
-        elif era > self.current:
+            return None
+        if self.current and era > self.current + 1 and era != self._unconfirmed:
+            self._report("store_era_skipped", value)
+            self._unconfirmed = era
+            return None
+        self._unconfirmed = 0
+        if era > self.current:
             LOGGER.info("store_era", era=era, replaced=self.current or None)
             self.current = era
         return era
--- a/src/banyanswitch/platform/tables.py
+++ b/src/banyanswitch/platform/tables.py
@@ -163,9 +163,9 @@
         if response.status == STATUS_CONDITION_FAILED:
             raise ConditionFailedError([write.key for write in writes])
         _raise_for_status(response)
-        if era < self._eras.current or expected_eras - {era}:
+        if era is None or expected_eras - {era}:
             raise PlatformOutcomeUnknownError(
-                f"the store wrote in era {era} on conditions of another era"
+                "the store wrote in another era than that of the conditions"
             )
         result = _decode(response, TransactionResult, PlatformOutcomeUnknownError)
         self._note_clock(result.nowMs, requested_at_s)
@@ -242,12 +242,12 @@
         Raises
         ------
         PlatformUnavailableError
-            If the response is from an earlier era.
+            If the response is of another era than the current one.
         """
         era = self._eras.note(response)
-        if era < self._eras.current:
+        if era is None:
             raise PlatformUnavailableError(
-                f"the store answered in era {era} after era {self._eras.current}"
+                f"the store answered in another era than {self._eras.current}"
             )
         return era
 
--- a/tests/platform/test_store_eras.py
+++ b/tests/platform/test_store_eras.py
@@ -161,3 +161,19 @@
     revision = await setup.async_write(b"a", 0)
     assert revision == setup.store.version
     assert revision == make_version(0, revision)
+
+
+# Guards against one wrong value that makes all later responses unusable.
+async def test_era_that_skips_some_is_used_once_it_is_repeated(setup: Setup) -> None:
+    await setup.tables.async_read_table("op")
+    setup.store.era = 900
+    with pytest.raises(PlatformUnavailableError):
+        await setup.tables.async_read_table("op")
+    setup.store.era = 1
+    await setup.tables.async_read_table("op")
+    assert setup.tables.era() == 1
+    setup.store.era = 3
+    with pytest.raises(PlatformUnavailableError):
+        await setup.tables.async_read_table("op")
+    snapshot = await setup.tables.async_read_table("op")
+    assert era_of(snapshot.version) == setup.tables.era() == 3
