Check a call's claim before each attempt to send it

The claim of a call that may run once was checked before the call was queued for an upstream and tried at up to four of them. It could have expired by the time of sending, when other instances report the outcome as unknown.

test_claim_is_checked_before_each_attempt failed before (DID NOT RAISE RefusalError). Two tests list the events of the claim; each attempt now has a check of its own in their lists.

--- a/src/banyanswitch/components/routing/plain_calls.py
+++ b/src/banyanswitch/components/routing/plain_calls.py
@@ -117,8 +117,7 @@
     ) -> StoredAnswer:
         workspace = call.workspace.name
         try:
-            await self._async_check_claim(call, held_claim)
-            answer = _to_stored_answer(await self._async_send(call))
+            answer = _to_stored_answer(await self._async_send(call, held_claim))
         except RefusalError as refusal:
             await self._async_close_claim(call, held_claim, refusal.outcome)
             raise
@@ -158,12 +157,17 @@
                 reason=str(error),
             )
 
-    async def _async_send(self, call: PlainCall) -> CompleteResponse:
+    async def _async_send(
+        self, call: PlainCall, held_claim: _HeldClaim | None = None
+    ) -> CompleteResponse:
         request = self._placer.plain_request(call.workspace, call.service, _now_s())
         excluded: frozenset[UpstreamId] = frozenset()
         while len(excluded) < MAX_PLAIN_ATTEMPTS:
             attempt = await self._placer.async_attempt(request, excluded, call.ticket)
             try:
+                if held_claim is not None:
+                    # It may have expired in the queue or during earlier attempts.
+                    await self._async_check_claim(call, held_claim)
                 return await self._async_send_once(call, attempt)
             except (UpstreamNotSentError, UpstreamDeclinedError) as error:
                 self._note_failure(attempt, error)
--- a/tests/components/routing/test_plain_calls.py
+++ b/tests/components/routing/test_plain_calls.py
@@ -1,11 +1,12 @@
 """Non-repeatable calls are sent at most once; refusals state the right outcome."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import pytest
 
 from banyanswitch.components.routing.calls import PlainCall
+from banyanswitch.components.routing.const import MAX_PLAIN_ATTEMPTS
 from banyanswitch.components.routing.models import (
     Attempt,
     CompleteResponse,
@@ -80,9 +81,11 @@
 
     script: list[Exception] = field(default_factory=list)
     sent: int = 0
+    on_sent: Callable[[], None] = lambda: None
 
     async def async_call_once(self, *_arguments: object) -> CompleteResponse:
         self.sent += 1
+        self.on_sent()
         if self.script:
             raise self.script.pop(0)
         return ANSWER
@@ -170,7 +173,7 @@
     calls, client = _calls(records, [fault, fault])
     assert await calls.async_call(_call()) == STORED
     assert client.sent == 3
-    assert records.events == ["sent", "complete"]
+    assert records.events == ["sent", "sent", "sent", "complete"]
 
 
 async def test_claim_is_released_when_no_upstream_accepts_the_call() -> None:
@@ -179,6 +182,21 @@
     with pytest.raises(RefusalError) as raised:
         await calls.async_call(_call())
     assert raised.value.outcome is RunOutcome.NOT_RUN
+    assert records.events == ["sent"] * MAX_PLAIN_ATTEMPTS + ["release"]
+
+
+# Guards against sending a call whose claim has expired during earlier attempts.
+async def test_claim_is_checked_before_each_attempt() -> None:
+    records = _FakeIdempotencyStore()
+    calls, client = _calls(records, [UpstreamNotSentError("down")])
+    client.on_sent = lambda: setattr(
+        records, "check_error", PlatformUnavailableError("expired")
+    )
+    with pytest.raises(RefusalError) as raised:
+        await calls.async_call(_call())
+    assert raised.value.code == "claim_lapsed"
+    assert raised.value.outcome is RunOutcome.NOT_RUN
+    assert client.sent == 1
     assert records.events == ["sent", "release"]
 
 
