Notice the store's return at once, and not with the next change of a table

Before a failure counted for 3 s only. The first call after a failure doesn't wait now, one more call for each return.

The new test failed before (a wait of 3.0 s in place of 0.0 s).

--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -170,7 +170,10 @@
             self._cursor = snapshot.version
             self._history_from = max(self._history_from, snapshot.version)
             return
-        changes = await self._feed.async_changes(self.table, self._cursor, FEED_WAIT_S)
+        # Without a wait, the first call after a failure shows at once that the store is
+        # back, and not only with the next change.
+        wait_s = FEED_WAIT_S if self.is_connected else 0.0
+        changes = await self._feed.async_changes(self.table, self._cursor, wait_s)
         self._cursor = max(self._cursor, changes.version)
         if changes.items or changes.removed:
             self.apply_changes(changes)
--- a/tests/components/table_mirror/test_mirror.py
+++ b/tests/components/table_mirror/test_mirror.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from banyanswitch.components.table_mirror.const import MAX_REMOVED_ROWS
+from banyanswitch.components.table_mirror.const import (
+    FEED_WAIT_S,
+    MAX_REMOVED_ROWS,
+)
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.exceptions import HistoryGoneError, PlatformUnavailableError
 from banyanswitch.helpers.store_version import make_version
@@ -22,6 +25,7 @@
         self.snapshots: list[TableChanges | Exception] = []
         self.changes: list[TableChanges | Exception] = []
         self.cursors: list[int] = []
+        self.waits_s: list[float] = []
 
     def clock_s(self, max_error_s: float = math.inf) -> float | None:
         return None
@@ -33,6 +37,7 @@
         self, table: str, after: int, wait_s: float
     ) -> TableChanges:
         self.cursors.append(after)
+        self.waits_s.append(wait_s)
         if not self.changes:
             await asyncio.sleep(1000.0)
         return self._next(self.changes)
@@ -221,3 +226,18 @@
     await asyncio.sleep(3.0)
     mirror.apply_snapshot(TableChanges(make_version(2, 4), (), ()))
     assert regained_at_s == [asyncio.get_running_loop().time()]
+
+
+# Guards against taking a removal long after an outage for one that it caused.
+async def test_first_call_after_a_failure_does_not_wait_for_a_change() -> None:
+    feed = ScriptedFeed()
+    feed.snapshots = [TableChanges(5, (), ())]
+    feed.changes = [
+        TableChanges(5, (), ()),
+        PlatformUnavailableError("down"),
+        TableChanges(5, (), ()),
+        TableChanges(5, (), ()),
+    ]
+    mirror = TableMirror("t", feed, random.Random(1))
+    await async_follow(mirror)
+    assert feed.waits_s == [FEED_WAIT_S, FEED_WAIT_S, 0.0, FEED_WAIT_S, FEED_WAIT_S]
