--- a/tests/components/forwarding/test_start_limits.py
+++ b/tests/components/forwarding/test_start_limits.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import pytest
+from structlog.testing import capture_logs
 
 from banyanswitch.components.forwarding import forwarder
 from banyanswitch.components.forwarding.models import Repeatability, ResponseMetadata
@@ -291,3 +292,17 @@
     assert only_exchange(old).closed_at_s == pytest.approx(now_s())
     assert reply.status == 502
     assert instance.retry_budget_left() >= before
+
+
+async def test_withdrawn_request_is_logged_with_the_age_of_the_weights() -> None:
+    instance = Instance()
+    instance.add("old", 1, queue_s=None)
+    instance.name_target(2)
+    await asyncio.sleep(1.0)
+    with capture_logs() as lines:
+        _, handling = instance.send(Repeatability.ONCE)
+        await handling
+    events = {line["event"]: line for line in lines}
+    assert events["request_placed"]["superseded_for_s"] == pytest.approx(1.0)
+    assert events["request_placed"]["must_wait"] is False
+    assert events["request_refused"]["reason"] == "weights_too_old"
