Log how the upstream's response was framed

Whether a response had a length, chunks or neither tells a complete stream from one whose end can't be seen; the line request_served was the same for all of them.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -90,6 +90,7 @@
         self._loop = asyncio.get_running_loop()
         self.has_sent = False
         self.status = 0
+        self.framing = BodyFraming.NONE
 
     async def async_run(self, placed: PlacementResult, *, is_last: bool) -> None:
         """Serve the caller from one upstream.
@@ -186,6 +187,7 @@
         is_last: bool,
     ) -> None:
         self.status = head.status
+        self.framing = head.framing
         self._note_response(response, placed)
         if response.is_not_run and head.status in NOT_RUN_STATUSES:
             await _async_read_all(connection)
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -232,7 +232,7 @@
                 if not await self._async_prepare_retry(context, placed, error):
                     return
                 continue
-            self._note_served(context, placed, attempt.status)
+            self._note_served(context, placed, attempt)
             return
 
     async def _async_place(self, context: _RequestContext) -> PlacementResult | None:
@@ -483,7 +483,7 @@
         self._metrics.count_request(route, refusal.reason.value)
 
     def _note_served(
-        self, context: _RequestContext, placed: PlacementResult, status: int
+        self, context: _RequestContext, placed: PlacementResult, attempt: Attempt
     ) -> None:
         now_s = self._loop.time()
         self._registry.ejector.on_success(placed.record.name, now_s)
@@ -491,11 +491,12 @@
             context.progress.first_byte_at_s or now_s
         ) - context.request.received_at_s
         self._metrics.observe_first_byte(context.route.name, first_s)
-        self._metrics.count_request(context.route.name, str(status))
+        self._metrics.count_request(context.route.name, str(attempt.status))
         self._log(
             context,
             "request_served",
-            status=status,
+            status=attempt.status,
+            framing=attempt.framing.value,
             first_byte_s=round(first_s, 4),
             total_s=round(now_s - context.request.received_at_s, 4),
             weights=placed.plan.expected_weights,
--- a/tests/process/test_forward.py
+++ b/tests/process/test_forward.py
@@ -266,5 +266,6 @@
     assert events[0]["upstream"] == events[1]["upstream"]
     assert events[0]["entry_age_s"] >= 0
     assert events[0]["configuration"] == 1
+    assert events[1]["framing"] == "length"
     text = (platform.folder / f"{HOSTS[0]}.log").read_text()
     assert "key-1" not in text
