--- a/tests/components/forwarding/test_start_limits.py
+++ b/tests/components/forwarding/test_start_limits.py
@@ -12,7 +12,7 @@
 from banyanswitch.components.http1.models import ResponseHead
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.decisions.weight_age import WeightAgePolicy
-from tests.components.forwarding import test_start_on_superseded_weights
+from tests.components.forwarding import instance as instance_module
 from tests.components.forwarding.fakes import (
     MODEL,
     RETRY_AFTER,
@@ -21,12 +21,14 @@
     FakeUpstream,
     PlainTranslator,
 )
-from tests.components.forwarding.test_start_on_superseded_weights import (
+from tests.components.forwarding.instance import (
     WEIGHTS_DEADLINE_S,
     Instance,
+    now_s,
+)
+from tests.components.forwarding.test_start_on_superseded_weights import (
     assert_answered_by,
     assert_withdrawn_before,
-    now_s,
     only_exchange,
 )
 
@@ -55,7 +57,7 @@
 
 @pytest.fixture
 def slow_pool(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(test_start_on_superseded_weights, "FakePool", SlowPool)
+    monkeypatch.setattr(instance_module, "FakePool", SlowPool)
 
 
 async def send_and_wait_until_withdrawn(
@@ -127,9 +129,7 @@
 async def test_foreign_response_does_not_end_the_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(
-        test_start_on_superseded_weights, "PlainTranslator", ForeignResponses
-    )
+    monkeypatch.setattr(instance_module, "PlainTranslator", ForeignResponses)
     instance = Instance()
     instance.add("old", 1, queue_s=0.5)
     superseded_at_s = instance.name_target(2)
