Reproduce streams that break off and are completed, known red

A stream that ends inside an event reaches its caller with its last chunk, as complete, whether the upstream's response ended with its connection or with a last chunk.

--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import re
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -42,7 +43,11 @@
 HOST = "h.example"
 RETRY_AFTER = b"Retry-After"
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+LAST_EVENT = b"Last-Event-Id"
+EVENTS = 2
+"""Number of events in a stream."""
 
 
 class NoFeed:
@@ -147,7 +152,10 @@
         )
 
     def upstream_request(self, request: Request, plan: UpstreamRequestPlan) -> bytes:
-        return encode_head(b"%b %b HTTP/1.1" % (request.method, request.target), ())
+        first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
+        if plan.resume_after is None:
+            return encode_head(first_line, ())
+        return encode_head(first_line, [(LAST_EVENT, plan.resume_after)])
 
     def read_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         return ResponseMetadata(
@@ -230,11 +238,17 @@
         Time that a request waits in its queue; ``None`` means without end.
     response_s : float
         Time from the head of a response to its end.
+    is_unframed : bool
+        Whether responses have neither a length nor chunks and end with the connection.
+    breaks_off : bool
+        Whether streams end inside their last event, as if they were complete.
     """
 
     name: str
     queue_s: float | None = 0.0
     response_s: float = 0.0
+    is_unframed: bool = False
+    breaks_off: bool = False
     exchanges: list["FakeExchange"] = field(default_factory=list)
 
 
@@ -255,12 +269,15 @@
         self._upstream = upstream
         self._connection = connection
         self._is_closed = False
+        self._next_event = 1
         self.begun_at_s: float | None = None
         self.ended_at_s: float | None = None
         self.closed_at_s: float | None = None
 
     def write(self, data: Any) -> None:
         self._upstream.exchanges.append(self)
+        found = re.search(LAST_EVENT + rb": (\d+)", data)
+        self._next_event = int(found.group(1)) + 1 if found else 1
         if self._upstream.queue_s is not None:
             self._call_later(self._upstream.queue_s, self._begin)
 
@@ -269,16 +286,34 @@
 
     def _begin(self) -> None:
         self.begun_at_s = self._loop.time()
-        self._connection.data_received(HEAD + self._event(1))
+        head = UNFRAMED_HEAD if self._upstream.is_unframed else HEAD
+        first = b""
+        if self._next_event < EVENTS:
+            first = self._frame(self._event(self._next_event))
+            self._next_event += 1
+        self._connection.data_received(head + first)
         self._call_later(self._upstream.response_s, self._end)
 
     def _end(self) -> None:
         self.ended_at_s = self._loop.time()
-        self._connection.data_received(self._event(2) + LAST_CHUNK)
+        event = self._event(EVENTS)
+        if self._upstream.breaks_off:
+            event = event[:-5]
+        data = self._frame(event)
+        if not self._upstream.is_unframed:
+            self._connection.data_received(data + LAST_CHUNK)
+            return
+        self._connection.data_received(data)
+        self._connection.eof_received()
+        self.close()
 
     def _event(self, number: int) -> bytes:
-        event = f"id: {number}\ndata: {self._upstream.name}\n\n".encode()
-        return b"%x\r\n%b\r\n" % (len(event), event)
+        return f"id: {number}\ndata: {self._upstream.name}\n\n".encode()
+
+    def _frame(self, data: bytes) -> bytes:
+        if self._upstream.is_unframed:
+            return data
+        return b"%x\r\n%b\r\n" % (len(data), data)
 
     def abort(self) -> None:
         if self._is_closed:
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -129,8 +129,10 @@
         *,
         queue_s: float | None = 0.0,
         response_s: float = 0.0,
+        is_unframed: bool = False,
+        breaks_off: bool = False,
     ) -> FakeUpstream:
-        upstream = FakeUpstream(name, queue_s, response_s)
+        upstream = FakeUpstream(name, queue_s, response_s, is_unframed, breaks_off)
         entry = record(name, version=version)
         self._pool.upstreams[entry.address] = upstream
         self.upstreams.put(entry)
