Break off a stream whose upstream ended it inside an event

Cause: the end of a stream was taken from its framing alone. A response with neither a length nor chunks is complete whenever its connection ends, also in order after a crash; the relay then sent the bytes of the unfinished event and the last chunk.

Ruled out: an unseen reset (the socket is asked since, and a crash that closes the connection in order has none), an early end after a resumption (the route allows one attempt). The fake upstream shows the same for a last chunk inside an event.

A stream that ends inside an event is broken now, whatever its framing: it is resumed at another upstream if its route allows that, else the caller's connection is aborted.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -229,6 +229,9 @@
         while (part := await connection.async_part()) is not None:
             self._reply.write(splitter.feed(part))
             await self._reply.async_drain()
+        # Neither a closed connection nor a last chunk shows that the stream is whole.
+        if splitter.is_inside_event:
+            raise UpstreamBrokenError("the stream ended inside an event")
         self._reply.write(splitter.flush())
         self._reply.end()
 
--- a/src/banyanswitch/components/forwarding/event_stream.py
+++ b/src/banyanswitch/components/forwarding/event_stream.py
@@ -34,6 +34,11 @@
         self._partial = data[end:]
         return b"".join(events)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not complete."""
+        return bool(self._partial.strip())
+
     def flush(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
         remainder, self._partial = self._partial, b""
--- a/tests/components/forwarding/test_event_stream.py
+++ b/tests/components/forwarding/test_event_stream.py
@@ -39,3 +39,21 @@
     data = b"weight-versions: 2\nid: 4\ndata: x\n\n"
     assert splitter.feed(data) == data
     assert splitter.last_id == b"4"
+
+
+# Guards against taking a stream that broke off inside an event for a complete one.
+@pytest.mark.parametrize("rest", [b"i", b"id: 2\n", b"id: 2\ndata: 2\n", b"\n: c"])
+def test_bytes_after_the_last_complete_event_are_an_unfinished_event(
+    rest: bytes,
+) -> None:
+    splitter = EventSplitter()
+    splitter.feed(event(1) + rest)
+    assert splitter.is_inside_event
+
+
+@pytest.mark.parametrize("rest", [b"", b"\n", b"\r\n"])
+def test_blank_lines_after_the_last_event_begin_no_event(rest: bytes) -> None:
+    splitter = EventSplitter()
+    splitter.feed(event(1) + rest)
+    assert not splitter.is_inside_event
+    assert splitter.flush() == rest
