Check the end of own upstreams' responses that have no length

The same cause in the product's own interface: a response with neither a length nor chunks counted as complete when its connection ended, so the half of a plain call's answer could be stored for its idempotency key and sent.

Such a response is complete now only if it is a JSON document that shows its own end; others are broken, with the outcome unknown. Model streams are not affected: their last event says so.

--- a/src/banyanswitch/components/routing/upstream_client.py
+++ b/src/banyanswitch/components/routing/upstream_client.py
@@ -38,6 +38,10 @@
 from banyanswitch.helpers.run_identity import RunIdentity
 from banyanswitch.identifiers import RunId
 
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+SELF_DELIMITING = (b"{", b"[", b'"')
+"""First bytes of the JSON documents that can't be valid after a part is missing."""
+
 
 class DeclineDocument(msgspec.Struct, frozen=True):
     """Body of a response that reports that the request did not run."""
@@ -237,9 +241,37 @@
                 raise UpstreamBrokenError("the answer is too long")
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise UpstreamBrokenError(f"the answer broke off: {error!r}") from error
+    if _ends_with_connection(response) and not _is_whole_document(response, content):
+        raise UpstreamBrokenError(
+            "the answer has neither a length nor chunks, and its end can't be checked"
+        )
     return bytes(content)
 
 
+def _ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Return whether only the end of the connection ends a response.
+
+    The HTTP library reports a reset like an end in order.
+    """
+    headers = response.headers
+    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+        return False
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
+
+def _is_whole_document(response: aiohttp.ClientResponse, content: bytearray) -> bool:
+    """Return whether the content is a JSON document that shows its own end."""
+    if response.content_type != "application/json":
+        return False
+    if not content.lstrip().startswith(SELF_DELIMITING):
+        return False
+    try:
+        msgspec.json.decode(content)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 async def _async_check_status(response: aiohttp.ClientResponse) -> None:
     if response.status < 400:
         return
