--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -37,6 +37,9 @@
         Number of the event after which the next stream is aborted, in the middle of
         the following event. The value applies to the next stream only, and has no
         effect if that stream starts after the event or ends with it.
+    is_unframed : bool
+        Whether streams have neither a length nor chunks and end with their connection.
+        With ``aborts_after`` the connection then ends in order, not with a reset.
     refuses : bool
         Whether requests get 503 with ``Not-Run``.
     fails : bool
@@ -62,6 +65,7 @@
     weight_version: int = 1
     events: int = 3
     aborts_after: int | None = None
+    is_unframed: bool = False
     refuses: bool = False
     fails: bool = False
     hangs: bool = False
@@ -158,20 +162,69 @@
     async def _async_stream(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={**headers, "Content-Type": "text/event-stream"}
-        )
-        await response.prepare(request)
+        response = _EventStream(request, headers, is_unframed=self.is_unframed)
+        await response.async_start()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         aborts_after, self.aborts_after = self.aborts_after, None
         for number in range(first, self.events + 1):
             if aborts_after is not None and number > aborts_after >= first:
-                await response.write(f"id: {number}\ndata: ha".encode())
+                await response.async_write(f"id: {number}\ndata: ha".encode())
                 await asyncio.sleep(EVENT_INTERVAL_S)
-                if request.transport is not None:
-                    request.transport.abort()
-                return response
-            await response.write(f"id: {number}\ndata: event {number}\n\n".encode())
+                response.break_off()
+                return response.response
+            event = f"id: {number}\ndata: event {number}\n\n"
+            await response.async_write(event.encode())
             await asyncio.sleep(EVENT_INTERVAL_S)
-        await response.write_eof()
-        return response
+        await response.async_end()
+        return response.response
+
+
+class _EventStream:
+    """Response with events, in chunks or without any framing.
+
+    Parameters
+    ----------
+    is_unframed : bool
+        Whether the response bypasses the HTTP library, which always frames bodies.
+    """
+
+    def __init__(
+        self, request: web.Request, headers: dict[str, str], *, is_unframed: bool
+    ) -> None:
+        self._request = request
+        self._is_unframed = is_unframed
+        headers = {**headers, "Content-Type": "text/event-stream"}
+        self.response = web.StreamResponse(headers=headers)
+
+    async def async_start(self) -> None:
+        """Send the head."""
+        if not self._is_unframed:
+            await self.response.prepare(self._request)
+            return
+        lines = [f"{name}: {value}" for name, value in self.response.headers.items()]
+        head = ["HTTP/1.1 200 OK", *lines, "Connection: close"]
+        await self.async_write("\r\n".join([*head, "", ""]).encode())
+
+    async def async_write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        if not self._is_unframed:
+            await self.response.write(data)
+        elif self._request.transport is not None:
+            self._request.transport.write(data)
+
+    def break_off(self) -> None:
+        """End the connection: in order without framing, otherwise with a reset."""
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._is_unframed:
+            transport.close()
+        else:
+            transport.abort()
+
+    async def async_end(self) -> None:
+        """End the response."""
+        if not self._is_unframed:
+            await self.response.write_eof()
+        elif self._request.transport is not None:
+            self._request.transport.close()
--- a/tests/process/test_forward.py
+++ b/tests/process/test_forward.py
@@ -70,6 +70,20 @@
     assert positions == sorted(positions)
 
 
+# Guards against a broken stream without a length that reaches its caller as complete.
+async def test_stream_without_a_length_is_resumed_when_it_ends_inside_an_event(
+    platform: Platform,
+) -> None:
+    for upstream in platform.upstreams.values():
+        upstream.events = 6
+        upstream.is_unframed = True
+        upstream.aborts_after = 3
+    status, body, _ = await platform.async_call("/stream/", "a1", headers=PROMPT)
+    assert status == 200
+    assert body == b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 7))
+    assert platform.run_count("a1") == 2
+
+
 async def test_non_idempotent_call_is_not_retried(platform: Platform) -> None:
     for upstream in platform.upstreams.values():
         upstream.fails = True
