Log the software version of the chosen upstream and the resumed attempt

The entry's version was decoded and thrown away, and Resumes was read by nothing, so no line told which software version served a stream or whether a caller took one up again. Both are now known to the forwarder and in the line request_placed; no decision uses them yet. Entries without a text as version stay unusable (two cases added to the test).

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -523,6 +523,8 @@
             unstored_tokens=placed.unstored_tokens,
             saves=sum(map(bool, placed.plan.saves)),
             weights=placed.plan.expected_weights,
+            software_version=placed.record.software_version,
+            resumes=_text(context.metadata.resumes),
         )
 
     def _log_failure(
@@ -553,3 +555,7 @@
             configuration=configuration.version if configuration else None,
             **values,
         )
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
--- a/src/banyanswitch/components/forwarding/models.py
+++ b/src/banyanswitch/components/forwarding/models.py
@@ -165,6 +165,9 @@
         upstream under one identifier.
     sequence : int
         Number of the entry; increases with each entry of one start.
+    software_version : str
+        Version of its software. A stream that one version began can only be continued
+        by the same version of the service.
     """
 
     name: UpstreamId
@@ -176,6 +179,7 @@
     weight_versions: Mapping[str, int]
     started_at_ms: int
     sequence: int = 0
+    software_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,6 +205,11 @@
     parts : tuple of PromptPart
         Parts of the prompt, in order; the last one belongs to the request or its
         session.
+    last_event : bytes or None
+        Identifier of the last event that the caller has of a stream that it takes up
+        again; ``None`` for a new request.
+    resumes : bytes or None
+        Attempt that brought the first event of that stream, if the caller names it.
     """
 
     attempt: bytes
@@ -211,6 +220,8 @@
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
+    last_event: bytes | None = None
+    resumes: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/banyanswitch/platform/documents.py
+++ b/src/banyanswitch/platform/documents.py
@@ -179,6 +179,7 @@
             weight_versions={model.name: model.version for model in entry.models},
             started_at_ms=entry.born,
             sequence=entry.sequence,
+            software_version=entry.version,
         )
 
 
--- a/src/banyanswitch/platform/headers.py
+++ b/src/banyanswitch/platform/headers.py
@@ -32,6 +32,7 @@
     HEADER_NOT_RUN,
     HEADER_PROMPT_PARTS,
     HEADER_RANK,
+    HEADER_RESUMES,
     HEADER_RETRY_AFTER,
     HEADER_SAVE,
     HEADER_SIGNATURE,
@@ -68,6 +69,8 @@
             parts=_parse_parts(_header_text(values, HEADER_PROMPT_PARTS)),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
+            last_event=values.get(HEADER_LAST_EVENT.lower()),
+            resumes=values.get(HEADER_RESUMES.lower()),
         )
 
     def upstream_request(self, request: Request, plan: UpstreamRequestPlan) -> bytes:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -105,6 +105,7 @@
     assert record is not None
     assert record.weight_versions == {"m": 3}
     assert record.started_at_ms == 1700
+    assert record.software_version == ENTRY["version"]
     assert not record.is_leaving
 
 
@@ -121,6 +122,8 @@
         {"models": [{"name": "m", "version": "three"}]},
         {"sequence": None},
         {"service": None},
+        {"version": None},
+        {"version": 2},
     ],
 )
 def test_invalid_entry_is_ignored(change: dict[str, Any]) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -48,6 +48,16 @@
     assert metadata.output_tokens == 80
     assert metadata.parts[0] == PromptPart("5c1e", 800)
     assert len(metadata.parts) == 3
+    assert metadata.last_event is None
+    assert metadata.resumes is None
+
+
+def test_stream_that_is_taken_up_again_is_parsed_and_forwarded() -> None:
+    request = make_request((b"last-event-id", b"12"), (b"Resumes", b"9c41"))
+    metadata = TRANSLATOR.read_request_metadata(request)
+    assert metadata.last_event == b"12"
+    assert metadata.resumes == b"9c41"
+    assert sent_headers(request)[b"resumes"] == b"9c41"
 
 
 @pytest.mark.parametrize("name", sorted(SYSTEM_HEADERS))
