--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -31,6 +31,8 @@
         Model that it serves.
     weight_version : int
         Version of the loaded weights.
+    software_version : str
+        Version of its software, which it doesn't check when it resumes a stream.
     events : int
         Number of events in a stream.
     aborts_after : int or None
@@ -63,6 +65,7 @@
     name: str
     model: str = "m"
     weight_version: int = 1
+    software_version: str = "v1"
     events: int = 3
     aborts_after: int | None = None
     is_unframed: bool = False
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -45,7 +45,9 @@
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+ATTEMPT = b"attempt-id"
 LAST_EVENT = b"Last-Event-Id"
+RESUMES = b"resumes"
 EVENTS = 2
 """Number of events in a stream."""
 
@@ -88,6 +90,7 @@
     is_leaving: bool = False,
     domain: str = "z1",
     sequence: int = 0,
+    software_version: str = "v1",
 ) -> UpstreamRecord:
     return UpstreamRecord(
         name=UpstreamId(name),
@@ -99,6 +102,7 @@
         weight_versions={MODEL: version},
         started_at_ms=started_at_ms,
         sequence=sequence,
+        software_version=software_version,
     )
 
 
@@ -141,7 +145,7 @@
     def read_request_metadata(self, request: Request) -> RequestMetadata:
         prompt_tokens = int(header_value(request.headers, b"prompt-tokens") or 0)
         return RequestMetadata(
-            attempt=b"a1",
+            attempt=header_value(request.headers, ATTEMPT) or b"a1",
             host=HOST,
             key=None,
             time_left_s=float(header_value(request.headers, b"time-left-s") or 0),
@@ -149,13 +153,18 @@
             parts=(PromptPart("own", prompt_tokens),),
             prompt_tokens=prompt_tokens,
             output_tokens=30,
+            last_event=header_value(request.headers, LAST_EVENT.lower()),
+            resumes=header_value(request.headers, RESUMES),
         )
 
     def upstream_request(self, request: Request, plan: UpstreamRequestPlan) -> bytes:
         first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
-        if plan.resume_after is None:
+        last_event = plan.resume_after
+        if last_event is None:
+            last_event = header_value(request.headers, LAST_EVENT.lower())
+        if last_event is None:
             return encode_head(first_line, ())
-        return encode_head(first_line, [(LAST_EVENT, plan.resume_after)])
+        return encode_head(first_line, [(LAST_EVENT, last_event)])
 
     def read_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         return ResponseMetadata(
@@ -178,10 +187,13 @@
         return [] if retry_after_s is None else [(RETRY_AFTER, b"%f" % retry_after_s)]
 
 
-def model_request(path: str, *, prompt_tokens: int, time_left_s: float) -> Request:
+def model_request(
+    path: str, *, prompt_tokens: int, time_left_s: float, more: Headers = ()
+) -> Request:
     headers = (
         (b"prompt-tokens", b"%d" % prompt_tokens),
         (b"time-left-s", b"%f" % time_left_s),
+        *more,
     )
     now_s = asyncio.get_running_loop().time()
     return Request(b"POST", path.encode(), headers, b"", now_s)
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -18,6 +18,7 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
+from banyanswitch.components.http1.models import Headers
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.table_mirror.mirror import TableMirror
@@ -131,9 +132,10 @@
         response_s: float = 0.0,
         is_unframed: bool = False,
         breaks_off: bool = False,
+        software_version: str = "v1",
     ) -> FakeUpstream:
         upstream = FakeUpstream(name, queue_s, response_s, is_unframed, breaks_off)
-        entry = record(name, version=version)
+        entry = record(name, version=version, software_version=software_version)
         self._pool.upstreams[entry.address] = upstream
         self.upstreams.put(entry)
         return upstream
@@ -161,12 +163,17 @@
         return self._forwarder._retrier(SERVICE).budget_left(now_s())
 
     def send(
-        self, repeatability: Repeatability, *, time_left_s: float = 30.0
+        self,
+        repeatability: Repeatability,
+        *,
+        time_left_s: float = 30.0,
+        headers: Headers = (),
     ) -> tuple[FakeReply, asyncio.Task[None]]:
         request = model_request(
             f"/{repeatability.value}/",
             prompt_tokens=PROMPT_TOKENS,
             time_left_s=time_left_s,
+            more=headers,
         )
         reply = FakeReply()
         handling = self._forwarder.async_handle(request, reply)
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -65,12 +65,14 @@
     return json.dumps(document).encode()
 
 
-def registry_entry(name: str, address: str, state: str = "ready") -> bytes:
+def registry_entry(
+    name: str, address: str, state: str = "ready", version: str = "v1"
+) -> bytes:
     document = {
         "service": "llm",
         "address": address,
         "zone": "z1",
-        "version": "v1",
+        "version": version,
         "slots": 8,
         "state": state,
         "sequence": 1,
@@ -118,9 +120,16 @@
             await self.async_wait_until(lambda host=host: self.async_is_ready(host))
 
     async def async_register(self, name: str, state: str = "ready") -> None:
-        await self.store.async_put(
-            "servers", name, registry_entry(name, self._addresses[name], state)
-        )
+        version = self.upstreams[name].software_version
+        entry = registry_entry(name, self._addresses[name], state, version)
+        await self.store.async_put("servers", name, entry)
+
+    async def async_add_upstream(self, name: str, software_version: str) -> None:
+        """Start another upstream and register it."""
+        upstream = PlatformUpstream(name, software_version=software_version)
+        self.upstreams[name] = upstream
+        self._addresses[name] = await self._async_listen(upstream.make_app())
+        await self.async_register(name)
 
     async def async_run_drill(self, copy_age_s: float, down_s: float) -> None:
         await self.store_drill.async_run(copy_age_s, down_s)
