Let a stream go on only at the software version that began it

Cause: no part knew which version began a stream. The entry's version was thrown away, Resumes was read by nothing, and an upstream doesn't check what it resumes. Class: a property that ties the parts of one stream together was not carried across attempts.

The origin of a stream, service and software version, is noted under the attempt that brings its first event, before that event is sent. Within one response the instance binds further attempts to it. For a stream that its caller takes up, Resumes names the attempt; the instance looks it up in its memory and asks others. KEEPERS other instances, selected by the stream, hold a copy, so that a killed instance takes nothing with it; nothing is written to the store, whose 400 writes a second could not bear 2,400 streams. A stream without a noted origin goes on only if a single version can have begun it, counting those that left within its lifetime; else it is refused at once, with a time to come back.

Ruled out: a record for each stream in the store (see above), a token for the caller (the headers and events must stay unchanged), a version chosen by a hash of the attempt (it can't follow what is served at any time).

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -1,6 +1,7 @@
 """Attempt of a request at one upstream."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -63,6 +64,8 @@
         Response channel to the caller.
     progress : ResponseProgress
         Progress of the response over all attempts.
+    on_first_events : callable
+        Called before the first events of this attempt are sent to the caller.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         pool: ConnectionPool,
         registry: UpstreamRegistry,
         start_limits: StartLimits,
+        on_first_events: Callable[[], None],
     ) -> None:
         self._request = request
         self._metadata = metadata
@@ -87,6 +91,7 @@
         self._pool = pool
         self._registry = registry
         self._start_limits = start_limits
+        self._on_first_events = on_first_events
         self._loop = asyncio.get_running_loop()
         self.has_sent = False
         self.status = 0
@@ -226,8 +231,13 @@
 
     async def _async_relay_events(self, connection: UpstreamConnection) -> None:
         splitter = self._progress.splitter
+        has_events = False
         while (part := await connection.async_part()) is not None:
-            self._reply.write(splitter.feed(part))
+            events = splitter.feed(part)
+            if events and not has_events:
+                has_events = True
+                self._on_first_events()
+            self._reply.write(events)
             await self._reply.async_drain()
         # Neither a closed connection nor a last chunk shows that the stream is whole.
         if splitter.is_inside_event:
--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -11,6 +11,9 @@
 """Number of dropped upstreams whose last entry is remembered; at the target size of 780
 upstreams, it covers two full replacements."""
 
+VERSION_HISTORY_S: Final = 300.0
+"""Time for which a software version that has left a service is remembered."""
+
 LOADING_NOTICE_TTL_S: Final = 2.0
 """Validity of a notice that an upstream is loading weights. The instance that ordered
 the load repeats the notice with each report; without repeats it expires, so the load
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import structlog
 
@@ -34,7 +35,11 @@
     PlacementRequest,
     PlacementResult,
 )
-from banyanswitch.components.forwarding.protocols import RequestTranslator
+from banyanswitch.components.forwarding.protocols import (
+    RequestTranslator,
+    ServiceVersions,
+    StreamOrigins,
+)
 from banyanswitch.components.forwarding.refusals import (
     STATUS_BAD_GATEWAY,
     STATUS_NOT_FOUND,
@@ -63,6 +68,10 @@
     Retry,
     shared_retry_policy,
 )
+from banyanswitch.decisions.stream_resumption import (
+    StreamOrigin,
+    origin_of_resumed_stream,
+)
 from banyanswitch.exceptions import (
     NotRunError,
     RunOutcome,
@@ -106,6 +115,7 @@
     unsent: int = 0
     may_have_run: bool = False
     last_upstream: str = ""
+    origin: StreamOrigin | None = None
 
 
 class Forwarder:
@@ -117,6 +127,10 @@
         Returns the number of instances that share the retry budget.
     is_refusing : callable
         Returns whether this instance refuses new requests.
+    origins : StreamOrigins
+        Origins of the streams that callers take up again.
+    versions : ServiceVersions
+        Software versions, for streams without a known origin.
     on_replaced : callable
         Called with an upstream when another upstream responded at its address.
     """
@@ -136,6 +150,8 @@
         is_refusing: Callable[[], bool],
         generator: random.Random,
         wait_queue: WaitQueue,
+        origins: StreamOrigins,
+        versions: ServiceVersions,
         on_replaced: Callable[[UpstreamId], None],
     ) -> None:
         self._translator = translator
@@ -151,6 +167,8 @@
         self._random = generator
         self._retriers: dict[ServiceName, tuple[int, Retrier]] = {}
         self._wait_queue = wait_queue
+        self._origins = origins
+        self._versions = versions
         self._on_replaced = on_replaced
         self._loop = asyncio.get_running_loop()
 
@@ -161,9 +179,14 @@
         if isinstance(found, Refusal):
             self._refuse(request, metadata, reply, found)
             return
-        self._retrier(found.service.name).on_first_attempt(self._loop.time())
         try:
             async with asyncio.timeout_at(found.ends_at_s):
+                refusal = await self._async_find_origin(found)
+                if refusal is not None:
+                    self._refuse(request, metadata, reply, refusal, found)
+                    return
+                retrier = self._retrier(found.service.name)
+                retrier.on_first_attempt(self._loop.time())
                 await self._async_serve(found)
         except TimeoutError:
             self._end_timed_out(found)
@@ -204,6 +227,53 @@
             progress=ResponseProgress(EventSplitter()),
         )
 
+    async def _async_find_origin(self, context: _RequestContext) -> Refusal | None:
+        """Bind a stream that its caller takes up again to the version that began it.
+
+        Returns
+        -------
+        refusal : Refusal or None
+            Refusal of a stream whose version can't be known.
+        """
+        metadata, route = context.metadata, context.route
+        if not route.is_streaming or metadata.last_event is None:
+            return None
+        noted = None
+        if metadata.resumes is not None:
+            noted = await self._origins.async_find(metadata.resumes)
+        services = {share.service for share in route.shares}
+        versions = {name: self._versions.possible(name) for name in services}
+        origin = origin_of_resumed_stream(noted, services, versions)
+        service = self._placement.service_of(origin.service) if origin else None
+        self._log(
+            context,
+            "stream_taken_up",
+            resumes=_text(metadata.resumes),
+            last_event=_text(metadata.last_event),
+            is_noted=noted is not None,
+            service=origin.service if origin else None,
+            software_version=origin.software_version if origin else None,
+        )
+        if origin is None or service is None:
+            wait_s = UNAVAILABLE_RETRY_AFTER_S
+            return Refusal(STATUS_UNAVAILABLE, RefusalReason.UNKNOWN_VERSION, wait_s)
+        context.origin, context.service = origin, service
+        if metadata.resumes is not None:
+            self._origins.note(metadata.resumes, origin)
+        return None
+
+    def _note_first_events(
+        self, context: _RequestContext, placed: PlacementResult
+    ) -> None:
+        """Bind a stream to the version that brings its first events."""
+        if context.origin is not None:
+            return
+        context.origin = StreamOrigin(
+            context.service.name, placed.record.software_version
+        )
+        if context.route.repeatability is Repeatability.RESUMABLE_STREAM:
+            self._origins.note(context.metadata.attempt, context.origin)
+
     async def _async_serve(self, context: _RequestContext) -> None:
         while True:
             placed = await self._async_place(context)
@@ -223,6 +293,7 @@
                 pool=self._pool,
                 registry=self._registry,
                 start_limits=self._start_limits,
+                on_first_events=partial(self._note_first_events, context, placed),
             )
             context.sent += 1
             is_last = not self._may_repeat(context)
@@ -276,6 +347,9 @@
                 excluded=context.excluded,
                 time_left_s=time_left_s,
                 resume_after=resume_after,
+                software_version=(
+                    context.origin.software_version if context.origin else None
+                ),
                 is_wait_over=is_wait_over,
             ),
             now_s,
@@ -436,7 +510,10 @@
             )
             return
         wait_s = BUSY_RETRY_AFTER_S if context.excluded else UNAVAILABLE_RETRY_AFTER_S
-        refusal = Refusal(STATUS_UNAVAILABLE, RefusalReason.NO_UPSTREAM, wait_s)
+        reason = RefusalReason.NO_UPSTREAM
+        if context.origin is not None:
+            reason = RefusalReason.NO_UPSTREAM_OF_VERSION
+        refusal = Refusal(STATUS_UNAVAILABLE, reason, wait_s)
         self._refuse(context.request, context.metadata, context.reply, refusal, context)
 
     def _end_timed_out(self, context: _RequestContext) -> None:
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -56,6 +56,9 @@
 
     Parameters
     ----------
+    software_version : str or None
+        Only software version that may continue a stream; ``None`` before its first
+        event.
     is_wait_over : bool
         Whether the request can't wait at this instance any longer. It is then sent to
         an upstream without room for it, unless the upstream's weights would soon be too
@@ -69,6 +72,7 @@
     excluded: Collection[UpstreamId]
     time_left_s: float
     resume_after: bytes | None = None
+    software_version: str | None = None
     is_wait_over: bool = False
 
 
@@ -205,6 +209,7 @@
             state
             for state in self._registry.accepting(service.name, now_s)
             if state.record.name not in request.excluded
+            and request.software_version in (None, state.record.software_version)
             and self._pool.open_count(state.record.address) < max(1.0, limit)
             and (model is None or self._has_weights(state, model, now_s))
         ]
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -12,7 +12,8 @@
     UpstreamRequestPlan,
 )
 from banyanswitch.components.http1.models import Header, Headers, Request, ResponseHead
-from banyanswitch.identifiers import UpstreamId
+from banyanswitch.decisions.stream_resumption import StreamOrigin
+from banyanswitch.identifiers import ServiceName, UpstreamId
 
 
 class RequestTranslator(Protocol):
@@ -36,6 +37,26 @@
         """Return the headers of a response that is generated here."""
 
 
+class StreamOrigins(Protocol):
+    """Origins of the streams that callers may take up again."""
+
+    def note(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Remember the origin of a stream, by the attempt that began it."""
+
+    async def async_find(self, stream: bytes) -> StreamOrigin | None:
+        """Return the origin of a stream, or ``None`` if it can't be found in time."""
+
+
+class ServiceVersions(Protocol):
+    """Software versions of the services."""
+
+    def possible(self, service: ServiceName) -> frozenset[str] | None:
+        """Return the versions that may have begun an unfinished stream.
+
+        ``None`` means that they are not known.
+        """
+
+
 class DocumentDecoder(Protocol):
     """Decodes the table rows that operators and upstreams write."""
 
--- a/src/banyanswitch/components/forwarding/refusals.py
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -20,6 +20,8 @@
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
     NO_UPSTREAM = "no_upstream"
+    NO_UPSTREAM_OF_VERSION = "no_upstream_of_version"
+    UNKNOWN_VERSION = "unknown_version"
     NOT_REACHED = "upstream_not_reached"
     REFUSED = "refused_by_upstream"
     BROKEN = "upstream_broke_off"
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -12,6 +12,7 @@
     REFUSAL_COOLDOWN_S,
     REPLACED_COOLDOWN_S,
     SILENCE_TIMEOUT_S,
+    VERSION_HISTORY_S,
 )
 from banyanswitch.components.forwarding.loads import LoadTracker
 from banyanswitch.components.forwarding.models import UpstreamRecord
@@ -93,6 +94,11 @@
         Load by requests in flight.
     ejector : Ejector
         Ejects failing upstreams.
+
+    Attributes
+    ----------
+    followed_since_s : float or None
+        Loop time at which the first entries were read; ``None`` before.
     """
 
     def __init__(
@@ -109,6 +115,8 @@
         self._states: dict[UpstreamId, UpstreamState] = {}
         self._by_service: dict[ServiceName, list[UpstreamId]] = {}
         self._dropped: dict[UpstreamId, _Dropped] = {}
+        self._version_left_at_s: dict[tuple[ServiceName, str], float] = {}
+        self.followed_since_s: float | None = None
         mirror.subscribe(self._on_rows)
 
     @callback
@@ -122,6 +130,20 @@
         names = self._by_service.get(service, ())
         return [self._states[name] for name in names]
 
+    @callback
+    def software_versions(self, service: ServiceName, since_s: float) -> frozenset[str]:
+        """Return the software versions that a service has, or had after ``since_s``.
+
+        ``since_s`` is at most `VERSION_HISTORY_S` ago.
+        """
+        present = {state.record.software_version for state in self.of_service(service)}
+        left = {
+            version
+            for (name, version), left_at_s in self._version_left_at_s.items()
+            if name == service and left_at_s >= since_s
+        }
+        return frozenset(present | left)
+
     @callback
     def serving_model(self, model: str) -> list[UpstreamState]:
         """Return the upstreams that serve a model."""
@@ -228,6 +250,8 @@
 
     def _on_rows(self, changed: tuple[Item, ...], removed: tuple[str, ...]) -> None:
         now_s = asyncio.get_running_loop().time()
+        if self.followed_since_s is None:
+            self.followed_since_s = now_s
         for item in changed:
             self._on_entry(item, now_s)
         for key in removed:
@@ -251,6 +275,8 @@
                 sequence=record.sequence,
             )
             return
+        if known is not None and _version_key(known.record) != _version_key(record):
+            self._note_version_left(known.record, now_s)
         if known is None or record.started_at_ms > known.record.started_at_ms:
             self.ejector.forget(record.name)
             versions = dict(record.weight_versions)
@@ -308,6 +334,8 @@
     def _drop(self, name: UpstreamId, reason: str) -> None:
         state = self._states.pop(name, None)
         if state is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._note_version_left(state.record, now_s)
             self._dropped.pop(name, None)
             self._dropped[name] = _Dropped(
                 _order(state.record), self._mirror.content_version
@@ -318,6 +346,15 @@
         self._rebuild_index()
         LOGGER.info("upstream_gone", upstream=name, reason=reason)
 
+    def _note_version_left(self, record: UpstreamRecord, now_s: float) -> None:
+        oldest_s = now_s - VERSION_HISTORY_S
+        self._version_left_at_s = {
+            key: left_at_s
+            for key, left_at_s in self._version_left_at_s.items()
+            if left_at_s >= oldest_s
+        }
+        self._version_left_at_s[_version_key(record)] = now_s
+
     def _rebuild_index(self) -> None:
         self._by_service = {}
         for name in sorted(self._states):
@@ -330,5 +367,9 @@
     return record.started_at_ms, record.sequence
 
 
+def _version_key(record: UpstreamRecord) -> tuple[ServiceName, str]:
+    return record.service, record.software_version
+
+
 def _row_key(key: str) -> str:
     return key.partition("/")[2]
--- /dev/null
+++ b/src/banyanswitch/components/stream_origins/const.py
@@ -0,0 +1,27 @@
+"""Constants of the streams' origins."""
+
+from typing import Final
+
+STREAM_LIFETIME_S: Final = 30.0
+"""Time within which a stream that has begun may be taken up again; callers wait up to
+15 s for a request and its repetitions."""
+
+MAX_ORIGINS: Final = 50_000
+"""Maximum number of remembered origins, about 10 MB; at the target size an instance
+remembers some hundred."""
+
+KEEPERS: Final = 4
+"""Number of other instances that remember an origin; it is lost only if all of them and
+the instance that began the stream end within its lifetime."""
+
+ASKED: Final = 8
+"""Number of instances that are asked for an origin. More than `KEEPERS`, since the
+instances that have joined or left since the stream began change the selection."""
+
+ASK_ROUND_S: Final = 0.1
+"""Time after which the question is repeated to the instances that have not answered;
+they are up to 40 ms away."""
+
+ASK_ROUNDS: Final = 3
+"""Number of times that an instance is asked. Datagrams get lost, and instances that
+have ended never answer."""
--- /dev/null
+++ b/src/banyanswitch/components/stream_origins/exchange.py
@@ -0,0 +1,157 @@
+"""Origins of streams, remembered by several instances."""
+
+import asyncio
+from dataclasses import dataclass
+
+import structlog
+
+from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.stream_origins.const import (
+    ASK_ROUND_S,
+    ASK_ROUNDS,
+    ASKED,
+    KEEPERS,
+)
+from banyanswitch.components.stream_origins.memory import OriginMemory
+from banyanswitch.components.stream_origins.models import (
+    OriginAnswer,
+    OriginQuestion,
+    StreamBegan,
+)
+from banyanswitch.core import callback
+from banyanswitch.decisions.rendezvous import select_instances
+from banyanswitch.decisions.stream_resumption import StreamOrigin
+from banyanswitch.exceptions import PeerError
+from banyanswitch.identifiers import ServiceName
+from banyanswitch.interfaces import PeerDirectory
+
+LOGGER = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class _Search:
+    """Search for one origin, and the instances whose answer is missing."""
+
+    found: asyncio.Future[StreamOrigin | None]
+    unanswered: set[str]
+
+
+class OriginExchange:
+    """Implementation of ``StreamOrigins`` that survives the end of an instance.
+
+    Each origin is sent to a few other instances, which are selected by the stream, so
+    that an instance which is asked to go on with it knows whom to ask. The number of
+    messages doesn't grow with the number of instances, and nothing is written to the
+    table service. Origins are sent before the first event of the stream, and they are
+    not acknowledged: `KEEPERS` copies make up for lost datagrams.
+
+    Parameters
+    ----------
+    transport : DatagramPeerTransport
+        Carries the messages.
+    peers : PeerDirectory
+        The other instances.
+    """
+
+    def __init__(self, transport: DatagramPeerTransport, peers: PeerDirectory) -> None:
+        self._transport = transport
+        self._peers = peers
+        self._memory = OriginMemory()
+        self._searches: dict[bytes, _Search] = {}
+        self._loop = asyncio.get_running_loop()
+        transport.subscribe(StreamBegan, self._on_began)
+        transport.subscribe(OriginQuestion, self._on_question)
+        transport.subscribe(OriginAnswer, self._on_answer)
+
+    @callback
+    def note(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Remember an origin here and at the instances that keep it."""
+        self._memory.note(stream, origin)
+        message = StreamBegan(stream, origin.service, origin.software_version)
+        for address in self._selected(stream, KEEPERS):
+            self._send(address, message)
+
+    async def async_find(self, stream: bytes) -> StreamOrigin | None:
+        """Return the origin of a stream, from here or from another instance.
+
+        Returns
+        -------
+        origin : StreamOrigin or None
+            ``None`` if no instance knows it, or none that does answers within
+            `ASK_ROUNDS` times `ASK_ROUND_S`.
+        """
+        known = self._memory.find(stream)
+        if known is not None:
+            return known
+        search = self._searches.get(stream)
+        if search is not None:
+            return await asyncio.shield(search.found)
+        addresses = self._selected(stream, ASKED)
+        if not addresses:
+            return None
+        search = _Search(self._loop.create_future(), set(addresses))
+        self._searches[stream] = search
+        try:
+            await self._async_ask(stream, search)
+        finally:
+            del self._searches[stream]
+            if not search.found.done():
+                search.found.set_result(None)
+        origin = search.found.result()
+        if origin is None:
+            LOGGER.info(
+                "stream_origin_not_found",
+                stream=stream.decode("latin-1"),
+                asked=len(addresses),
+                unanswered=len(search.unanswered),
+            )
+        return origin
+
+    async def _async_ask(self, stream: bytes, search: _Search) -> None:
+        question = OriginQuestion(stream, self._transport.address)
+        for _ in range(ASK_ROUNDS):
+            for address in tuple(search.unanswered):
+                self._send(address, question)
+            await asyncio.wait((search.found,), timeout=ASK_ROUND_S)
+            if search.found.done():
+                return
+
+    def _selected(self, stream: bytes, count: int) -> list[str]:
+        """Return the addresses of the other instances that keep an origin."""
+        this = self._peers.this_instance().instance
+        addresses: dict[str, str] = {
+            peer.instance: peer.peer_address
+            for peer in self._peers.peers()
+            if peer.instance != this and not peer.is_leaving
+        }
+        chosen = select_instances(stream.decode("latin-1"), addresses, count)
+        return [addresses[name] for name in chosen]
+
+    def _send(self, address: str, message: object) -> None:
+        try:
+            self._transport.send(address, message)
+        except PeerError as error:
+            LOGGER.info("stream_origin_not_sent", peer=address, reason=str(error))
+
+    def _on_began(self, message: StreamBegan) -> None:
+        origin = StreamOrigin(ServiceName(message.service), message.software_version)
+        self._memory.note(message.stream, origin)
+
+    def _on_question(self, message: OriginQuestion) -> None:
+        known = self._memory.find(message.stream)
+        origin = None if known is None else (known.service, known.software_version)
+        answer = OriginAnswer(message.stream, self._transport.address, origin)
+        self._send(message.peer_address, answer)
+
+    def _on_answer(self, message: OriginAnswer) -> None:
+        search = self._searches.get(message.stream)
+        if search is None or search.found.done():
+            return
+        search.unanswered.discard(message.peer_address)
+        if message.origin is not None:
+            service, software_version = message.origin
+            search.found.set_result(
+                StreamOrigin(ServiceName(service), software_version)
+            )
+        elif not search.unanswered:
+            search.found.set_result(None)
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -40,6 +40,8 @@
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.state_exchange.coordinator import StateExchange
+from banyanswitch.components.stream_origins.exchange import OriginExchange
+from banyanswitch.components.stream_origins.software_versions import SoftwareVersions
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
@@ -312,6 +314,8 @@
             is_refusing=lambda: self._shutdown.is_refusing,
             generator=self._random,
             wait_queue=self._wait_queue,
+            origins=OriginExchange(self._transport, self._membership),
+            versions=SoftwareVersions(self._registry),
             on_replaced=self._exchange.announce_replaced,
         )
         self._server = CallerServer(
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -15,12 +15,15 @@
     ServiceShare,
 )
 from banyanswitch.components.forwarding.placement import Placement
+from banyanswitch.components.forwarding.protocols import StreamOrigins
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
 from banyanswitch.components.http1.models import Headers
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
+from banyanswitch.components.stream_origins.exchange import OriginExchange
+from banyanswitch.components.stream_origins.software_versions import SoftwareVersions
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.suspension import SuspensionWatch
@@ -42,6 +45,7 @@
 )
 from tests.components.kv_tier.test_coordinator import FakeClock, FakeStore
 from tests.components.lease.conftest import FixedPeers, make_peer
+from tests.components.peers.in_memory_transport import InMemoryTransport
 
 WEIGHTS_DEADLINE_S = 4.0
 PROMPT_TOKENS = 17_000
@@ -71,7 +75,10 @@
 
 
 def make_forwarder(
-    routing: RoutingState, upstreams: Upstreams, pool: FakePool
+    routing: RoutingState,
+    upstreams: Upstreams,
+    pool: FakePool,
+    origins: StreamOrigins,
 ) -> Forwarder:
     generator = random.Random(1)
     tier = PartTier(
@@ -108,6 +115,8 @@
         is_refusing=lambda: False,
         generator=generator,
         wait_queue=wait_queue,
+        origins=origins,
+        versions=SoftwareVersions(upstreams.registry),
         on_replaced=lambda _name: None,
     )
 
@@ -117,11 +126,15 @@
 
     def __init__(self) -> None:
         self.upstreams = Upstreams()
+        alone = FixedPeers(make_peer("a"), [])
+        self.origins = OriginExchange(InMemoryTransport("a", {}), alone)
         self._pool = FakePool()
         self._operator = TableMirror("op", NoFeed(), random.Random(1))
         self.routing = RoutingState(self._operator, PlainDecoder(), "config")
         self.routing.apply(make_configuration())
-        self._forwarder = make_forwarder(self.routing, self.upstreams, self._pool)
+        self._forwarder = make_forwarder(
+            self.routing, self.upstreams, self._pool, self.origins
+        )
 
     def add(
         self,
--- a/tests/components/forwarding/test_upstream_registry.py
+++ b/tests/components/forwarding/test_upstream_registry.py
@@ -228,3 +228,27 @@
     upstreams.remove("a")
     upstreams.put(record("a", sequence=7))
     assert upstreams.accepting(now_s()) == ["a"]
+
+
+async def test_software_versions_that_have_left_are_remembered_for_a_time() -> None:
+    upstreams = Upstreams()
+    registry = upstreams.registry
+    assert registry.followed_since_s is None
+    upstreams.put(record("a", software_version="v1"))
+    upstreams.put(record("b", software_version="v2"))
+    assert registry.followed_since_s == now_s()
+    upstreams.remove("a")
+    left_at_s = now_s()
+    assert registry.software_versions(SERVICE, left_at_s) == {"v1", "v2"}
+    await asyncio.sleep(10.0)
+    assert registry.software_versions(SERVICE, left_at_s) == {"v1", "v2"}
+    assert registry.software_versions(SERVICE, left_at_s + 1.0) == {"v2"}
+
+
+async def test_upstream_that_starts_again_at_another_software_version() -> None:
+    upstreams = Upstreams()
+    upstreams.put(record("a", software_version="v1"))
+    upstreams.put(record("a", software_version="v2", started_at_ms=2))
+    registry = upstreams.registry
+    assert registry.software_versions(SERVICE, now_s()) == {"v1", "v2"}
+    assert registry.software_versions(SERVICE, now_s() + 1.0) == {"v2"}
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -9,7 +9,6 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.peers.const import BURST_BYTES
-from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.state_exchange.const import (
     BROADCAST_BYTES_PER_S,
@@ -17,7 +16,6 @@
 )
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.table_mirror.mirror import TableMirror
-from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import FailureDomainId, InstanceId, UpstreamId
 from banyanswitch.interfaces import Peer
@@ -29,29 +27,9 @@
     record,
 )
 from tests.components.kv_tier.test_coordinator import FakeClock, FakeStore
+from tests.components.peers.in_memory_transport import InMemoryTransport
 
 pytestmark = pytest.mark.looptime
-KEYS = SigningKeys(b"k" * 16, None)
-
-
-class InMemoryTransport(DatagramPeerTransport):
-    """Transport that delivers datagrams in memory, without a socket."""
-
-    def __init__(self, name: str, transports: dict[str, "InMemoryTransport"]) -> None:
-        super().__init__(
-            instance=InstanceId(name), incarnation=1, host=name, port=1, keys=KEYS
-        )
-        self._transports = transports
-        self.sent = 0
-        self.sent_bytes = 0
-        self.recipients: list[str] = []
-
-    def send(self, peer_address: str, message: object) -> None:
-        self.sent += 1
-        self.sent_bytes += len(self.frame(peer_address, message))
-        self.recipients.append(peer_address)
-        if peer_address in self._transports:
-            self._transports[peer_address].deliver(self.frame(peer_address, message))
 
 
 class Node:
