Store the software versions of services for instances that start

After all instances had ended, none knew which versions might have begun a stream that its caller takes up, so each such stream was refused for 30 s, also where there is only one version.

A few instances, selected without communication, keep one row a service: the versions present, and those that left within the lifetime of a stream. An instance reads the rows once when it starts. Before: four of the cases of an instance that has just started could not be told apart. After: 5 cases in test_software_versions.py and 6 in test_version_store.py pass.

--- a/src/banyanswitch/components/stream_origins/const.py
+++ b/src/banyanswitch/components/stream_origins/const.py
@@ -25,3 +25,20 @@
 ASK_ROUNDS: Final = 3
 """Number of times that an instance is asked. Datagrams get lost, and instances that
 have ended never answer."""
+
+VERSIONS_TABLE: Final = "software"
+"""Table of the software versions of each service."""
+
+VERSIONS_INTERVAL_S: Final = 0.5
+"""Interval between two comparisons of the stored versions with the upstreams."""
+
+ADDITION_DELAY_S: Final = 1.0
+"""Longest random delay before a new version is stored. The first instance to store it
+saves the others a write."""
+
+REMOVAL_DELAY_S: Final = 20.0
+"""Longest random delay before a version that is gone is removed."""
+
+ERA_READ_SPREAD_S: Final = 2.0
+"""Time over which the instances read the stored versions again after the store has
+returned from an older copy."""
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -42,6 +42,7 @@
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.stream_origins.exchange import OriginExchange
 from banyanswitch.components.stream_origins.software_versions import SoftwareVersions
+from banyanswitch.components.stream_origins.version_store import SoftwareVersionStore
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
@@ -172,6 +173,7 @@
             "words": self._event_relay.async_run(),
             "relay": self._relay.async_run(),
             "named_times": self._target_time_store.async_run(),
+            "software_versions": self._version_store.async_run(),
             "rollout": self._rollout.async_run(),
             "cleaner": self._cleaner.async_run(),
             "housekeeping": self._async_housekeep(),
@@ -283,6 +285,14 @@
 
     def _make_serving(self) -> None:
         settings = self._settings
+        self._version_store = SoftwareVersionStore(
+            table=self._tables,
+            registry=self._registry,
+            routing=self._routing,
+            peers=self._membership,
+            generator=self._random,
+            eras=self._tables,
+        )
         self._metrics = ForwardingMetrics()
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
@@ -315,7 +325,7 @@
             generator=self._random,
             wait_queue=self._wait_queue,
             origins=OriginExchange(self._transport, self._membership),
-            versions=SoftwareVersions(self._registry),
+            versions=SoftwareVersions(self._registry, self._version_store),
             on_replaced=self._exchange.announce_replaced,
         )
         self._server = CallerServer(
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -27,7 +27,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.suspension import SuspensionWatch
-from banyanswitch.identifiers import FailureDomainId, UpstreamId
+from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 from banyanswitch.interfaces import Item, TableChanges
 from tests.components.forwarding.fakes import (
     HOST,
@@ -79,6 +79,7 @@
     upstreams: Upstreams,
     pool: FakePool,
     origins: StreamOrigins,
+    stored_versions: "FakeStoredVersions",
 ) -> Forwarder:
     generator = random.Random(1)
     tier = PartTier(
@@ -116,16 +117,26 @@
         generator=generator,
         wait_queue=wait_queue,
         origins=origins,
-        versions=SoftwareVersions(upstreams.registry),
+        versions=SoftwareVersions(upstreams.registry, stored_versions),
         on_replaced=lambda _name: None,
     )
 
 
+class FakeStoredVersions:
+    """Implements ``StoredVersions`` for one service."""
+
+    stored: frozenset[str] | None = None
+
+    def versions(self, service: ServiceName) -> frozenset[str] | None:
+        return self.stored
+
+
 class Instance:
     """Forwarder in front of fake upstreams, with the targets that a test names."""
 
     def __init__(self) -> None:
         self.upstreams = Upstreams()
+        self.stored_versions = FakeStoredVersions()
         alone = FixedPeers(make_peer("a"), [])
         self.origins = OriginExchange(InMemoryTransport("a", {}), alone)
         self._pool = FakePool()
@@ -133,7 +144,7 @@
         self.routing = RoutingState(self._operator, PlainDecoder(), "config")
         self.routing.apply(make_configuration())
         self._forwarder = make_forwarder(
-            self.routing, self.upstreams, self._pool, self.origins
+            self.routing, self.upstreams, self._pool, self.origins, self.stored_versions
         )
 
     def add(
--- a/tests/components/forwarding/test_software_versions.py
+++ b/tests/components/forwarding/test_software_versions.py
@@ -152,6 +152,31 @@
     assert reply.body == SECOND % b"a"
 
 
+# Guards against the loss of all streams when all instances have just started.
+@pytest.mark.parametrize("resumes", [b"unknown", None])
+async def test_instance_that_has_just_started_trusts_the_stored_versions(
+    resumes: bytes | None,
+) -> None:
+    instance = Instance()
+    instance.add("a", 1)
+    instance.stored_versions.stored = frozenset({"v1"})
+    reply = await async_take_up(instance, resumes=resumes)
+    assert reply.body == SECOND % b"a"
+
+
+# Guards against a guess after a version has left and all instances have started again.
+@pytest.mark.parametrize("stored", [None, frozenset({"v1", "v2"}), frozenset({"v2"})])
+async def test_instance_that_has_just_started_knows_what_left_before(
+    stored: frozenset[str] | None,
+) -> None:
+    instance = Instance()
+    upstream = instance.add("a", 1)
+    instance.stored_versions.stored = stored
+    reply = await async_take_up(instance, resumes=b"unknown")
+    assert reply.status == 503
+    assert served(upstream) == []
+
+
 # Guards against pinning requests that have no events yet.
 async def test_new_streams_use_all_versions() -> None:
     instance = Instance()
--- /dev/null
+++ b/tests/components/stream_origins/test_version_store.py
@@ -0,0 +1,173 @@
+"""Software versions are stored with few writes, and read by new instances."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+import pytest
+
+from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.stream_origins.const import (
+    ADDITION_DELAY_S,
+    ERA_READ_SPREAD_S,
+    REMOVAL_DELAY_S,
+    STREAM_LIFETIME_S,
+    VERSIONS_INTERVAL_S,
+    VERSIONS_TABLE,
+)
+from banyanswitch.components.stream_origins.version_store import SoftwareVersionStore
+from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.interfaces import Write, WriteClass
+from tests.components.forwarding.fakes import (
+    SERVICE,
+    NoFeed,
+    PlainDecoder,
+    Upstreams,
+    record,
+)
+from tests.components.forwarding.instance import make_configuration
+from tests.components.weight_rollout.test_target_time_store import Access
+from tests.fakes.peers import FakeNetwork, FakeNode
+from tests.fakes.table import FakeTable
+
+pytestmark = pytest.mark.looptime(noop_cycles=1)
+KEY = f"{VERSIONS_TABLE}/{SERVICE}"
+STORED_WITHIN_S = ADDITION_DELAY_S + 3 * VERSIONS_INTERVAL_S
+
+
+class Eras:
+    number = 1
+
+    def era(self) -> int:
+        return self.number
+
+
+class Node:
+    """One instance; its upstreams are set by the test."""
+
+    def __init__(self, peer: FakeNode, table: FakeTable, seed: int) -> None:
+        self.upstreams = Upstreams()
+        self.access = Access(table)
+        self.eras = Eras()
+        operator = TableMirror("op", NoFeed(), random.Random(1))
+        routing = RoutingState(operator, PlainDecoder(), "config")
+        routing.apply(make_configuration())
+        self.store = SoftwareVersionStore(
+            table=self.access,
+            registry=self.upstreams.registry,
+            routing=routing,
+            peers=peer,
+            generator=random.Random(seed),
+            eras=self.eras,
+        )
+        self.task = asyncio.create_task(self.store.async_run())
+
+
+StartNodes = Callable[[int], list[Node]]
+
+
+@pytest.fixture
+async def table() -> FakeTable:
+    return FakeTable(latency_s=0.01)
+
+
+@pytest.fixture
+async def start_nodes(table: FakeTable) -> AsyncIterator[StartNodes]:
+    nodes: list[Node] = []
+    network = FakeNetwork()
+
+    def start(count: int) -> list[Node]:
+        numbers = range(len(nodes), len(nodes) + count)
+        peers = [network.add(number) for number in numbers]
+        started = [
+            Node(peer, table, seed) for peer, seed in zip(peers, numbers, strict=True)
+        ]
+        nodes.extend(started)
+        return started
+
+    yield start
+    for node in nodes:
+        node.task.cancel()
+
+
+async def async_stored(table: FakeTable) -> list[str]:
+    items = await table.async_get([KEY])
+    return msgspec.json.decode(items[0].value) if items else []
+
+
+async def test_versions_are_stored_once_and_read_by_an_instance_that_starts(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    nodes = start_nodes(8)
+    for node in nodes:
+        node.upstreams.put(record("a", software_version="v1"))
+        node.upstreams.put(record("b", software_version="v2"))
+    await asyncio.sleep(STORED_WITHIN_S)
+    assert await async_stored(table) == ["v1", "v2"]
+    assert sum(node.access.writes for node in nodes) <= 3
+    (late,) = start_nodes(1)
+    assert late.store.versions(SERVICE) is None
+    await asyncio.sleep(VERSIONS_INTERVAL_S)
+    assert late.store.versions(SERVICE) == {"v1", "v2"}
+
+
+async def test_version_is_removed_once_no_stream_of_it_can_be_left(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    nodes = start_nodes(4)
+    for node in nodes:
+        node.upstreams.put(record("a", software_version="v1"))
+        node.upstreams.put(record("b", software_version="v2"))
+    await asyncio.sleep(STORED_WITHIN_S)
+    for node in nodes:
+        node.upstreams.remove("a")
+    await asyncio.sleep(STREAM_LIFETIME_S - 1.0)
+    assert await async_stored(table) == ["v1", "v2"]
+    await asyncio.sleep(1.0 + REMOVAL_DELAY_S + 3 * VERSIONS_INTERVAL_S)
+    assert await async_stored(table) == ["v2"]
+
+
+# Guards against the removal of a version by an instance that can't know of it.
+async def test_instance_that_has_just_started_removes_nothing(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    await table.async_transact([Write(KEY, b'["v0"]', 0)], WriteClass.LEASE)
+    (node,) = start_nodes(1)
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(STREAM_LIFETIME_S - 1.0)
+    assert await async_stored(table) == ["v0", "v1"]
+
+
+# Guards against versions that the store lost when it returned from an older copy.
+async def test_versions_are_stored_again_after_the_return_of_an_older_copy(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    (node,) = start_nodes(1)
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(STORED_WITHIN_S)
+    (item,) = await table.async_get([KEY])
+    await table.async_transact([Write(KEY, b"[]", item.revision)], WriteClass.LEASE)
+    node.eras.number = 2
+    await asyncio.sleep(ERA_READ_SPREAD_S + STORED_WITHIN_S + VERSIONS_INTERVAL_S)
+    assert await async_stored(table) == ["v1"]
+
+
+async def test_versions_are_read_after_an_outage(start_nodes: StartNodes) -> None:
+    (node,) = start_nodes(1)
+    node.access.is_down = True
+    await asyncio.sleep(3.0)
+    assert node.store.versions(SERVICE) is None
+    node.access.is_down = False
+    await asyncio.sleep(2 * VERSIONS_INTERVAL_S)
+    assert node.store.versions(SERVICE) == frozenset()
+
+
+async def test_unreadable_row_is_replaced(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    await table.async_transact([Write(KEY, b"{", 0)], WriteClass.LEASE)
+    (node,) = start_nodes(1)
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(STORED_WITHIN_S)
+    assert await async_stored(table) == ["v1"]
