Reproduce a late begin on superseded weights after an early head, known red

Three cases: the upstream sends the head of its response when it takes the request, and the first event much later.

--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -48,6 +48,8 @@
         Whether requests get 500.
     hangs : bool
         Whether requests get no response for 60 s.
+    sends_head_first : bool
+        Whether streams that hang have sent their head before.
     refuses_orders : bool
         Whether orders get 409.
     load_s : float
@@ -72,6 +74,7 @@
     refuses: bool = False
     fails: bool = False
     hangs: bool = False
+    sends_head_first: bool = False
     refuses_orders: bool = False
     load_s: float = 0.05
     received: list[ReceivedRequest] = field(default_factory=list)
@@ -138,11 +141,12 @@
                 body,
             )
         )
-        if self.hangs:
+        is_stream = "Prompt-Prefix" in request.headers
+        if self.hangs and not (is_stream and self.sends_head_first):
             await self._async_hang()
         if self.fails:
             return web.Response(status=500, headers=headers)
-        if "Prompt-Prefix" in request.headers:
+        if is_stream:
             return await self._async_stream(request, headers)
         return web.Response(body=b"answer of " + self.name.encode(), headers=headers)
 
@@ -167,6 +171,8 @@
     ) -> web.StreamResponse:
         response = _EventStream(request, headers, is_unframed=self.is_unframed)
         await response.async_start()
+        if self.hangs:
+            await self._async_hang()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         aborts_after, self.aborts_after = self.aborts_after, None
         for number in range(first, self.events + 1):
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -252,6 +252,8 @@
         Time from the head of a response to its end.
     is_unframed : bool
         Whether responses have neither a length nor chunks and end with the connection.
+    sends_head_first : bool
+        Whether the head of a response is sent before the wait in the queue.
     breaks_off : bool
         Whether streams end inside their last event, as if they were complete.
     """
@@ -261,6 +263,7 @@
     response_s: float = 0.0
     is_unframed: bool = False
     breaks_off: bool = False
+    sends_head_first: bool = False
     exchanges: list["FakeExchange"] = field(default_factory=list)
 
 
@@ -270,7 +273,7 @@
     Attributes
     ----------
     begun_at_s : float or None
-        Loop time of the head of the response.
+        Loop time of the first event of the response.
     closed_at_s : float or None
         Loop time at which the connection was closed before the response ended.
     """
@@ -290,6 +293,8 @@
         self._upstream.exchanges.append(self)
         found = re.search(LAST_EVENT + rb": (\d+)", data)
         self._next_event = int(found.group(1)) + 1 if found else 1
+        if self._upstream.sends_head_first:
+            self._call_later(0.0, self._send_head)
         if self._upstream.queue_s is not None:
             self._call_later(self._upstream.queue_s, self._begin)
 
@@ -298,12 +303,12 @@
 
     def _begin(self) -> None:
         self.begun_at_s = self._loop.time()
-        head = UNFRAMED_HEAD if self._upstream.is_unframed else HEAD
-        first = b""
+        if not self._upstream.sends_head_first:
+            self._send_head()
         if self._next_event < EVENTS:
-            first = self._frame(self._event(self._next_event))
+            event = self._event(self._next_event)
+            self._connection.data_received(self._frame(event))
             self._next_event += 1
-        self._connection.data_received(head + first)
         self._call_later(self._upstream.response_s, self._end)
 
     def _end(self) -> None:
@@ -319,6 +324,10 @@
         self._connection.eof_received()
         self.close()
 
+    def _send_head(self) -> None:
+        head = UNFRAMED_HEAD if self._upstream.is_unframed else HEAD
+        self._connection.data_received(head)
+
     def _event(self, number: int) -> bytes:
         return f"id: {number}\ndata: {self._upstream.name}\n\n".encode()
 
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -156,9 +156,12 @@
         response_s: float = 0.0,
         is_unframed: bool = False,
         breaks_off: bool = False,
+        sends_head_first: bool = False,
         software_version: str = "v1",
     ) -> FakeUpstream:
-        upstream = FakeUpstream(name, queue_s, response_s, is_unframed, breaks_off)
+        upstream = FakeUpstream(
+            name, queue_s, response_s, is_unframed, breaks_off, sends_head_first
+        )
         entry = record(name, version=version, software_version=software_version)
         self._pool.upstreams[entry.address] = upstream
         self.upstreams.put(entry)
--- a/tests/components/forwarding/test_start_on_superseded_weights.py
+++ b/tests/components/forwarding/test_start_on_superseded_weights.py
@@ -176,3 +176,31 @@
     reply, handling = instance.send(Repeatability.REPEATABLE, time_left_s=2.0)
     await handling
     assert_answered_by(reply, old)
+
+
+# Guards against taking the head of a stream for its begin, which is its first event.
+async def test_stream_with_only_its_head_moves_to_newest_weights() -> None:
+    instance = Instance()
+    old = instance.add("old", 1, queue_s=None, sends_head_first=True)
+    superseded_at_s = instance.name_target(2)
+    await asyncio.sleep(1.0)
+    reply, handling = instance.send(Repeatability.RESUMABLE_STREAM)
+    await asyncio.sleep(0.5)
+    new = instance.add("new", 2)
+    await handling
+    assert_withdrawn_before(old, superseded_at_s + WEIGHTS_DEADLINE_S)
+    assert_answered_by(reply, new)
+
+
+# Guards against the withdrawal of a stream whose first event came in time.
+async def test_stream_with_an_early_head_that_begins_in_time_is_not_disturbed() -> None:
+    instance = Instance()
+    old = instance.add("old", 1, queue_s=1.0, response_s=5.0, sends_head_first=True)
+    superseded_at_s = instance.name_target(2)
+    await asyncio.sleep(1.0)
+    reply, handling = instance.send(Repeatability.RESUMABLE_STREAM)
+    await handling
+    exchange = only_exchange(old)
+    assert exchange.ended_at_s is not None
+    assert exchange.ended_at_s > superseded_at_s + WEIGHTS_DEADLINE_S
+    assert_answered_by(reply, old)
--- a/tests/process/test_weights_deadline.py
+++ b/tests/process/test_weights_deadline.py
@@ -27,9 +27,10 @@
 
 
 # Guards against a request that stays in an upstream's queue beyond the deadline.
+@pytest.mark.parametrize("sends_head_first", [False, True], ids=["late", "early"])
 @pytest.mark.parametrize("prefix", ["/wait/", "/stream/"])
 async def test_queued_request_on_superseded_weights_is_cancelled_before_the_deadline(
-    platform: Platform, prefix: str
+    platform: Platform, prefix: str, sends_head_first: bool
 ) -> None:
     document = configuration(2, ("/wait/",), ROUTE_TIMEOUT_MS)
     await platform.store.async_put("op", "config", document)
@@ -41,6 +42,7 @@
     for upstream in platform.upstreams.values():
         upstream.refuses_orders = True
         upstream.hangs = True
+        upstream.sends_head_first = sends_head_first
     call = asyncio.create_task(platform.async_call(prefix, "a1", headers=PROMPT))
 
     async def async_is_queued() -> bool:
