Take the first part of the body, not the head, for the begin of a request

A request begins with its first token. The head is passed on with the first part now, within the limit; an upstream that breaks off in between has sent the caller nothing, so the request can be tried again like one without a head.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -132,9 +132,12 @@
                 )
                 self._send(connection, placed)
                 head, response = await self._async_response_head(connection, placed)
+                # An upstream may send the head long before it starts the request.
+                first_part = await connection.async_part()
             self._registry.loads.note_answered(number)
             self._pool.note_keep_alive(address, head.headers)
-            await self._async_relay(connection, head, response, placed, is_last=is_last)
+            body = _Body(connection, first_part)
+            await self._async_relay(body, head, response, placed, is_last=is_last)
             self._pool.release(address, connection)
             is_released = True
         except StartTimeoutError as error:
@@ -184,7 +187,7 @@
 
     async def _async_relay(
         self,
-        connection: UpstreamConnection,
+        body: "_Body",
         head: ResponseHead,
         response: ResponseMetadata,
         placed: PlacementResult,
@@ -195,7 +198,7 @@
         self.framing = head.framing
         self._note_response(response, placed)
         if response.is_not_run and head.status in NOT_RUN_STATUSES:
-            await _async_read_all(connection)
+            await body.async_read_all()
             raise NotRunError(
                 f"{placed.record.name} did not run the request: status {head.status}",
                 retry_after_s=response.retry_after_s,
@@ -210,10 +213,10 @@
                 raise UpstreamBrokenError(
                     f"resuming the stream failed with status {head.status}"
                 )
-            await self._async_relay_events(connection)
+            await self._async_relay_events(body)
             return
         if is_failure and not is_last:
-            await _async_read_all(connection)
+            await body.async_read_all()
             raise UpstreamFailureError(f"upstream responded with status {head.status}")
         if self._route.is_streaming and head.status < FIRST_CLIENT_ERROR_STATUS:
             headers = self._translator.caller_headers(head)
@@ -222,17 +225,17 @@
                 head.status, headers, BodyFraming.CHUNKED, reason=head.reason
             )
             self._progress.first_byte_at_s = self._loop.time()
-            await self._async_relay_events(connection)
+            await self._async_relay_events(body)
             return
-        body = await _async_read_all(connection)
+        content = await body.async_read_all()
         headers = self._translator.caller_headers(head)
         self._progress.first_byte_at_s = self._loop.time()
-        self._reply.send(head.status, headers, body, reason=head.reason)
+        self._reply.send(head.status, headers, content, reason=head.reason)
 
-    async def _async_relay_events(self, connection: UpstreamConnection) -> None:
+    async def _async_relay_events(self, body: "_Body") -> None:
         splitter = self._progress.splitter
         has_events = False
-        while (part := await connection.async_part()) is not None:
+        while (part := await body.async_part()) is not None:
             events = splitter.feed(part)
             if events and not has_events:
                 has_events = True
@@ -254,11 +257,24 @@
             self._registry.note_weights(name, model, response.weight_version)
 
 
-async def _async_read_all(connection: UpstreamConnection) -> bytes:
-    parts = []
-    while (part := await connection.async_part()) is not None:
-        parts.append(part)
-    return b"".join(parts)
+class _Body:
+    """Body of a response, of which the first part was already read."""
+
+    def __init__(self, connection: UpstreamConnection, first: bytes | None) -> None:
+        self._connection = connection
+        self._first = first
+
+    async def async_part(self) -> bytes | None:
+        """Return the next part, or ``None`` at the end."""
+        first, self._first = self._first, None
+        return first if first is not None else await self._connection.async_part()
+
+    async def async_read_all(self) -> bytes:
+        """Return all parts."""
+        parts = []
+        while (part := await self.async_part()) is not None:
+            parts.append(part)
+        return b"".join(parts)
 
 
 def _text(value: bytes) -> str:
