Soak broken streams, streams without a length and two software versions

Now streams break off inside an event, callers take them up again at any instance, with odd seeds one of three upstreams has another software version, and with every other pair of seeds one sends streams without a length. The proxies reset connections for real. The link and process faults of the earlier seeds stay the same; their calls don't.

--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -35,6 +35,8 @@
         Version of its software, which it doesn't check when it resumes a stream.
     events : int
         Number of events in a stream.
+    names_version : bool
+        Whether each event names the software version.
     aborts_after : int or None
         Number of the event after which the next stream is aborted, in the middle of
         the following event. The value applies to the next stream only, and has no
@@ -69,6 +71,7 @@
     weight_version: int = 1
     software_version: str = "v1"
     events: int = 3
+    names_version: bool = False
     aborts_after: int | None = None
     is_unframed: bool = False
     refuses: bool = False
@@ -158,6 +161,10 @@
             return 421
         return 503 if self.refuses or self._is_loading() else None
 
+    def _event(self, number: int) -> bytes:
+        version = f" {self.software_version}" if self.names_version else ""
+        return f"id: {number}\ndata: event {number}{version}\n\n".encode()
+
     async def _async_hang(self) -> None:
         try:
             await asyncio.sleep(60.0)
@@ -181,8 +188,7 @@
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 response.break_off()
                 return response.response
-            event = f"id: {number}\ndata: event {number}\n\n"
-            await response.async_write(event.encode())
+            await response.async_write(self._event(number))
             await asyncio.sleep(EVENT_INTERVAL_S)
         await response.async_end()
         return response.response
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -7,8 +7,8 @@
 import json
 import os
 import sys
-from collections.abc import Awaitable, Callable
-from contextlib import ExitStack
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import ExitStack, asynccontextmanager
 from pathlib import Path
 
 import aiohttp
@@ -177,6 +177,21 @@
         host: str = HOSTS[0],
         headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes, dict[str, str]]:
+        async with self.async_stream(
+            path, attempt, host=host, headers=headers
+        ) as response:
+            return response.status, await response.read(), dict(response.headers)
+
+    @asynccontextmanager
+    async def async_stream(
+        self,
+        path: str,
+        attempt: str,
+        *,
+        host: str = HOSTS[0],
+        headers: dict[str, str] | None = None,
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request and yield its response, whose body may still be arriving."""
         request_headers = {
             "Host": "h.example",
             "Attempt-Id": attempt,
@@ -187,7 +202,7 @@
         async with self.session.post(
             url, headers=request_headers, data=b"body"
         ) as response:
-            return response.status, await response.read(), dict(response.headers)
+            yield response
 
     async def async_wait_until(
         self, condition: Callable[[], Awaitable[bool]], timeout_s: float = 15.0
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -15,6 +15,7 @@
     100: "failed like 103, passes since the test updates entries; cause not traced",
     117: "failed like 103, passes since the test updates entries; cause not traced",
     119: "failed like 103, passes since the test updates entries; cause not traced",
+    3: "streams that broke off were completed, or went on at another software version",
     108: "the test restarted a process twice after two consecutive signals",
 }
 """Seeds that have failed, with the cause of the failure."""
--- a/tests/process/test_software_versions.py
+++ b/tests/process/test_software_versions.py
@@ -7,7 +7,7 @@
 import aiohttp
 import pytest
 
-from tests.process.platform_fleet import HOSTS, KEY, PROMPT, Platform
+from tests.process.platform_fleet import HOSTS, PROMPT, Platform
 
 pytestmark = pytest.mark.process
 EVENTS = 200
@@ -26,9 +26,9 @@
 
 async def async_begin_stream(platform: Platform, attempt: str, host: str) -> None:
     """Read the first event of a stream, then kill the instance that relays it."""
-    url = f"http://{host}:{platform.ports['front']}/stream/"
-    headers = {"Host": "h.example", "Attempt-Id": attempt, **KEY, **PROMPT}
-    async with platform.session.post(url, headers=headers, data=b"body") as response:
+    async with platform.async_stream(
+        "/stream/", attempt, host=host, headers=PROMPT
+    ) as response:
         assert response.status == 200
         await response.content.readuntil(b"\n\n")
         process = platform.processes[host]
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from enum import Enum
 
 CHUNK_BYTES = 64 * 1024
 DELAY_S = 0.15
 POLL_S = 0.02
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which closing a socket resets its connection."""
 
 
 class Mode(Enum):
@@ -47,6 +51,9 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in tuple(self._writers):
+            raw = writer.get_extra_info("socket")
+            if raw is not None and raw.fileno() >= 0:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             writer.transport.abort()
 
     def stop(self) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,14 +13,17 @@
 import aiohttp
 from aiohttp import web
 
+from banyanswitch_standins.users_platform.upstream import PlatformUpstream
 from tests.process.platform_fleet import HOSTS, PROMPT, Platform, registry_entry
 from tests.soak.proxy import Proxy
 from tests.soak.schedule import (
     Action,
+    BrokenStream,
     Fault,
     LinkFault,
     NewWeights,
     ProcessFault,
+    generate_broken_streams,
     generate_faults,
 )
 
@@ -33,6 +36,11 @@
 STOP_TIMEOUT_S = 6.0
 RECOVERY_TIMEOUT_S = 8.0
 STREAM_EVENTS = 6
+FAULTY_PROXIES = 3
+"""Proxies with link faults: those of the store, i-1 and i-2. The number is part of what
+a seed stands for."""
+STREAM_TRIES = 4
+EVENT = re.compile(rb"id: (\d+)\ndata: event \d+ (v\d)\n\n")
 MAX_ATTEMPTS = 2
 DISCONNECT_ERRORS = (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError)
 SIGNALS = {
@@ -53,16 +61,89 @@
     faults: list[Fault] = field(default_factory=list)
 
 
+@dataclass
+class ReadStream:
+    """What a caller has of one stream, over all its tries.
+
+    Parameters
+    ----------
+    begun_by : str or None
+        Attempt that brought the first event.
+    tries : int
+        Number of tries, after the first one that brought an event.
+    is_refused : bool
+        Whether the last try was answered with an error.
+    """
+
+    is_complete: bool = False
+    is_refused: bool = False
+    begun_by: str | None = None
+    tries: int = 1
+    body: bytes = b""
+    attempts: list[str] = field(default_factory=list)
+    _source: str = ""
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers of the next try."""
+        if self.begun_by is None:
+            return PROMPT
+        last = str(self._events()[-1][0])
+        return {**PROMPT, "Last-Event-Id": last, "Resumes": self.begun_by}
+
+    def feed(self, attempt: str, part: bytes) -> None:
+        """Add received bytes; the start of an event that broke off is dropped."""
+        if self.is_refused:
+            return
+        if self._source != attempt:
+            self._source = attempt
+            self.body = self.body[: self.body.rfind(b"\n\n") + 2]
+        self.body += part
+        if self.begun_by is None and self._events():
+            self.begun_by = attempt
+
+    def violations(self) -> list[str]:
+        """Return what breaks the order of the events or mixes software versions."""
+        events = self._events()
+        found = []
+        if [number for number, _ in events] != list(range(1, len(events) + 1)):
+            found.append(f"events out of order: {self.body!r}")
+        if len({version for _, version in events}) > 1:
+            found.append(f"events of several software versions: {self.body!r}")
+        is_whole = len(events) == STREAM_EVENTS and self.body.endswith(b"\n\n")
+        if self.is_complete and not is_whole:
+            found.append(f"framed as complete: {self.body!r}")
+        return found
+
+    def _events(self) -> list[tuple[int, str]]:
+        return [
+            (int(number), version.decode())
+            for number, version in EVENT.findall(self.body)
+        ]
+
+
 class SoakPlatform(Platform):
-    """Platform with a proxy before each stand-in; it can also inject process faults."""
+    """Platform with a proxy before each stand-in; it can also inject process faults.
+
+    Parameters
+    ----------
+    seed : int
+        With an odd seed, one of the upstreams has another software version, and with
+        every other pair of seeds one sends streams without a length.
+    """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, seed: int) -> None:
         super().__init__(folder)
+        self.upstreams["i-3"] = PlatformUpstream("i-3")
+        if seed % 2:
+            self.upstreams["i-3"].software_version = "v2"
+        if seed // 2 % 2:
+            self.upstreams["i-2"].is_unframed = True
         self.proxies: list[Proxy] = []
         self.is_stopping = False
         self._restarted_pids: set[int] = set()
         for upstream in self.upstreams.values():
             upstream.events = STREAM_EVENTS
+            upstream.names_version = True
 
     async def async_update_entries(self) -> None:
         """Update each upstream's registry entry when its weight version changes."""
@@ -73,7 +154,10 @@
                 if written_versions[name] == upstream.weight_version:
                     continue
                 written_versions[name] = upstream.weight_version
-                document = json.loads(registry_entry(name, self._addresses[name]))
+                version = upstream.software_version
+                document = json.loads(
+                    registry_entry(name, self._addresses[name], version=version)
+                )
                 document["models"][0]["version"] = upstream.weight_version
                 content = json.dumps(document).encode()
                 await self.store.async_put("servers", name, content)
@@ -98,6 +182,8 @@
             case NewWeights(version=version):
                 content = b'{"model": "m", "version": %d}' % version
                 await self.store.async_put("op", "version/m", content)
+            case BrokenStream(upstream=number, after=after):
+                tuple(self.upstreams.values())[number].aborts_after = after
             case ProcessFault():
                 await self._async_signal(fault)
 
@@ -159,10 +245,17 @@
         """Run the load during all faults, then check recovery and the guarantees."""
         faults = generate_faults(
             self._seed,
-            proxies=len(self._platform.proxies),
+            proxies=FAULTY_PROXIES,
             processes=len(HOSTS),
             length_s=RUN_LENGTH_S,
         )
+        faults += generate_broken_streams(
+            self._seed,
+            upstreams=len(self._platform.upstreams),
+            events=STREAM_EVENTS,
+            length_s=RUN_LENGTH_S,
+        )
+        faults.sort(key=lambda fault: fault.at_s)
         self.outcome.faults = faults
         loop = asyncio.get_running_loop()
         started_at_s = loop.time()
@@ -185,9 +278,57 @@
     async def _async_work(self) -> None:
         while not self._is_load_finished:
             kind = self._random.choice(("once", "again", "stream"))
-            await self._async_call(kind, self._random.choice(HOSTS))
+            if kind == "stream":
+                await self._async_read_stream()
+            else:
+                await self._async_call(kind, self._random.choice(HOSTS))
             await asyncio.sleep(CALL_PAUSE_S)
 
+    async def _async_read_stream(self) -> None:
+        """Read a stream and take it up again, at any instance, when it breaks."""
+        stream = ReadStream()
+        for _ in range(STREAM_TRIES):
+            if not await self._async_continue(stream, self._random.choice(HOSTS)):
+                break
+            await asyncio.sleep(CALL_PAUSE_S)
+        if stream.tries > 1:
+            result = "went_on" if stream.is_complete else "did_not_go_on"
+            self.outcome.statuses[result] += 1
+        for violation in stream.violations():
+            self._expect(False, f"{stream.attempts}: {violation}")
+
+    async def _async_continue(self, stream: "ReadStream", host: str) -> bool:
+        """Read a stream until it ends or breaks; return whether it may be taken up."""
+        self._calls += 1
+        attempt = f"stream-{self._calls}"
+        stream.attempts.append(attempt)
+        is_resumed = stream.begun_by is not None
+        try:
+            async with (
+                asyncio.timeout(CALL_TIMEOUT_S),
+                self._platform.async_stream(
+                    "/stream/", attempt, host=host, headers=stream.headers()
+                ) as response,
+            ):
+                stream.is_refused = response.status != 200
+                self.outcome.statuses[str(response.status)] += 1
+                stamp = response.headers.get("Server-Stamp", "")
+                if response.status == 503 and not stamp:
+                    self._expect(
+                        self._platform.run_count(attempt) == 0,
+                        f"{attempt}: refused as not run by {host}, but it ran",
+                    )
+                async for part in response.content.iter_any():
+                    stream.feed(attempt, part)
+            stream.is_complete = not stream.is_refused
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self.outcome.statuses[type(error).__name__] += 1
+            if isinstance(error, DISCONNECT_ERRORS):
+                self._disconnected.add(attempt)
+        if is_resumed:
+            stream.tries += 1
+        return not stream.is_complete and stream.begun_by is not None
+
     async def _async_call(self, kind: str, host: str) -> bool:
         self._calls += 1
         attempt = f"{kind}-{self._calls}"
@@ -221,11 +362,10 @@
                 body == expected_body, f"{attempt}: {body!r} does not match {stamp}"
             )
             return
-        expected_events = b"".join(
-            b"id: %d\ndata: event %d\n\n" % (number, number)
-            for number in range(1, STREAM_EVENTS + 1)
-        )
-        self._expect(body == expected_events, f"{attempt}: stream {body!r}")
+        stream = ReadStream(is_complete=True)
+        stream.feed(attempt, body)
+        for violation in stream.violations():
+            self._expect(False, f"{attempt}: {violation}")
 
     def _check_run_counts(self) -> None:
         runs = Counter(
@@ -272,7 +412,7 @@
 
 async def async_soak(folder: Path, seed: int) -> Outcome:
     """Run one seed and return its outcome."""
-    platform = SoakPlatform(folder)
+    platform = SoakPlatform(folder, seed)
     try:
         await platform.async_start()
         return await SoakRun(platform, seed).async_run()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -44,7 +44,16 @@
     version: int
 
 
-Fault = LinkFault | ProcessFault | NewWeights
+@dataclass(frozen=True, slots=True)
+class BrokenStream:
+    """The next stream of an upstream breaks off inside the event after ``after``."""
+
+    at_s: float
+    upstream: int
+    after: int
+
+
+Fault = LinkFault | ProcessFault | NewWeights | BrokenStream
 
 
 def generate_faults(
@@ -77,3 +86,19 @@
     )
     faults += [NewWeights(at_s, 2 + number) for number, at_s in enumerate(set_at_s)]
     return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def generate_broken_streams(
+    seed: int, *, upstreams: int, events: int, length_s: float
+) -> list[Fault]:
+    """Return the breaks of streams in a run, sorted by time."""
+    generator = random.Random(f"broken streams {seed}")
+    faults: list[Fault] = [
+        BrokenStream(
+            generator.uniform(0.0, length_s),
+            generator.randrange(upstreams),
+            generator.randrange(1, events),
+        )
+        for _ in range(generator.randint(10, 30))
+    ]
+    return sorted(faults, key=lambda fault: fault.at_s)
