Don't guess a stream's version while an instance that may know it is silent

An instance that is cut off sees the upstreams of before the cut. A stream that another instance began at a version which joined since would have gone on there at the only version that it knows (read in the code of, no run has shown it). A search in which an asked instance did not answer, or with no one to ask while the store doesn't answer either, is incomplete now, and the stream is refused with a time to come back. Before: test_isolated_instance_does_not_guess got 200; after: it gets 503. Streams with a noted origin are not affected.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -11,6 +11,10 @@
 """Number of dropped upstreams whose last entry is remembered; at the target size of 780
 upstreams, it covers two full replacements."""
 
+MAX_CONTACT_AGE_S: Final = 4.0
+"""Age of the last answer from the store up to which the entries are up to date; each
+read waits 3 s for a change."""
+
 VERSION_HISTORY_S: Final = 300.0
 """Time for which a software version that has left a service is remembered."""
 
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -69,6 +69,7 @@
     shared_retry_policy,
 )
 from banyanswitch.decisions.stream_resumption import (
+    OriginSearch,
     StreamOrigin,
     origin_of_resumed_stream,
 )
@@ -238,19 +239,20 @@
         metadata, route = context.metadata, context.route
         if not route.is_streaming or metadata.last_event is None:
             return None
-        noted = None
+        search = OriginSearch()
         if metadata.resumes is not None:
-            noted = await self._origins.async_find(metadata.resumes)
+            search = await self._origins.async_find(metadata.resumes)
         services = {share.service for share in route.shares}
         versions = {name: self._versions.possible(name) for name in services}
-        origin = origin_of_resumed_stream(noted, services, versions)
+        origin = origin_of_resumed_stream(search, services, versions)
         service = self._placement.service_of(origin.service) if origin else None
         self._log(
             context,
             "stream_taken_up",
             resumes=_text(metadata.resumes),
             last_event=_text(metadata.last_event),
-            is_noted=noted is not None,
+            is_noted=search.origin is not None,
+            is_search_complete=search.is_complete,
             service=origin.service if origin else None,
             software_version=origin.software_version if origin else None,
         )
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -12,7 +12,7 @@
     UpstreamRequestPlan,
 )
 from banyanswitch.components.http1.models import Header, Headers, Request, ResponseHead
-from banyanswitch.decisions.stream_resumption import StreamOrigin
+from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
 from banyanswitch.identifiers import ServiceName, UpstreamId
 
 
@@ -43,8 +43,8 @@
     def note(self, stream: bytes, origin: StreamOrigin) -> None:
         """Remember the origin of a stream, by the attempt that began it."""
 
-    async def async_find(self, stream: bytes) -> StreamOrigin | None:
-        """Return the origin of a stream, or ``None`` if it can't be found in time."""
+    async def async_find(self, stream: bytes) -> OriginSearch:
+        """Search for the origin of a stream."""
 
 
 class ServiceVersions(Protocol):
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -7,6 +7,7 @@
 
 from banyanswitch.components.forwarding.const import (
     LOADING_NOTICE_TTL_S,
+    MAX_CONTACT_AGE_S,
     MAX_DROPPED_UPSTREAMS,
     MISSING_ENTRY_GRACE_S,
     REFUSAL_COOLDOWN_S,
@@ -119,6 +120,12 @@
         self.followed_since_s: float | None = None
         mirror.subscribe(self._on_rows)
 
+    @callback
+    def is_followed(self) -> bool:
+        """Return whether the store has just answered a read of the entries."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._mirror.last_contact_s <= MAX_CONTACT_AGE_S
+
     @callback
     def state(self, upstream: UpstreamId) -> UpstreamState | None:
         """Return the state of an upstream."""
--- a/src/banyanswitch/components/stream_origins/exchange.py
+++ b/src/banyanswitch/components/stream_origins/exchange.py
@@ -1,6 +1,7 @@
 """Origins of streams, remembered by several instances."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -20,7 +21,7 @@
 )
 from banyanswitch.core import callback
 from banyanswitch.decisions.rendezvous import select_instances
-from banyanswitch.decisions.stream_resumption import StreamOrigin
+from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
 from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import ServiceName
 from banyanswitch.interfaces import PeerDirectory
@@ -32,7 +33,7 @@
 class _Search:
     """Search for one origin, and the instances whose answer is missing."""
 
-    found: asyncio.Future[StreamOrigin | None]
+    found: asyncio.Future[OriginSearch]
     unanswered: set[str]
 
 
@@ -51,11 +52,19 @@
         Carries the messages.
     peers : PeerDirectory
         The other instances.
+    follows_upstreams : callable
+        Returns whether this instance reaches the table of the upstreams.
     """
 
-    def __init__(self, transport: DatagramPeerTransport, peers: PeerDirectory) -> None:
+    def __init__(
+        self,
+        transport: DatagramPeerTransport,
+        peers: PeerDirectory,
+        follows_upstreams: Callable[[], bool],
+    ) -> None:
         self._transport = transport
         self._peers = peers
+        self._follows_upstreams = follows_upstreams
         self._memory = OriginMemory()
         self._searches: dict[bytes, _Search] = {}
         self._loop = asyncio.get_running_loop()
@@ -71,24 +80,25 @@
         for address in self._selected(stream, KEEPERS):
             self._send(address, message)
 
-    async def async_find(self, stream: bytes) -> StreamOrigin | None:
-        """Return the origin of a stream, from here or from another instance.
+    async def async_find(self, stream: bytes) -> OriginSearch:
+        """Search for the origin of a stream here and at other instances.
 
         Returns
         -------
-        origin : StreamOrigin or None
-            ``None`` if no instance knows it, or none that does answers within
-            `ASK_ROUNDS` times `ASK_ROUND_S`.
+        search : OriginSearch
+            Not complete if an instance has not answered after `ASK_ROUNDS` times
+            `ASK_ROUND_S`. Without other instances, it is complete only if this one is
+            not cut off.
         """
         known = self._memory.find(stream)
         if known is not None:
-            return known
+            return OriginSearch(known)
         search = self._searches.get(stream)
         if search is not None:
             return await asyncio.shield(search.found)
         addresses = self._selected(stream, ASKED)
         if not addresses:
-            return None
+            return OriginSearch(is_complete=self._follows_upstreams())
         search = _Search(self._loop.create_future(), set(addresses))
         self._searches[stream] = search
         try:
@@ -96,16 +106,16 @@
         finally:
             del self._searches[stream]
             if not search.found.done():
-                search.found.set_result(None)
-        origin = search.found.result()
-        if origin is None:
+                search.found.set_result(OriginSearch(is_complete=False))
+        result = search.found.result()
+        if result.origin is None:
             LOGGER.info(
                 "stream_origin_not_found",
                 stream=stream.decode("latin-1"),
                 asked=len(addresses),
                 unanswered=len(search.unanswered),
             )
-        return origin
+        return result
 
     async def _async_ask(self, stream: bytes, search: _Search) -> None:
         question = OriginQuestion(stream, self._transport.address)
@@ -150,8 +160,7 @@
         search.unanswered.discard(message.peer_address)
         if message.origin is not None:
             service, software_version = message.origin
-            search.found.set_result(
-                StreamOrigin(ServiceName(service), software_version)
-            )
+            origin = StreamOrigin(ServiceName(service), software_version)
+            search.found.set_result(OriginSearch(origin))
         elif not search.unanswered:
-            search.found.set_result(None)
+            search.found.set_result(OriginSearch())
--- a/src/banyanswitch/decisions/stream_resumption.py
+++ b/src/banyanswitch/decisions/stream_resumption.py
@@ -14,8 +14,24 @@
     software_version: str
 
 
+@dataclass(frozen=True, slots=True)
+class OriginSearch:
+    """Result of a search for the origin of a stream.
+
+    Parameters
+    ----------
+    origin : StreamOrigin or None
+        Origin, if it was found.
+    is_complete : bool
+        Whether all instances that might know it were reached.
+    """
+
+    origin: StreamOrigin | None = None
+    is_complete: bool = True
+
+
 def origin_of_resumed_stream(
-    noted: StreamOrigin | None,
+    search: OriginSearch,
     services: Collection[ServiceName],
     versions: Mapping[ServiceName, frozenset[str] | None],
 ) -> StreamOrigin | None:
@@ -23,17 +39,19 @@
 
     Parameters
     ----------
-    noted : StreamOrigin or None
+    search : OriginSearch
         Origin that was noted when the stream began, if it was found.
     services : collection of ServiceName
         Services that the route uses now.
     versions : mapping of ServiceName to frozenset of str
         Software versions of each service that may have begun an unfinished stream;
-        ``None`` if they are not known. Without a noted origin, the stream goes on only
-        if a single version of a single service can have begun it.
+        ``None`` if they are not known. After a complete search without a result, the
+        stream goes on if a single version of a single service can have begun it.
     """
-    if noted is not None:
-        return noted if noted.service in services else None
+    if search.origin is not None:
+        return search.origin if search.origin.service in services else None
+    if not search.is_complete:
+        return None
     possible: set[StreamOrigin] = set()
     for service in services:
         known = versions.get(service)
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -324,7 +324,9 @@
             is_refusing=lambda: self._shutdown.is_refusing,
             generator=self._random,
             wait_queue=self._wait_queue,
-            origins=OriginExchange(self._transport, self._membership),
+            origins=OriginExchange(
+                self._transport, self._membership, self._registry.is_followed
+            ),
             versions=SoftwareVersions(self._registry, self._version_store),
             on_replaced=self._exchange.announce_replaced,
         )
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -136,9 +136,12 @@
 
     def __init__(self) -> None:
         self.upstreams = Upstreams()
+        self.is_connected = True
         self.stored_versions = FakeStoredVersions()
         alone = FixedPeers(make_peer("a"), [])
-        self.origins = OriginExchange(InMemoryTransport("a", {}), alone)
+        self.origins = OriginExchange(
+            InMemoryTransport("a", {}), alone, lambda: self.is_connected
+        )
         self._pool = FakePool()
         self._operator = TableMirror("op", NoFeed(), random.Random(1))
         self.routing = RoutingState(self._operator, PlainDecoder(), "config")
--- a/tests/components/forwarding/test_software_versions.py
+++ b/tests/components/forwarding/test_software_versions.py
@@ -152,6 +152,17 @@
     assert reply.body == SECOND % b"a"
 
 
+# Guards against a guess by an instance that is cut off from all others and the store.
+async def test_isolated_instance_does_not_guess() -> None:
+    instance = Instance()
+    upstream = instance.add("a", 1)
+    await asyncio.sleep(60.0)
+    instance.is_connected = False
+    reply = await async_take_up(instance, resumes=b"unknown")
+    assert reply.status == 503
+    assert served(upstream) == []
+
+
 # Guards against the loss of all streams when all instances have just started.
 @pytest.mark.parametrize("resumes", [b"unknown", None])
 async def test_instance_that_has_just_started_trusts_the_stored_versions(
--- a/tests/components/forwarding/test_upstream_registry.py
+++ b/tests/components/forwarding/test_upstream_registry.py
@@ -5,6 +5,7 @@
 import pytest
 
 from banyanswitch.components.forwarding.const import (
+    MAX_CONTACT_AGE_S,
     MISSING_ENTRY_GRACE_S,
     SILENCE_TIMEOUT_S,
 )
@@ -252,3 +253,12 @@
     registry = upstreams.registry
     assert registry.software_versions(SERVICE, now_s()) == {"v1", "v2"}
     assert registry.software_versions(SERVICE, now_s() + 1.0) == {"v2"}
+
+
+async def test_entries_are_followed_while_the_store_answers() -> None:
+    upstreams = Upstreams()
+    assert not upstreams.registry.is_followed()
+    upstreams.mirror.last_contact_s = now_s()
+    assert upstreams.registry.is_followed()
+    await asyncio.sleep(MAX_CONTACT_AGE_S + 1.0)
+    assert not upstreams.registry.is_followed()
--- a/tests/components/stream_origins/test_exchange.py
+++ b/tests/components/stream_origins/test_exchange.py
@@ -11,13 +11,15 @@
     STREAM_LIFETIME_S,
 )
 from banyanswitch.components.stream_origins.exchange import OriginExchange
-from banyanswitch.decisions.stream_resumption import StreamOrigin
+from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
 from banyanswitch.identifiers import FailureDomainId, InstanceId, ServiceName
 from banyanswitch.interfaces import Peer
 from tests.components.peers.in_memory_transport import InMemoryTransport
 
 pytestmark = pytest.mark.looptime
 ORIGIN = StreamOrigin(ServiceName("llm"), "v1")
+FOUND = OriginSearch(ORIGIN)
+NOT_FOUND = OriginSearch()
 OTHER_ORIGIN = StreamOrigin(ServiceName("llm"), "v2")
 
 
@@ -36,7 +38,7 @@
         """Start an instance that remembers nothing."""
         transport = InMemoryTransport(f"n{number}", self.transports)
         self.transports[transport.address] = transport
-        return OriginExchange(transport, _Directory(self, number))
+        return OriginExchange(transport, _Directory(self, number), lambda: True)
 
     def end(self, number: int) -> None:
         self.transports.pop(f"n{number}:1", None)
@@ -71,7 +73,7 @@
     fleet.exchanges[0].note(b"s1", ORIGIN)
     fleet.end(0)
     for number in range(1, count):
-        assert await fleet.exchanges[number].async_find(b"s1") == ORIGIN
+        assert await fleet.exchanges[number].async_find(b"s1") == FOUND
     assert now_s() == 0.0
 
 
@@ -84,7 +86,7 @@
         fleet.end(number)
         fleet.exchanges[number] = fleet.start(number)
     for number in range(8):
-        assert await fleet.exchanges[number].async_find(b"s1") == ORIGIN
+        assert await fleet.exchanges[number].async_find(b"s1") == FOUND
 
 
 async def test_messages_of_a_stream_do_not_grow_with_the_fleet() -> None:
@@ -97,16 +99,23 @@
 
 async def test_unknown_origin_is_known_to_be_unknown_at_once() -> None:
     fleet = Fleet(8)
-    assert await fleet.exchanges[0].async_find(b"s1") is None
+    assert await fleet.exchanges[0].async_find(b"s1") == NOT_FOUND
     assert now_s() == 0.0
 
 
+# Guards against a guess while an instance that may know the origin is cut off.
+async def test_search_without_all_answers_is_not_complete() -> None:
+    fleet = Fleet(3)
+    fleet.end(1)
+    assert await fleet.exchanges[0].async_find(b"s1") == OriginSearch(is_complete=False)
+
+
 # Guards against a caller that is held while ended instances don't answer.
 async def test_search_ends_in_time_without_answers() -> None:
     fleet = Fleet(8)
     for number in range(1, 8):
         fleet.end(number)
-    assert await fleet.exchanges[0].async_find(b"s1") is None
+    assert await fleet.exchanges[0].async_find(b"s1") == OriginSearch(is_complete=False)
     assert now_s() == pytest.approx(ASK_ROUNDS * ASK_ROUND_S, abs=0.01)
 
 
@@ -118,7 +127,7 @@
     search = asyncio.create_task(fleet.exchanges[1].async_find(b"s1"))
     await asyncio.sleep(0.5 * ASK_ROUND_S)
     fleet.transports["n0:1"] = lost
-    assert await search == ORIGIN
+    assert await search == FOUND
     assert now_s() < 2 * ASK_ROUND_S
 
 
@@ -128,15 +137,15 @@
     fleet.exchanges[1] = fleet.start(1)
     exchange = fleet.exchanges[1]
     found = await asyncio.gather(exchange.async_find(b"s1"), exchange.async_find(b"s1"))
-    assert found == [ORIGIN, ORIGIN]
+    assert found == [FOUND, FOUND]
 
 
 async def test_first_origin_of_a_stream_is_kept() -> None:
     fleet = Fleet(2)
     fleet.exchanges[0].note(b"s1", ORIGIN)
     fleet.exchanges[0].note(b"s1", OTHER_ORIGIN)
-    assert await fleet.exchanges[0].async_find(b"s1") == ORIGIN
-    assert await fleet.exchanges[1].async_find(b"s1") == ORIGIN
+    assert await fleet.exchanges[0].async_find(b"s1") == FOUND
+    assert await fleet.exchanges[1].async_find(b"s1") == FOUND
 
 
 async def test_origin_is_forgotten_after_the_lifetime_of_a_stream() -> None:
@@ -146,5 +155,5 @@
     await asyncio.sleep(0.9 * STREAM_LIFETIME_S)
     fleet.exchanges[0].note(b"s2", ORIGIN)
     await asyncio.sleep(0.2 * STREAM_LIFETIME_S)
-    assert await fleet.exchanges[0].async_find(b"s1") is None
-    assert await fleet.exchanges[1].async_find(b"s2") == ORIGIN
+    assert await fleet.exchanges[0].async_find(b"s1") == NOT_FOUND
+    assert await fleet.exchanges[1].async_find(b"s2") == FOUND
