Resume a taken-up stream from the event that its caller has

A stream that a caller takes up and that breaks inside its first event there was given up, since only events of the same response counted as a place to resume from. The caller's Last-Event-Id is one as well; events up to it are dropped if an upstream repeats them. Before: test_stream_that_was_taken_up_is_resumed_from_the_callers_last_event failed with an empty, aborted response; after: it passes.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -225,7 +225,7 @@
             workspace=workspace,
             service=service,
             ends_at_s=request.received_at_s + limit_s,
-            progress=ResponseProgress(EventSplitter()),
+            progress=ResponseProgress(EventSplitter(metadata.last_event)),
         )
 
     async def _async_find_origin(self, context: _RequestContext) -> Refusal | None:
--- a/tests/components/forwarding/test_software_versions.py
+++ b/tests/components/forwarding/test_software_versions.py
@@ -66,6 +66,23 @@
     assert served(other) == []
 
 
+# Guards against the loss of a taken-up stream that breaks before its first whole event.
+async def test_stream_that_was_taken_up_is_resumed_from_the_callers_last_event() -> (
+    None
+):
+    instance = Instance()
+    await async_begin_and_break(instance)
+    broken = instance.add("b", 1, breaks_off=True)
+    instance.upstreams.remove("a")
+    reply, handling = instance.send(STREAM, headers=resumption(b"a2", b"a1"))
+    await asyncio.sleep(0.0)
+    instance.add("c", 1)
+    await handling
+    assert served(broken) == ["b"]
+    assert reply.body == SECOND % b"c"
+    assert not reply.is_aborted
+
+
 # Guards against the loss of a stream that an upstream of its version can continue.
 async def test_broken_stream_is_resumed_at_its_own_version() -> None:
     instance = Instance()
