Don't await a response on a connection that ended with a foreign one

After a response to another request that ended its connection, for example one without a length, the exchange waited for the next response until the deadline of the request; the caller got 504 instead of another attempt. Found in the search for other places that depend on how a response ends. The wait fails now if the connection is gone. Before: both cases of the new test hung; after: they pass.

--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -250,6 +250,8 @@
     async def _async_wait(self) -> None:
         if self._error is not None:
             raise UpstreamBrokenError(self._error)
+        if self._transport is None:
+            raise UpstreamBrokenError("the connection ended with an earlier response")
         self._waiter = self._loop.create_future()
         try:
             await self._waiter
--- a/tests/components/http1/test_upstream_connection.py
+++ b/tests/components/http1/test_upstream_connection.py
@@ -208,3 +208,28 @@
     with pytest.raises(UpstreamNotSentError):
         await pool.async_acquire(address)
     assert pool.open_count(address) == 0
+
+
+# Guards against a request that waits until its deadline on a connection that has ended.
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+async def test_no_response_is_awaited_after_a_foreign_one_that_ended_the_connection(
+    pause_s: float,
+) -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RESPONSE_UNTIL_CLOSE)
+        writer.close()
+
+    server, address = await async_start_upstream(async_script)
+    connection = await ConnectionPool().async_acquire(address)
+    connection.send(REQUEST)
+    await connection.async_head()
+    assert await async_read_all(connection) == b"body"
+    await asyncio.sleep(pause_s)
+    connection.expect_next_response()
+    async with asyncio.timeout(2.0):
+        with pytest.raises(UpstreamBrokenError):
+            await connection.async_head()
+    server.close()
