Bind only streams that may be resumed to their version

A Last-Event-Id on a route whose streams may not be resumed made the request a taken-up stream: it could be refused, and events up to that number would have been dropped, though the upstream may begin anew. Before: test_stream_that_may_not_be_resumed_is_passed_on_unchanged got 503.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -225,7 +225,7 @@
             workspace=workspace,
             service=service,
             ends_at_s=request.received_at_s + limit_s,
-            progress=ResponseProgress(EventSplitter(metadata.last_event)),
+            progress=ResponseProgress(EventSplitter(_resumed_after(metadata, route))),
         )
 
     async def _async_find_origin(self, context: _RequestContext) -> Refusal | None:
@@ -237,7 +237,7 @@
             Refusal of a stream whose version can't be known.
         """
         metadata, route = context.metadata, context.route
-        if not route.is_streaming or metadata.last_event is None:
+        if _resumed_after(metadata, route) is None:
             return None
         search = OriginSearch()
         if metadata.resumes is not None:
@@ -636,5 +636,12 @@
         )
 
 
+def _resumed_after(metadata: RequestMetadata, route: Route) -> bytes | None:
+    """Return the last event that a caller has of a stream that it takes up again."""
+    if route.repeatability is not Repeatability.RESUMABLE_STREAM:
+        return None
+    return metadata.last_event
+
+
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -63,7 +63,7 @@
             timeout_s=60.0,
             target_latency_s=1.0,
             max_attempts=2,
-            is_streaming=repeatability is Repeatability.RESUMABLE_STREAM,
+            is_streaming=repeatability is not Repeatability.REPEATABLE,
         )
         for repeatability in Repeatability
     )
--- a/tests/components/forwarding/test_software_versions.py
+++ b/tests/components/forwarding/test_software_versions.py
@@ -205,6 +205,18 @@
     assert served(upstream) == []
 
 
+# Guards against a change of streams that may not be resumed, whatever they bring.
+async def test_stream_that_may_not_be_resumed_is_passed_on_unchanged() -> None:
+    instance = Instance()
+    instance.add("a", 1)
+    instance.add("x", 1, software_version="v2")
+    headers = resumption(b"a2", None)
+    reply, handling = instance.send(Repeatability.ONCE, headers=headers)
+    await handling
+    assert reply.status == 200
+    assert reply.body.startswith(b"id: 2")
+
+
 # Guards against pinning requests that have no events yet.
 async def test_new_streams_use_all_versions() -> None:
     instance = Instance()
