Note no origin under an empty or overlong attempt identifier

Callers without an Attempt-Id would have shared one origin, and a Resumes of 16 KB would have gone to eight instances three times.

--- a/src/banyanswitch/components/stream_origins/const.py
+++ b/src/banyanswitch/components/stream_origins/const.py
@@ -10,6 +10,10 @@
 """Maximum number of remembered origins, about 10 MB; at the target size an instance
 remembers some hundred."""
 
+MAX_STREAM_BYTES: Final = 128
+"""Length of the longest attempt identifier under which an origin is noted; callers set
+it, and it is part of every message about the stream."""
+
 KEEPERS: Final = 4
 """Number of other instances that remember an origin; it is lost only if all of them and
 the instance that began the stream end within its lifetime."""
--- a/src/banyanswitch/components/stream_origins/exchange.py
+++ b/src/banyanswitch/components/stream_origins/exchange.py
@@ -12,6 +12,7 @@
     ASK_ROUNDS,
     ASKED,
     KEEPERS,
+    MAX_STREAM_BYTES,
 )
 from banyanswitch.components.stream_origins.memory import OriginMemory
 from banyanswitch.components.stream_origins.models import (
@@ -75,6 +76,8 @@
     @callback
     def note(self, stream: bytes, origin: StreamOrigin) -> None:
         """Remember an origin here and at the instances that keep it."""
+        if not _is_usable(stream):
+            return
         self._memory.note(stream, origin)
         message = StreamBegan(stream, origin.service, origin.software_version)
         for address in self._selected(stream, KEEPERS):
@@ -87,9 +90,11 @@
         -------
         search : OriginSearch
             Not complete if an instance has not answered after `ASK_ROUNDS` times
-            `ASK_ROUND_S`. Without other instances, it is complete only if this one is
+            `ASK_ROUND_S`, or if the stream has no usable identifier. Without other instances, it is complete only if this one is
             not cut off.
         """
+        if not _is_usable(stream):
+            return OriginSearch(is_complete=False)
         known = self._memory.find(stream)
         if known is not None:
             return OriginSearch(known)
@@ -164,3 +169,7 @@
             search.found.set_result(OriginSearch(origin))
         elif not search.unanswered:
             search.found.set_result(OriginSearch())
+
+
+def _is_usable(stream: bytes) -> bool:
+    return 0 < len(stream) <= MAX_STREAM_BYTES
--- a/tests/components/stream_origins/test_exchange.py
+++ b/tests/components/stream_origins/test_exchange.py
@@ -8,6 +8,7 @@
     ASK_ROUND_S,
     ASK_ROUNDS,
     KEEPERS,
+    MAX_STREAM_BYTES,
     STREAM_LIFETIME_S,
 )
 from banyanswitch.components.stream_origins.exchange import OriginExchange
@@ -131,6 +132,19 @@
     assert now_s() < 2 * ASK_ROUND_S
 
 
+# Guards against streams of callers without an identifier that share one origin, and
+# against messages of any size.
+@pytest.mark.parametrize("stream", [b"", b"x" * (MAX_STREAM_BYTES + 1)])
+async def test_unusable_identifiers_are_neither_noted_nor_searched(
+    stream: bytes,
+) -> None:
+    fleet = Fleet(3)
+    fleet.exchanges[0].note(stream, ORIGIN)
+    search = await fleet.exchanges[0].async_find(stream)
+    assert search == OriginSearch(is_complete=False)
+    assert fleet.transports["n0:1"].sent == 0
+
+
 async def test_two_callers_share_a_search() -> None:
     fleet = Fleet(2)
     fleet.exchanges[0].note(b"s1", ORIGIN)
