Ask instances that are leaving for the origin of a stream

New origins go to instances that stay, but one that began to leave later may be the only one left that knows an origin; it answers until it ends.

--- a/src/banyanswitch/components/stream_origins/exchange.py
+++ b/src/banyanswitch/components/stream_origins/exchange.py
@@ -1,7 +1,7 @@
 """Origins of streams, remembered by several instances."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 import structlog
@@ -25,7 +25,7 @@
 from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
 from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import ServiceName
-from banyanswitch.interfaces import PeerDirectory
+from banyanswitch.interfaces import Peer, PeerDirectory
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -80,7 +80,8 @@
             return
         self._memory.note(stream, origin)
         message = StreamBegan(stream, origin.service, origin.software_version)
-        for address in self._selected(stream, KEEPERS):
+        staying = (peer for peer in self._others() if not peer.is_leaving)
+        for address in _selected(stream, staying, KEEPERS):
             self._send(address, message)
 
     async def async_find(self, stream: bytes) -> OriginSearch:
@@ -90,8 +91,8 @@
         -------
         search : OriginSearch
             Not complete if an instance has not answered after `ASK_ROUNDS` times
-            `ASK_ROUND_S`, or if the stream has no usable identifier. Without other instances, it is complete only if this one is
-            not cut off.
+            `ASK_ROUND_S`, or if the stream has no usable identifier. Without other
+            instances, it is complete only if this one is not cut off.
         """
         if not _is_usable(stream):
             return OriginSearch(is_complete=False)
@@ -101,7 +102,7 @@
         search = self._searches.get(stream)
         if search is not None:
             return await asyncio.shield(search.found)
-        addresses = self._selected(stream, ASKED)
+        addresses = _selected(stream, self._others(), ASKED)
         if not addresses:
             return OriginSearch(is_complete=self._follows_upstreams())
         search = _Search(self._loop.create_future(), set(addresses))
@@ -131,16 +132,9 @@
             if search.found.done():
                 return
 
-    def _selected(self, stream: bytes, count: int) -> list[str]:
-        """Return the addresses of the other instances that keep an origin."""
+    def _others(self) -> Iterator[Peer]:
         this = self._peers.this_instance().instance
-        addresses: dict[str, str] = {
-            peer.instance: peer.peer_address
-            for peer in self._peers.peers()
-            if peer.instance != this and not peer.is_leaving
-        }
-        chosen = select_instances(stream.decode("latin-1"), addresses, count)
-        return [addresses[name] for name in chosen]
+        return (peer for peer in self._peers.peers() if peer.instance != this)
 
     def _send(self, address: str, message: object) -> None:
         try:
@@ -171,5 +165,12 @@
             search.found.set_result(OriginSearch())
 
 
+def _selected(stream: bytes, peers: Iterable[Peer], count: int) -> list[str]:
+    """Return the addresses of the instances that rank first for a stream."""
+    addresses: dict[str, str] = {peer.instance: peer.peer_address for peer in peers}
+    chosen = select_instances(stream.decode("latin-1"), addresses, count)
+    return [addresses[name] for name in chosen]
+
+
 def _is_usable(stream: bytes) -> bool:
     return 0 < len(stream) <= MAX_STREAM_BYTES
--- a/tests/components/stream_origins/test_exchange.py
+++ b/tests/components/stream_origins/test_exchange.py
@@ -1,6 +1,7 @@
 """Origins of streams survive the end of instances; no network, no waiting."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -44,6 +45,13 @@
     def end(self, number: int) -> None:
         self.transports.pop(f"n{number}:1", None)
 
+    def leave(self, numbers: set[int]) -> None:
+        """Let instances accept no new callers, as all others know."""
+        self.peers = tuple(
+            replace(peer, is_leaving=number in numbers)
+            for number, peer in enumerate(self.peers)
+        )
+
     def keepers(self, number: int) -> set[int]:
         """Return the instances to which an instance has sent something."""
         recipients = self.transports[f"n{number}:1"].recipients
@@ -90,6 +98,21 @@
         assert await fleet.exchanges[number].async_find(b"s1") == FOUND
 
 
+# Guards against the loss of origins while many instances are being replaced.
+async def test_keepers_that_are_leaving_are_asked() -> None:
+    fleet = Fleet(8)
+    fleet.exchanges[0].note(b"s1", ORIGIN)
+    keepers = fleet.keepers(0)
+    fleet.end(0)
+    fleet.leave(keepers)
+    others = set(range(1, 8)) - keepers
+    for number in others:
+        assert await fleet.exchanges[number].async_find(b"s1") == FOUND
+        fleet.transports[f"n{number}:1"].recipients.clear()
+        fleet.exchanges[number].note(b"s2", ORIGIN)
+        assert fleet.keepers(number).isdisjoint(keepers)
+
+
 async def test_messages_of_a_stream_do_not_grow_with_the_fleet() -> None:
     fleet = Fleet(100)
     for number in range(50):
