--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -74,6 +74,7 @@
         self._eras = eras
         self._era = 0
         self._is_read = False
+        self._is_of_era = False
         self._stored: dict[ServiceName, frozenset[str]] = {}
         self._revisions: dict[ServiceName, int] = {}
         self._due_at_s: dict[ServiceName, float] = {}
@@ -87,11 +88,12 @@
         """Read the stored versions once, then store changes until cancelled."""
         while True:
             if self._begins_era():
+                self._is_of_era = False
                 delay_s = self._generator.uniform(0.0, ERA_READ_SPREAD_S)
                 await asyncio.sleep(delay_s)
-                await self._async_read()
-            elif not self._is_read:
-                self._is_read = await self._async_read()
+            if not self._is_of_era:
+                self._is_of_era = await self._async_read()
+                self._is_read = self._is_read or self._is_of_era
             else:
                 await self._async_write_changes()
             await asyncio.sleep(VERSIONS_INTERVAL_S)
--- a/tests/components/stream_origins/test_version_store.py
+++ b/tests/components/stream_origins/test_version_store.py
@@ -140,8 +140,9 @@
 
 
 # Guards against versions that the store lost when it returned from an older copy.
+@pytest.mark.parametrize("outage_s", [0.0, 2 * ERA_READ_SPREAD_S])
 async def test_versions_are_stored_again_after_the_return_of_an_older_copy(
-    table: FakeTable, start_nodes: StartNodes
+    table: FakeTable, start_nodes: StartNodes, outage_s: float
 ) -> None:
     (node,) = start_nodes(1)
     node.upstreams.put(record("a", software_version="v1"))
@@ -149,6 +150,10 @@
     (item,) = await table.async_get([KEY])
     await table.async_transact([Write(KEY, b"[]", item.revision)], WriteClass.LEASE)
     node.eras.number = 2
+    node.access.is_down = outage_s > 0.0
+    await asyncio.sleep(outage_s)
+    assert node.store.versions(SERVICE) == {"v1"}
+    node.access.is_down = False
     await asyncio.sleep(ERA_READ_SPREAD_S + STORED_WITHIN_S + VERSIONS_INTERVAL_S)
     assert await async_stored(table) == ["v1"]
 
