Soak drills of the store, and check the orders of upstreams

In every third seed the store goes away once or twice and returns from an older copy, beside the other faults. Each upstream's orders must have rising tokens and versions.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,8 +23,10 @@
     LinkFault,
     NewWeights,
     ProcessFault,
+    StoreReturn,
     generate_broken_streams,
     generate_faults,
+    generate_store_returns,
 )
 
 RUN_LENGTH_S = 6.0
@@ -184,6 +186,8 @@
                 await self.store.async_put("op", "version/m", content)
             case BrokenStream(upstream=number, after=after):
                 tuple(self.upstreams.values())[number].aborts_after = after
+            case StoreReturn(copy_age_s=copy_age_s, down_s=down_s):
+                await self.async_run_drill(copy_age_s, down_s)
             case ProcessFault():
                 await self._async_signal(fault)
 
@@ -255,6 +259,7 @@
             events=STREAM_EVENTS,
             length_s=RUN_LENGTH_S,
         )
+        faults += generate_store_returns(self._seed, length_s=RUN_LENGTH_S)
         faults.sort(key=lambda fault: fault.at_s)
         self.outcome.faults = faults
         loop = asyncio.get_running_loop()
@@ -271,6 +276,7 @@
         await asyncio.gather(*workers)
         await self._async_check_recovery()
         self._check_run_counts()
+        self._check_orders()
         self._check_graceful_stops(faults)
         entry_updates.cancel()
         return self.outcome
@@ -377,6 +383,15 @@
             max_runs = 1 if attempt.startswith("once") else MAX_ATTEMPTS
             self._expect(count <= max_runs, f"{attempt}: ran {count} times")
 
+    def _check_orders(self) -> None:
+        for name, upstream in self._platform.upstreams.items():
+            tokens = [order["fencingToken"] for order in upstream.orders]
+            versions = [order["version"] for order in upstream.orders]
+            self._expect(
+                tokens == sorted(tokens) and versions == sorted(versions),
+                f"{name}: orders with tokens {tokens} for versions {versions}",
+            )
+
     def _check_graceful_stops(self, faults: list[Fault]) -> None:
         """Check that graceful shutdowns aborted no request that a process had begun.
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -53,7 +53,16 @@
     after: int
 
 
-Fault = LinkFault | ProcessFault | NewWeights | BrokenStream
+@dataclass(frozen=True, slots=True)
+class StoreReturn:
+    """The store goes away, and returns from a copy that is ``copy_age_s`` old."""
+
+    at_s: float
+    copy_age_s: float
+    down_s: float
+
+
+Fault = LinkFault | ProcessFault | NewWeights | BrokenStream | StoreReturn
 
 
 def generate_faults(
@@ -102,3 +111,18 @@
         for _ in range(generator.randint(10, 30))
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def generate_store_returns(seed: int, *, length_s: float) -> list[Fault]:
+    """Return the drills of the store in a run; two of three runs have none."""
+    generator = random.Random(f"store returns {seed}")
+    count = generator.randint(1, 2) if seed % 3 == 0 else 0
+    faults: list[Fault] = [
+        StoreReturn(
+            generator.uniform(0.0, 0.7 * length_s),
+            generator.uniform(0.2, 2.0),
+            generator.uniform(0.1, 0.8),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at_s)
