Order messages between instances by their type

The replay guard dropped each message that any later one of its sender overtook.

Only messages of one type are in order now; no handler depends on the order between types, and a replayed message is still dropped.

--- a/src/banyanswitch/components/peers/replay_guard.py
+++ b/src/banyanswitch/components/peers/replay_guard.py
@@ -6,7 +6,10 @@
 
 
 class ReplayGuard:
-    """Accept each sender's messages in the order of incarnation and sequence.
+    """Accept each sender's messages of one type in order of incarnation and sequence.
+
+    Messages of different types may overtake each other, since datagrams of different
+    sizes do.
 
     Parameters
     ----------
@@ -16,14 +19,20 @@
 
     def __init__(self, max_senders: int = MAX_TRACKED_SENDERS) -> None:
         self._max_senders = max_senders
-        self._last: OrderedDict[str, tuple[int, int]] = OrderedDict()
+        self._last: OrderedDict[str, dict[str, tuple[int, int]]] = OrderedDict()
+
+    def accept(
+        self, sender: str, message_type: str, incarnation: int, sequence: int
+    ) -> bool:
+        """Return whether the message is newer than its sender's earlier ones.
 
-    def accept(self, sender: str, incarnation: int, sequence: int) -> bool:
-        """Return whether the message is newer than all earlier ones of its sender."""
+        Only messages of the same type count.
+        """
         number = (incarnation, sequence)
-        if number <= self._last.get(sender, (-1, -1)):
+        last = self._last.setdefault(sender, {})
+        if number <= last.get(message_type, (-1, -1)):
             return False
-        self._last[sender] = number
+        last[message_type] = number
         self._last.move_to_end(sender)
         if len(self._last) > self._max_senders:
             self._last.popitem(last=False)
--- a/src/banyanswitch/components/peers/signed_frames.py
+++ b/src/banyanswitch/components/peers/signed_frames.py
@@ -127,7 +127,7 @@
                 f"message is addressed to {envelope.recipient}, not to {self.address}"
             )
         if not self._replay_guard.accept(
-            envelope.sender, envelope.incarnation, envelope.sequence
+            envelope.sender, envelope.tag, envelope.incarnation, envelope.sequence
         ):
             raise PeerError(
                 f"message of {envelope.sender} is not newer than its last one"
