--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -72,7 +72,7 @@
     begun_by : str or None
         Attempt that brought the first event.
     tries : int
-        Number of tries, after the first one that brought an event.
+        Number of tries, from the one that brought the first event.
     is_refused : bool
         Whether the last try was answered with an error.
     """
@@ -106,12 +106,18 @@
     def violations(self) -> list[str]:
         """Return what breaks the order of the events or mixes software versions."""
         events = self._events()
+        expected = b"".join(
+            b"id: %d\ndata: event %d %b\n\n" % (number, number, version.encode())
+            for number, version in events
+        )
         found = []
+        if not self.body.startswith(expected) or self.body.count(b"\n\n") > len(events):
+            found.append(f"bytes that are no event: {self.body!r}")
         if [number for number, _ in events] != list(range(1, len(events) + 1)):
             found.append(f"events out of order: {self.body!r}")
         if len({version for _, version in events}) > 1:
             found.append(f"events of several software versions: {self.body!r}")
-        is_whole = len(events) == STREAM_EVENTS and self.body.endswith(b"\n\n")
+        is_whole = len(events) == STREAM_EVENTS and self.body == expected
         if self.is_complete and not is_whole:
             found.append(f"framed as complete: {self.body!r}")
         return found
