--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -103,3 +103,6 @@
 """Maximum random delay before a queued request is placed again, so that several
 instances do not claim the same free capacity; a placement is reported to the other
 instances within a few ms."""
+
+MAX_LOGGED_PARTS: Final = 8
+"""Number of prompt parts in a log line."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from banyanswitch.components.forwarding.attempt import Attempt, ResponseProgress
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
+    MAX_LOGGED_PARTS,
     MAX_QUEUE_WAIT_S,
     MAX_QUEUE_WAIT_SHARE,
     MAX_UNSENT_ATTEMPTS,
@@ -383,6 +384,7 @@
             self._metrics.count_withdrawn(placed.record.service)
         else:
             context.may_have_run = True
+            self._metrics.count_broken(placed.record.service)
             self._registry.ejector.on_failure(name, now_s)
         decision = self._decide(context, error, outcome, now_s)
         self._log_failure(context, name, error, decision)
@@ -621,6 +623,8 @@
             reason=str(error),
             decision=outcome,
             is_failure_status=isinstance(error, UpstreamFailureError),
+            shared_parts=_shared_parts(context.metadata),
+            response_age_s=_response_age_s(context.progress, self._loop.time()),
         )
 
     def _log(self, context: _RequestContext, event: str, **values: object) -> None:
@@ -643,5 +647,17 @@
     return metadata.last_event
 
 
+def _shared_parts(metadata: RequestMetadata) -> list[str]:
+    """Return the first shared parts of a prompt, for the log."""
+    return [part.name for part in metadata.parts[:-1][:MAX_LOGGED_PARTS]]
+
+
+def _response_age_s(progress: ResponseProgress, now_s: float) -> float | None:
+    """Return the time since the first byte of a response, for the log."""
+    if progress.first_byte_at_s is None:
+        return None
+    return round(now_s - progress.first_byte_at_s, 4)
+
+
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -32,6 +32,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._broken = Counter(
+            "banyanswitch_attempts_broken",
+            "Attempts that failed after they may have run, by service",
+            ("service",),
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "banyanswitch_first_byte_seconds",
             "Time from a request's head to the first byte of its answer",
@@ -55,6 +61,11 @@
         """Count an attempt that was withdrawn because of the upstream's weights."""
         self._withdrawn.labels(service).inc()
 
+    @callback
+    def count_broken(self, service: ServiceName) -> None:
+        """Count an attempt that failed after it may have run."""
+        self._broken.labels(service).inc()
+
     @callback
     def observe_first_byte(self, route: str, duration_s: float) -> None:
         """Record the time to the first byte of a response."""
