--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -1,6 +1,7 @@
 """Upstream that handles requests, streams events and accepts weight-load orders."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
@@ -56,6 +57,11 @@
         Whether orders get 409.
     load_s : float
         Time to load weights, in seconds.
+    crashing_part : str or None
+        Part of a prompt, other than the last, under which it crashes as soon as it
+        begins to write an answer.
+    on_crash : callable or None
+        Ends the upstream; called when it crashes.
     received : list of ReceivedRequest
         Requests that were not refused.
     orders : list of dict
@@ -80,6 +86,8 @@
     sends_head_first: bool = False
     refuses_orders: bool = False
     load_s: float = 0.05
+    crashing_part: str | None = None
+    on_crash: Callable[[], None] | None = None
     received: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, object]] = field(default_factory=list)
     cancelled: int = 0
@@ -180,6 +188,11 @@
         await response.async_start()
         if self.hangs:
             await self._async_hang()
+        if self.crashing_part in shared_parts(request.headers["Prompt-Prefix"]):
+            await response.async_write(b"id: 1\ndata: ev")
+            if self.on_crash is not None:
+                self.on_crash()
+            return response.response
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         aborts_after, self.aborts_after = self.aborts_after, None
         for number in range(first, self.events + 1):
@@ -194,6 +207,11 @@
         return response.response
 
 
+def shared_parts(prefix: str) -> list[str]:
+    """Return the parts of a prompt that other requests may share."""
+    return [part.partition(":")[0] for part in prefix.split(",")[:-1]]
+
+
 class _EventStream:
     """Response with events, in chunks or without any framing.
 
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -100,19 +100,21 @@
         self.store = PlatformStore()
         self.store_drill = StoreDrill(self.store, seed=1)
         self.upstreams = {name: PlatformUpstream(name) for name in ("i-1", "i-2")}
+        self.crashed: list[PlatformUpstream] = []
         self._reservations = ExitStack()
         first_ports = reserve_ports(HOSTS, tuple(PORTS.values()), self._reservations)
         self.ports = dict(zip(PORTS, first_ports, strict=True))
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self._runners: list[web.AppRunner] = []
+        self._runners_by_name: dict[str, web.AppRunner] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
         self._addresses: dict[str, str] = {}
         self.session = aiohttp.ClientSession()
 
     async def async_start(self) -> None:
         self._store_address = await self._async_listen(self.store.make_app())
-        for name, upstream in self.upstreams.items():
-            self._addresses[name] = await self._async_listen(upstream.make_app())
-            await self.async_register(name)
+        for name in self.upstreams:
+            await self._async_start_upstream(name)
         await self.store.async_put("op", "config", configuration(1))
         for host in HOSTS:
             await self.async_start_process(host)
@@ -128,7 +130,34 @@
         """Start another upstream and register it."""
         upstream = PlatformUpstream(name, software_version=software_version)
         self.upstreams[name] = upstream
-        self._addresses[name] = await self._async_listen(upstream.make_app())
+        await self._async_start_upstream(name)
+
+    def crash(self, name: str, replacement: PlatformUpstream, down_s: float) -> None:
+        """End an upstream at once; another one registers ``down_s`` seconds later."""
+        self.crashed.append(self.upstreams.pop(name))
+        task = asyncio.create_task(self._async_replace(name, replacement, down_s))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _async_replace(
+        self, name: str, replacement: PlatformUpstream, down_s: float
+    ) -> None:
+        runner = self._runners_by_name.pop(name)
+        for site in tuple(runner.sites):
+            await site.stop()
+        for connection in runner.server.connections if runner.server else ():
+            if connection.transport is not None:
+                connection.transport.abort()
+        await asyncio.sleep(down_s)
+        await self.store.async_put("servers", name, None)
+        self.upstreams[replacement.name] = replacement
+        await self._async_start_upstream(replacement.name)
+
+    async def _async_start_upstream(self, name: str) -> None:
+        self._addresses[name] = await self._async_listen(
+            self.upstreams[name].make_app()
+        )
+        self._runners_by_name[name] = self._runners[-1]
         await self.async_register(name)
 
     async def async_run_drill(self, copy_age_s: float, down_s: float) -> None:
@@ -147,6 +176,8 @@
         )
 
     async def async_stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
