--- /dev/null
+++ b/bench/part_quarantine.py
@@ -0,0 +1,278 @@
+"""Quarantine of prompt parts on drawn days, without a network.
+
+Prints for each size and kind of day how many upstreams a crashing part has ended, how
+many of its requests were sent later than the users' bound allows to be three, and the
+share of the sound requests that were withheld::
+
+    python -m bench.part_quarantine [--days=10]
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import fire
+
+from banyanswitch.decisions.part_quarantine import (
+    Combination,
+    PartKey,
+    QuarantinePolicy,
+    UpstreamEnd,
+    combinations_to_withhold,
+    trial_due_at_s,
+)
+from banyanswitch.identifiers import UpstreamId
+
+MODEL = "m"
+BEGIN_S = 0.15
+CRASH_S = 0.05
+"""Time from the beginning of an answer to the crash."""
+DOWN_S = 3.0
+STABLE_S = 3.0
+FIFTH = 5
+BAD = "bad"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Size:
+    """Size of a deployment."""
+
+    instances: int
+    upstreams: int
+    requests_per_s: float
+    parts: int
+    length_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Day:
+    """Kind of day.
+
+    Parameters
+    ----------
+    bad_per_s : float
+        Requests with the crashing part per second.
+    crash_interval_s : float or None
+        Time between ordinary crashes, in seconds.
+    crash_share : float
+        Share of the upstreams that crash together.
+    is_first_part : bool
+        Whether the crashing part is the first one of its prompts.
+    """
+
+    name: str
+    bad_per_s: float = 0.0
+    crash_interval_s: float | None = None
+    crash_share: float = 0.1
+    is_first_part: bool = False
+
+
+@dataclass(slots=True)
+class Result:
+    """Figures of one day."""
+
+    bad_crashes: int = 0
+    late_bad_requests: int = 0
+    sound_requests: int = 0
+    sound_withheld: int = 0
+    combinations: int = 0
+
+
+@dataclass(slots=True)
+class _Running:
+    parts: tuple[str, ...]
+    began_at_s: float | None = None
+
+
+@dataclass
+class Simulation:
+    """One day: requests, upstreams that end, and the parts that are withheld."""
+
+    size: Size
+    day: Day
+    generator: random.Random
+    policy: QuarantinePolicy = field(default_factory=QuarantinePolicy)
+
+    def __post_init__(self) -> None:
+        self.result = Result()
+        self._now_s = 0.0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._running: dict[int, dict[int, _Running]] = {
+            upstream: {} for upstream in range(self.size.upstreams)
+        }
+        self._up_at_s = [0.0] * self.size.upstreams
+        self._ends: list[UpstreamEnd] = []
+        self._served_at_s: dict[PartKey, float] = {}
+        self._withheld: dict[Combination, tuple[float, float, int]] = {}
+        self._bad_crashed_at_s: list[float] = []
+        self._report_s = max(0.1, self.size.instances / 200.0)
+
+    def run(self) -> Result:
+        """Play the day and return its figures."""
+        self._at(0.0, self._send_sound)
+        if self.day.bad_per_s:
+            self._at(5.0, self._send_bad)
+        if self.day.crash_interval_s:
+            self._at(5.0, self._crash_some)
+        while self._queue:
+            self._now_s, _, step = heapq.heappop(self._queue)
+            if self._now_s > self.size.length_s:
+                break
+            step()
+        self.result.combinations = len(self._withheld)
+        return self.result
+
+    def _at(self, delay_s: float, step: Callable[[], None]) -> None:
+        entry = (self._now_s + delay_s, next(self._numbers), step)
+        heapq.heappush(self._queue, entry)
+
+    def _send_sound(self) -> None:
+        part = int(self.size.parts * self.generator.random() ** 1.3)
+        tenant = part % max(5, self.size.parts // 10)
+        self.result.sound_requests += 1
+        if not self._send((f"t{tenant}", f"p{part}"), home=part):
+            self.result.sound_withheld += 1
+        self._at(self.generator.expovariate(self.size.requests_per_s), self._send_sound)
+
+    def _send_bad(self) -> None:
+        tenant = f"t{self.generator.randrange(5)}"
+        parts = (tenant, BAD)
+        if self.day.is_first_part:
+            parts = (BAD, f"p{self.generator.randrange(self.size.parts)}")
+        if self._send(parts, home=self.generator.randrange(1000)):
+            fifth = self._bad_crashed_at_s[FIFTH - 1 :][:1]
+            if fifth and self._now_s > fifth[0] + STABLE_S:
+                self.result.late_bad_requests += 1
+        self._at(self.generator.expovariate(self.day.bad_per_s), self._send_bad)
+
+    def _send(self, parts: tuple[str, ...], home: int) -> bool:
+        if self._is_withheld(parts):
+            return False
+        up = [u for u, at_s in enumerate(self._up_at_s) if at_s <= self._now_s]
+        if not up:
+            return True
+        upstream = home % self.size.upstreams
+        if upstream not in up or self.generator.random() < 0.2:
+            upstream = self.generator.choice(up)
+        number = next(self._numbers)
+        self._running[upstream][number] = _Running(parts)
+        self._at(BEGIN_S, lambda: self._begin(upstream, number))
+        return True
+
+    def _is_withheld(self, parts: tuple[str, ...]) -> bool:
+        for combination, (since_s, last_s, trials) in tuple(self._withheld.items()):
+            if not combination.parts <= set(parts):
+                continue
+            if self._now_s >= trial_due_at_s(last_s, trials, self.policy):
+                self._withheld[combination] = (since_s, self._now_s, trials + 1)
+                continue
+            return True
+        return False
+
+    def _begin(self, upstream: int, number: int) -> None:
+        running = self._running[upstream].get(number)
+        if running is None:
+            return
+        running.began_at_s = self._now_s
+        if BAD in running.parts:
+            self._at(CRASH_S, lambda: self._crash(upstream, number))
+            return
+        length_s = self.generator.expovariate(1.0 / 0.5)
+        self._at(length_s, lambda: self._serve(upstream, number))
+
+    def _serve(self, upstream: int, number: int) -> None:
+        running = self._running[upstream].pop(number, None)
+        if running is None:
+            return
+        for part in running.parts:
+            self._served_at_s[PartKey(MODEL, part)] = self._now_s
+        self._at(self._report_s, self._release)
+
+    def _crash(self, upstream: int, number: int | None) -> None:
+        if number is not None and number not in self._running[upstream]:
+            return
+        if number is not None:
+            self.result.bad_crashes += 1
+            self._bad_crashed_at_s.append(self._now_s)
+        requests = tuple(
+            frozenset(PartKey(MODEL, part) for part in running.parts)
+            for running in self._running[upstream].values()
+            if running.began_at_s is None
+            or self._now_s - running.began_at_s <= self.policy.max_response_age_s
+        )
+        self._running[upstream].clear()
+        self._up_at_s[upstream] = self._now_s + DOWN_S
+        name = UpstreamId(f"u{upstream}-{next(self._numbers)}")
+        if requests:
+            self._ends.append(UpstreamEnd(name, self._now_s, requests))
+        settle_s = 0.25 + 0.005 * self.size.instances
+        self._at(settle_s, self._evaluate)
+
+    def _crash_some(self) -> None:
+        count = max(1, round(self.day.crash_share * self.size.upstreams))
+        for upstream in self.generator.sample(range(self.size.upstreams), count):
+            self._crash(upstream, None)
+        self._at(self.day.crash_interval_s or 0.0, self._crash_some)
+
+    def _evaluate(self) -> None:
+        recent = self._ends[-256:]
+        found = combinations_to_withhold(recent, self._served_at_s, self.policy)
+        for combination, since_s in found.items():
+            if not any(known.parts <= combination.parts for known in self._withheld):
+                self._withheld[combination] = (since_s, self._now_s, 0)
+
+    def _release(self) -> None:
+        for combination, (since_s, last_s, trials) in tuple(self._withheld.items()):
+            unserved = frozenset(
+                part
+                for part in combination.parts
+                if self._served_at_s.get(PartKey(MODEL, part), -1.0) <= since_s
+            )
+            if unserved == combination.parts:
+                continue
+            del self._withheld[combination]
+            if unserved:
+                narrowed = Combination(MODEL, unserved)
+                self._withheld[narrowed] = (since_s, last_s, trials)
+
+
+SIZES = (
+    Size(instances=8, upstreams=12, requests_per_s=70, parts=100, length_s=120),
+    Size(instances=91, upstreams=140, requests_per_s=600, parts=1000, length_s=60),
+    Size(instances=330, upstreams=780, requests_per_s=2400, parts=6000, length_s=40),
+)
+DAYS = (
+    Day(name="one part", bad_per_s=1.0),
+    Day(name="one part, often", bad_per_s=8.0),
+    Day(name="first part", bad_per_s=1.0, is_first_part=True),
+    Day(name="part and crashes", bad_per_s=1.0, crash_interval_s=4.0),
+    Day(name="crashes only", crash_interval_s=1.5),
+    Day(name="a third crashes", crash_interval_s=8.0, crash_share=0.34),
+)
+
+
+def main(days: int = 10) -> None:
+    """Play drawn days of every size and kind and print the totals."""
+    header = (
+        "instances  day                days  bad ends/day  late max  withheld sound"
+    )
+    print(header)
+    for size, day in itertools.product(SIZES, DAYS):
+        results = [
+            Simulation(size, day, random.Random(seed)).run() for seed in range(days)
+        ]
+        sound = sum(result.sound_requests for result in results)
+        withheld = sum(result.sound_withheld for result in results)
+        ends = sum(result.bad_crashes for result in results) / days
+        late = max(result.late_bad_requests for result in results)
+        print(
+            f"{size.instances:9}  {day.name:17}  {days:4}  {ends:12.1f}  {late:8}"
+            f"  {withheld / sound:14.5%}"
+        )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -66,6 +66,11 @@
         Progress of the response over all attempts.
     on_first_events : callable
         Called before the first events of this attempt are sent to the caller.
+
+    Attributes
+    ----------
+    began_at_s : float or None
+        Loop time of the first part of the response's body.
     """
 
     def __init__(
@@ -94,6 +99,7 @@
         self._on_first_events = on_first_events
         self._loop = asyncio.get_running_loop()
         self.has_sent = False
+        self.began_at_s: float | None = None
         self.status = 0
         self.framing = BodyFraming.NONE
 
@@ -134,6 +140,7 @@
                 head, response = await self._async_response_head(connection, placed)
                 # An upstream may send the head long before it starts the request.
                 first_part = await connection.async_part()
+            self.began_at_s = self._loop.time()
             self._registry.loads.note_answered(number)
             self._pool.note_keep_alive(address, head.headers)
             body = _Body(connection, first_part)
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -8,7 +8,11 @@
 
 import structlog
 
-from banyanswitch.components.forwarding.attempt import Attempt, ResponseProgress
+from banyanswitch.components.forwarding.attempt import (
+    FIRST_CLIENT_ERROR_STATUS,
+    Attempt,
+    ResponseProgress,
+)
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
     MAX_LOGGED_PARTS,
@@ -37,6 +41,7 @@
     PlacementResult,
 )
 from banyanswitch.components.forwarding.protocols import (
+    PartGuard,
     RequestTranslator,
     ServiceVersions,
     StreamOrigins,
@@ -61,6 +66,7 @@
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.models import Request
+from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.decisions.retry import (
     FailedAttempt,
     GiveUp,
@@ -118,6 +124,7 @@
     may_have_run: bool = False
     last_upstream: str = ""
     origin: StreamOrigin | None = None
+    tried_parts: Combination | None = None
 
 
 class Forwarder:
@@ -133,6 +140,8 @@
         Origins of the streams that callers take up again.
     versions : ServiceVersions
         Software versions, for streams without a known origin.
+    parts : PartGuard
+        Prompt parts that must not be sent.
     on_replaced : callable
         Called with an upstream when another upstream responded at its address.
     """
@@ -154,6 +163,7 @@
         wait_queue: WaitQueue,
         origins: StreamOrigins,
         versions: ServiceVersions,
+        parts: PartGuard,
         on_replaced: Callable[[UpstreamId], None],
     ) -> None:
         self._translator = translator
@@ -171,6 +181,7 @@
         self._wait_queue = wait_queue
         self._origins = origins
         self._versions = versions
+        self._parts = parts
         self._on_replaced = on_replaced
         self._loop = asyncio.get_running_loop()
 
@@ -278,6 +289,7 @@
             self._origins.note(context.metadata.attempt, context.origin)
 
     async def _async_serve(self, context: _RequestContext) -> None:
+        context.tried_parts = await self._parts.async_try(context.metadata)
         while True:
             placed = await self._async_place(context)
             if placed is None:
@@ -303,6 +315,7 @@
             try:
                 await attempt.async_run(placed, is_last=is_last)
             except UpstreamError as error:
+                self._note_broken(context, placed, attempt, error)
                 if not await self._async_prepare_retry(context, placed, error):
                     return
                 continue
@@ -336,7 +349,7 @@
         self, context: _RequestContext, now_s: float, *, is_wait_over: bool
     ) -> PlacementResult | None:
         time_left_s = context.ends_at_s - now_s
-        if time_left_s < MIN_TIME_LEFT_S:
+        if time_left_s < MIN_TIME_LEFT_S or self._withheld_parts(context) is not None:
             return None
         resume_after = (
             context.progress.splitter.last_id if context.progress.has_started else None
@@ -358,6 +371,28 @@
             now_s,
         )
 
+    def _withheld_parts(self, context: _RequestContext) -> Combination | None:
+        """Return parts of the prompt that keep a request from being sent."""
+        found = self._parts.withheld(context.metadata)
+        return next((parts for parts in found if parts != context.tried_parts), None)
+
+    def _note_broken(
+        self,
+        context: _RequestContext,
+        placed: PlacementResult,
+        attempt: Attempt,
+        error: UpstreamError,
+    ) -> None:
+        """Note which parts an upstream broke off; a trial isn't repeated."""
+        if isinstance(error, UpstreamNotSentError | NotRunError):
+            return
+        context.tried_parts = None
+        if isinstance(error, StartTimeoutError | UpstreamFailureError):
+            return
+        began_at_s = attempt.began_at_s
+        age_s = None if began_at_s is None else self._loop.time() - began_at_s
+        self._parts.note_broken(placed.record, context.metadata, age_s)
+
     def _may_repeat(self, context: _RequestContext) -> bool:
         is_repeatable = context.route.repeatability is not Repeatability.ONCE
         return is_repeatable and context.sent < context.route.max_attempts
@@ -515,7 +550,11 @@
             return
         wait_s = BUSY_RETRY_AFTER_S if context.excluded else UNAVAILABLE_RETRY_AFTER_S
         reason = RefusalReason.NO_UPSTREAM
-        if context.origin is not None:
+        parts = self._withheld_parts(context)
+        if parts is not None:
+            reason = RefusalReason.PART_WITHHELD
+            wait_s = self._parts.retry_after_s(parts)
+        elif context.origin is not None:
             reason = RefusalReason.NO_UPSTREAM_OF_VERSION
         refusal = Refusal(STATUS_UNAVAILABLE, reason, wait_s)
         self._refuse(context.request, context.metadata, context.reply, refusal, context)
@@ -568,6 +607,8 @@
     ) -> None:
         now_s = self._loop.time()
         self._registry.ejector.on_success(placed.record.name, now_s)
+        if attempt.status < FIRST_CLIENT_ERROR_STATUS:
+            self._parts.note_served(context.metadata)
         first_s = (
             context.progress.first_byte_at_s or now_s
         ) - context.request.received_at_s
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -12,10 +12,41 @@
     UpstreamRequestPlan,
 )
 from banyanswitch.components.http1.models import Header, Headers, Request, ResponseHead
+from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
 from banyanswitch.identifiers import ServiceName, UpstreamId
 
 
+class PartGuard(Protocol):
+    """Knowledge of prompt parts that must not be sent to upstreams."""
+
+    def withheld(self, metadata: RequestMetadata) -> list[Combination]:
+        """Return the withheld combinations of parts that a prompt has."""
+
+    def retry_after_s(self, parts: Combination) -> float:
+        """Return the time until withheld parts are tried again, in seconds."""
+
+    async def async_try(self, metadata: RequestMetadata) -> Combination | None:
+        """Return the withheld parts that this one request may try, if any."""
+
+    def note_broken(
+        self,
+        record: UpstreamRecord,
+        metadata: RequestMetadata,
+        response_age_s: float | None,
+    ) -> None:
+        """Record that an upstream broke off a request.
+
+        Parameters
+        ----------
+        response_age_s : float or None
+            Time since the response began, in seconds; ``None`` if it had not.
+        """
+
+    def note_served(self, metadata: RequestMetadata) -> None:
+        """Record that a request was served."""
+
+
 class RequestTranslator(Protocol):
     """Translates requests and responses between callers and upstreams."""
 
--- a/src/banyanswitch/components/forwarding/refusals.py
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -29,6 +29,7 @@
     TIMEOUT = "timeout"
     LEAVING = "instance_leaving"
     MEMORY = "instance_memory"
+    PART_WITHHELD = "part_withheld"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/banyanswitch/components/part_quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of prompt parts that crash upstreams."""
--- a/src/banyanswitch/components/state_exchange/const.py
+++ b/src/banyanswitch/components/state_exchange/const.py
@@ -22,6 +22,9 @@
 """Time for which reports repeat an observed weight version or a replaced upstream; the
 upstream's entry in the store shows a new weight version after about 2 s."""
 
+OBSERVATION_REPEATS: Final = 2.5
+"""Minimum number of report intervals for which an observation is repeated."""
+
 VERSIONS_LIFETIME_S: Final = 2.0
 """Time for which the table versions of a report are used."""
 
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -9,12 +9,14 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.paced_broadcaster import PacedBroadcaster
 from banyanswitch.components.state_exchange.const import (
     BROADCAST_BYTES_PER_S,
     INTERVAL_IDLE_S,
     INTERVAL_MIN_S,
+    OBSERVATION_REPEATS,
     OBSERVATION_RETENTION_S,
     REPORTS_PER_S,
     URGENT_REPORTS_PER_S,
@@ -54,6 +56,8 @@
         Table copies by the name of their table.
     routing : RoutingState
         Target weight versions.
+    quarantine : PartQuarantine
+        Ends of upstreams, and withheld prompt parts.
     generator : random.Random
         Chooses the order of the recipients.
 
@@ -72,9 +76,11 @@
         tier: PartTier,
         mirrors: Mapping[str, TableMirror],
         routing: RoutingState,
+        quarantine: PartQuarantine,
         generator: random.Random,
     ) -> None:
         self._routing = routing
+        self._quarantine = quarantine
         self._transport = transport
         self._peers = peers
         self._registry = registry
@@ -185,6 +191,7 @@
                 }
                 for model, target in self._routing.targets.items()
             },
+            quarantine=self._quarantine.report(self._retention_s()),
         )
         addresses = [
             peer.peer_address
@@ -193,6 +200,10 @@
         ]
         self._broadcaster.send(report, addresses)
 
+    def _retention_s(self) -> float:
+        """Return the time for which reports repeat what was seen once, in seconds."""
+        return max(OBSERVATION_RETENTION_S, OBSERVATION_REPEATS * self.interval_s())
+
     @callback
     def broadcast_time_s(self) -> float:
         """Return the time until a report sent now reaches all others, in seconds."""
@@ -277,6 +288,7 @@
                 self._routing.note_target_time(model, version, now_s - age_s)
         for model, floor in report.fetch_floors.items():
             self._tier.note_floor(model, floor)
+        self._quarantine.apply(report.quarantine)
 
 
 def _reported_age_s(age_s: float) -> float:
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -3,6 +3,10 @@
 import msgspec
 
 from banyanswitch.components.forwarding.loads import Load
+from banyanswitch.components.part_quarantine.models import (
+    EMPTY_REPORT,
+    QuarantineReport,
+)
 from banyanswitch.decisions.fetch_floor import FetchFloor
 
 
@@ -33,6 +37,8 @@
         Upstreams at whose addresses other upstreams responded.
     target_ages_s : dict of str to dict of int to float
         Time since each weight version of a model became the target, in seconds.
+    quarantine : QuarantineReport
+        Ends of upstreams, and prompt parts that are withheld.
     """
 
     instance: str
@@ -45,3 +51,4 @@
     fetch_floors: dict[str, FetchFloor]
     replaced: list[str]
     target_ages_s: dict[str, dict[int, float]]
+    quarantine: QuarantineReport = EMPTY_REPORT
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -37,6 +37,8 @@
 from banyanswitch.components.lease.coordinator import LeaseCoordinator
 from banyanswitch.components.membership.coordinator import MembershipCoordinator
 from banyanswitch.components.membership.models import Member, MemberState
+from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
+from banyanswitch.components.part_quarantine.row_store import QuarantineStore
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.state_exchange.coordinator import StateExchange
@@ -174,6 +176,7 @@
             "relay": self._relay.async_run(),
             "named_times": self._target_time_store.async_run(),
             "software_versions": self._version_store.async_run(),
+            "quarantine": self._quarantine_store.async_run(),
             "rollout": self._rollout.async_run(),
             "cleaner": self._cleaner.async_run(),
             "housekeeping": self._async_housekeep(),
@@ -260,6 +263,14 @@
         self._readers = ReaderAssignment(self._membership)
 
     def _make_exchange(self) -> None:
+        self._quarantine = PartQuarantine(self._membership)
+        self._quarantine_store = QuarantineStore(
+            quarantine=self._quarantine,
+            table=self._tables,
+            eras=self._tables,
+            peers=self._membership,
+            generator=self._random,
+        )
         self._exchange = StateExchange(
             transport=self._transport,
             peers=self._membership,
@@ -267,8 +278,10 @@
             tier=self._tier,
             mirrors=self._mirrors,
             routing=self._routing,
+            quarantine=self._quarantine,
             generator=self._random,
         )
+        self._quarantine.on_evidence = self._exchange.report_soon
         self._event_relay = EventRelay(
             transport=self._transport,
             peers=self._membership,
@@ -328,6 +341,7 @@
                 self._transport, self._membership, self._registry.is_followed
             ),
             versions=SoftwareVersions(self._registry, self._version_store),
+            parts=self._quarantine,
             on_replaced=self._exchange.announce_replaced,
         )
         self._server = CallerServer(
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -48,6 +48,7 @@
 ATTEMPT = b"attempt-id"
 LAST_EVENT = b"Last-Event-Id"
 RESUMES = b"resumes"
+SHARED_PARTS = b"shared-parts"
 EVENTS = 2
 """Number of events in a stream."""
 
@@ -144,13 +145,15 @@
 
     def read_request_metadata(self, request: Request) -> RequestMetadata:
         prompt_tokens = int(header_value(request.headers, b"prompt-tokens") or 0)
+        names = (header_value(request.headers, SHARED_PARTS) or b"").decode()
+        shared = [PromptPart(name, 100) for name in names]
         return RequestMetadata(
             attempt=header_value(request.headers, ATTEMPT) or b"a1",
             host=HOST,
             key=None,
             time_left_s=float(header_value(request.headers, b"time-left-s") or 0),
             model=MODEL,
-            parts=(PromptPart("own", prompt_tokens),),
+            parts=(*shared, PromptPart("own", prompt_tokens)),
             prompt_tokens=prompt_tokens,
             output_tokens=30,
             last_event=header_value(request.headers, LAST_EVENT.lower()),
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -21,6 +21,7 @@
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
 from banyanswitch.components.http1.models import Headers
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.stream_origins.exchange import OriginExchange
 from banyanswitch.components.stream_origins.software_versions import SoftwareVersions
@@ -75,11 +76,13 @@
 
 
 def make_forwarder(
+    *,
     routing: RoutingState,
     upstreams: Upstreams,
     pool: FakePool,
     origins: StreamOrigins,
     stored_versions: "FakeStoredVersions",
+    quarantine: PartQuarantine,
 ) -> Forwarder:
     generator = random.Random(1)
     tier = PartTier(
@@ -118,6 +121,7 @@
         wait_queue=wait_queue,
         origins=origins,
         versions=SoftwareVersions(upstreams.registry, stored_versions),
+        parts=quarantine,
         on_replaced=lambda _name: None,
     )
 
@@ -146,8 +150,14 @@
         self._operator = TableMirror("op", NoFeed(), random.Random(1))
         self.routing = RoutingState(self._operator, PlainDecoder(), "config")
         self.routing.apply(make_configuration())
+        self.quarantine = PartQuarantine(alone)
         self._forwarder = make_forwarder(
-            self.routing, self.upstreams, self._pool, self.origins, self.stored_versions
+            routing=self.routing,
+            upstreams=self.upstreams,
+            pool=self._pool,
+            origins=self.origins,
+            stored_versions=self.stored_versions,
+            quarantine=self.quarantine,
         )
 
     def add(
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -8,6 +8,7 @@
 from banyanswitch.components.forwarding.loads import InFlight, Load
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.peers.const import BURST_BYTES
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.state_exchange.const import (
@@ -60,6 +61,7 @@
             tier=self.tier,
             mirrors={"servers": self.upstreams.mirror},
             routing=self.routing,
+            quarantine=PartQuarantine(self),
             generator=random.Random(1),
         )
 
