--- a/bench/part_quarantine.py
+++ b/bench/quarantine.py
@@ -4,7 +4,7 @@
 many of its requests were sent later than the users' bound allows to be three, and the
 share of the sound requests that were withheld::
 
-    python -m bench.part_quarantine [--days=10]
+    python -m bench.quarantine [--days=10]
 """
 
 import heapq
--- a/tests/decisions/test_part_quarantine.py
+++ b/tests/decisions/test_part_quarantine.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from bench.part_quarantine import DAYS, SIZES, Day, Simulation
+from bench.quarantine import DAYS, SIZES, Day, Simulation
 
 from banyanswitch.decisions.part_quarantine import (
     Combination,
