--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -180,6 +180,7 @@
             self._registry.note_received(placed.record.name, self._loop.time())
             response = self._translator.read_response_metadata(head)
             if response.attempt is None or response.attempt == self._metadata.attempt:
+                self._registry.note_limit(placed.record.name, response.limit_per_s)
                 return head, response
             LOGGER.info(
                 "foreign_answer_skipped",
--- a/src/banyanswitch/components/forwarding/models.py
+++ b/src/banyanswitch/components/forwarding/models.py
@@ -271,6 +271,9 @@
         Name of the upstream that responded, if given.
     load : tuple of int or None
         Number of running requests, of waiting requests and of slots.
+    limit_per_s : float or None
+        Requests per second that the upstream takes from all instances together;
+        ``None`` if it names no limit.
     """
 
     attempt: bytes | None
@@ -279,5 +282,6 @@
     is_misdirected: bool
     answered_by: str | None
     load: tuple[int, int, int] | None
+    limit_per_s: float | None
     weight_version: int | None
     retry_after_s: float | None
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -50,6 +50,8 @@
     cooldown_until_s : float
         Loop time until which it gets no requests that others can take, after a
         refusal.
+    limit_per_s : float or None
+        Limit in its last response, in requests per second.
     """
 
     record: UpstreamRecord
@@ -61,6 +63,7 @@
     expires_at_s: float | None = None
     replaced_until_s: float = 0.0
     cooldown_until_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +190,15 @@
         if state is not None:
             state.last_received_at_s = now_s
 
+    @callback
+    def note_limit(self, upstream: UpstreamId, limit_per_s: float | None) -> None:
+        """Record the limit in a response, ``None`` if it has none."""
+        state = self._states.get(upstream)
+        if state is None or limit_per_s == state.limit_per_s:
+            return
+        state.limit_per_s = limit_per_s
+        LOGGER.info("upstream_limit", upstream=upstream, limit_per_s=limit_per_s)
+
     @callback
     def note_weights(self, upstream: UpstreamId, model: str, version: int) -> None:
         """Record the weight version in a response or a report."""
--- a/src/banyanswitch/platform/headers.py
+++ b/src/banyanswitch/platform/headers.py
@@ -27,6 +27,7 @@
     HEADER_FETCH,
     HEADER_FETCH_UNTIL,
     HEADER_LAST_EVENT,
+    HEADER_LIMIT,
     HEADER_LOAD,
     HEADER_MODEL,
     HEADER_NOT_RUN,
@@ -101,6 +102,7 @@
             is_misdirected=head.status == STATUS_MISDIRECTED,
             answered_by=_header_text(values, HEADER_UPSTREAM),
             load=_parse_load(_header_text(values, HEADER_LOAD)),
+            limit_per_s=_parse_number(_header_text(values, HEADER_LIMIT)),
             weight_version=_parse_integer(_header_text(values, HEADER_WEIGHTS)),
             retry_after_s=_parse_number(retry_after),
         )
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -49,6 +49,7 @@
 LAST_EVENT = b"Last-Event-Id"
 RESUMES = b"resumes"
 SHARED_PARTS = b"shared-parts"
+LIMIT = b"limit"
 EVENTS = 2
 """Number of events in a stream."""
 
@@ -177,6 +178,7 @@
             is_misdirected=False,
             answered_by=None,
             load=None,
+            limit_per_s=_limit_per_s(head),
             weight_version=None,
             retry_after_s=None,
         )
@@ -190,6 +192,11 @@
         return [] if retry_after_s is None else [(RETRY_AFTER, b"%f" % retry_after_s)]
 
 
+def _limit_per_s(head: ResponseHead) -> float | None:
+    value = header_value(head.headers, LIMIT)
+    return None if value is None else float(value)
+
+
 def model_request(
     path: str, *, prompt_tokens: int, time_left_s: float, more: Headers = ()
 ) -> Request:
