--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -62,6 +62,10 @@
         begins to write an answer.
     on_crash : callable or None
         Ends the upstream; called when it crashes.
+    limit_per_s : float or None
+        Limit that it names in its responses, in requests per second from all callers.
+    arrived_at_s : list of float
+        Loop times at which requests arrived, also those that it refused.
     received : list of ReceivedRequest
         Requests that were not refused.
     orders : list of dict
@@ -88,6 +92,8 @@
     load_s: float = 0.05
     crashing_part: str | None = None
     on_crash: Callable[[], None] | None = None
+    limit_per_s: float | None = None
+    arrived_at_s: list[float] = field(default_factory=list)
     received: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, object]] = field(default_factory=list)
     cancelled: int = 0
@@ -133,16 +139,19 @@
         return asyncio.get_running_loop().time() < self._loading_until_s
 
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
+        self.arrived_at_s.append(asyncio.get_running_loop().time())
         body = await request.read()
         attempt = request.headers.get("Attempt-Id", "")
         headers = {
             "Attempt-Id": attempt,
             "Server-Stamp": f"stamp-{self.name}",
             "Weight-Versions": str(self.weight_version),
+            **self._limit_header(),
         }
         refusal = self._refusal(request)
         if refusal is not None:
-            return web.Response(status=refusal, headers={"Not-Run": "1"})
+            not_run = {"Not-Run": "1", **self._limit_header()}
+            return web.Response(status=refusal, headers=not_run)
         self.received.append(
             ReceivedRequest(
                 attempt,
@@ -161,6 +170,19 @@
             return await self._async_stream(request, headers)
         return web.Response(body=b"answer of " + self.name.encode(), headers=headers)
 
+    def _limit_header(self) -> dict[str, str]:
+        return (
+            {} if self.limit_per_s is None else {"Server-Limit": str(self.limit_per_s)}
+        )
+
+    def most_arrivals(self, window_s: float, since_s: float) -> int:
+        """Return the highest number of arrivals in any window after a loop time."""
+        times_s = [at_s for at_s in self.arrived_at_s if at_s >= since_s]
+        return max(
+            (sum(at_s <= t < at_s + window_s for t in times_s) for at_s in times_s),
+            default=0,
+        )
+
     def _refusal(self, request: web.Request) -> int | None:
         if request.headers.get("Expect-Instance", self.name) != self.name:
             return 421
