--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -100,6 +100,7 @@
         self._loop = asyncio.get_running_loop()
         self.has_sent = False
         self.began_at_s: float | None = None
+        self._sent_at_s = self._loop.time()
         self.status = 0
         self.framing = BodyFraming.NONE
 
@@ -169,6 +170,7 @@
     def _send(self, connection: UpstreamConnection, placed: PlacementResult) -> None:
         data = self._translator.upstream_request(self._request, placed.plan)
         self.has_sent = True
+        self._sent_at_s = self._loop.time()
         connection.send(data, is_head_only=self._request.method == b"HEAD")
 
     async def _async_response_head(
@@ -180,7 +182,9 @@
             self._registry.note_received(placed.record.name, self._loop.time())
             response = self._translator.read_response_metadata(head)
             if response.attempt is None or response.attempt == self._metadata.attempt:
-                self._registry.note_limit(placed.record.name, response.limit_per_s)
+                self._registry.limits.note_response(
+                    placed.record, response.limit_per_s, self._sent_at_s
+                )
                 return head, response
             LOGGER.info(
                 "foreign_answer_skipped",
--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -49,6 +49,10 @@
 UNCONFIGURED_RETRY_AFTER_S: Final = 0.5
 """Base of the Retry-After time of an instance that has no configuration yet."""
 
+MAX_LIMIT_RETRY_AFTER_S: Final = 2.0
+"""Highest base of the Retry-After time while upstreams are at their limit, of which
+other instances may have a share."""
+
 MAX_RETRY_AFTER_SHARE: Final = 0.3
 """Maximum Retry-After time as a share of the request's remaining time; callers honour
 up to a third."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 )
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
+    MAX_LIMIT_RETRY_AFTER_S,
     MAX_LOGGED_PARTS,
     MAX_QUEUE_WAIT_S,
     MAX_QUEUE_WAIT_SHARE,
@@ -554,11 +555,18 @@
         if parts is not None:
             reason = RefusalReason.PART_WITHHELD
             wait_s = self._parts.retry_after_s(parts)
+        elif (limit_s := self._limit_wait_s(context, now_s)) is not None:
+            reason, wait_s = RefusalReason.UPSTREAM_LIMIT, limit_s
         elif context.origin is not None:
             reason = RefusalReason.NO_UPSTREAM_OF_VERSION
         refusal = Refusal(STATUS_UNAVAILABLE, reason, wait_s)
         self._refuse(context.request, context.metadata, context.reply, refusal, context)
 
+    def _limit_wait_s(self, context: _RequestContext, now_s: float) -> float | None:
+        """Return when to come back if upstreams are at their limit, in seconds."""
+        wait_s = self._placement.limit_wait_s(context.service.name, now_s)
+        return None if wait_s is None else min(wait_s, MAX_LIMIT_RETRY_AFTER_S)
+
     def _end_timed_out(self, context: _RequestContext) -> None:
         if context.progress.has_started:
             self._log(context, "answer_broken", reason="timeout")
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -212,6 +212,7 @@
             and request.software_version in (None, state.record.software_version)
             and self._pool.open_count(state.record.address) < max(1.0, limit)
             and (model is None or self._has_weights(state, model, now_s))
+            and self._registry.limits.may_send(state.record, now_s)
         ]
         healthy = [state for state in states if self._registry.health(state, now_s) > 0]
         if len(healthy) >= MIN_HEALTHY_SHARE * len(states):
@@ -383,6 +384,20 @@
     def commit(self, placed: PlacementResult) -> None:
         """Record that a request is being sent as placed."""
         self._tier.mark_saves_pending(placed.parts)
+        self._registry.limits.note_sent(placed.record, placed.in_flight.started_at_s)
+
+    @callback
+    def limit_wait_s(self, service: ServiceName, now_s: float) -> float | None:
+        """Return the time until an upstream at its limit takes a request, in seconds.
+
+        ``None`` means that no upstream of the service is at its limit. The time is
+        infinite if only other instances send to the upstreams.
+        """
+        waits_s = [
+            self._registry.limits.wait_s(state.record, now_s)
+            for state in self._registry.accepting(service, now_s)
+        ]
+        return min((wait_s for wait_s in waits_s if wait_s > 0.0), default=None)
 
     @callback
     def service_of(self, name: ServiceName | None) -> ForwardedService | None:
--- a/src/banyanswitch/components/forwarding/refusals.py
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -29,6 +29,7 @@
     TIMEOUT = "timeout"
     LEAVING = "instance_leaving"
     MEMORY = "instance_memory"
+    UPSTREAM_LIMIT = "upstream_limit"
     PART_WITHHELD = "part_withheld"
 
 
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -19,6 +19,7 @@
 from banyanswitch.components.forwarding.models import UpstreamRecord
 from banyanswitch.components.forwarding.protocols import DocumentDecoder
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import Ejector
 from banyanswitch.helpers.store_version import era_of
@@ -50,8 +51,6 @@
     cooldown_until_s : float
         Loop time until which it gets no requests that others can take, after a
         refusal.
-    limit_per_s : float or None
-        Limit in its last response, in requests per second.
     """
 
     record: UpstreamRecord
@@ -63,7 +62,6 @@
     expires_at_s: float | None = None
     replaced_until_s: float = 0.0
     cooldown_until_s: float = 0.0
-    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +96,8 @@
         Load by requests in flight.
     ejector : Ejector
         Ejects failing upstreams.
+    limits : UpstreamLimits
+        Limits that upstreams name.
 
     Attributes
     ----------
@@ -111,11 +111,13 @@
         decoder: DocumentDecoder,
         loads: LoadTracker,
         ejector: Ejector,
+        limits: UpstreamLimits,
     ) -> None:
         self._mirror = mirror
         self._decoder = decoder
         self.loads = loads
         self.ejector = ejector
+        self.limits = limits
         self._states: dict[UpstreamId, UpstreamState] = {}
         self._by_service: dict[ServiceName, list[UpstreamId]] = {}
         self._dropped: dict[UpstreamId, _Dropped] = {}
@@ -190,15 +192,6 @@
         if state is not None:
             state.last_received_at_s = now_s
 
-    @callback
-    def note_limit(self, upstream: UpstreamId, limit_per_s: float | None) -> None:
-        """Record the limit in a response, ``None`` if it has none."""
-        state = self._states.get(upstream)
-        if state is None or limit_per_s == state.limit_per_s:
-            return
-        state.limit_per_s = limit_per_s
-        LOGGER.info("upstream_limit", upstream=upstream, limit_per_s=limit_per_s)
-
     @callback
     def note_weights(self, upstream: UpstreamId, model: str, version: int) -> None:
         """Record the weight version in a response or a report."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -192,6 +192,7 @@
                 for model, target in self._routing.targets.items()
             },
             quarantine=self._quarantine.report(self._retention_s()),
+            limits=self._registry.limits.report(self._retention_s()),
         )
         addresses = [
             peer.peer_address
@@ -289,6 +290,7 @@
         for model, floor in report.fetch_floors.items():
             self._tier.note_floor(model, floor)
         self._quarantine.apply(report.quarantine)
+        self._registry.limits.apply(report.limits)
 
 
 def _reported_age_s(age_s: float) -> float:
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -7,6 +7,7 @@
     EMPTY_REPORT,
     QuarantineReport,
 )
+from banyanswitch.components.upstream_limits.models import LimitReport
 from banyanswitch.decisions.fetch_floor import FetchFloor
 
 
@@ -39,6 +40,8 @@
         Time since each weight version of a model became the target, in seconds.
     quarantine : QuarantineReport
         Ends of upstreams, and prompt parts that are withheld.
+    limits : list of LimitReport
+        Limits that upstreams named to the sender.
     """
 
     instance: str
@@ -52,3 +55,4 @@
     replaced: list[str]
     target_ages_s: dict[str, dict[int, float]]
     quarantine: QuarantineReport = EMPTY_REPORT
+    limits: list[LimitReport] = []
--- /dev/null
+++ b/src/banyanswitch/components/upstream_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that upstreams name, kept by all instances together."""
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -48,6 +48,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
+from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.components.weight_rollout.const import (
     DUTY,
     LEASE_S,
@@ -227,6 +228,7 @@
             decoder,
             self._loads,
             Ejector(EJECTION, self._random),
+            UpstreamLimits(self._membership, self._readers),
         )
         self._watch = SuspensionWatch(SystemSuspensionClock())
         self._tier = PartTier(
@@ -282,6 +284,7 @@
             generator=self._random,
         )
         self._quarantine.on_evidence = self._exchange.report_soon
+        self._registry.limits.on_change = self._exchange.report_soon
         self._event_relay = EventRelay(
             transport=self._transport,
             peers=self._membership,
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -32,11 +32,14 @@
     header_value,
 )
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
+from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
 from banyanswitch.helpers.store_version import make_version
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 from banyanswitch.interfaces import Item, TableChanges
+from tests.components.lease.conftest import FixedPeers, make_peer
 
 SERVICE = ServiceName("llm")
 MODEL = "m"
@@ -115,8 +118,10 @@
         self.mirror = TableMirror("servers", NoFeed(), random.Random(1))
         self.loads = LoadTracker()
         ejector = Ejector(EjectionPolicy(), random.Random(1))
+        alone = FixedPeers(make_peer("a"), [])
+        limits = UpstreamLimits(alone, ReaderAssignment(alone))
         self.registry = UpstreamRegistry(
-            self.mirror, PlainDecoder(), self.loads, ejector
+            self.mirror, PlainDecoder(), self.loads, ejector, limits
         )
         self._version = 0
 
