--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -18,9 +18,13 @@
 from banyanswitch.components.forwarding.protocols import RequestTranslator
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
+from banyanswitch.components.http1.body import async_read_body
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
-from banyanswitch.components.http1.const import DEFAULT_MAX_IDLE_S
+from banyanswitch.components.http1.const import (
+    DEFAULT_MAX_IDLE_S,
+    MAX_BUFFERED_BODY_BYTES,
+)
 from banyanswitch.components.http1.models import BodyFraming, Request, ResponseHead
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.exceptions import (
@@ -192,8 +196,7 @@
                 upstream=placed.record.name,
                 answer_of=_text(response.attempt),
             )
-            while await connection.async_part() is not None:
-                pass
+            await async_read_body(connection.async_part, MAX_BUFFERED_BODY_BYTES)
             connection.expect_next_response()
         raise UpstreamBrokenError("received only responses to other requests")
 
@@ -283,10 +286,7 @@
 
     async def async_read_all(self) -> bytes:
         """Return all parts."""
-        parts = []
-        while (part := await self.async_part()) is not None:
-            parts.append(part)
-        return b"".join(parts)
+        return await async_read_body(self.async_part, MAX_BUFFERED_BODY_BYTES)
 
 
 def _text(value: bytes) -> str:
--- a/src/banyanswitch/components/forwarding/event_stream.py
+++ b/src/banyanswitch/components/forwarding/event_stream.py
@@ -2,6 +2,9 @@
 
 import re
 
+from banyanswitch.components.http1.const import MAX_EVENT_BYTES
+from banyanswitch.exceptions import UpstreamBrokenError
+
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 
@@ -22,7 +25,16 @@
         self._resumed_after = _number(last_id)
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the events that are complete now."""
+        """Add received bytes and return the events that are complete now.
+
+        Raises
+        ------
+        UpstreamBrokenError
+            If the incomplete event is too long. Events before it have been returned.
+        """
+        if len(self._partial) > MAX_EVENT_BYTES:
+            reason = f"an event is longer than the limit of {MAX_EVENT_BYTES} bytes"
+            raise UpstreamBrokenError(reason)
         data = self._partial + data
         end = 0
         events = []
--- a/src/banyanswitch/components/http1/client.py
+++ b/src/banyanswitch/components/http1/client.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from banyanswitch.components.http1.body import async_read_body
 from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.http1.const import MAX_BUFFERED_BODY_BYTES
 from banyanswitch.components.http1.models import Header, Headers, encode_head
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.core import callback
@@ -27,10 +29,15 @@
     ----------
     pool : ConnectionPool
         Connections used only by this client.
+    max_body_bytes : int
+        Maximum size of a response's body, in bytes.
     """
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(
+        self, pool: ConnectionPool, *, max_body_bytes: int = MAX_BUFFERED_BODY_BYTES
+    ) -> None:
         self._pool = pool
+        self._max_body_bytes = max_body_bytes
 
     async def async_call(
         self,
@@ -73,7 +80,7 @@
                 raise UpstreamNotSentError(reason)
             async with asyncio.timeout_at(deadline_s):
                 connection.send(_encode_request(method, address, target, body, headers))
-                response = await _async_read_response(connection)
+                response = await self._async_read_response(connection)
             self._pool.release(address, connection)
             is_released = True
             return response
@@ -94,6 +101,13 @@
         """Close all idle connections."""
         self._pool.close_all()
 
+    async def _async_read_response(
+        self, connection: UpstreamConnection
+    ) -> HttpResponse:
+        head = await connection.async_head()
+        body = await async_read_body(connection.async_part, self._max_body_bytes)
+        return HttpResponse(head.status, head.headers, body)
+
     async def _async_connect(
         self, address: str, deadline_s: float
     ) -> UpstreamConnection:
@@ -104,14 +118,6 @@
             raise UpstreamNotSentError(f"can't connect to {address} in time") from error
 
 
-async def _async_read_response(connection: UpstreamConnection) -> HttpResponse:
-    head = await connection.async_head()
-    parts = []
-    while (part := await connection.async_part()) is not None:
-        parts.append(part)
-    return HttpResponse(head.status, head.headers, b"".join(parts))
-
-
 def _encode_request(
     method: str,
     address: str,
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -36,6 +36,20 @@
 SWEEP_INTERVAL_S: Final = 0.5
 """Interval of the checks for idle and slow connections."""
 
+MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
+"""Bytes of a response that may arrive in sequence without a part of its body: its head,
+interim responses, chunk extensions and trailers."""
+
+MAX_BUFFERED_BODY_BYTES: Final = 3_500_000
+"""Maximum size of a response's body that is kept until it is complete."""
+
+MAX_TABLE_BODY_BYTES: Final = 32 * 1024 * 1024
+"""Maximum size of a response of the store or of another instance, which may be a copy
+of a whole table."""
+
+MAX_EVENT_BYTES: Final = 256 * 1024
+"""Size of the incomplete event at which a stream is cut off."""
+
 READ_HIGH_WATER_BYTES: Final = 256 * 1024
 """Buffered response bytes above which an upstream connection pauses reading."""
 
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -8,6 +8,7 @@
 import httptools
 
 from banyanswitch.components.http1.const import (
+    MAX_RESPONSE_OVERHEAD_BYTES,
     READ_HIGH_WATER_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
@@ -38,6 +39,7 @@
         self._heads: deque[ResponseHead] = deque()
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._overhead_bytes = 0
         self._status = 0
         self._reason = b""
         self._headers: list[Header] = []
@@ -78,10 +80,18 @@
         if not self._is_awaiting_response:
             self._fail("received bytes while no response is awaited")
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"response can't be parsed: {error}")
+            return
+        limit_bytes = MAX_RESPONSE_OVERHEAD_BYTES
+        if self._is_awaiting_response and self._overhead_bytes > limit_bytes:
+            self._fail(
+                "head, interim responses or trailers are longer than the limit of "
+                f"{limit_bytes} bytes"
+            )
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection.
@@ -115,6 +125,7 @@
         self._is_awaiting_response = True
         self._is_complete = False
         self._is_head_only = is_head_only
+        self._overhead_bytes = 0
         self.used_at_s = self._loop.time()
         if self._transport is not None:
             self._transport.write(data)
@@ -201,6 +212,7 @@
         """Queue a part of the body for `async_part`."""
         if self._is_complete:
             return
+        self._overhead_bytes = 0
         self._parts.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -28,7 +28,10 @@
 from banyanswitch.components.http1.caller_server import CallerServer
 from banyanswitch.components.http1.client import HttpClient
 from banyanswitch.components.http1.connection_pool import ConnectionPool
-from banyanswitch.components.http1.const import SWEEP_INTERVAL_S
+from banyanswitch.components.http1.const import (
+    MAX_TABLE_BODY_BYTES,
+    SWEEP_INTERVAL_S,
+)
 from banyanswitch.components.http1.models import Request
 from banyanswitch.components.kv_tier.cleaner import StoreCleaner
 from banyanswitch.components.kv_tier.coordinator import PartTier
@@ -200,9 +203,13 @@
         )
 
     def _make_clients(self) -> None:
-        self._store_client = HttpClient(ConnectionPool())
+        self._store_client = HttpClient(
+            ConnectionPool(), max_body_bytes=MAX_TABLE_BODY_BYTES
+        )
         self._engine_client = HttpClient(ConnectionPool())
-        self._peer_client = HttpClient(ConnectionPool())
+        self._peer_client = HttpClient(
+            ConnectionPool(), max_body_bytes=MAX_TABLE_BODY_BYTES
+        )
         self._pool = ConnectionPool()
         self._tables = PlatformTables(
             self._store_client,
