--- /dev/null
+++ b/src/banyanswitch/components/routing/connector.py
@@ -0,0 +1,67 @@
+"""Connections of the HTTP library that cut off responses without end."""
+
+import asyncio
+import functools
+from typing import Any
+
+import aiohttp
+import structlog
+from aiohttp.client_proto import ResponseHandler
+
+from banyanswitch.components.http1.const import MAX_RESPONSE_OVERHEAD_BYTES
+
+LOGGER = structlog.get_logger(__name__)
+
+
+class LimitedResponseHandler(ResponseHandler):
+    """Protocol of the HTTP library with a limit on bytes that are no body.
+
+    The library limits single headers and their number, but neither interim responses
+    nor chunk extensions.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._overhead_bytes = 0
+        self._body: Any = None
+        self._body_bytes = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin the response to another request."""
+        self._overhead_bytes = 0
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; close the connection if too many are no body."""
+        super().data_received(data)
+        body = self._payload
+        body_bytes = 0 if body is None else body.total_bytes
+        if body is not self._body or body_bytes != self._body_bytes:
+            has_content = body_bytes > 0
+            self._body, self._body_bytes = body, body_bytes
+            if has_content:
+                self._overhead_bytes = 0
+                return
+        self._overhead_bytes += len(data)
+        if self._overhead_bytes <= MAX_RESPONSE_OVERHEAD_BYTES:
+            return
+        reason = (
+            "head, interim responses or chunk extensions are longer than the limit of "
+            f"{MAX_RESPONSE_OVERHEAD_BYTES} bytes"
+        )
+        LOGGER.warning("response_too_long", reason=reason)
+        error = aiohttp.ClientPayloadError(reason)
+        if body is not None:
+            body.set_exception(error)
+        self.set_exception(error)
+        self.close()
+
+
+class LimitedConnector(aiohttp.TCPConnector):
+    """Connector whose connections are limited."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # The library has no public way to set the protocol of its connections.
+        factory = functools.partial(LimitedResponseHandler, loop=self._loop)
+        self._factory = factory  # type: ignore[assignment]
--- a/src/banyanswitch/components/routing/upstream_client.py
+++ b/src/banyanswitch/components/routing/upstream_client.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from banyanswitch.components.routing.connector import LimitedConnector
 from banyanswitch.components.routing.const import (
     CANCEL_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
@@ -168,7 +169,7 @@
             raise UpstreamBrokenError("no whole answer in time") from error
 
     def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(
+        connector = LimitedConnector(
             limit=UPSTREAM_CONNECTIONS, force_close=force_close
         )
         return aiohttp.ClientSession(
@@ -196,7 +197,12 @@
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamNotSentError(f"no connection to {call.url}") from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (
+            aiohttp.ClientError,
+            aiohttp.EofStream,
+            TimeoutError,
+            OSError,
+        ) as error:
             raise UpstreamBrokenError(
                 f"no answer from {call.url}: {error!r}"
             ) from error
@@ -238,7 +244,9 @@
         async for part in response.content.iter_any():
             content += part
             if len(content) > MAX_RESPONSE_BYTES:
-                raise UpstreamBrokenError("the answer is too long")
+                raise UpstreamBrokenError(
+                    f"the answer is longer than the limit of {MAX_RESPONSE_BYTES} bytes"
+                )
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise UpstreamBrokenError(f"the answer broke off: {error!r}") from error
     if _ends_with_connection(response) and not _is_whole_document(response, content):
--- /dev/null
+++ b/tests/components/routing/test_endless_responses.py
@@ -0,0 +1,143 @@
+"""Responses without end are cut off within a bound.
+
+The tests use sockets, since the HTTP library reads from its own transports.
+"""
+
+import asyncio
+import itertools
+import resource
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+
+import pytest
+from tests.components.routing.test_response_end import RUN, WORKSPACE, make_attempt
+
+from banyanswitch.components.routing.models import UpstreamRequest
+from banyanswitch.components.routing.upstream_client import UpstreamClient
+from banyanswitch.const import HEADER_RUN_ID, HEADER_WORKSPACE
+from banyanswitch.exceptions import UpstreamBrokenError
+
+MAX_TAKEN_BYTES = 4_000_000
+SENT_BYTES = 40_000_000
+MAX_MEMORY_BYTES = 100_000_000
+KERNEL_BUFFER_BYTES = 65_536
+TIMEOUT_S = 20.0
+PART_BYTES = 16_384
+STATUS = b"HTTP/1.1 200 OK\r\n"
+IDENTITY = f"{HEADER_RUN_ID}: {RUN}\r\n{HEADER_WORKSPACE}: {WORKSPACE}\r\n".encode()
+CHUNKED = STATUS + IDENTITY + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def one_header() -> Iterator[bytes]:
+    yield STATUS + b"X-Long: "
+    yield from itertools.repeat(b"a" * PART_BYTES)
+
+
+def headers() -> Iterator[bytes]:
+    yield STATUS
+    for number in itertools.count():
+        yield b"".join(b"X-%d-%d: a\r\n" % (number, n) for n in range(1000))
+
+
+def reason() -> Iterator[bytes]:
+    yield b"HTTP/1.1 200 "
+    yield from itertools.repeat(b"a" * PART_BYTES)
+
+
+def interim_responses() -> Iterator[bytes]:
+    yield from itertools.repeat(b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
+
+
+def trailers() -> Iterator[bytes]:
+    yield CHUNKED + b"4\r\nbody\r\n0\r\n"
+    yield from itertools.repeat(b"X-Trailer: aaaaaaaa\r\n" * 500)
+
+
+def chunk_extension() -> Iterator[bytes]:
+    yield CHUNKED + b"4;"
+    yield from itertools.repeat(b"a" * PART_BYTES)
+
+
+def chunked_body() -> Iterator[bytes]:
+    yield CHUNKED
+    yield from itertools.repeat(b"%x\r\n" % PART_BYTES + b"a" * PART_BYTES + b"\r\n")
+
+
+def unframed_body() -> Iterator[bytes]:
+    yield STATUS + IDENTITY + b"Connection: close\r\n\r\n"
+    yield from itertools.repeat(b"a" * PART_BYTES)
+
+
+KINDS = (
+    one_header,
+    headers,
+    reason,
+    interim_responses,
+    trailers,
+    chunk_extension,
+    chunked_body,
+    unframed_body,
+)
+Endless = Callable[[], Iterator[bytes]]
+Call = Callable[[Endless], Awaitable[int]]
+
+
+@pytest.fixture
+async def async_call() -> AsyncIterator[Call]:
+    """Call an upstream that sends without end and return the bytes that it sent."""
+    client = UpstreamClient()
+    servers = []
+
+    async def async_call(endless: Endless) -> int:
+        sent_bytes = 0
+        closed = asyncio.Event()
+
+        async def async_script(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal sent_bytes
+            writer.transport.set_write_buffer_limits(high=0)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                for part in endless():
+                    writer.write(part)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+                    sent_bytes += len(part)
+                    if sent_bytes > SENT_BYTES:
+                        break
+            except ConnectionError:
+                pass
+            finally:
+                closed.set()
+                writer.close()
+
+        server = await asyncio.start_server(async_script, "127.0.0.1", 0)
+        servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        attempt = make_attempt(f"http://127.0.0.1:{port}")
+        call = UpstreamRequest("GET", f"{attempt.url}/x")
+        async with asyncio.timeout(TIMEOUT_S):
+            with pytest.raises(UpstreamBrokenError):
+                await client.async_call_once(attempt, call, TIMEOUT_S)
+            await closed.wait()
+        return sent_bytes
+
+    yield async_call
+    await client.async_close()
+    for server in servers:
+        server.close()
+
+
+# Guards against responses without end that fill memory or hold their connection.
+@pytest.mark.parametrize("endless", KINDS, ids=lambda make: make.__name__)
+async def test_connection_with_an_endless_response_is_closed(
+    async_call: Call, endless: Endless
+) -> None:
+    before_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+    sent_bytes = await async_call(endless)
+    after_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+    assert sent_bytes <= MAX_TAKEN_BYTES
+    assert after_bytes - before_bytes <= MAX_MEMORY_BYTES
