--- a/src/banyanswitch/components/routing/connector.py
+++ b/src/banyanswitch/components/http1/library_limits.py
@@ -1,4 +1,4 @@
-"""Connections of the HTTP library that cut off responses without end."""
+"""Limits on responses that are read by the HTTP library (aiohttp)."""
 
 import asyncio
 import functools
@@ -8,7 +8,10 @@
 import structlog
 from aiohttp.client_proto import ResponseHandler
 
-from banyanswitch.components.http1.const import MAX_RESPONSE_OVERHEAD_BYTES
+from banyanswitch.components.http1.const import (
+    MAX_BUFFERED_BODY_BYTES,
+    MAX_RESPONSE_OVERHEAD_BYTES,
+)
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -65,3 +68,26 @@
         # The library has no public way to set the protocol of its connections.
         factory = functools.partial(LimitedResponseHandler, loop=self._loop)
         self._factory = factory  # type: ignore[assignment]
+
+
+async def async_read_limited(
+    response: aiohttp.ClientResponse, max_bytes: int = MAX_BUFFERED_BODY_BYTES
+) -> bytes:
+    """Return the whole body of a response.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If the body is longer than ``max_bytes``; the connection is closed.
+    aiohttp.ClientError
+        If the connection fails before its end.
+    """
+    content = bytearray()
+    async for part in response.content.iter_any():
+        content += part
+        if len(content) > max_bytes:
+            response.close()
+            raise aiohttp.ClientPayloadError(
+                f"the response's body is longer than the limit of {max_bytes} bytes"
+            )
+    return bytes(content)
--- a/src/banyanswitch/components/kv_cache/__init__.py
+++ b/src/banyanswitch/components/kv_cache/__init__.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.kv_cache.cache_events import CacheEventPoller
 from banyanswitch.components.kv_cache.const import DOMAIN
 from banyanswitch.components.kv_cache.coordinator import ReuseCoordinator
@@ -34,7 +35,9 @@
     directory = kernel.require(PeerDirectory)
     placer = kernel.require(AttemptPlacer)
     cache_view = placer.cache_view
-    session = aiohttp.ClientSession(headers={HEADER_CALLER: settings.instance})
+    session = aiohttp.ClientSession(
+        connector=LimitedConnector(), headers={HEADER_CALLER: settings.instance}
+    )
     kernel.on_stop(DOMAIN, session.close)
     engines = EngineCacheClient(session)
     store_client = KvStoreClient(session)
--- a/src/banyanswitch/components/kv_cache/http_requests.py
+++ b/src/banyanswitch/components/kv_cache/http_requests.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from banyanswitch.components.http1.library_limits import async_read_limited
 from banyanswitch.components.kv_cache.errors import TransferError
 
 STATUS_OK = 200
@@ -38,6 +39,6 @@
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     try:
         async with session.request(method, url, data=body, timeout=timeout) as response:
-            return HttpResponse(response.status, await response.read())
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return HttpResponse(response.status, await async_read_limited(response))
+    except (TimeoutError, aiohttp.ClientError, aiohttp.EofStream, OSError) as error:
         raise error_type(f"{method} {url} failed: {error!r}") from error
--- a/src/banyanswitch/components/routing/const.py
+++ b/src/banyanswitch/components/routing/const.py
@@ -2,8 +2,6 @@
 
 from typing import Final
 
-from banyanswitch.components.http1.const import MAX_BUFFERED_BODY_BYTES
-
 DOMAIN: Final = "routing"
 
 HEADER_PIECES: Final = "X-Banyan-Pieces"
@@ -39,9 +37,6 @@
 MAX_PLAIN_ATTEMPTS: Final = 4
 UPSTREAM_CONNECTIONS: Final = 1024
 READ_BUFFER_BYTES: Final = 65_536
-MAX_RESPONSE_BYTES: Final = MAX_BUFFERED_BODY_BYTES
-"""Maximum size of a response's body that is kept until it is complete."""
-
 NONCE_BITS: Final = 64
 RETRY_AFTER_S: Final = 1.0
 
--- a/src/banyanswitch/components/routing/upstream_client.py
+++ b/src/banyanswitch/components/routing/upstream_client.py
@@ -6,12 +6,14 @@
 import aiohttp
 import msgspec
 
-from banyanswitch.components.routing.connector import LimitedConnector
+from banyanswitch.components.http1.library_limits import (
+    LimitedConnector,
+    async_read_limited,
+)
 from banyanswitch.components.routing.const import (
     CANCEL_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
     HEADER_CACHED_PIECES,
-    MAX_RESPONSE_BYTES,
     NOT_RUN_CODES,
     READ_BUFFER_BYTES,
     RESPONSE_HEADERS_TIMEOUT_S,
@@ -239,21 +241,15 @@
 
 
 async def _async_read_body(response: aiohttp.ClientResponse) -> bytes:
-    content = bytearray()
     try:
-        async for part in response.content.iter_any():
-            content += part
-            if len(content) > MAX_RESPONSE_BYTES:
-                raise UpstreamBrokenError(
-                    f"the answer is longer than the limit of {MAX_RESPONSE_BYTES} bytes"
-                )
+        content = await async_read_limited(response)
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise UpstreamBrokenError(f"the answer broke off: {error!r}") from error
     if _ends_with_connection(response) and not _is_whole_document(response, content):
         raise UpstreamBrokenError(
             "the answer has neither a length nor chunks, and its end can't be checked"
         )
-    return bytes(content)
+    return content
 
 
 def _ends_with_connection(response: aiohttp.ClientResponse) -> bool:
@@ -267,7 +263,7 @@
     return "Content-Length" not in headers and "Transfer-Encoding" not in headers
 
 
-def _is_whole_document(response: aiohttp.ClientResponse, content: bytearray) -> bool:
+def _is_whole_document(response: aiohttp.ClientResponse, content: bytes) -> bool:
     """Return whether the content is a JSON document that shows its own end."""
     if response.content_type != "application/json":
         return False
--- a/src/banyanswitch/components/upstream_load/__init__.py
+++ b/src/banyanswitch/components/upstream_load/__init__.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.membership import MembershipCoordinator
 from banyanswitch.components.membership.const import DOMAIN as MEMBERSHIP_DOMAIN
 from banyanswitch.components.peers.const import DOMAIN as PEERS_DOMAIN
@@ -28,7 +29,9 @@
 async def async_setup(kernel: Kernel) -> None:
     """Collect load reports and provide them as ``UpstreamDirectory``."""
     settings = cast(EntrySettings, kernel.settings)
-    session = aiohttp.ClientSession(headers={HEADER_CALLER: settings.instance})
+    session = aiohttp.ClientSession(
+        connector=LimitedConnector(), headers={HEADER_CALLER: settings.instance}
+    )
     membership = kernel.require(MembershipCoordinator)
     coordinator = UpstreamLoadCoordinator(
         transport=kernel.require(PeerTransport),
--- a/src/banyanswitch/components/upstream_load/poller.py
+++ b/src/banyanswitch/components/upstream_load/poller.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from banyanswitch.components.http1.library_limits import async_read_limited
 from banyanswitch.components.upstream_load.const import POLL_TIMEOUT_S
 from banyanswitch.config.models import Upstream
 from banyanswitch.exceptions import UpstreamNotSentError
@@ -60,8 +61,13 @@
         try:
             async with self._session.get(url, timeout=self._timeout) as response:
                 response.raise_for_status()
-                answer = self._decoder.decode(await response.read())
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+                answer = self._decoder.decode(await async_read_limited(response))
+        except (
+            aiohttp.ClientError,
+            aiohttp.EofStream,
+            TimeoutError,
+            msgspec.MsgspecError,
+        ) as error:
             reason = f"{upstream.name} did not report its load"
             raise UpstreamNotSentError(reason) from error
         return UpstreamLoad(
--- a/src/banyanswitch/components/weights/__init__.py
+++ b/src/banyanswitch/components/weights/__init__.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.lease.const import DOMAIN as LEASE_DOMAIN
 from banyanswitch.components.weights.const import DOMAIN
 from banyanswitch.components.weights.coordinator import WeightsCoordinator
@@ -33,7 +34,7 @@
 async def async_setup(kernel: Kernel) -> None:
     """Start the reconciler; each order is published as ``OrderIssued``."""
     settings = cast(EntrySettings, kernel.settings)
-    session = aiohttp.ClientSession()
+    session = aiohttp.ClientSession(connector=LimitedConnector())
     coordinator = WeightsCoordinator(
         configuration=kernel.require(ConfigurationView),
         directory=kernel.require(UpstreamDirectory),
--- a/tests/components/routing/test_endless_responses.py
+++ b/tests/components/routing/test_endless_responses.py
@@ -4,14 +4,19 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import resource
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
+import aiohttp
 import pytest
 from tests.components.routing.test_response_end import RUN, WORKSPACE, make_attempt
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
+from banyanswitch.components.kv_cache.errors import UpstreamTransferError
+from banyanswitch.components.kv_cache.http_requests import async_request
 from banyanswitch.components.routing.models import UpstreamRequest
 from banyanswitch.components.routing.upstream_client import UpstreamClient
 from banyanswitch.const import HEADER_RUN_ID, HEADER_WORKSPACE
@@ -141,3 +146,41 @@
     after_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
     assert sent_bytes <= MAX_TAKEN_BYTES
     assert after_bytes - before_bytes <= MAX_MEMORY_BYTES
+
+
+# Guards against load reports and cache calls that read without end.
+@pytest.mark.parametrize("endless", KINDS, ids=lambda make: make.__name__)
+async def test_call_of_the_product_itself_is_closed(endless: Endless) -> None:
+    sent_bytes = 0
+
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal sent_bytes
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+        writer.transport.set_write_buffer_limits(high=0)
+        with contextlib.suppress(ConnectionError):
+            for part in endless():
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0)
+                sent_bytes += len(part)
+                if sent_bytes > SENT_BYTES:
+                    break
+        writer.close()
+
+    server = await asyncio.start_server(async_script, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with aiohttp.ClientSession(connector=LimitedConnector()) as session:
+        with pytest.raises(UpstreamTransferError):
+            await async_request(
+                session,
+                "GET",
+                f"http://127.0.0.1:{port}/",
+                body=None,
+                timeout_s=TIMEOUT_S,
+                error_type=UpstreamTransferError,
+            )
+    assert sent_bytes <= MAX_TAKEN_BYTES
+    server.close()
