--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -17,7 +17,10 @@
 
 from banyanswitch_standins.users_platform.drill import StoreDrill
 from banyanswitch_standins.users_platform.store import PlatformStore
-from banyanswitch_standins.users_platform.upstream import PlatformUpstream
+from banyanswitch_standins.users_platform.upstream import (
+    PlatformUpstream,
+    shared_parts,
+)
 
 HOSTS = ("127.0.0.2", "127.0.0.3")
 KEY = {"Authorization": "Bearer key-1"}
@@ -242,10 +245,23 @@
             while not await condition():
                 await asyncio.sleep(0.05)
 
+    def all_upstreams(self) -> list[PlatformUpstream]:
+        """Return the present upstreams and those that have crashed."""
+        return [*self.upstreams.values(), *self.crashed]
+
+    def arrivals_of(self, part: str) -> int:
+        """Return the number of requests with a shared part that reached upstreams."""
+        return sum(
+            part in shared_parts(seen.headers["prompt-prefix"])
+            for upstream in self.all_upstreams()
+            for seen in upstream.received
+            if "prompt-prefix" in seen.headers
+        )
+
     def run_count(self, attempt: str) -> int:
         return sum(
             seen.attempt == attempt
-            for upstream in self.upstreams.values()
+            for upstream in self.all_upstreams()
             for seen in upstream.received
         )
 
--- a/tests/process/test_crashing_part.py
+++ b/tests/process/test_crashing_part.py
@@ -9,10 +9,7 @@
 import aiohttp
 import pytest
 
-from banyanswitch_standins.users_platform.upstream import (
-    PlatformUpstream,
-    shared_parts,
-)
+from banyanswitch_standins.users_platform.upstream import PlatformUpstream
 from tests.process.platform_fleet import HOSTS, KEY, Platform
 
 pytestmark = pytest.mark.process
@@ -53,12 +50,7 @@
 
     def arrivals(self) -> int:
         """Return the number of requests with the part that reached upstreams."""
-        return sum(
-            PART in shared_parts(seen.headers["prompt-prefix"])
-            for upstream in [*self.upstreams.values(), *self.crashed]
-            for seen in upstream.received
-            if "prompt-prefix" in seen.headers
-        )
+        return self.arrivals_of(PART)
 
     async def async_send(self, attempt: str, parts: str, host: str) -> int:
         """Send a stream request and return its status, 0 for a broken response."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import random
 import re
@@ -42,6 +43,12 @@
 """Proxies with link faults: those of the store, i-1 and i-2. The number is part of what
 a seed stands for."""
 STREAM_TRIES = 4
+CRASHING_PART = "bad"
+CRASHING_PAUSE_S = 0.3
+CRASH_DOWN_S = 0.6
+STABLE_S = 3.0
+COUNTED_CRASHES = 5
+MAX_LATE_REQUESTS = 3
 EVENT = re.compile(rb"id: (\d+)\ndata: event \d+ (v\d)\n\n")
 MAX_ATTEMPTS = 2
 DISCONNECT_ERRORS = (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError)
@@ -136,7 +143,8 @@
     ----------
     seed : int
         With an odd seed, one of the upstreams has another software version, and with
-        every other pair of seeds one sends streams without a length.
+        every other pair of seeds one sends streams without a length. With every fourth
+        seed, one part of a prompt crashes all of them.
     """
 
     def __init__(self, folder: Path, seed: int) -> None:
@@ -146,20 +154,43 @@
             self.upstreams["i-3"].software_version = "v2"
         if seed // 2 % 2:
             self.upstreams["i-2"].is_unframed = True
+        self.crashed_at_s: list[float] = []
+        self.has_crashing_part = seed % 4 == 1
+        self._replacements = itertools.count(4)
         self.proxies: list[Proxy] = []
         self.is_stopping = False
         self._restarted_pids: set[int] = set()
         for upstream in self.upstreams.values():
             upstream.events = STREAM_EVENTS
             upstream.names_version = True
+            if self.has_crashing_part:
+                self._let_crash(upstream)
+
+    def _let_crash(self, upstream: PlatformUpstream) -> None:
+        upstream.crashing_part = CRASHING_PART
+        upstream.on_crash = lambda: self._on_crash(upstream)
+
+    def _on_crash(self, upstream: PlatformUpstream) -> None:
+        if upstream.name not in self.upstreams:
+            return
+        self.crashed_at_s.append(asyncio.get_running_loop().time())
+        replacement = PlatformUpstream(
+            f"i-{next(self._replacements)}",
+            software_version=upstream.software_version,
+            is_unframed=upstream.is_unframed,
+            events=STREAM_EVENTS,
+            names_version=True,
+        )
+        self._let_crash(replacement)
+        self.crash(upstream.name, replacement, CRASH_DOWN_S)
 
     async def async_update_entries(self) -> None:
         """Update each upstream's registry entry when its weight version changes."""
-        written_versions = dict.fromkeys(self.upstreams, 1)
+        written_versions: dict[str, int] = {}
         while True:
             await asyncio.sleep(ENTRY_UPDATE_INTERVAL_S)
-            for name, upstream in self.upstreams.items():
-                if written_versions[name] == upstream.weight_version:
+            for name, upstream in tuple(self.upstreams.items()):
+                if written_versions.get(name, 1) == upstream.weight_version:
                     continue
                 written_versions[name] = upstream.weight_version
                 version = upstream.software_version
@@ -191,7 +222,8 @@
                 content = b'{"model": "m", "version": %d}' % version
                 await self.store.async_put("op", "version/m", content)
             case BrokenStream(upstream=number, after=after):
-                tuple(self.upstreams.values())[number].aborts_after = after
+                for upstream in tuple(self.upstreams.values())[number : number + 1]:
+                    upstream.aborts_after = after
             case StoreReturn(copy_age_s=copy_age_s, down_s=down_s):
                 await self.async_run_drill(copy_age_s, down_s)
             case ProcessFault():
@@ -249,6 +281,7 @@
         self._calls = 0
         self._is_load_finished = False
         self._disconnected: set[str] = set()
+        self._arrivals_in_time = 0
         self.outcome = Outcome(seed)
 
     async def async_run(self) -> Outcome:
@@ -272,6 +305,7 @@
         started_at_s = loop.time()
         entry_updates = loop.create_task(self._platform.async_update_entries())
         workers = [loop.create_task(self._async_work()) for _ in range(WORKERS)]
+        crashing = loop.create_task(self._async_send_crashing())
         tasks = []
         for fault in faults:
             await asyncio.sleep(max(0.0, started_at_s + fault.at_s - loop.time()))
@@ -281,6 +315,9 @@
         self._is_load_finished = True
         await asyncio.gather(*workers)
         await self._async_check_recovery()
+        crashing.cancel()
+        await asyncio.gather(crashing, return_exceptions=True)
+        self._check_late_requests()
         self._check_run_counts()
         self._check_orders()
         self._check_graceful_stops(faults)
@@ -296,6 +333,42 @@
                 await self._async_call(kind, self._random.choice(HOSTS))
             await asyncio.sleep(CALL_PAUSE_S)
 
+    async def _async_send_crashing(self) -> None:
+        """Send requests with the crashing part until cancelled."""
+        generator = random.Random(f"crashing part {self._seed}")
+        number = 0
+        while self._platform.has_crashing_part:
+            number += 1
+            prefix = f"aa:300,{CRASHING_PART}:500,own{number}:40"
+            headers = {**PROMPT, "Prompt-Prefix": prefix}
+            host = generator.choice(HOSTS)
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with asyncio.timeout(CALL_TIMEOUT_S):
+                    await self._platform.async_call(
+                        "/stream/", f"crashing-{number}", host=host, headers=headers
+                    )
+            self._note_late_base()
+            await asyncio.sleep(CRASHING_PAUSE_S)
+
+    def _note_late_base(self) -> None:
+        """Note the arrivals up to the bound after the fifth crash."""
+        fifth_s = self._platform.crashed_at_s[COUNTED_CRASHES - 1 : COUNTED_CRASHES]
+        now_s = asyncio.get_running_loop().time()
+        if not fifth_s or now_s <= fifth_s[0] + STABLE_S:
+            self._arrivals_in_time = self._platform.arrivals_of(CRASHING_PART)
+
+    def _check_late_requests(self) -> None:
+        if not self._platform.has_crashing_part:
+            return
+        arrivals = self._platform.arrivals_of(CRASHING_PART)
+        late = arrivals - self._arrivals_in_time
+        self._expect(
+            late <= MAX_LATE_REQUESTS,
+            f"{late} late requests with a part that crashed "
+            f"{len(self._platform.crashed_at_s)} upstreams",
+        )
+        self.outcome.statuses["crashes"] += len(self._platform.crashed_at_s)
+
     async def _async_read_stream(self) -> None:
         """Read a stream and take it up again, at any instance, when it breaks."""
         stream = ReadStream()
@@ -382,7 +455,7 @@
     def _check_run_counts(self) -> None:
         runs = Counter(
             seen.attempt
-            for upstream in self._platform.upstreams.values()
+            for upstream in self._platform.all_upstreams()
             for seen in upstream.received
         )
         for attempt, count in runs.items():
@@ -390,12 +463,12 @@
             self._expect(count <= max_runs, f"{attempt}: ran {count} times")
 
     def _check_orders(self) -> None:
-        for name, upstream in self._platform.upstreams.items():
+        for upstream in self._platform.all_upstreams():
             tokens = [order["fencingToken"] for order in upstream.orders]
             versions = [order["version"] for order in upstream.orders]
             self._expect(
                 tokens == sorted(tokens) and versions == sorted(versions),
-                f"{name}: orders with tokens {tokens} for versions {versions}",
+                f"{upstream.name}: orders with tokens {tokens} for versions {versions}",
             )
 
     def _check_graceful_stops(self, faults: list[Fault]) -> None:
