--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -175,9 +175,11 @@
             {} if self.limit_per_s is None else {"Server-Limit": str(self.limit_per_s)}
         )
 
-    def most_arrivals(self, window_s: float, since_s: float) -> int:
-        """Return the highest number of arrivals in any window after a loop time."""
-        times_s = [at_s for at_s in self.arrived_at_s if at_s >= since_s]
+    def most_arrivals(
+        self, window_s: float, since_s: float, until_s: float = float("inf")
+    ) -> int:
+        """Return the highest number of arrivals in any window between loop times."""
+        times_s = [at_s for at_s in self.arrived_at_s if since_s <= at_s < until_s]
         return max(
             (sum(at_s <= t < at_s + window_s for t in times_s) for at_s in times_s),
             default=0,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,12 +21,14 @@
     Action,
     BrokenStream,
     Fault,
+    Limit,
     LinkFault,
     NewWeights,
     ProcessFault,
     StoreReturn,
     generate_broken_streams,
     generate_faults,
+    generate_limits,
     generate_store_returns,
 )
 
@@ -48,6 +50,7 @@
 CRASH_DOWN_S = 0.6
 STABLE_S = 3.0
 COUNTED_CRASHES = 5
+LIMIT_WINDOW_S = 4.0
 MAX_LATE_REQUESTS = 3
 EVENT = re.compile(rb"id: (\d+)\ndata: event \d+ (v\d)\n\n")
 MAX_ATTEMPTS = 2
@@ -136,6 +139,37 @@
         ]
 
 
+@dataclass
+class LimitedUpstream:
+    """Upstream that names a limit.
+
+    Parameters
+    ----------
+    named_at_s : float
+        Loop time from which its responses name the limit.
+    ended_at_s : float
+        Loop time from which they don't.
+    """
+
+    upstream: PlatformUpstream
+    limit_per_s: float
+    named_at_s: float
+    ended_at_s: float = float("inf")
+
+    def violations(self) -> list[str]:
+        """Return whether more requests arrived than the limit allows."""
+        first_s = min(
+            (at_s for at_s in self.upstream.arrived_at_s if at_s >= self.named_at_s),
+            default=self.named_at_s,
+        )
+        since_s = first_s + STABLE_S
+        arrived = self.upstream.most_arrivals(LIMIT_WINDOW_S, since_s, self.ended_at_s)
+        allowed = 1.5 * LIMIT_WINDOW_S * self.limit_per_s + 5
+        if arrived <= allowed:
+            return []
+        return [f"{arrived} requests under a limit of {self.limit_per_s} per second"]
+
+
 class SoakPlatform(Platform):
     """Platform with a proxy before each stand-in; it can also inject process faults.
 
@@ -155,6 +189,7 @@
         if seed // 2 % 2:
             self.upstreams["i-2"].is_unframed = True
         self.crashed_at_s: list[float] = []
+        self.limited: LimitedUpstream | None = None
         self.has_crashing_part = seed % 4 == 1
         self._replacements = itertools.count(4)
         self.proxies: list[Proxy] = []
@@ -166,6 +201,18 @@
             if self.has_crashing_part:
                 self._let_crash(upstream)
 
+    def _name_limit(self, name: str, limit_per_s: float | None) -> None:
+        """Let an upstream name a limit, unless it has crashed."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return
+        if limit_per_s is not None:
+            now_s = asyncio.get_running_loop().time()
+            self.limited = LimitedUpstream(upstream, limit_per_s, now_s)
+        elif self.limited is not None:
+            self.limited.ended_at_s = asyncio.get_running_loop().time()
+        upstream.limit_per_s = limit_per_s
+
     def _let_crash(self, upstream: PlatformUpstream) -> None:
         upstream.crashing_part = CRASHING_PART
         upstream.on_crash = lambda: self._on_crash(upstream)
@@ -224,6 +271,8 @@
             case BrokenStream(upstream=number, after=after):
                 for upstream in tuple(self.upstreams.values())[number : number + 1]:
                     upstream.aborts_after = after
+            case Limit(upstream=name, limit_per_s=limit_per_s):
+                self._name_limit(name, limit_per_s)
             case StoreReturn(copy_age_s=copy_age_s, down_s=down_s):
                 await self.async_run_drill(copy_age_s, down_s)
             case ProcessFault():
@@ -299,6 +348,7 @@
             length_s=RUN_LENGTH_S,
         )
         faults += generate_store_returns(self._seed, length_s=RUN_LENGTH_S)
+        faults += generate_limits(self._seed, length_s=RUN_LENGTH_S)
         faults.sort(key=lambda fault: fault.at_s)
         self.outcome.faults = faults
         loop = asyncio.get_running_loop()
@@ -318,6 +368,9 @@
         crashing.cancel()
         await asyncio.gather(crashing, return_exceptions=True)
         self._check_late_requests()
+        if self._platform.limited is not None:
+            for violation in self._platform.limited.violations():
+                self._expect(False, violation)
         self._check_run_counts()
         self._check_orders()
         self._check_graceful_stops(faults)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -62,7 +62,16 @@
     down_s: float
 
 
-Fault = LinkFault | ProcessFault | NewWeights | BrokenStream | StoreReturn
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """An upstream names a limit in its responses from now on, or none."""
+
+    at_s: float
+    upstream: str
+    limit_per_s: float | None
+
+
+Fault = Limit | LinkFault | ProcessFault | NewWeights | BrokenStream | StoreReturn
 
 
 def generate_faults(
@@ -126,3 +135,16 @@
         for _ in range(count)
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def generate_limits(seed: int, *, length_s: float) -> list[Fault]:
+    """Return the limits that one upstream names; two of three runs have none."""
+    generator = random.Random(f"limits {seed}")
+    if seed % 3 != 1:
+        return []
+    at_s = generator.uniform(0.0, 0.3 * length_s)
+    limit_per_s = generator.choice((0.5, 2.0, 5.0))
+    faults: list[Fault] = [Limit(at_s, "i-2", limit_per_s)]
+    if generator.random() < 0.3:
+        faults.append(Limit(generator.uniform(0.7, 0.9) * length_s, "i-2", None))
+    return faults
