--- a/src/banyanswitch/components/part_quarantine/row_store.py
+++ b/src/banyanswitch/components/part_quarantine/row_store.py
@@ -153,10 +153,11 @@
 
     async def _async_write_changes(self) -> None:
         for key in tuple(self._unwritten):
-            if not self._selector.is_watching(_row_key(key)):
+            known = self._quarantine.combinations.get(key)
+            if known is None or not self._selector.is_watching(_row_key(key)):
                 continue
             try:
-                await self._async_put(key, self._quarantine.combinations[key].trials, 0)
+                await self._async_put(key, known.trials, 0)
             except ConditionFailedError:
                 await self._async_adopt_logged(key)
             except PlatformError as error:
--- a/tests/components/part_quarantine/test_coordinator.py
+++ b/tests/components/part_quarantine/test_coordinator.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.part_quarantine.models import QuarantineReport
 from banyanswitch.components.part_quarantine.row_store import QuarantineStore
+from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.exceptions import PlatformUnavailableError
 from tests.components.forwarding.fakes import record
 from tests.components.part_quarantine.eras import FixedEra
@@ -246,3 +247,23 @@
     await asyncio.sleep(2 * SETTLED_S)
     assert not any(node.is_withheld("x") for node in nodes)
     assert await table.async_query("quarantine/") == ()
+
+
+# Guards against a failed task when parts are released while others are stored.
+async def test_parts_released_during_a_write_are_not_stored(
+    start: StartNodes, table: FakeTable
+) -> None:
+    nodes = start()
+    await async_end_upstreams(nodes, "w")
+    await asyncio.sleep(SETTLED_S)
+    table.latency_s = 2.0
+    for node in nodes:
+        for part in "xyz":
+            node.quarantine.withhold_stored(Combination("m", frozenset(part)), 0)
+    await asyncio.sleep(1.0)
+    for node in nodes:
+        node.quarantine.note_served(metadata("xyz"))
+    await asyncio.sleep(30.0)
+    assert not any(node.task.done() for node in nodes)
+    rows = await table.async_query("quarantine/")
+    assert len(rows) == 1
