--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -206,17 +206,17 @@
         Returns
         -------
         is_withheld : bool
-            Whether they are withheld; the row of parts that were served since is
-            outdated.
+            Whether they are withheld; otherwise their row is outdated, since some of
+            them were served. The others are withheld alone.
         """
         if parts in self.combinations:
             self.note_trials(parts, trials)
             return True
-        if any(self._served_last_s(key) > NEVER_S for key in _part_keys(parts)):
-            return False
-        now_s = _now_s()
-        self._withhold(parts, Withheld(now_s, now_s, trials), "stored")
-        return True
+        unserved = self._unserved(parts, NEVER_S)
+        if unserved.parts and unserved not in self.combinations:
+            now_s = _now_s()
+            self._withhold(unserved, Withheld(now_s, now_s, trials), "stored")
+        return unserved == parts
 
     @callback
     def report(self, retention_s: float) -> QuarantineReport:
--- a/tests/components/part_quarantine/test_coordinator.py
+++ b/tests/components/part_quarantine/test_coordinator.py
@@ -267,3 +267,14 @@
     assert not any(node.task.done() for node in nodes)
     rows = await table.async_query("quarantine/")
     assert len(rows) == 1
+
+
+# Guards against a row that is thrown away because one of its parts is sound.
+async def test_row_is_narrowed_to_the_parts_that_were_not_served(
+    start: StartNodes,
+) -> None:
+    node = start()[0]
+    node.quarantine.note_served(metadata("a"))
+    assert not node.quarantine.withhold_stored(Combination("m", frozenset("ax")), 0)
+    assert node.is_withheld("bx")
+    assert not node.is_withheld("ab")
