--- a/src/banyanswitch/components/part_quarantine/const.py
+++ b/src/banyanswitch/components/part_quarantine/const.py
@@ -29,8 +29,8 @@
 """Number of combinations of parts that are withheld; the one with the oldest end or
 trial is released first."""
 
-RELEASED_RETENTION_S: Final = 30.0
-"""Time for which a part that was served is reported after its release."""
+QUESTION_LIFETIME_S: Final = 30.0
+"""Time for which an instance reports when it served a part that others may blame."""
 
 MIN_RETRY_AFTER_S: Final = 1.0
 """Lowest Retry-After time of a request with a withheld part."""
--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -17,7 +17,7 @@
     MAX_REQUESTS_PER_END,
     MAX_SERVED_PARTS,
     MIN_RETRY_AFTER_S,
-    RELEASED_RETENTION_S,
+    QUESTION_LIFETIME_S,
     SETTLE_BASE_S,
     SETTLE_PER_INSTANCE_S,
 )
@@ -110,8 +110,7 @@
         self._ends: OrderedDict[tuple[UpstreamId, int], _End] = OrderedDict()
         self._served_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._peer_served_at_s: OrderedDict[PartKey, float] = OrderedDict()
-        self._suspects: set[PartKey] = set()
-        self._released_at_s: OrderedDict[PartKey, float] = OrderedDict()
+        self._questioned_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._evaluation: asyncio.TimerHandle | None = None
         self.combinations: dict[Combination, Withheld] = {}
         self.on_evidence: Callable[[], None] = lambda: None
@@ -227,12 +226,12 @@
         retention_s : float
             Time for which the end of an upstream is reported, in seconds.
         """
-        if not self._ends and not self.combinations and not self._released_at_s:
+        if not self._ends and not self.combinations and not self._questioned_at_s:
             return EMPTY_REPORT
         now_s = _now_s()
-        for key, released_at_s in tuple(self._released_at_s.items()):
-            if now_s - released_at_s > RELEASED_RETENTION_S:
-                del self._released_at_s[key]
+        for key, questioned_at_s in tuple(self._questioned_at_s.items()):
+            if now_s - questioned_at_s > QUESTION_LIFETIME_S:
+                del self._questioned_at_s[key]
         ended = [
             EndedUpstream(
                 name,
@@ -244,10 +243,9 @@
             for (name, started_at_ms), end in self._ends.items()
             if end.own_requests and now_s - end.ended_at_s <= retention_s
         ]
-        questioned = self._suspects | self._released_at_s.keys()
         served = [
             ServedPart(key.model, key.part, now_s - self._served_at_s[key])
-            for key in questioned
+            for key in self._questioned_at_s
             if key in self._served_at_s
         ]
         withheld = [
@@ -295,7 +293,7 @@
         unserved = self._unserved(parts, since_s)
         for key in _part_keys(parts):
             if key.part not in unserved.parts:
-                self._report_released(key)
+                self._question(key)
         if not unserved.parts:
             return
         known = self.combinations.get(unserved)
@@ -351,7 +349,8 @@
         ]
         keys = {key for end in ends for request in end.requests for key in request}
         served_at_s = {key: self._served_last_s(key) for key in keys}
-        self._suspects = suspected_parts(ends, served_at_s, self._policy)
+        for key in suspected_parts(ends, served_at_s, self._policy):
+            self._question(key)
         found = combinations_to_withhold(ends, served_at_s, self._policy)
         has_new = False
         for parts, since_s in found.items():
@@ -403,7 +402,7 @@
     def _release(self, parts: Combination, reason: str) -> None:
         del self.combinations[parts]
         for key in _part_keys(parts):
-            self._report_released(key)
+            self._question(key)
         LOGGER.warning(
             "parts_released",
             model=parts.model,
@@ -412,9 +411,9 @@
         )
         self.on_released(parts)
 
-    def _report_released(self, key: PartKey) -> None:
-        """Report a part as served until the others have released it as well."""
-        _put(self._released_at_s, key, _now_s(), MAX_REPORTED_PARTS)
+    def _question(self, key: PartKey) -> None:
+        """Report for a while when a part was served, as others may blame it."""
+        _put(self._questioned_at_s, key, _now_s(), MAX_REPORTED_PARTS)
 
     def _served_last_s(self, key: PartKey) -> float:
         """Return the loop time at which any instance last served a part."""
--- a/tests/components/part_quarantine/test_coordinator.py
+++ b/tests/components/part_quarantine/test_coordinator.py
@@ -278,3 +278,13 @@
     assert not node.quarantine.withhold_stored(Combination("m", frozenset("ax")), 0)
     assert node.is_withheld("bx")
     assert not node.is_withheld("ab")
+
+
+# Guards against reports that name sound parts for ever after the end of upstreams.
+async def test_reports_are_empty_again_after_a_while(start: StartNodes) -> None:
+    nodes = start()
+    await async_end_upstreams(nodes, "ab", count=2)
+    nodes[0].quarantine.note_served(metadata("ab"))
+    assert nodes[0].quarantine.report(RETENTION_S).served
+    await asyncio.sleep(40.0)
+    assert nodes[0].quarantine.report(RETENTION_S) == QuarantineReport()
