--- a/tests/components/http1/test_endless_responses.py
+++ b/tests/components/http1/test_endless_responses.py
@@ -1,8 +1,7 @@
 """Responses without end are cut off within a bound; no network."""
 
 import asyncio
-import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import pytest
 
@@ -11,13 +10,11 @@
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.exceptions import UpstreamBrokenError
+from tests.fakes.endless import BODIES, HEADS, PART_BYTES, Endless
 
 MAX_TAKEN_BYTES = 4_000_000
 """Stated bound on the bytes that are taken before the connection is closed."""
 SENT_BYTES = 10_000_000
-PART_BYTES = 16_384
-STATUS = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 class Transport(asyncio.Transport):
@@ -47,50 +44,6 @@
         self.is_paused = False
 
 
-def one_header() -> Iterator[bytes]:
-    yield STATUS + b"X-Long: "
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-def headers() -> Iterator[bytes]:
-    yield STATUS
-    for number in itertools.count():
-        yield b"".join(b"X-%d-%d: a\r\n" % (number, n) for n in range(1000))
-
-
-def reason() -> Iterator[bytes]:
-    yield b"HTTP/1.1 200 "
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-def interim_responses() -> Iterator[bytes]:
-    yield from itertools.repeat(b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
-
-
-def trailers() -> Iterator[bytes]:
-    yield CHUNKED + b"4\r\nbody\r\n0\r\n"
-    yield from itertools.repeat(b"X-Trailer: aaaaaaaa\r\n" * 500)
-
-
-def chunk_extension() -> Iterator[bytes]:
-    yield CHUNKED + b"4;"
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-def chunked_body() -> Iterator[bytes]:
-    yield CHUNKED
-    yield from itertools.repeat(b"%x\r\n" % PART_BYTES + b"a" * PART_BYTES + b"\r\n")
-
-
-def unframed_body() -> Iterator[bytes]:
-    yield STATUS + b"Connection: close\r\n\r\n"
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-HEADS = (one_header, headers, reason, interim_responses, trailers, chunk_extension)
-BODIES = (chunked_body, unframed_body)
-
-
 async def async_feed(
     connection: UpstreamConnection, transport: Transport, parts: Iterator[bytes]
 ) -> int:
@@ -115,7 +68,7 @@
 # Guards against heads and trailers without end that fill memory or stop the loop.
 @pytest.mark.parametrize("endless", HEADS, ids=lambda make: make.__name__)
 async def test_connection_with_an_endless_head_is_closed(
-    endless: Callable[[], Iterator[bytes]],
+    endless: Endless,
 ) -> None:
     connection, transport = make_connection()
     connection.send(b"GET / HTTP/1.1\r\n\r\n")
@@ -144,7 +97,7 @@
 # Guards against responses to calls of the product itself that fill memory.
 @pytest.mark.parametrize("endless", BODIES, ids=lambda make: make.__name__)
 async def test_call_with_an_endless_body_is_closed(
-    endless: Callable[[], Iterator[bytes]],
+    endless: Endless,
 ) -> None:
     connection, transport = make_connection()
     client = HttpClient(OneConnectionPool(connection))
--- a/tests/components/routing/test_endless_responses.py
+++ b/tests/components/routing/test_endless_responses.py
@@ -5,21 +5,20 @@
 
 import asyncio
 import contextlib
-import itertools
 import resource
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import pytest
-from tests.components.routing.test_response_end import RUN, WORKSPACE, make_attempt
+from tests.components.routing.test_response_end import make_attempt
+from tests.fakes.endless import BODIES, HEADS, Endless
 
 from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.kv_cache.errors import UpstreamTransferError
 from banyanswitch.components.kv_cache.http_requests import async_request
 from banyanswitch.components.routing.models import UpstreamRequest
 from banyanswitch.components.routing.upstream_client import UpstreamClient
-from banyanswitch.const import HEADER_RUN_ID, HEADER_WORKSPACE
 from banyanswitch.exceptions import UpstreamBrokenError
 
 MAX_TAKEN_BYTES = 4_000_000
@@ -27,63 +26,9 @@
 MAX_MEMORY_BYTES = 100_000_000
 KERNEL_BUFFER_BYTES = 65_536
 TIMEOUT_S = 20.0
-PART_BYTES = 16_384
-STATUS = b"HTTP/1.1 200 OK\r\n"
-IDENTITY = f"{HEADER_RUN_ID}: {RUN}\r\n{HEADER_WORKSPACE}: {WORKSPACE}\r\n".encode()
-CHUNKED = STATUS + IDENTITY + b"Transfer-Encoding: chunked\r\n\r\n"
+KINDS = (*HEADS, *BODIES)
 
 
-def one_header() -> Iterator[bytes]:
-    yield STATUS + b"X-Long: "
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-def headers() -> Iterator[bytes]:
-    yield STATUS
-    for number in itertools.count():
-        yield b"".join(b"X-%d-%d: a\r\n" % (number, n) for n in range(1000))
-
-
-def reason() -> Iterator[bytes]:
-    yield b"HTTP/1.1 200 "
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-def interim_responses() -> Iterator[bytes]:
-    yield from itertools.repeat(b"HTTP/1.1 100 Continue\r\n\r\n" * 500)
-
-
-def trailers() -> Iterator[bytes]:
-    yield CHUNKED + b"4\r\nbody\r\n0\r\n"
-    yield from itertools.repeat(b"X-Trailer: aaaaaaaa\r\n" * 500)
-
-
-def chunk_extension() -> Iterator[bytes]:
-    yield CHUNKED + b"4;"
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-def chunked_body() -> Iterator[bytes]:
-    yield CHUNKED
-    yield from itertools.repeat(b"%x\r\n" % PART_BYTES + b"a" * PART_BYTES + b"\r\n")
-
-
-def unframed_body() -> Iterator[bytes]:
-    yield STATUS + IDENTITY + b"Connection: close\r\n\r\n"
-    yield from itertools.repeat(b"a" * PART_BYTES)
-
-
-KINDS = (
-    one_header,
-    headers,
-    reason,
-    interim_responses,
-    trailers,
-    chunk_extension,
-    chunked_body,
-    unframed_body,
-)
-Endless = Callable[[], Iterator[bytes]]
 Call = Callable[[Endless], Awaitable[int]]
 
 
