--- a/tests/components/forwarding/test_withheld_parts.py
+++ b/tests/components/forwarding/test_withheld_parts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from banyanswitch.components.forwarding.models import Repeatability
 from banyanswitch.decisions.part_quarantine import Combination
@@ -94,3 +95,15 @@
         reply, handling = instance.send(STREAM, headers=shared_parts("x"))
         await handling
         assert reply.status == 200
+
+
+# Guards against a log that can't relate a failure to parts in front of the last one.
+async def test_failed_attempt_is_logged_with_its_shared_parts() -> None:
+    instance = Instance()
+    instance.add("a", 1, response_s=1.0, breaks_off=True)
+    with capture_logs() as logs:
+        _, handling = instance.send(STREAM, headers=shared_parts("abx"))
+        await handling
+    failed = [line for line in logs if line["event"] == "attempt_failed"]
+    assert failed[0]["shared_parts"] == ["a", "b", "x"]
+    assert failed[0]["response_age_s"] == pytest.approx(1.0, abs=0.1)
