--- a/tests/components/routing/test_endless_responses.py
+++ b/tests/components/routing/test_endless_responses.py
@@ -11,14 +11,15 @@
 
 import aiohttp
 import pytest
-from tests.components.routing.test_response_end import make_attempt
-from tests.fakes.endless import BODIES, HEADS, Endless
+from tests.components.routing.test_response_end import RUN, WORKSPACE, make_attempt
+from tests.fakes.endless import BODIES, HEADS, STATUS, Endless
 
 from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.kv_cache.errors import UpstreamTransferError
 from banyanswitch.components.kv_cache.http_requests import async_request
 from banyanswitch.components.routing.models import UpstreamRequest
 from banyanswitch.components.routing.upstream_client import UpstreamClient
+from banyanswitch.const import HEADER_RUN_ID, HEADER_WORKSPACE
 from banyanswitch.exceptions import UpstreamBrokenError
 
 MAX_TAKEN_BYTES = 4_000_000
@@ -27,6 +28,7 @@
 KERNEL_BUFFER_BYTES = 65_536
 TIMEOUT_S = 20.0
 KINDS = (*HEADS, *BODIES)
+IDENTITY = f"{HEADER_RUN_ID}: {RUN}\r\n{HEADER_WORKSPACE}: {WORKSPACE}\r\n".encode()
 
 
 Call = Callable[[Endless], Awaitable[int]]
@@ -52,7 +54,7 @@
             await reader.readuntil(b"\r\n\r\n")
             try:
                 for part in endless():
-                    writer.write(part)
+                    writer.write(part.replace(STATUS, STATUS + IDENTITY))
                     await writer.drain()
                     await asyncio.sleep(0)
                     sent_bytes += len(part)
