--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -109,7 +109,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class _RequestContext:
-    """State of one request while it is handled."""
+    """State of one request while it is handled.
+
+    Parameters
+    ----------
+    tried_parts : Combination or None
+        Withheld parts that this request may try at one upstream.
+    """
 
     request: Request
     metadata: RequestMetadata
--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -45,7 +45,7 @@
 
 LOGGER = structlog.get_logger(__name__)
 KeyT = TypeVar("KeyT")
-Request = tuple[str, ...]
+SharedParts = tuple[str, ...]
 """Shared parts of one request, in order."""
 
 
@@ -72,8 +72,8 @@
 class _End:
     model: str
     ended_at_s: float
-    requests: set[Request] = field(default_factory=set)
-    own_requests: set[Request] = field(default_factory=set)
+    requests: set[SharedParts] = field(default_factory=set)
+    own_requests: set[SharedParts] = field(default_factory=set)
 
 
 class PartQuarantine:
@@ -308,7 +308,7 @@
         key: tuple[UpstreamId, int],
         model: str,
         ended_at_s: float,
-        requests: set[Request],
+        requests: set[SharedParts],
     ) -> _End:
         end = self._ends.get(key)
         if end is None:
