--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -177,7 +177,7 @@
 
     def read_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         return ResponseMetadata(
-            attempt=None,
+            attempt=header_value(head.headers, ATTEMPT),
             is_signed=True,
             is_not_run=False,
             is_misdirected=False,
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -19,6 +19,7 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
+from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.models import Headers
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
@@ -79,7 +80,7 @@
     *,
     routing: RoutingState,
     upstreams: Upstreams,
-    pool: FakePool,
+    pool: ConnectionPool,
     origins: StreamOrigins,
     stored_versions: "FakeStoredVersions",
     quarantine: PartQuarantine,
@@ -138,7 +139,7 @@
 class Instance:
     """Forwarder in front of fake upstreams, with the targets that a test names."""
 
-    def __init__(self) -> None:
+    def __init__(self, pool: ConnectionPool | None = None) -> None:
         self.upstreams = Upstreams()
         self.is_connected = True
         self.stored_versions = FakeStoredVersions()
@@ -147,6 +148,7 @@
             InMemoryTransport("a", {}), alone, lambda: self.is_connected
         )
         self._pool = FakePool()
+        self.pool: ConnectionPool = pool or self._pool
         self._operator = TableMirror("op", NoFeed(), random.Random(1))
         self.routing = RoutingState(self._operator, PlainDecoder(), "config")
         self.routing.apply(make_configuration())
@@ -154,7 +156,7 @@
         self._forwarder = make_forwarder(
             routing=self.routing,
             upstreams=self.upstreams,
-            pool=self._pool,
+            pool=self.pool,
             origins=self.origins,
             stored_versions=self.stored_versions,
             quarantine=self.quarantine,
