Tell late second answers apart while they are parsed

Callers saw requests answered 504 at their deadline although their own answer had arrived, where an upstream had answered the request before twice, the second time late.

Cause: the reader, not the parser, decided that a response belongs to another request, one turn of the loop after its head was parsed. By then the parser had taken what followed in the same read, the own response, for bytes after the end of a complete response and dropped it. A second answer without a length was read to the end of the connection.

Ruled out: that the dropping mixes bodies. In all cuts of both responses the caller got its own body or none.

Now the connection knows which response it awaits and decides when a head is complete. It skips responses to other requests, at most three of at most 3.5 MB together, fails at once where the end of one is that of the connection, and carries no further request. The test of a foreign response that ends the connection awaits the same error through the new interface, with and without a length.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -27,19 +27,19 @@
 )
 from banyanswitch.components.http1.models import BodyFraming, Request, ResponseHead
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
+from banyanswitch.decisions.response_ownership import Ownership, response_ownership
 from banyanswitch.exceptions import (
     NotRunError,
     StartTimeoutError,
     UpstreamBrokenError,
     UpstreamFailureError,
 )
+from banyanswitch.identifiers import UpstreamId
 
 LOGGER = structlog.get_logger(__name__)
 FIRST_SERVER_ERROR_STATUS = 500
 FIRST_CLIENT_ERROR_STATUS = 400
 NOT_RUN_STATUSES = frozenset({421, 429, 503, 400, 408})
-MAX_SKIPPED_RESPONSES = 3
-"""Maximum number of responses to other requests that are skipped on a connection."""
 
 
 @dataclass(slots=True)
@@ -175,30 +175,22 @@
         data = self._translator.upstream_request(self._request, placed.plan)
         self.has_sent = True
         self._sent_at_s = self._loop.time()
-        connection.send(data, is_head_only=self._request.method == b"HEAD")
+        connection.send(
+            data,
+            is_head_only=self._request.method == b"HEAD",
+            matcher=_Matcher(self._translator, self._metadata, placed.record.name),
+        )
 
     async def _async_response_head(
         self, connection: UpstreamConnection, placed: PlacementResult
     ) -> tuple[ResponseHead, ResponseMetadata]:
-        """Return the response head of this request; skip those of other requests."""
-        for _ in range(MAX_SKIPPED_RESPONSES):
-            head = await connection.async_head()
-            self._registry.note_received(placed.record.name, self._loop.time())
-            response = self._translator.read_response_metadata(head)
-            if response.attempt is None or response.attempt == self._metadata.attempt:
-                self._registry.limits.note_response(
-                    placed.record, response.limit_per_s, self._sent_at_s
-                )
-                return head, response
-            LOGGER.info(
-                "foreign_answer_skipped",
-                request=_text(self._metadata.attempt),
-                upstream=placed.record.name,
-                answer_of=_text(response.attempt),
-            )
-            await async_read_body(connection.async_part, MAX_BUFFERED_BODY_BYTES)
-            connection.expect_next_response()
-        raise UpstreamBrokenError("received only responses to other requests")
+        head = await connection.async_head()
+        self._registry.note_received(placed.record.name, self._loop.time())
+        response = self._translator.read_response_metadata(head)
+        self._registry.limits.note_response(
+            placed.record, response.limit_per_s, self._sent_at_s
+        )
+        return head, response
 
     async def _async_relay(
         self,
@@ -272,6 +264,30 @@
             self._registry.note_weights(name, model, response.weight_version)
 
 
+@dataclass(frozen=True, slots=True)
+class _Matcher:
+    """Implementation of ``ResponseMatcher`` for one attempt."""
+
+    translator: RequestTranslator
+    metadata: RequestMetadata
+    upstream: UpstreamId
+
+    def ownership(self, head: ResponseHead) -> Ownership:
+        """Return whether a response belongs to the attempt; log one that doesn't."""
+        named = self.translator.read_response_metadata(head).attempt
+        found = response_ownership(self.metadata.attempt, named)
+        if found is not Ownership.OWN:
+            LOGGER.info(
+                "foreign_answer_skipped",
+                request=_text(self.metadata.attempt),
+                upstream=self.upstream,
+                answer_of=None if named is None else _text(named),
+                status=head.status,
+                framing=head.framing.value,
+            )
+        return found
+
+
 class _Body:
     """Body of a response, of which the first part was already read."""
 
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -40,6 +40,9 @@
 """Bytes of a response that may arrive in sequence without a part of its body: its head,
 interim responses, chunk extensions and trailers."""
 
+MAX_SKIPPED_RESPONSES: Final = 3
+"""Maximum number of responses to other requests that are skipped on a connection."""
+
 MAX_BUFFERED_BODY_BYTES: Final = 3_500_000
 """Maximum size of a response's body that is kept until it is complete."""
 
--- a/src/banyanswitch/components/http1/models.py
+++ b/src/banyanswitch/components/http1/models.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol
 
 from banyanswitch.components.http1.const import (
     DEFAULT_HEADER_TIMEOUT_S,
@@ -12,6 +13,7 @@
     HOP_BY_HOP,
     REASON_PHRASES,
 )
+from banyanswitch.decisions.response_ownership import Ownership
 
 Header = tuple[bytes, bytes]
 Headers = tuple[Header, ...]
@@ -78,6 +80,13 @@
     framing: BodyFraming
 
 
+class ResponseMatcher(Protocol):
+    """Tells which responses belong to the request that was sent on a connection."""
+
+    def ownership(self, head: ResponseHead) -> Ownership:
+        """Return whether the response with a head belongs to the request."""
+
+
 def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header; ``name`` is in lower case."""
     for key, value in headers:
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -8,7 +8,9 @@
 import httptools
 
 from banyanswitch.components.http1.const import (
+    MAX_BUFFERED_BODY_BYTES,
     MAX_RESPONSE_OVERHEAD_BYTES,
+    MAX_SKIPPED_RESPONSES,
     READ_HIGH_WATER_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
@@ -16,9 +18,11 @@
     BodyFraming,
     Header,
     ResponseHead,
+    ResponseMatcher,
     header_value,
 )
 from banyanswitch.core import callback
+from banyanswitch.decisions.response_ownership import Ownership
 from banyanswitch.exceptions import UpstreamBrokenError
 
 FIRST_FINAL_STATUS = 200
@@ -29,6 +33,10 @@
 
     The response is read with `async_head` and then with `async_part` until that
     returns ``None``. An incomplete response raises ``UpstreamBrokenError``.
+
+    Responses to other requests are skipped while they are parsed, since the own
+    response may follow in the same read. The connection then carries no further
+    request.
     """
 
     def __init__(self) -> None:
@@ -47,7 +55,10 @@
         self._is_awaiting_response = False
         self._is_complete = False
         self._is_head_only = False
-        self._is_parser_done = False
+        self._matcher: ResponseMatcher | None = None
+        self._is_skipping = False
+        self._skipped_count = 0
+        self._skipped_bytes = 0
         self._error: str | None = None
         self.keeps_alive = True
         self.used_at_s = self._loop.time()
@@ -120,11 +131,24 @@
         self._wake_reader()
 
     @callback
-    def send(self, data: bytes, *, is_head_only: bool = False) -> None:
-        """Send a request; read its response with `async_head` and `async_part`."""
+    def send(
+        self,
+        data: bytes,
+        *,
+        is_head_only: bool = False,
+        matcher: ResponseMatcher | None = None,
+    ) -> None:
+        """Send a request; read its response with `async_head` and `async_part`.
+
+        Parameters
+        ----------
+        matcher : ResponseMatcher, optional
+            Tells which response belongs to the request; by default, the first one does.
+        """
         self._is_awaiting_response = True
         self._is_complete = False
         self._is_head_only = is_head_only
+        self._matcher = matcher
         self._overhead_bytes = 0
         self.used_at_s = self._loop.time()
         if self._transport is not None:
@@ -161,13 +185,6 @@
             self._transport.resume_reading()
         return part
 
-    @callback
-    def expect_next_response(self) -> None:
-        """Await another response after one that belonged to a different request."""
-        self._is_awaiting_response = True
-        self._is_complete = False
-        self.keeps_alive = False
-
     @callback
     def close(self) -> None:
         """Close the connection at once, so that the upstream stops its request."""
@@ -197,12 +214,16 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
-        if self._is_complete:
+        if self._is_complete or self._error is not None:
             return
         headers = tuple(self._headers)
         self._framing = self._body_framing(headers)
+        head = ResponseHead(status, self._reason, headers, self._framing)
+        if self._matcher and self._matcher.ownership(head) is Ownership.OTHER:
+            self._skip_response()
+            return
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
-        self._heads.append(ResponseHead(status, self._reason, headers, self._framing))
+        self._heads.append(head)
         self._wake_reader()
         if self._is_head_only:
             self.keeps_alive = False
@@ -210,9 +231,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body for `async_part`."""
-        if self._is_complete:
+        if self._is_complete or self._error is not None:
             return
         self._overhead_bytes = 0
+        if self._is_skipping:
+            self._skipped_bytes += len(body)
+            if self._skipped_bytes > MAX_BUFFERED_BODY_BYTES:
+                self._fail("responses to other requests are too long")
+            return
         self._parts.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport:
@@ -223,10 +249,26 @@
         """Complete the response; skip interim responses."""
         if self._parser.get_status_code() < FIRST_FINAL_STATUS:
             return
-        if self._is_complete:
+        if self._is_complete or self._error is not None:
+            return
+        if self._is_skipping:
+            self._is_skipping = False
             return
         self._complete()
 
+    def _skip_response(self) -> None:
+        """Skip the response whose head was parsed, up to its end.
+
+        Fail if its end can't be told from the own response.
+        """
+        self.keeps_alive = False
+        self._is_skipping = True
+        self._skipped_count += 1
+        if self._skipped_count > MAX_SKIPPED_RESPONSES:
+            self._fail("received only responses to other requests")
+        elif self._is_head_only or self._framing is BodyFraming.CONNECTION_END:
+            self._fail("received a response to another request without a known end")
+
     def _body_framing(self, headers: tuple[Header, ...]) -> BodyFraming:
         if header_value(headers, b"transfer-encoding") is not None:
             return BodyFraming.CHUNKED
--- a/tests/components/http1/test_upstream_connection.py
+++ b/tests/components/http1/test_upstream_connection.py
@@ -8,8 +8,9 @@
 import pytest
 
 from banyanswitch.components.http1.connection_pool import ConnectionPool
-from banyanswitch.components.http1.models import BodyFraming
+from banyanswitch.components.http1.models import BodyFraming, ResponseHead
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
+from banyanswitch.decisions.response_ownership import Ownership
 from banyanswitch.exceptions import UpstreamBrokenError, UpstreamNotSentError
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -210,25 +211,30 @@
     assert pool.open_count(address) == 0
 
 
+class Others:
+    """Implements ``ResponseMatcher`` for a request that gets no response."""
+
+    def ownership(self, head: ResponseHead) -> Ownership:
+        return Ownership.OTHER
+
+
 # Guards against a request that waits until its deadline on a connection that has ended.
 @pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("response", [RESPONSE_UNTIL_CLOSE, RESPONSE_WITH_LENGTH])
 async def test_no_response_is_awaited_after_a_foreign_one_that_ended_the_connection(
-    pause_s: float,
+    response: bytes, pause_s: float
 ) -> None:
     async def async_script(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(RESPONSE_UNTIL_CLOSE)
+        writer.write(response)
         writer.close()
 
     server, address = await async_start_upstream(async_script)
     connection = await ConnectionPool().async_acquire(address)
-    connection.send(REQUEST)
-    await connection.async_head()
-    assert await async_read_all(connection) == b"body"
+    connection.send(REQUEST, matcher=Others())
     await asyncio.sleep(pause_s)
-    connection.expect_next_response()
     async with asyncio.timeout(2.0):
         with pytest.raises(UpstreamBrokenError):
             await connection.async_head()
