Fail bodies without a length that contain another response

Callers would get a success whose body ends with the head and body of another answer, if an upstream sends a response without a length and a second answer before it closes the connection. This fits the report that the body isn't the upstream's; that it was the cause there is not shown.

Cause: nothing but the end of the connection ends such a body, and all bytes before it were taken for the body.

Ruled out: ending the body at the second head. An upstream that broke its first answer off before it answered again would make a part look whole.

Now a scanner looks for the head of a response that names a request, in whatever reads it arrives. The bytes before it are passed on and the response fails, so it is repeated or resumed where the route allows that. A body that ends inside what may be such a head fails too. Text that only quotes a response is content: it names no request.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -25,7 +25,12 @@
     DEFAULT_MAX_IDLE_S,
     MAX_BUFFERED_BODY_BYTES,
 )
-from banyanswitch.components.http1.models import BodyFraming, Request, ResponseHead
+from banyanswitch.components.http1.models import (
+    BodyFraming,
+    Headers,
+    Request,
+    ResponseHead,
+)
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.decisions.response_ownership import Ownership, response_ownership
 from banyanswitch.exceptions import (
@@ -287,6 +292,11 @@
             )
         return found
 
+    def names_request(self, headers: Headers) -> bool:
+        """Return whether the headers of a response name the request it belongs to."""
+        head = ResponseHead(0, b"", headers, BodyFraming.NONE)
+        return self.translator.read_response_metadata(head).attempt is not None
+
 
 class _Body:
     """Body of a response, of which the first part was already read."""
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -40,6 +40,10 @@
 """Bytes of a response that may arrive in sequence without a part of its body: its head,
 interim responses, chunk extensions and trailers."""
 
+MAX_SECOND_HEAD_BYTES: Final = 16 * 1024
+"""Size up to which text in a body without a length may be the head of another
+response."""
+
 MAX_SKIPPED_RESPONSES: Final = 3
 """Maximum number of responses to other requests that are skipped on a connection."""
 
--- a/src/banyanswitch/components/http1/models.py
+++ b/src/banyanswitch/components/http1/models.py
@@ -86,6 +86,9 @@
     def ownership(self, head: ResponseHead) -> Ownership:
         """Return whether the response with a head belongs to the request."""
 
+    def names_request(self, headers: Headers) -> bool:
+        """Return whether the headers of a response name the request it belongs to."""
+
 
 def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header; ``name`` is in lower case."""
--- /dev/null
+++ b/src/banyanswitch/components/http1/second_response.py
@@ -0,0 +1,91 @@
+"""Search for another response inside a body that ends with its connection."""
+
+import re
+from collections.abc import Callable
+
+from banyanswitch.components.http1.const import MAX_SECOND_HEAD_BYTES
+from banyanswitch.components.http1.models import Header, Headers
+
+STATUS_LINE = rb"HTTP/\d\.\d \d{3}(?: [^\r\n]{0,256})?"
+NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]"
+HEADERS = rb"(?:" + NAME + rb"+:[^\r\n]*\r\n)*"
+HEAD_START = re.compile(rb"HTTP/\d\.\d \d{3}")
+HEAD = re.compile(STATUS_LINE + rb"\r\n(" + HEADERS + rb")\r\n")
+PARTIAL_HEAD = re.compile(
+    STATUS_LINE
+    + rb"(?:\r|\r\n"
+    + HEADERS
+    + rb"(?:\r|"
+    + NAME
+    + rb"+(?::[^\r\n]*\r?)?)?)?\Z"
+)
+STATUS_LINE_SHAPE = b"HTTP/0.0 000"
+"""Start of a status line with all digits replaced by 0."""
+ZEROS = bytes.maketrans(b"123456789", b"000000000")
+
+
+class SecondResponseScanner:
+    """Find the head of another response in a body without a length.
+
+    Nothing but the end of the connection tells where such a body ends, so an upstream
+    that sends another response after it makes both look like one body. A head counts
+    if `names_request` says so; other text that looks like a head is content.
+
+    Parameters
+    ----------
+    names_request : callable
+        Returns whether the headers of a head name a request.
+
+    Attributes
+    ----------
+    has_found : bool
+        Whether the head of another response was found. The bytes before it may be a
+        whole body or only the start of one.
+    """
+
+    def __init__(self, names_request: Callable[[Headers], bool]) -> None:
+        self._names_request = names_request
+        self._held = b""
+        self.has_found = False
+
+    @property
+    def may_be_inside(self) -> bool:
+        """Whether the bytes so far end inside what may be such a head."""
+        return bool(self._held)
+
+    def feed(self, data: bytes) -> bytes:
+        """Add received bytes and return those that belong to the body for sure."""
+        if self.has_found:
+            return b""
+        data = self._held + data
+        self._held = b""
+        start = self._start_of_head(data)
+        if start is None:
+            return data
+        self._held = b"" if self.has_found else data[start:]
+        return data[:start]
+
+    def _start_of_head(self, data: bytes) -> int | None:
+        """Return where another response begins, or may begin."""
+        for found in HEAD_START.finditer(data):
+            start = found.start()
+            end = start + MAX_SECOND_HEAD_BYTES
+            head = HEAD.match(data, start, end)
+            if head is None:
+                if len(data) < end and PARTIAL_HEAD.match(data, start):
+                    return start
+            elif self._names_request(_parse_headers(head.group(1))):
+                self.has_found = True
+                return start
+        for length in range(min(len(STATUS_LINE_SHAPE) - 1, len(data)), 0, -1):
+            if STATUS_LINE_SHAPE.startswith(data[-length:].translate(ZEROS)):
+                return len(data) - length
+        return None
+
+
+def _parse_headers(lines: bytes) -> Headers:
+    headers: list[Header] = []
+    for line in lines.splitlines():
+        name, _, value = line.partition(b":")
+        headers.append((name, value.strip()))
+    return tuple(headers)
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -21,6 +21,7 @@
     ResponseMatcher,
     header_value,
 )
+from banyanswitch.components.http1.second_response import SecondResponseScanner
 from banyanswitch.core import callback
 from banyanswitch.decisions.response_ownership import Ownership
 from banyanswitch.exceptions import UpstreamBrokenError
@@ -59,6 +60,7 @@
         self._is_skipping = False
         self._skipped_count = 0
         self._skipped_bytes = 0
+        self._scanner: SecondResponseScanner | None = None
         self._error: str | None = None
         self.keeps_alive = True
         self.used_at_s = self._loop.time()
@@ -114,6 +116,8 @@
         if self._is_awaiting_response and ends_with_connection and self._error is None:
             if self._was_reset():
                 self._fail("connection reset before the end of the response")
+            elif self._scanner is not None and self._scanner.may_be_inside:
+                self._fail("the body may end inside the head of another response")
             else:
                 self._complete()
         self.keeps_alive = False
@@ -223,6 +227,8 @@
             self._skip_response()
             return
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
+        if self._matcher and self._framing is BodyFraming.CONNECTION_END:
+            self._scanner = SecondResponseScanner(self._matcher.names_request)
         self._heads.append(head)
         self._wake_reader()
         if self._is_head_only:
@@ -239,10 +245,15 @@
             if self._skipped_bytes > MAX_BUFFERED_BODY_BYTES:
                 self._fail("responses to other requests are too long")
             return
-        self._parts.append(body)
+        if self._scanner is not None:
+            body = self._scanner.feed(body)
+        if body:
+            self._parts.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport:
             self._transport.pause_reading()
+        if self._scanner is not None and self._scanner.has_found:
+            self._fail("the body contains the head of another response")
         self._wake_reader()
 
     def on_message_complete(self) -> None:
--- a/tests/components/http1/test_upstream_connection.py
+++ b/tests/components/http1/test_upstream_connection.py
@@ -8,7 +8,7 @@
 import pytest
 
 from banyanswitch.components.http1.connection_pool import ConnectionPool
-from banyanswitch.components.http1.models import BodyFraming, ResponseHead
+from banyanswitch.components.http1.models import BodyFraming, Headers, ResponseHead
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.decisions.response_ownership import Ownership
 from banyanswitch.exceptions import UpstreamBrokenError, UpstreamNotSentError
@@ -217,6 +217,9 @@
     def ownership(self, head: ResponseHead) -> Ownership:
         return Ownership.OTHER
 
+    def names_request(self, headers: Headers) -> bool:
+        return True
+
 
 # Guards against a request that waits until its deadline on a connection that has ended.
 @pytest.mark.parametrize("pause_s", [0.0, 0.05])
