Fail responses without an identifier on kept connections

A caller could get the answer to another request: a response without an identifier was taken for the awaited one on any connection, also if it was a late second answer to an earlier request.

On a connection that has carried other requests, a response without an identifier now fails the attempt at once, since neither delivering nor skipping it is right. On a new connection it can only be the own one.

The stand-in upstream left the identifier out when it refused a request; it sends it now. The log line is named foreign_answer, as not all such answers are skipped.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -277,13 +277,16 @@
     metadata: RequestMetadata
     upstream: UpstreamId
 
-    def ownership(self, head: ResponseHead) -> Ownership:
-        """Return whether a response belongs to the attempt; log one that doesn't."""
+    def ownership(self, head: ResponseHead, *, is_first_request: bool) -> Ownership:
+        """Return whether a response belongs to the attempt; log one that may not."""
         named = self.translator.read_response_metadata(head).attempt
-        found = response_ownership(self.metadata.attempt, named)
+        found = response_ownership(
+            self.metadata.attempt, named, is_first_request=is_first_request
+        )
         if found is not Ownership.OWN:
             LOGGER.info(
-                "foreign_answer_skipped",
+                "foreign_answer",
+                ownership=found.value,
                 request=_text(self.metadata.attempt),
                 upstream=self.upstream,
                 answer_of=None if named is None else _text(named),
--- a/src/banyanswitch/components/http1/models.py
+++ b/src/banyanswitch/components/http1/models.py
@@ -83,8 +83,14 @@
 class ResponseMatcher(Protocol):
     """Tells which responses belong to the request that was sent on a connection."""
 
-    def ownership(self, head: ResponseHead) -> Ownership:
-        """Return whether the response with a head belongs to the request."""
+    def ownership(self, head: ResponseHead, *, is_first_request: bool) -> Ownership:
+        """Return whether the response with a head belongs to the request.
+
+        Parameters
+        ----------
+        is_first_request : bool
+            Whether no other request was sent on the connection before.
+        """
 
     def names_request(self, headers: Headers) -> bool:
         """Return whether the headers of a response name the request it belongs to."""
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -57,6 +57,7 @@
         self._is_complete = False
         self._is_head_only = False
         self._matcher: ResponseMatcher | None = None
+        self._sent_count = 0
         self._is_skipping = False
         self._skipped_count = 0
         self._skipped_bytes = 0
@@ -153,6 +154,7 @@
         self._is_complete = False
         self._is_head_only = is_head_only
         self._matcher = matcher
+        self._sent_count += 1
         self._overhead_bytes = 0
         self.used_at_s = self._loop.time()
         if self._transport is not None:
@@ -223,7 +225,11 @@
         headers = tuple(self._headers)
         self._framing = self._body_framing(headers)
         head = ResponseHead(status, self._reason, headers, self._framing)
-        if self._matcher and self._matcher.ownership(head) is Ownership.OTHER:
+        ownership = self._ownership(head)
+        if ownership is Ownership.UNKNOWN:
+            self._fail("received a response that may be to another request")
+            return
+        if ownership is Ownership.OTHER:
             self._skip_response()
             return
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
@@ -267,6 +273,12 @@
             return
         self._complete()
 
+    def _ownership(self, head: ResponseHead) -> Ownership:
+        if self._matcher is None:
+            return Ownership.OWN
+        is_first_request = self._sent_count == 1
+        return self._matcher.ownership(head, is_first_request=is_first_request)
+
     def _skip_response(self) -> None:
         """Skip the response whose head was parsed, up to its end.
 
--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -150,7 +150,7 @@
         }
         refusal = self._refusal(request)
         if refusal is not None:
-            not_run = {"Not-Run": "1", **self._limit_header()}
+            not_run = {"Attempt-Id": attempt, "Not-Run": "1", **self._limit_header()}
             return web.Response(status=refusal, headers=not_run)
         self.received.append(
             ReceivedRequest(
--- a/tests/components/forwarding/test_second_answers.py
+++ b/tests/components/forwarding/test_second_answers.py
@@ -74,3 +74,26 @@
     replies, last_s, _ = await async_send(exchanges, kind, [b"r1", b"r2"])
     assert replies[1].status == 502
     assert last_s < PROMPT_ANSWER_S
+
+
+# Guards against a second answer without an identifier that is taken for the own one.
+@KINDS
+async def test_answer_without_an_identifier_on_a_kept_connection(
+    kind: Repeatability,
+) -> None:
+    late = with_length(b"r1", EARLIER_EVENTS).replace(b"attempt-id: r1\r\n", b"")
+    exchanges = [
+        Exchange([with_length(b"r1", EARLIER_EVENTS)]),
+        Exchange([late + with_length(b"r2", EVENTS)]),
+    ]
+    replies, last_s, _ = await async_send(exchanges, kind, [b"r1", b"r2"])
+    assert replies[1].status == 502
+    assert last_s < PROMPT_ANSWER_S
+
+
+# Guards against the failure of upstreams that send no identifiers.
+async def test_answer_without_an_identifier_to_the_first_request() -> None:
+    answer = with_length(b"r1", EVENTS).replace(b"attempt-id: r1\r\n", b"")
+    exchanges = [Exchange([answer])]
+    (reply,), _, _ = await async_send(exchanges, Repeatability.REPEATABLE, [b"r1"])
+    assert (reply.status, reply.body) == (200, EVENTS)
--- a/tests/components/http1/test_upstream_connection.py
+++ b/tests/components/http1/test_upstream_connection.py
@@ -214,7 +214,7 @@
 class Others:
     """Implements ``ResponseMatcher`` for a request that gets no response."""
 
-    def ownership(self, head: ResponseHead) -> Ownership:
+    def ownership(self, head: ResponseHead, *, is_first_request: bool) -> Ownership:
         return Ownership.OTHER
 
     def names_request(self, headers: Headers) -> bool:
