--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -59,6 +59,12 @@
         """Whether a part of the response was sent to the caller."""
         return self.first_byte_at_s is not None
 
+    def age_s(self, now_s: float) -> float | None:
+        """Return the time since the first byte, in seconds, for the log."""
+        if self.first_byte_at_s is None:
+            return None
+        return round(now_s - self.first_byte_at_s, 4)
+
 
 class Attempt:
     """Send a request to an upstream and relay the response.
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -16,7 +16,6 @@
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
     MAX_LIMIT_RETRY_AFTER_S,
-    MAX_LOGGED_PARTS,
     MAX_QUEUE_WAIT_S,
     MAX_QUEUE_WAIT_SHARE,
     MAX_UNSENT_ATTEMPTS,
@@ -57,6 +56,7 @@
     RefusalReason,
     jittered_retry_after_s,
 )
+from banyanswitch.components.forwarding.request_content import RequestContent
 from banyanswitch.components.forwarding.routing_state import (
     RoutingState,
     pick_service,
@@ -119,6 +119,7 @@
 
     request: Request
     metadata: RequestMetadata
+    content: RequestContent
     reply: Reply
     route: Route
     workspace: ForwardedWorkspace | None
@@ -239,6 +240,9 @@
         return _RequestContext(
             request=request,
             metadata=metadata,
+            content=RequestContent(
+                request, metadata, workspace.name if workspace else None
+            ),
             reply=reply,
             route=route,
             workspace=workspace,
@@ -678,8 +682,8 @@
             reason=str(error),
             decision=outcome,
             is_failure_status=isinstance(error, UpstreamFailureError),
-            shared_parts=_shared_parts(context.metadata),
-            response_age_s=_response_age_s(context.progress, self._loop.time()),
+            response_age_s=context.progress.age_s(self._loop.time()),
+            **context.content.log_values(),
         )
 
     def _log(self, context: _RequestContext, event: str, **values: object) -> None:
@@ -702,17 +706,5 @@
     return metadata.last_event
 
 
-def _shared_parts(metadata: RequestMetadata) -> list[str]:
-    """Return the first shared parts of a prompt, for the log."""
-    return [part.name for part in metadata.parts[:-1][:MAX_LOGGED_PARTS]]
-
-
-def _response_age_s(progress: ResponseProgress, now_s: float) -> float | None:
-    """Return the time since the first byte of a response, for the log."""
-    if progress.first_byte_at_s is None:
-        return None
-    return round(now_s - progress.first_byte_at_s, 4)
-
-
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -203,7 +203,12 @@
 
 
 def model_request(
-    path: str, *, prompt_tokens: int, time_left_s: float, more: Headers = ()
+    path: str,
+    *,
+    prompt_tokens: int,
+    time_left_s: float,
+    more: Headers = (),
+    body: bytes = b"",
 ) -> Request:
     headers = (
         (b"prompt-tokens", b"%d" % prompt_tokens),
@@ -211,7 +216,7 @@
         *more,
     )
     now_s = asyncio.get_running_loop().time()
-    return Request(b"POST", path.encode(), headers, b"", now_s)
+    return Request(b"POST", path.encode(), headers, body, now_s)
 
 
 @dataclass
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -210,12 +210,14 @@
         *,
         time_left_s: float = 30.0,
         headers: Headers = (),
+        body: bytes = b"",
     ) -> tuple[FakeReply, asyncio.Task[None]]:
         request = model_request(
             f"/{repeatability.value}/",
             prompt_tokens=PROMPT_TOKENS,
             time_left_s=time_left_s,
             more=headers,
+            body=body,
         )
         reply = FakeReply()
         handling = self._forwarder.async_handle(request, reply)
--- a/tests/components/forwarding/test_withheld_parts.py
+++ b/tests/components/forwarding/test_withheld_parts.py
@@ -107,3 +107,16 @@
     failed = [line for line in logs if line["event"] == "attempt_failed"]
     assert failed[0]["shared_parts"] == ["a", "b", "x"]
     assert failed[0]["response_age_s"] == pytest.approx(1.0, abs=0.1)
+
+
+# Guards against a log that can't tell whether two failures were of the same request.
+async def test_failed_attempts_are_logged_with_a_digest_of_their_content() -> None:
+    instance = Instance()
+    instance.add("a", 1, breaks_off=True)
+    with capture_logs() as logs:
+        for body in (b"same", b"same", b"other"):
+            _, handling = instance.send(Repeatability.ONCE, body=body)
+            await handling
+    digests = [line["content"] for line in logs if line["event"] == "attempt_failed"]
+    assert digests[0] == digests[1]
+    assert digests[1] != digests[2]
