Reproduce upstreams that one request without a prompt crashes

The stand-in upstream crashes soon after it begins to run a request with a given path, workspace and body, and another one registers a second later. Without a network, a request under which three upstreams have ended is sent to a fourth.

--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -7,6 +7,16 @@
 from aiohttp import web
 
 EVENT_INTERVAL_S = 0.005
+CRASH_AFTER_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class CrashingRequest:
+    """What the requests have in common that crash an upstream."""
+
+    target: str
+    workspace: str
+    body: bytes
 
 
 @dataclass(slots=True)
@@ -60,6 +70,8 @@
     crashing_part : str or None
         Part of a prompt, other than the last, under which it crashes as soon as it
         begins to write an answer.
+    crashing_request : CrashingRequest or None
+        Request under which it crashes soon after it begins to run it.
     on_crash : callable or None
         Ends the upstream; called when it crashes.
     limit_per_s : float or None
@@ -91,6 +103,7 @@
     refuses_orders: bool = False
     load_s: float = 0.05
     crashing_part: str | None = None
+    crashing_request: CrashingRequest | None = None
     on_crash: Callable[[], None] | None = None
     limit_per_s: float | None = None
     arrived_at_s: list[float] = field(default_factory=list)
@@ -161,6 +174,11 @@
                 body,
             )
         )
+        content = CrashingRequest(
+            request.raw_path, request.headers.get("Tenant", ""), body
+        )
+        if content == self.crashing_request:
+            return await self._async_crash(request)
         is_stream = "Prompt-Prefix" in request.headers
         if self.hangs and not (is_stream and self.sends_head_first):
             await self._async_hang()
@@ -170,6 +188,14 @@
             return await self._async_stream(request, headers)
         return web.Response(body=b"answer of " + self.name.encode(), headers=headers)
 
+    async def _async_crash(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(CRASH_AFTER_S)
+        if self.on_crash is not None:
+            self.on_crash()
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response()
+
     def _limit_header(self) -> dict[str, str]:
         return (
             {} if self.limit_per_s is None else {"Server-Limit": str(self.limit_per_s)}
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -276,6 +276,8 @@
         Whether the head of a response is sent before the wait in the queue.
     breaks_off : bool
         Whether streams end inside their last event, as if they were complete.
+    crashes : bool
+        Whether it closes the connection when it begins a request.
     """
 
     name: str
@@ -284,6 +286,7 @@
     is_unframed: bool = False
     breaks_off: bool = False
     sends_head_first: bool = False
+    crashes: bool = False
     exchanges: list["FakeExchange"] = field(default_factory=list)
 
 
@@ -323,6 +326,9 @@
 
     def _begin(self) -> None:
         self.begun_at_s = self._loop.time()
+        if self._upstream.crashes:
+            self.abort()
+            return
         if not self._upstream.sends_head_first:
             self._send_head()
         if self._next_event < EVENTS:
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -173,15 +173,26 @@
         breaks_off: bool = False,
         sends_head_first: bool = False,
         software_version: str = "v1",
+        crashes: bool = False,
     ) -> FakeUpstream:
         upstream = FakeUpstream(
-            name, queue_s, response_s, is_unframed, breaks_off, sends_head_first
+            name,
+            queue_s,
+            response_s,
+            is_unframed,
+            breaks_off,
+            sends_head_first,
+            crashes,
         )
         entry = record(name, version=version, software_version=software_version)
         self._pool.upstreams[entry.address] = upstream
         self.upstreams.put(entry)
         return upstream
 
+    def remove(self, name: str) -> None:
+        """Remove the entry of an upstream that has ended."""
+        self.upstreams.remove(name)
+
     def name_target(self, version: int) -> float:
         """Make a version the target and return the loop time."""
         row = Item("op/target", version, str(version).encode())
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -210,9 +210,10 @@
         *,
         host: str = HOSTS[0],
         headers: dict[str, str] | None = None,
+        body: bytes = b"body",
     ) -> tuple[int, bytes, dict[str, str]]:
         async with self.async_stream(
-            path, attempt, host=host, headers=headers
+            path, attempt, host=host, headers=headers, body=body
         ) as response:
             return response.status, await response.read(), dict(response.headers)
 
@@ -224,6 +225,7 @@
         *,
         host: str = HOSTS[0],
         headers: dict[str, str] | None = None,
+        body: bytes = b"body",
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a request and yield its response, whose body may still be arriving."""
         request_headers = {
@@ -234,7 +236,7 @@
         }
         url = f"http://{host}:{self.ports['front']}{path}"
         async with self.session.post(
-            url, headers=request_headers, data=b"body"
+            url, headers=request_headers, data=body
         ) as response:
             yield response
 
