--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -173,15 +173,26 @@
         breaks_off: bool = False,
         sends_head_first: bool = False,
         software_version: str = "v1",
+        crashes: bool = False,
     ) -> FakeUpstream:
         upstream = FakeUpstream(
-            name, queue_s, response_s, is_unframed, breaks_off, sends_head_first
+            name,
+            queue_s,
+            response_s,
+            is_unframed,
+            breaks_off,
+            sends_head_first,
+            crashes,
         )
         entry = record(name, version=version, software_version=software_version)
         self._pool.upstreams[entry.address] = upstream
         self.upstreams.put(entry)
         return upstream
 
+    def remove(self, name: str) -> None:
+        """Remove the entry of an upstream that has ended."""
+        self.upstreams.remove(name)
+
     def name_target(self, version: int) -> float:
         """Make a version the target and return the loop time."""
         row = Item("op/target", version, str(version).encode())
@@ -210,12 +221,14 @@
         *,
         time_left_s: float = 30.0,
         headers: Headers = (),
+        body: bytes = b"",
     ) -> tuple[FakeReply, asyncio.Task[None]]:
         request = model_request(
             f"/{repeatability.value}/",
             prompt_tokens=PROMPT_TOKENS,
             time_left_s=time_left_s,
             more=headers,
+            body=body,
         )
         reply = FakeReply()
         handling = self._forwarder.async_handle(request, reply)
