Give calls without a recognisable answer connections of their own

No one has reported this; it is the cause of the mixed answers of callers, looked for in the product's own calls. A model server or KV store that answers a call twice, the second time late, would decide the call behind it on the connection: an order that was refused (409) or fenced off (412) would count as accepted after a report or an accepted order, a refused free as done after an event call, so that its parts stay in the store but leave its contents here, and a list would be taken for empty after an event call, until the store restarts or misses events again.

Cause: all calls to an address share kept connections, and the first response is taken for the answer.

Ruled out: an identifier of our own (not echoed); a check of the content for orders and frees, whose answers are a status without a body.

Now orders, lists and frees open a connection and close it after the answer, so the first answer on it is the only one that can be theirs. Reports and event calls still share kept connections; no connection carries both, as no store is asked for reports.

--- a/src/banyanswitch/components/http1/client.py
+++ b/src/banyanswitch/components/http1/client.py
@@ -49,9 +49,14 @@
         body: bytes | None = None,
         headers: Iterable[Header] = (),
         send_by_s: Callable[[], float] | None = None,
+        uses_own_connection: bool = False,
     ) -> HttpResponse:
         """Send one request without retries and return the response.
 
+        An upstream may answer the call before on a connection once more where this
+        response is expected. Unless the content of the response shows which call it
+        belongs to, the call needs a connection of its own.
+
         Parameters
         ----------
         timeout_s : float
@@ -60,6 +65,8 @@
             Returns the loop time until which the request may be sent. It is called
             when the connection is made, since a permission to send may have been
             withdrawn meanwhile.
+        uses_own_connection : bool
+            Whether the call uses a connection that carries no other one.
 
         Raises
         ------
@@ -71,7 +78,9 @@
         """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-        connection = await self._async_connect(address, deadline_s)
+        connection = await self._async_connect(
+            address, deadline_s, is_new=uses_own_connection
+        )
         is_released = False
         try:
             limit_s = deadline_s if send_by_s is None else min(deadline_s, send_by_s())
@@ -81,8 +90,9 @@
             async with asyncio.timeout_at(deadline_s):
                 connection.send(_encode_request(method, address, target, body, headers))
                 response = await self._async_read_response(connection)
-            self._pool.release(address, connection)
-            is_released = True
+            if not uses_own_connection:
+                self._pool.release(address, connection)
+                is_released = True
             return response
         except TimeoutError as error:
             reason = f"no response to {method} {target} within {timeout_s:.1f} s"
@@ -109,10 +119,12 @@
         return HttpResponse(head.status, head.headers, body)
 
     async def _async_connect(
-        self, address: str, deadline_s: float
+        self, address: str, deadline_s: float, *, is_new: bool
     ) -> UpstreamConnection:
         try:
             async with asyncio.timeout_at(deadline_s):
+                if is_new:
+                    return await self._pool.async_open(address)
                 return await self._pool.async_acquire(address)
         except TimeoutError as error:
             raise UpstreamNotSentError(f"can't connect to {address} in time") from error
--- a/src/banyanswitch/components/http1/connection_pool.py
+++ b/src/banyanswitch/components/http1/connection_pool.py
@@ -52,6 +52,16 @@
         idle = self._take_idle(address, max_idle_s)
         if idle is not None:
             return idle
+        return await self.async_open(address)
+
+    async def async_open(self, address: str) -> UpstreamConnection:
+        """Return a new connection.
+
+        Raises
+        ------
+        UpstreamNotSentError
+            If no connection could be made.
+        """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._change_open_count(address, 1)
--- a/src/banyanswitch/platform/engines.py
+++ b/src/banyanswitch/platform/engines.py
@@ -68,6 +68,9 @@
 class PlatformEngines:
     """Implementation of ``EngineClient`` and ``PartStoreClient``.
 
+    Orders, lists and calls that free parts use connections of their own, since the
+    content of their responses doesn't show which call they belong to.
+
     Parameters
     ----------
     client : HttpClient
@@ -118,6 +121,7 @@
             body=msgspec.json.encode(document),
             headers=[(HEADER_EXPECTED_UPSTREAM, order.upstream.encode())],
             send_by_s=order.send_by_s,
+            uses_own_connection=True,
         )
         if response.status == STATUS_FENCED:
             raise FencedError(
@@ -153,7 +157,11 @@
     async def async_list(self, address: str) -> PartEvents:
         """Return all complete parts, each as an event that reports it as stored."""
         response = await self._client.async_call(
-            "GET", address, PATH_PART_LIST, timeout_s=CALL_TIMEOUT_S
+            "GET",
+            address,
+            PATH_PART_LIST,
+            timeout_s=CALL_TIMEOUT_S,
+            uses_own_connection=True,
         )
         document = _decode(response, _PartList)
         return PartEvents(
@@ -190,6 +198,7 @@
             timeout_s=CALL_TIMEOUT_S,
             body=msgspec.json.encode({"parts": list(parts), "bootEpoch": epoch}),
             send_by_s=send_by_s,
+            uses_own_connection=True,
         )
         return response.status in (STATUS_OK, STATUS_ACCEPTED)
 
--- a/tests/fakes/http1.py
+++ b/tests/fakes/http1.py
@@ -68,6 +68,9 @@
     async def async_acquire(
         self, address: str, *, max_idle_s: float = DEFAULT_MAX_IDLE_S
     ) -> UpstreamConnection:
+        return await self.async_open(address)
+
+    async def async_open(self, address: str) -> UpstreamConnection:
         self.connecting += 1
         try:
             await asyncio.sleep(self.connect_s)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -95,6 +95,7 @@
         body: bytes | None = None,
         headers: Iterable[Header] = (),
         send_by_s: Callable[[], float] | None = None,
+        uses_own_connection: bool = False,
     ) -> HttpResponse:
         return self.response
 
