Give each request to an upstream its own connection

Callers of a model service would see 404 with the reason of another caller's request, and requests repeated at another upstream because this one seemed to decline or to mix up its answers, where an upstream had answered an earlier request a second time, late. A resumed read of a run could get the answer to an earlier read of the same run.

Cause: runs, resumed reads and cancellations shared kept-alive connections. The HTTP library queues an answer that arrives while a connection is idle and gives it to the next request; one that arrives after the next request was sent is taken for its own. Rejections and "not run" carry no identity, and the status was read before the identity; a resumed read has the same identity as the read before.

Ruled out: that another run's body is delivered. In all cuts the identity of a success was checked before its body was read. Calls that run only once had their own connections before.

Nothing in the interface names the request that an answer belongs to, so no rule on a shared connection can tell them apart. Now nothing shares one. Runs and calls still have separate limits of connections.

--- a/src/banyanswitch/components/routing/upstream_client.py
+++ b/src/banyanswitch/components/routing/upstream_client.py
@@ -55,21 +55,19 @@
 class UpstreamClient:
     """Send requests to upstreams.
 
-    Calls that must not be repeated use a new connection each, because the HTTP library
-    repeats some methods by itself on a kept-alive connection.
+    Each request has a connection of its own, because an upstream may answer a request
+    twice, and no header of a rejection or of a resumed read tells it apart from a
+    late answer to an earlier request.
     """
 
     def __init__(self) -> None:
-        self._timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        )
-        self._shared = self._session(force_close=False)
-        self._single_use = self._session(force_close=True)
+        self._runs = _new_session()
+        self._calls = _new_session()
 
     async def async_close(self) -> None:
         """Close all connections."""
-        await self._shared.close()
-        await self._single_use.close()
+        await self._runs.close()
+        await self._calls.close()
 
     async def async_open_run(
         self, attempt: Attempt, path: str, headers: Mapping[str, str], body: bytes
@@ -84,7 +82,7 @@
         """
         call = UpstreamRequest("POST", attempt.url + path, headers, body)
         response = await self._async_request(
-            self._shared, call, RESPONSE_HEADERS_TIMEOUT_S
+            self._runs, call, RESPONSE_HEADERS_TIMEOUT_S
         )
         try:
             await _async_check_status(response)
@@ -115,7 +113,7 @@
             },
         )
         response = await self._async_request(
-            self._shared, call, RESPONSE_HEADERS_TIMEOUT_S
+            self._runs, call, RESPONSE_HEADERS_TIMEOUT_S
         )
         try:
             await _async_check_status(response)
@@ -140,7 +138,7 @@
             url += "?only_if_unread=true"
         try:
             response = await self._async_request(
-                self._shared, UpstreamRequest("DELETE", url), CANCEL_TIMEOUT_S
+                self._runs, UpstreamRequest("DELETE", url), CANCEL_TIMEOUT_S
             )
         except (UpstreamNotSentError, UpstreamBrokenError):
             return
@@ -152,7 +150,7 @@
         call: UpstreamRequest,
         timeout_s: float,
     ) -> CompleteResponse:
-        """Send a call once, on a new connection, and return its complete response.
+        """Send a call once and return its complete response.
 
         Raises
         ------
@@ -163,25 +161,13 @@
         UpstreamError
             If the call may have run.
         """
-        response = await self._async_request(self._single_use, call, timeout_s)
+        response = await self._async_request(self._calls, call, timeout_s)
         try:
             async with asyncio.timeout(timeout_s), response:
                 return await _async_read_complete(response, attempt)
         except TimeoutError as error:
             raise UpstreamBrokenError("no whole answer in time") from error
 
-    def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
-        connector = LimitedConnector(
-            limit=UPSTREAM_CONNECTIONS, force_close=force_close
-        )
-        return aiohttp.ClientSession(
-            connector=connector,
-            timeout=self._timeout,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-        )
-
     async def _async_request(
         self,
         session: aiohttp.ClientSession,
@@ -210,6 +196,16 @@
             ) from error
 
 
+def _new_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=LimitedConnector(limit=UPSTREAM_CONNECTIONS, force_close=True),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
+    )
+
+
 async def async_read_response(run: OpenRun, timeout_s: float) -> CompleteResponse:
     """Return the complete response of a run that does not stream.
 
