Fail bodies that contain another response in any framing

A caller would get a success whose body is filled up with another answer: an upstream breaks its answer off, keeps the connection and answers again, late. The second answer's head and body then count as the rest of the first body, up to its length or to that of a chunk.

Cause: the same as for bodies without a length. What arrives on the connection was taken for the awaited body, whatever it is.

Ruled out: failing each body that ends like the start of a status line. With a length that is content, unless a status code has arrived or the bytes behind the body can't be parsed in the same read. A whole body before bytes that are no answer is still delivered.

Now bodies of all framings are searched, also those of skipped responses, in which the own one may be lost.

--- a/src/banyanswitch/components/http1/second_response.py
+++ b/src/banyanswitch/components/http1/second_response.py
@@ -1,4 +1,4 @@
-"""Search for another response inside a body that ends with its connection."""
+"""Search for another response inside a body."""
 
 import re
 from collections.abc import Callable
@@ -21,15 +21,18 @@
 )
 STATUS_LINE_SHAPE = b"HTTP/0.0 000"
 """Start of a status line with all digits replaced by 0."""
+FIRST_BYTE = STATUS_LINE_SHAPE[0]
 ZEROS = bytes.maketrans(b"123456789", b"000000000")
 
 
 class SecondResponseScanner:
-    """Find the head of another response in a body without a length.
+    """Find the head of another response in a body.
 
-    Nothing but the end of the connection tells where such a body ends, so an upstream
-    that sends another response after it makes both look like one body. A head counts
-    if `names_request` says so; other text that looks like a head is content.
+    An upstream may break a response off and send another one on the connection, which
+    then fills the body up to its length. Nothing but the end of the connection ends a
+    body without a length, so another response behind it seems to be a part of it too.
+    A head counts if `names_request` says so; other text that looks like a head is
+    content.
 
     Parameters
     ----------
@@ -53,6 +56,11 @@
         """Whether the bytes so far end inside what may be such a head."""
         return bool(self._held)
 
+    @property
+    def has_status_line(self) -> bool:
+        """Whether they end behind the status code of what may be such a head."""
+        return len(self._held) >= len(STATUS_LINE_SHAPE)
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return those that belong to the body for sure."""
         if self.has_found:
@@ -65,6 +73,11 @@
         self._held = b"" if self.has_found else data[start:]
         return data[:start]
 
+    def flush(self) -> bytes:
+        """Return the bytes that may have been the start of a head but are content."""
+        held, self._held = self._held, b""
+        return held
+
     def _start_of_head(self, data: bytes) -> int | None:
         """Return where another response begins, or may begin."""
         for found in HEAD_START.finditer(data):
@@ -77,9 +90,11 @@
             elif self._names_request(_parse_headers(head.group(1))):
                 self.has_found = True
                 return start
-        for length in range(min(len(STATUS_LINE_SHAPE) - 1, len(data)), 0, -1):
-            if STATUS_LINE_SHAPE.startswith(data[-length:].translate(ZEROS)):
-                return len(data) - length
+        tail = data[1 - len(STATUS_LINE_SHAPE) :]
+        for offset, byte in enumerate(tail):
+            rest = tail[offset:].translate(ZEROS) if byte == FIRST_BYTE else b"-"
+            if STATUS_LINE_SHAPE.startswith(rest):
+                return len(data) - len(rest)
         return None
 
 
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -27,6 +27,7 @@
 from banyanswitch.exceptions import UpstreamBrokenError
 
 FIRST_FINAL_STATUS = 200
+INSIDE_ANOTHER_RESPONSE = "the body may end inside the head of another response"
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -62,6 +63,7 @@
         self._skipped_count = 0
         self._skipped_bytes = 0
         self._scanner: SecondResponseScanner | None = None
+        self._may_end_inside_head = False
         self._error: str | None = None
         self.keeps_alive = True
         self.used_at_s = self._loop.time()
@@ -95,9 +97,15 @@
             self._fail("received bytes while no response is awaited")
             return
         self._overhead_bytes += len(data)
+        self._may_end_inside_head = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
+            if self._may_end_inside_head:
+                # The bytes behind the body are the rest of that head.
+                self._is_complete = False
+                self._fail(INSIDE_ANOTHER_RESPONSE)
+                return
             self._fail(f"response can't be parsed: {error}")
             return
         limit_bytes = MAX_RESPONSE_OVERHEAD_BYTES
@@ -118,7 +126,7 @@
             if self._was_reset():
                 self._fail("connection reset before the end of the response")
             elif self._scanner is not None and self._scanner.may_be_inside:
-                self._fail("the body may end inside the head of another response")
+                self._fail(INSIDE_ANOTHER_RESPONSE)
             else:
                 self._complete()
         self.keeps_alive = False
@@ -225,6 +233,8 @@
         headers = tuple(self._headers)
         self._framing = self._body_framing(headers)
         head = ResponseHead(status, self._reason, headers, self._framing)
+        if self._matcher is not None:
+            self._scanner = SecondResponseScanner(self._matcher.names_request)
         ownership = self._ownership(head)
         if ownership is Ownership.UNKNOWN:
             self._fail("received a response that may be to another request")
@@ -233,8 +243,6 @@
             self._skip_response()
             return
         self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
-        if self._matcher and self._framing is BodyFraming.CONNECTION_END:
-            self._scanner = SecondResponseScanner(self._matcher.names_request)
         self._heads.append(head)
         self._wake_reader()
         if self._is_head_only:
@@ -246,14 +254,13 @@
         if self._is_complete or self._error is not None:
             return
         self._overhead_bytes = 0
+        if self._scanner is not None:
+            body = self._scanner.feed(body)
         if self._is_skipping:
             self._skipped_bytes += len(body)
             if self._skipped_bytes > MAX_BUFFERED_BODY_BYTES:
                 self._fail("responses to other requests are too long")
-            return
-        if self._scanner is not None:
-            body = self._scanner.feed(body)
-        if body:
+        elif body:
             self._parts.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport:
@@ -271,6 +278,12 @@
         if self._is_skipping:
             self._is_skipping = False
             return
+        if self._scanner is not None and self._scanner.may_be_inside:
+            if self._scanner.has_status_line:
+                self._fail(INSIDE_ANOTHER_RESPONSE)
+                return
+            self._may_end_inside_head = True
+            self._parts.append(self._scanner.flush())
         self._complete()
 
     def _ownership(self, head: ResponseHead) -> Ownership:
