Keep the whole reason phrase of a response in several reads

The reason phrase arrives in parts if a read ends inside it, and each part replaced the one before: 'Very Fine' reached the caller as 'ne'. Found by a review.

test_reason_phrase_in_several_reads_is_whole failed before.

--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -212,12 +212,13 @@
         A response after the complete one is unexpected; the connection isn't reused.
         """
         self._headers = []
+        self._reason = b""
         if self._is_complete:
             self.keeps_alive = False
 
     def on_status(self, reason: bytes) -> None:
-        """Store the reason phrase."""
-        self._reason = reason
+        """Append a part of the reason phrase."""
+        self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append one header."""
--- a/tests/components/http1/test_upstream_connection.py
+++ b/tests/components/http1/test_upstream_connection.py
@@ -242,3 +242,20 @@
         with pytest.raises(UpstreamBrokenError):
             await connection.async_head()
     server.close()
+
+
+# Guards against a reason phrase of which only the last part reaches the caller.
+async def test_reason_phrase_in_several_reads_is_whole() -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        for part in (b"HTTP/1.1 200 Very", b" Fi", b"ne\r\nContent-Length: 0\r\n\r\n"):
+            writer.write(part)
+            await asyncio.sleep(0.02)
+
+    server, address = await async_start_upstream(async_script)
+    connection = await ConnectionPool().async_acquire(address)
+    connection.send(REQUEST)
+    assert (await connection.async_head()).reason == b"Very Fine"
+    server.close()
