Keep the error of a response that is too long

The task that sends a load order would fail with EofStream, so that its result is never recorded, where an upstream sends interim responses without end.

Cause: the limit on bytes that are no body set its error and then closed the connection; closing removes the error, and a read after that raises EofStream, which is no ClientError. Other clients catch EofStream; the sender of orders does not, and neither does the client of the platform's services, which is to use the same connections.

Found while looking for second answers; not seen by callers.

--- a/src/banyanswitch/components/http1/library_limits.py
+++ b/src/banyanswitch/components/http1/library_limits.py
@@ -56,8 +56,9 @@
         error = aiohttp.ClientPayloadError(reason)
         if body is not None:
             body.set_exception(error)
-        self.set_exception(error)
+        # Closing removes an error that was set before.
         self.close()
+        self.set_exception(error)
 
 
 class LimitedConnector(aiohttp.TCPConnector):
--- a/tests/components/weights/test_order_sender.py
+++ b/tests/components/weights/test_order_sender.py
@@ -1,7 +1,9 @@
 """Results of orders to the engine stand-in, and a run in progress during a load."""
 
 import asyncio
+import contextlib
 import hashlib
+import itertools
 import json
 import time
 from collections.abc import AsyncIterator
@@ -10,11 +12,13 @@
 import pytest
 from aiohttp.test_utils import TestClient, TestServer
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.weights.models import LoadOrder, OrderResult
 from banyanswitch.components.weights.order_sender import HttpOrderSender
 from banyanswitch.identifiers import InstanceId, UpstreamId, WeightVersion
 from banyanswitch_standins.engine import EngineStandIn
 from banyanswitch_standins.engine.models import expected_token
+from tests.fakes.endless import interim_responses
 
 TIMEOUT_S = 0.5
 TOKENS = 40
@@ -111,3 +115,24 @@
     tokens = [expected_token("v1", digest, offset) for offset in range(TOKENS)]
     assert [token for token in tokens if token not in first + rest] == []
     assert refused.status == 409
+
+
+# Guards against an error of the HTTP library that stops the sending of orders.
+async def test_outcome_is_unknown_after_interim_responses_without_end() -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            for part in itertools.islice(interim_responses(), 1000):
+                writer.write(part)
+                await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(async_script, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    async with aiohttp.ClientSession(connector=LimitedConnector()) as session:
+        limited_sender = HttpOrderSender(session, InstanceId("i1"))
+        result = await limited_sender.async_send(url, order_of(5), TIMEOUT_S)
+    assert result is OrderResult.OUTCOME_UNKNOWN
+    server.close()
