Give each call to the platform's services its own connection

A late second answer of the table service or the object store would be taken for the answer to the next call: a claim of another call taken for granted, so that a call which runs only once runs twice; another key's item read as the own one; another caller's stored response sent as the own one.

Cause: as for engines and stores, kept-alive connections are shared and the answers do not name the call. That the platform's services answer twice was not seen; their calls are those where it would do most harm.

The session of these clients now uses the connector that closes each connection after one request. With it, their responses are limited like those of upstreams.

The list of instances keeps its connection: it lags behind by its contract.

--- a/src/banyanswitch/cli/platform_access.py
+++ b/src/banyanswitch/cli/platform_access.py
@@ -8,10 +8,12 @@
 from dataclasses import dataclass
 from typing import Final, NoReturn, TypeVar
 
-import aiohttp
 import fire
 
-from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.http_client import (
+    PlatformClient,
+    new_platform_session,
+)
 from banyanswitch.components.table_service.object_store import HttpObjectStore
 from banyanswitch.components.table_service.table_store import HttpTableStore
 from banyanswitch.components.table_service.write_budget import WriteBudget
@@ -101,7 +103,7 @@
 @asynccontextmanager
 async def open_platform(urls: PlatformUrls) -> AsyncIterator[Platform]:
     """Open the platform's clients; close them at the end of the context."""
-    async with aiohttp.ClientSession() as session:
+    async with new_platform_session() as session:
         table = PlatformClient(session, urls.table_url, CALLER, TIMEOUT_S)
         objects = PlatformClient(session, urls.object_url, CALLER, TIMEOUT_S)
         budget = WriteBudget(WRITES_PER_S, now_s=0.0)
--- a/src/banyanswitch/components/table_service/http_client.py
+++ b/src/banyanswitch/components/table_service/http_client.py
@@ -4,8 +4,12 @@
 
 import aiohttp
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.table_service.circuit_breaker import CircuitBreaker
-from banyanswitch.components.table_service.const import DEFAULT_RETRY_AFTER_S
+from banyanswitch.components.table_service.const import (
+    DEFAULT_RETRY_AFTER_S,
+    MAX_CONNECTIONS,
+)
 from banyanswitch.components.table_service.models import PlatformResponse
 from banyanswitch.const import HEADER_CALLER, HEADER_RETRY_AFTER
 from banyanswitch.exceptions import (
@@ -20,6 +24,12 @@
 FIRST_SERVER_ERROR_STATUS = 500
 
 
+def new_platform_session() -> aiohttp.ClientSession:
+    """Return a session for the clients of the platform's services."""
+    connector = LimitedConnector(limit=0, limit_per_host=MAX_CONNECTIONS)
+    return aiohttp.ClientSession(connector=connector)
+
+
 class PlatformClient:
     """HTTP client of one service of the platform.
 
--- a/src/banyanswitch/components/table_service/setup.py
+++ b/src/banyanswitch/components/table_service/setup.py
@@ -2,11 +2,12 @@
 
 from typing import cast
 
-import aiohttp
-
 from banyanswitch.components.membership.models import PeersChanged
-from banyanswitch.components.table_service.const import DOMAIN, MAX_CONNECTIONS
-from banyanswitch.components.table_service.http_client import PlatformClient
+from banyanswitch.components.table_service.const import DOMAIN
+from banyanswitch.components.table_service.http_client import (
+    PlatformClient,
+    new_platform_session,
+)
 from banyanswitch.components.table_service.object_store import HttpObjectStore
 from banyanswitch.components.table_service.table_store import HttpTableStore
 from banyanswitch.components.table_service.write_budget import WriteBudget
@@ -19,8 +20,7 @@
 async def async_setup(kernel: Kernel) -> None:
     """Provide the clients of the table service and the object store."""
     settings = cast(EntrySettings, kernel.settings)
-    connector = aiohttp.TCPConnector(limit=0, limit_per_host=MAX_CONNECTIONS)
-    session = aiohttp.ClientSession(connector=connector)
+    session = new_platform_session()
     kernel.on_stop(DOMAIN, session.close)
     caller = InstanceId(settings.instance)
     timeout_s = settings.platform_timeout_s
