Reject events that contain the head of a second answer

Callers of a stream would see the head of another answer, and events of another run, inside an event, where an upstream sends the stream without a length, breaks it off inside the event and answers a second time before the connection ends.

Cause: the check of an event covered its identifier only; whatever followed up to the next blank line passed as its data. A head has no blank line of that kind (its lines end with carriage returns), so it and the first event behind it became the rest of the event.

Ruled out: streams with chunks, where the parser notices the break; answers that are no streams, since a document that contains a head is not valid JSON.

An event now must not contain a carriage return, which the format of events allows as the end of a line only and which the verifier has never accepted there. The stream is resumed after the last whole event, as after any malformed one.

tests/components/streams/test_verifier.py: the new cases failed, 2 of 2, and pass now.

--- a/src/banyanswitch/components/streams/verifier.py
+++ b/src/banyanswitch/components/streams/verifier.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from banyanswitch.components.streams.const import (
+    CARRIAGE_RETURN,
     DATA_DONE,
     EVENT_END,
     EVENT_ID_FIELD,
@@ -86,11 +87,15 @@
 
     def _is_next_event(self, received: bytes) -> bool:
         """Return whether the bytes are exactly the next event, the most common case."""
-        return received.startswith(
-            self._id_line_format % self.next_offset
-        ) and received.find(EVENT_END) == len(received) - len(EVENT_END)
+        return (
+            received.startswith(self._id_line_format % self.next_offset)
+            and received.find(EVENT_END) == len(received) - len(EVENT_END)
+            and CARRIAGE_RETURN not in received
+        )
 
     def _check(self, event: bytes, accepted: list[bytes]) -> StreamFault | None:
+        if CARRIAGE_RETURN in event:
+            return StreamFault.MALFORMED_EVENT
         if not event.startswith(self._id_prefix):
             return _unexpected_id_fault(event)
         line_end = event.find(LINE_END)
--- a/tests/components/streams/test_verifier.py
+++ b/tests/components/streams/test_verifier.py
@@ -1,5 +1,6 @@
 """Each event of the run is accepted once and in order; other events are not."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -65,3 +66,24 @@
 def test_event_over_the_size_limit_is_a_fault() -> None:
     verifier = EventVerifier(RUN)
     assert verifier.feed(b"x" * 300_000).fault is StreamFault.MALFORMED_EVENT
+
+
+# Guards against the head of a second answer inside an event, where the first answer has
+# no length and breaks off.
+@pytest.mark.parametrize("run", [RUN, OTHER])
+def test_second_answer_after_a_cut_stream_never_reaches_the_caller(run: RunId) -> None:
+    first = _complete_stream()
+    events = b"".join(_event(offset, run) for offset in range(TOKENS))
+    second = f"HTTP/1.1 200 OK\r\nX-Banyan-Run-Id: {run}\r\n\r\n".encode() + events
+    for cut in range(len(first)):
+        received = first[:cut] + second
+        for read_bytes in (len(received), cut, cut + 20, len(second)):
+            verifier = EventVerifier(RUN)
+            passed = b""
+            for part in (received[:read_bytes], received[read_bytes:]):
+                chunk = verifier.feed(part)
+                passed += chunk.content
+                if chunk.fault is not None:
+                    break
+            assert first.startswith(passed)
+            assert passed in first[:cut]
