Keep the HTTP library from repeating calls that run only once

A call with PUT, DELETE or OPTIONS to a plain service could run twice at its upstream, where the upstream closed the connection without an answer. The caller got 502 "outcome unknown" after the second one.

Cause: the HTTP library sends requests of these methods again when their connection fails, also if the connection is new; the client relied on new connections being enough. Only POST and PATCH were sent once.

A middleware now turns the errors that the library repeats into one that it does not. Errors of connecting stay as they are, so that "not sent" is still told. Reads of runs that break are resumed by their reader, as before.

--- a/src/banyanswitch/components/http1/library_limits.py
+++ b/src/banyanswitch/components/http1/library_limits.py
@@ -1,4 +1,4 @@
-"""Limits on responses that are read by the HTTP library (aiohttp)."""
+"""Limits on the requests and responses of the HTTP library (aiohttp)."""
 
 import asyncio
 import functools
@@ -76,6 +76,29 @@
         self._factory = factory  # type: ignore[assignment]
 
 
+async def async_send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Middleware that keeps the library from sending a request again.
+
+    The library repeats GET, PUT, DELETE and other methods whose connection fails, also
+    if the connection is new.
+
+    Raises
+    ------
+    aiohttp.ClientConnectorError
+        If no connection was made.
+    aiohttp.ClientConnectionError
+        If the connection failed after that.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientConnectionError(repr(error)) from error
+
+
 async def async_read_limited(
     response: aiohttp.ClientResponse, max_bytes: int = MAX_BUFFERED_BODY_BYTES
 ) -> bytes:
--- a/src/banyanswitch/components/routing/upstream_client.py
+++ b/src/banyanswitch/components/routing/upstream_client.py
@@ -9,6 +9,7 @@
 from banyanswitch.components.http1.library_limits import (
     LimitedConnector,
     async_read_limited,
+    async_send_once,
 )
 from banyanswitch.components.routing.const import (
     CANCEL_TIMEOUT_S,
@@ -198,6 +199,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
+        middlewares=(async_send_once,),
     )
 
 
