Log kept connections that received bytes while idle

Bytes on an idle connection, such as a second answer that comes while no request is in flight, closed the connection without a line, so nothing told whether an upstream answers twice (missing in the hypotheses of the postmortem).

--- a/src/banyanswitch/components/http1/connection_pool.py
+++ b/src/banyanswitch/components/http1/connection_pool.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from banyanswitch.components.http1.const import (
     CONNECT_TIMEOUT_S,
     DEFAULT_MAX_IDLE_S,
@@ -12,6 +14,8 @@
 from banyanswitch.core import callback
 from banyanswitch.exceptions import UpstreamNotSentError
 
+LOGGER = structlog.get_logger(__name__)
+
 
 class ConnectionPool:
     """Pool of connections by address.
@@ -121,7 +125,7 @@
                 if connection.is_usable and now_s - connection.used_at_s <= limit_s:
                     kept.append(connection)
                 else:
-                    self.discard(address, connection)
+                    self._discard_idle(address, connection)
             if kept:
                 self._idle[address] = kept
             else:
@@ -142,9 +146,16 @@
             is_fresh = now_s - connection.used_at_s <= limit_s
             if connection.is_usable and is_fresh:
                 return connection
-            self.discard(address, connection)
+            self._discard_idle(address, connection)
         return None
 
+    def _discard_idle(self, address: str, connection: UpstreamConnection) -> None:
+        if connection.failure is not None:
+            LOGGER.info(
+                "idle_connection_failed", address=address, reason=connection.failure
+            )
+        self.discard(address, connection)
+
     def _change_open_count(self, address: str, change: int) -> None:
         count = self._open_counts.get(address, 0) + change
         if count > 0:
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -81,6 +81,11 @@
             and self._transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def failure(self) -> str | None:
+        """Reason for which the connection failed, if it did."""
+        return self._error
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the time limit for unacknowledged bytes (``TCP_USER_TIMEOUT``)."""
         self._transport = cast(asyncio.Transport, transport)
--- a/tests/components/http1/test_upstream_connection.py
+++ b/tests/components/http1/test_upstream_connection.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+import structlog
+import structlog.testing
 
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.models import BodyFraming, Headers, ResponseHead
@@ -259,3 +261,29 @@
     connection.send(REQUEST)
     assert (await connection.async_head()).reason == b"Very Fine"
     server.close()
+
+
+# Guards against second answers on idle connections that no line tells of.
+async def test_bytes_on_an_idle_connection_are_logged() -> None:
+    async def async_script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RESPONSE_WITH_LENGTH)
+        await asyncio.sleep(0.05)
+        writer.write(RESPONSE_WITH_LENGTH)
+
+    server, address = await async_start_upstream(async_script)
+    pool = ConnectionPool()
+    connection = await pool.async_acquire(address)
+    connection.send(REQUEST)
+    await connection.async_head()
+    assert await async_read_all(connection) == b"body"
+    pool.release(address, connection)
+    await asyncio.sleep(0.1)
+    with structlog.testing.capture_logs() as logs:
+        pool.sweep(asyncio.get_running_loop().time())
+    assert [line["event"] for line in logs] == ["idle_connection_failed"]
+    assert logs[0]["address"] == address
+    assert pool.open_count(address) == 0
+    server.close()
