Withhold requests that crash upstreams as a whole

Cause: note_broken returned at once for a request without shared prompt parts, and nothing identified a request across its returns. Plain requests and prompts of one part were never withheld.

The content of a request (method, host, path, workspace, shared parts, digest of the body) is now one more thing that it shares with its returns, under the evidence, reports, rows and trials of the parts. Contents that nothing tells apart from parts are withheld with them, so parts are blamed less often. The requests of an upstream are kept by model, of which the first one had counted for all.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -149,7 +149,7 @@
     versions : ServiceVersions
         Software versions, for streams without a known origin.
     parts : PartGuard
-        Prompt parts that must not be sent.
+        Prompt parts and requests that must not be sent.
     on_replaced : callable
         Called with an upstream when another upstream responded at its address.
     """
@@ -300,7 +300,7 @@
             self._origins.note(context.metadata.attempt, context.origin)
 
     async def _async_serve(self, context: _RequestContext) -> None:
-        context.tried_parts = await self._parts.async_try(context.metadata)
+        context.tried_parts = await self._parts.async_try(context.content)
         while True:
             placed = await self._async_place(context)
             if placed is None:
@@ -383,8 +383,8 @@
         )
 
     def _withheld_parts(self, context: _RequestContext) -> Combination | None:
-        """Return parts of the prompt that keep a request from being sent."""
-        found = self._parts.withheld(context.metadata)
+        """Return the withheld parts that keep a request from being sent."""
+        found = self._parts.withheld(context.content)
         return next((parts for parts in found if parts != context.tried_parts), None)
 
     def _note_broken(
@@ -394,7 +394,7 @@
         attempt: Attempt,
         error: UpstreamError,
     ) -> None:
-        """Note which parts an upstream broke off; a trial isn't repeated."""
+        """Note what an upstream broke off; a trial isn't repeated."""
         if isinstance(error, UpstreamNotSentError | NotRunError):
             return
         context.tried_parts = None
@@ -402,7 +402,7 @@
             return
         began_at_s = attempt.began_at_s
         age_s = None if began_at_s is None else self._loop.time() - began_at_s
-        self._parts.note_broken(placed.record, context.metadata, age_s)
+        self._parts.note_broken(placed.record, context.content, age_s)
 
     def _may_repeat(self, context: _RequestContext) -> bool:
         is_repeatable = context.route.repeatability is not Repeatability.ONCE
@@ -626,7 +626,7 @@
         now_s = self._loop.time()
         self._registry.ejector.on_success(placed.record.name, now_s)
         if attempt.status < FIRST_CLIENT_ERROR_STATUS:
-            self._parts.note_served(context.metadata)
+            self._parts.note_served(context.content)
         first_s = (
             context.progress.first_byte_at_s or now_s
         ) - context.request.received_at_s
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -11,6 +11,7 @@
     UpstreamRecord,
     UpstreamRequestPlan,
 )
+from banyanswitch.components.forwarding.request_content import RequestContent
 from banyanswitch.components.http1.models import Header, Headers, Request, ResponseHead
 from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
@@ -18,21 +19,21 @@
 
 
 class PartGuard(Protocol):
-    """Knowledge of prompt parts that must not be sent to upstreams."""
+    """Knowledge of prompt parts and requests that must not be sent to upstreams."""
 
-    def withheld(self, metadata: RequestMetadata) -> list[Combination]:
-        """Return the withheld combinations of parts that a prompt has."""
+    def withheld(self, content: RequestContent) -> list[Combination]:
+        """Return the withheld combinations of parts that a request has."""
 
     def retry_after_s(self, parts: Combination) -> float:
         """Return the time until withheld parts are tried again, in seconds."""
 
-    async def async_try(self, metadata: RequestMetadata) -> Combination | None:
+    async def async_try(self, content: RequestContent) -> Combination | None:
         """Return the withheld parts that this one request may try, if any."""
 
     def note_broken(
         self,
         record: UpstreamRecord,
-        metadata: RequestMetadata,
+        content: RequestContent,
         response_age_s: float | None,
     ) -> None:
         """Record that an upstream broke off a request.
@@ -43,7 +44,7 @@
             Time since the response began, in seconds; ``None`` if it had not.
         """
 
-    def note_served(self, metadata: RequestMetadata) -> None:
+    def note_served(self, content: RequestContent) -> None:
         """Record that a request was served."""
 
 
--- a/src/banyanswitch/components/part_quarantine/const.py
+++ b/src/banyanswitch/components/part_quarantine/const.py
@@ -14,14 +14,20 @@
 MAX_ENDS: Final = 256
 """Number of ends that are kept."""
 
-MAX_REQUESTS_PER_END: Final = 32
+MAX_REQUESTS_PER_END: Final = 64
 """Number of requests that are kept for one end; an upstream runs some 64 at most, and
 those that have answered for long are not kept."""
 
+MAX_OWN_REQUESTS_PER_END: Final = 32
+"""Number of these that one instance reports."""
+
 MAX_SERVED_PARTS: Final = 4096
 """Number of parts whose last served request is remembered; an instance serves some ten
 requests per second."""
 
+MAX_SERVED_CONTENTS: Final = 4096
+"""Number of contents of requests whose last one served is remembered."""
+
 MAX_REPORTED_PARTS: Final = 64
 """Number of entries of each kind in one report."""
 
--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -1,4 +1,4 @@
-"""Evidence against prompt parts, and the parts that are withheld."""
+"""Evidence against prompt parts and requests, and what is withheld."""
 
 import asyncio
 from collections import OrderedDict
@@ -8,13 +8,16 @@
 
 import structlog
 
-from banyanswitch.components.forwarding.models import RequestMetadata, UpstreamRecord
+from banyanswitch.components.forwarding.models import UpstreamRecord
+from banyanswitch.components.forwarding.request_content import RequestContent
 from banyanswitch.components.part_quarantine.const import (
     EVIDENCE_LIFETIME_S,
     MAX_COMBINATIONS,
     MAX_ENDS,
+    MAX_OWN_REQUESTS_PER_END,
     MAX_REPORTED_PARTS,
     MAX_REQUESTS_PER_END,
+    MAX_SERVED_CONTENTS,
     MAX_SERVED_PARTS,
     MIN_RETRY_AFTER_S,
     QUESTION_LIFETIME_S,
@@ -30,6 +33,7 @@
 )
 from banyanswitch.core import callback
 from banyanswitch.decisions.part_quarantine import (
+    CONTENT_PREFIX,
     NEVER_S,
     Combination,
     PartKey,
@@ -45,8 +49,10 @@
 
 LOGGER = structlog.get_logger(__name__)
 KeyT = TypeVar("KeyT")
-SharedParts = tuple[str, ...]
-"""Shared parts of one request, in order."""
+RequestNames = tuple[str, ...]
+"""Shared parts of one request, in order, and its content."""
+EndKey = tuple[UpstreamId, int, str]
+"""Name and start of an upstream, and a model of its requests."""
 
 
 @dataclass(slots=True)
@@ -70,18 +76,18 @@
 
 @dataclass(slots=True)
 class _End:
-    model: str
     ended_at_s: float
-    requests: set[SharedParts] = field(default_factory=set)
-    own_requests: set[SharedParts] = field(default_factory=set)
+    requests: set[RequestNames] = field(default_factory=set)
+    own_requests: set[RequestNames] = field(default_factory=set)
 
 
 class PartQuarantine:
-    """Withhold requests with prompt parts that crash upstreams.
+    """Withhold requests that crash upstreams, by a prompt part or as a whole.
 
     Each instance sees only its own requests break when an upstream ends. The instances
-    report the shared parts of these requests to each other, and which suspected parts
-    they have served since, so all of them withhold the same parts.
+    report the shared parts and the contents of these requests to each other, and which
+    suspected ones they have served since, so all of them withhold the same ones. The
+    content of a request counts as one more of its parts.
 
     Parameters
     ----------
@@ -107,8 +113,9 @@
     ) -> None:
         self._peers = peers
         self._policy = policy or QuarantinePolicy()
-        self._ends: OrderedDict[tuple[UpstreamId, int], _End] = OrderedDict()
+        self._ends: OrderedDict[EndKey, _End] = OrderedDict()
         self._served_at_s: OrderedDict[PartKey, float] = OrderedDict()
+        self._content_served_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._peer_served_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._questioned_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._evaluation: asyncio.TimerHandle | None = None
@@ -122,7 +129,7 @@
     def note_broken(
         self,
         record: UpstreamRecord,
-        metadata: RequestMetadata,
+        content: RequestContent,
         response_age_s: float | None,
     ) -> None:
         """Record that an upstream broke off a request.
@@ -132,42 +139,46 @@
         response_age_s : float or None
             Time since the response began, in seconds; ``None`` if it had not.
         """
-        request = tuple(part.name for part in metadata.parts[:-1])
-        if not request or not may_have_caused(response_age_s, self._policy):
+        if not may_have_caused(response_age_s, self._policy):
             return
-        key = (record.name, record.started_at_ms)
-        end = self._add_end(key, metadata.model or "", _now_s(), {request})
-        if request in end.own_requests or len(end.own_requests) >= MAX_REQUESTS_PER_END:
+        request = _names(content)
+        key = (record.name, record.started_at_ms, content.model)
+        end = self._add_end(key, _now_s(), {request})
+        own_requests = end.own_requests
+        if request in own_requests or len(own_requests) >= MAX_OWN_REQUESTS_PER_END:
             return
         end.own_requests.add(request)
         self._evaluate_soon()
         self.on_evidence()
 
     @callback
-    def note_served(self, metadata: RequestMetadata) -> None:
+    def note_served(self, content: RequestContent) -> None:
         """Record that a request was served."""
         now_s = _now_s()
-        for key in _keys(metadata):
+        for part in content.shared_parts:
+            key = PartKey(content.model, part)
             _put(self._served_at_s, key, now_s, MAX_SERVED_PARTS)
+        if self._ends or self.combinations:
+            key = PartKey(content.model, _content_name(content))
+            _put(self._content_served_at_s, key, now_s, MAX_SERVED_CONTENTS)
         if self.combinations and self._release_served():
             self.on_evidence()
 
     @callback
-    def withheld(self, metadata: RequestMetadata) -> list[Combination]:
-        """Return the withheld combinations of parts that a prompt has."""
+    def withheld(self, content: RequestContent) -> list[Combination]:
+        """Return the withheld combinations of parts that a request has."""
         if not self.combinations:
             return []
-        model = metadata.model or ""
-        names = {part.name for part in metadata.parts[:-1]}
+        names = set(_names(content))
         return [
             parts
             for parts in self.combinations
-            if parts.model == model and parts.parts <= names
+            if parts.model == content.model and parts.parts <= names
         ]
 
-    async def async_try(self, metadata: RequestMetadata) -> Combination | None:
+    async def async_try(self, content: RequestContent) -> Combination | None:
         """Return the withheld parts that this one request may try, if any."""
-        found = self.withheld(metadata)
+        found = self.withheld(content)
         if len(found) != 1 or not self.is_trial_due(found[0]):
             return None
         return found[0] if await self.async_permit_trial(found[0]) else None
@@ -236,17 +247,17 @@
             EndedUpstream(
                 name,
                 started_at_ms,
-                end.model,
+                model,
                 now_s - end.ended_at_s,
                 [list(request) for request in sorted(end.own_requests)],
             )
-            for (name, started_at_ms), end in self._ends.items()
+            for (name, started_at_ms, model), end in self._ends.items()
             if end.own_requests and now_s - end.ended_at_s <= retention_s
         ]
         served = [
-            ServedPart(key.model, key.part, now_s - self._served_at_s[key])
+            ServedPart(key.model, key.part, now_s - served_at_s)
             for key in self._questioned_at_s
-            if key in self._served_at_s
+            if (served_at_s := self._own_served_at_s(key)) != NEVER_S
         ]
         withheld = [
             WithheldParts(
@@ -269,11 +280,11 @@
         """Apply the report of another instance."""
         now_s = _now_s()
         for ended in report.ended:
-            key = (UpstreamId(ended.upstream), ended.started_at_ms)
+            key = (UpstreamId(ended.upstream), ended.started_at_ms, ended.model)
             requests = {tuple(request) for request in ended.requests}
             known = self._ends.get(key)
             if known is None or not requests <= known.requests:
-                self._add_end(key, ended.model, now_s - ended.age_s, requests)
+                self._add_end(key, now_s - ended.age_s, requests)
                 self._evaluate_soon()
         for served in report.served:
             part = PartKey(served.model, served.part)
@@ -305,14 +316,13 @@
 
     def _add_end(
         self,
-        key: tuple[UpstreamId, int],
-        model: str,
+        key: EndKey,
         ended_at_s: float,
-        requests: set[SharedParts],
+        requests: set[RequestNames],
     ) -> _End:
         end = self._ends.get(key)
         if end is None:
-            end = self._ends[key] = _End(model, ended_at_s)
+            end = self._ends[key] = _End(ended_at_s)
             if len(self._ends) > MAX_ENDS:
                 self._ends.popitem(last=False)
         end.ended_at_s = min(end.ended_at_s, ended_at_s)
@@ -341,11 +351,11 @@
                 name,
                 end.ended_at_s,
                 tuple(
-                    frozenset(PartKey(end.model, part) for part in request)
+                    frozenset(PartKey(model, part) for part in request)
                     for request in sorted(end.requests)
                 ),
             )
-            for (name, _), end in self._ends.items()
+            for (name, _, model), end in self._ends.items()
         ]
         keys = {key for end in ends for request in end.requests for key in request}
         served_at_s = {key: self._served_last_s(key) for key in keys}
@@ -417,13 +427,21 @@
 
     def _served_last_s(self, key: PartKey) -> float:
         """Return the loop time at which any instance last served a part."""
-        own_s = self._served_at_s.get(key, NEVER_S)
-        return max(own_s, self._peer_served_at_s.get(key, NEVER_S))
+        peers_s = self._peer_served_at_s.get(key, NEVER_S)
+        return max(self._own_served_at_s(key), peers_s)
 
+    def _own_served_at_s(self, key: PartKey) -> float:
+        """Return the loop time at which this instance last served a part."""
+        times_s = self._content_served_at_s if key.is_content else self._served_at_s
+        return times_s.get(key, NEVER_S)
 
-def _keys(metadata: RequestMetadata) -> list[PartKey]:
-    """Return the parts of a prompt that other requests may share."""
-    return [PartKey(metadata.model or "", part.name) for part in metadata.parts[:-1]]
+
+def _content_name(content: RequestContent) -> str:
+    return f"{CONTENT_PREFIX}{content.digest}"
+
+
+def _names(content: RequestContent) -> RequestNames:
+    return (*content.shared_parts, _content_name(content))
 
 
 def _part_keys(parts: Combination) -> list[PartKey]:
--- a/src/banyanswitch/components/part_quarantine/models.py
+++ b/src/banyanswitch/components/part_quarantine/models.py
@@ -13,7 +13,7 @@
     age_s : float
         Time since its end, in seconds.
     requests : list of list of str
-        Shared parts of each request that may have caused the end.
+        Shared parts and content of each request that may have caused the end.
     """
 
     upstream: str
--- a/src/banyanswitch/decisions/part_quarantine.py
+++ b/src/banyanswitch/decisions/part_quarantine.py
@@ -1,4 +1,4 @@
-"""Decision which prompt parts crash the upstreams that answer requests with them."""
+"""Decision which prompt parts or requests crash the upstreams that run them."""
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -7,17 +7,24 @@
 from banyanswitch.identifiers import UpstreamId
 
 NEVER_S = float("-inf")
+CONTENT_PREFIX = "content:"
+"""Start of the name of a whole request; names of prompt parts have no colon."""
 
 
 class PartKey(NamedTuple):
-    """Prompt part of the requests for one model."""
+    """Prompt part, or whole content, of the requests for one model."""
 
     model: str
     part: str
 
+    @property
+    def is_content(self) -> bool:
+        """Whether it is the content of one request, with which it comes again."""
+        return self.part.startswith(CONTENT_PREFIX)
+
 
 class Combination(NamedTuple):
-    """Parts that together are withheld: requests whose prompts have all of them.
+    """Parts that together are withheld: requests that have all of them.
 
     It has several parts as long as every request that may have been a cause had all of
     them, so that nothing tells which one it is.
@@ -36,6 +43,10 @@
     ends : int
         Number of ends of upstreams that a part must explain to be withheld. If several
         parts explain as many, one more end is awaited.
+    content_ends : int
+        Number of ends that the content of a request must explain to be withheld. It
+        may end all upstreams of a service at once, and other requests are hardly in
+        flight at each of them unless they are often served.
     min_gap_s : float
         Minimum time between ends that count separately, in seconds; upstreams that
         end together have one common cause.
@@ -55,6 +66,7 @@
     """
 
     ends: int = 3
+    content_ends: int = 3
     min_gap_s: float = 0.5
     burst_gap_s: float = 0.15
     burst_extra_ends: int = 2
@@ -73,7 +85,7 @@
     ended_at_s : float
         Loop time, in seconds.
     requests : tuple of frozenset of PartKey
-        Shared parts of each request that may have caused it.
+        Shared parts and content of each request that may have caused it.
     """
 
     upstream: UpstreamId
@@ -110,7 +122,8 @@
     An end counts for a part if no request with the part was served since. The part that
     explains most ends is taken first, and its ends count for no other part: requests
     that were only in flight at the same upstreams are not blamed. Of the parts that
-    explain as many, those of the fewest requests are taken.
+    explain as many, those of the fewest requests are taken. The ends that no part
+    explains count for the contents of the requests.
 
     Parameters
     ----------
@@ -119,33 +132,64 @@
     """
     unexplained = list(ends)
     found: dict[Combination, float] = {}
-    while True:
-        occurrences = _occurrences(unexplained, served_at_s)
-        counts = _counts(occurrences, policy)
-        highest = max(counts.values(), default=0)
-        if highest < policy.ends:
-            return found
-        tied = [part for part, count in counts.items() if count == highest]
-        fewest = min(len(occurrences[part].requests) for part in tied)
-        causes: dict[frozenset[tuple[int, int]], set[PartKey]] = {}
-        for part in tied:
-            requests = frozenset(occurrences[part].requests)
-            if len(requests) == fewest:
-                causes.setdefault(requests, set()).add(part)
-        if len(causes) > 1 and highest == policy.ends:
-            return found
-        for parts in causes.values():
-            since_s = min(min(occurrences[part].ended_at_s) for part in parts)
-            found[_combination(parts)] = since_s
-        unexplained = [
-            end
-            for end in unexplained
-            if not any(
-                parts <= request
-                for parts in causes.values()
-                for request in end.requests
-            )
-        ]
+    for find_causes in (_parts_with_most_ends, _contents_with_most_ends):
+        while True:
+            occurrences = _occurrences(unexplained, served_at_s)
+            causes = find_causes(occurrences, policy)
+            if not causes:
+                break
+            for parts in causes:
+                since_s = min(min(occurrences[part].ended_at_s) for part in parts)
+                found[_combination(parts)] = since_s
+            unexplained = [
+                end
+                for end in unexplained
+                if not any(
+                    parts <= request for parts in causes for request in end.requests
+                )
+            ]
+    return found
+
+
+def _parts_with_most_ends(
+    occurrences: Mapping[PartKey, _Occurrences], policy: QuarantinePolicy
+) -> list[set[PartKey]]:
+    """Return the sets of parts that explain most ends, and enough of them.
+
+    Contents that nothing tells apart from a set of parts are in the set.
+    """
+    counts = {
+        part: count_ends(known.ended_at_s, policy)
+        for part, known in occurrences.items()
+        if not part.is_content
+    }
+    highest = max(counts.values(), default=0)
+    if highest < policy.ends:
+        return []
+    tied = [part for part, count in counts.items() if count == highest]
+    fewest = min(len(occurrences[part].requests) for part in tied)
+    causes: dict[frozenset[tuple[int, int]], set[PartKey]] = {}
+    for part in tied:
+        requests = frozenset(occurrences[part].requests)
+        if len(requests) == fewest:
+            causes.setdefault(requests, set()).add(part)
+    if len(causes) > 1 and highest == policy.ends:
+        return []
+    for key, known in occurrences.items():
+        if key.is_content and len(known.requests) == fewest:
+            causes.get(frozenset(known.requests), set()).add(key)
+    return list(causes.values())
+
+
+def _contents_with_most_ends(
+    occurrences: Mapping[PartKey, _Occurrences], policy: QuarantinePolicy
+) -> list[set[PartKey]]:
+    """Return the contents that explain most ends, each alone, and enough of them."""
+    counts = _content_counts(occurrences)
+    highest = max(counts.values(), default=0)
+    if highest < policy.content_ends:
+        return []
+    return [{content} for content, count in counts.items() if count == highest]
 
 
 def suspected_parts(
@@ -154,8 +198,17 @@
     policy: QuarantinePolicy,
 ) -> set[PartKey]:
     """Return the parts that one more end may withhold, or that are past that."""
-    counts = _counts(_occurrences(ends, served_at_s), policy)
-    return {part for part, count in counts.items() if count >= policy.ends - 1}
+    occurrences = _occurrences(ends, served_at_s)
+    parts = {
+        key
+        for key, known in occurrences.items()
+        if not key.is_content
+        and count_ends(known.ended_at_s, policy) >= policy.ends - 1
+    }
+    contents = _content_counts(occurrences)
+    return parts | {
+        key for key, count in contents.items() if count >= policy.content_ends - 1
+    }
 
 
 def count_ends(times_s: Sequence[float], policy: QuarantinePolicy) -> int:
@@ -210,12 +263,14 @@
     return found
 
 
-def _counts(
-    occurrences: Mapping[PartKey, _Occurrences], policy: QuarantinePolicy
+def _content_counts(
+    occurrences: Mapping[PartKey, _Occurrences],
 ) -> dict[PartKey, int]:
+    """Return the number of ends of each content, also of ends at the same time."""
     return {
-        part: count_ends(known.ended_at_s, policy)
-        for part, known in occurrences.items()
+        key: len({end_number for end_number, _ in known.requests})
+        for key, known in occurrences.items()
+        if key.is_content
     }
 
 
