Count the end of an upstream only if it answers no later request

An upstream that answers a request sent after the break, within 2 s, has not ended: its evidence is void at all instances, and what rested on it is released. An upstream is back only after some seconds, so a later answer may be of a new start and voids nothing. The next break of the same upstream counts again.

Of the four new tests three fail without the call that voids the evidence; the other guards against voiding too much.

--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -16,6 +16,7 @@
 
 import fire
 
+from banyanswitch.components.part_quarantine.const import MIN_RESTART_S
 from banyanswitch.decisions.part_quarantine import (
     CONTENT_PREFIX,
     Combination,
@@ -23,6 +24,7 @@
     QuarantinePolicy,
     UpstreamEnd,
     combinations_to_withhold,
+    is_refuted,
     trial_due_at_s,
 )
 from banyanswitch.identifiers import UpstreamId
@@ -71,6 +73,8 @@
         Number of crashing requests that are sent at once.
     upstreams : int or None
         Number of upstreams; ``None`` for that of the size.
+    broken_share : float
+        Share of the responses that break off although their upstreams go on.
     """
 
     name: str
@@ -81,6 +85,7 @@
     is_plain: bool = False
     at_once: int = 1
     upstreams: int | None = None
+    broken_share: float = 0.0
 
 
 @dataclass(slots=True)
@@ -98,6 +103,7 @@
 @dataclass(slots=True)
 class _Running:
     parts: tuple[str, ...]
+    sent_at_s: float
     began_at_s: float | None = None
 
 
@@ -122,6 +128,8 @@
         self._up_at_s = [0.0] * self._upstreams
         self._bad = BAD_CONTENT if self.day.is_plain else BAD
         self._ends: list[UpstreamEnd] = []
+        self._answered: list[UpstreamEnd] = []
+        self._breaks: dict[int, UpstreamEnd] = {}
         self._served_at_s: dict[PartKey, float] = {}
         self._withheld: dict[Combination, tuple[float, float, int]] = {}
         self._withheld_at_s: dict[Combination, float] = {}
@@ -190,7 +198,7 @@
         if upstream not in up or self.generator.random() < 0.2:
             upstream = self.generator.choice(up)
         number = next(self._numbers)
-        self._running[upstream][number] = _Running(parts)
+        self._running[upstream][number] = _Running(parts, self._now_s)
         self._at(BEGIN_S, lambda: self._begin(upstream, number))
         return True
 
@@ -219,10 +227,48 @@
         running = self._running[upstream].pop(number, None)
         if running is None:
             return
+        if self.generator.random() < self.day.broken_share:
+            self._break_off(upstream, running)
+            return
+        broken = self._breaks.get(upstream)
+        if (
+            broken is not None
+            and broken in self._ends
+            and broken.ended_at_s < running.sent_at_s
+            and running.sent_at_s <= broken.ended_at_s + MIN_RESTART_S
+        ):
+            self._ends.remove(broken)
+            self._answered = [*self._answered[-255:], broken]
+            self._release_refuted()
         for part in running.parts:
             self._served_at_s[PartKey(MODEL, part)] = self._now_s
         self._at(self._report_s, self._release)
 
+    def _release_refuted(self) -> None:
+        for combination in tuple(self._withheld):
+            parts = {PartKey(MODEL, part) for part in combination.parts}
+            ended, answered = (
+                sum(any(parts <= request for request in end.requests) for end in ends)
+                for ends in (self._ends[-256:], self._answered)
+            )
+            if is_refuted(ended, answered, self.policy):
+                del self._withheld[combination]
+                self._note_withheld_time(combination)
+
+    def _break_off(self, upstream: int, running: _Running) -> None:
+        """Break off a response; the upstream goes on."""
+        parts = frozenset(PartKey(MODEL, part) for part in running.parts)
+        known = self._breaks.get(upstream)
+        name = UpstreamId(f"u{upstream}-broken")
+        if known is not None and known in self._ends:
+            self._ends.remove(known)
+            end = UpstreamEnd(name, known.ended_at_s, (*known.requests, parts))
+        else:
+            end = UpstreamEnd(name, self._now_s, (parts,))
+        self._breaks[upstream] = end
+        self._ends.append(end)
+        self._at(0.25 + 0.005 * self.size.instances, self._evaluate)
+
     def _crash(self, upstream: int, number: int | None) -> None:
         if number is not None and number not in self._running[upstream]:
             return
@@ -292,6 +338,7 @@
     Day(name="part and crashes", bad_per_s=1.0, crash_interval_s=4.0),
     Day(name="crashes only", crash_interval_s=1.5),
     Day(name="a third crashes", crash_interval_s=8.0, crash_share=0.34),
+    Day(name="garbled", broken_share=0.25),
 )
 PLAIN_DAYS = (
     Day(name="one request", is_plain=True, bad_per_s=1.0),
@@ -305,6 +352,7 @@
     Day(name="request and crashes", is_plain=True, bad_per_s=1.0, crash_interval_s=4.0),
     Day(name="plain, crashes", is_plain=True, crash_interval_s=1.5),
     Day(name="plain, a third", is_plain=True, crash_interval_s=8.0, crash_share=0.34),
+    Day(name="plain, garbled", is_plain=True, broken_share=0.25),
     Day(name="plain, one of three", is_plain=True, crash_interval_s=4.0, upstreams=3),
 )
 
--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -86,6 +86,8 @@
     ----------
     began_at_s : float or None
         Loop time of the first part of the response's body.
+    sent_at_s : float
+        Loop time at which the request was sent.
     """
 
     def __init__(
@@ -115,7 +117,7 @@
         self._loop = asyncio.get_running_loop()
         self.has_sent = False
         self.began_at_s: float | None = None
-        self._sent_at_s = self._loop.time()
+        self.sent_at_s = self._loop.time()
         self.status = 0
         self.framing = BodyFraming.NONE
 
@@ -185,7 +187,7 @@
     def _send(self, connection: UpstreamConnection, placed: PlacementResult) -> None:
         data = self._translator.upstream_request(self._request, placed.plan)
         self.has_sent = True
-        self._sent_at_s = self._loop.time()
+        self.sent_at_s = self._loop.time()
         connection.send(
             data,
             is_head_only=self._request.method == b"HEAD",
@@ -199,7 +201,7 @@
         self._registry.note_received(placed.record.name, self._loop.time())
         response = self._translator.read_response_metadata(head)
         self._registry.limits.note_response(
-            placed.record, response.limit_per_s, self._sent_at_s
+            placed.record, response.limit_per_s, self.sent_at_s
         )
         return head, response
 
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -626,7 +626,7 @@
         now_s = self._loop.time()
         self._registry.ejector.on_success(placed.record.name, now_s)
         if attempt.status < FIRST_CLIENT_ERROR_STATUS:
-            self._parts.note_served(context.content)
+            self._parts.note_served(context.content, placed.record, attempt.sent_at_s)
         first_s = (
             context.progress.first_byte_at_s or now_s
         ) - context.request.received_at_s
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -44,8 +44,16 @@
             Time since the response began, in seconds; ``None`` if it had not.
         """
 
-    def note_served(self, content: RequestContent) -> None:
-        """Record that a request was served."""
+    def note_served(
+        self, content: RequestContent, record: UpstreamRecord, sent_at_s: float
+    ) -> None:
+        """Record that an upstream served a request.
+
+        Parameters
+        ----------
+        sent_at_s : float
+            Loop time at which the request was sent to it.
+        """
 
 
 class RequestTranslator(Protocol):
--- a/src/banyanswitch/components/part_quarantine/const.py
+++ b/src/banyanswitch/components/part_quarantine/const.py
@@ -47,3 +47,10 @@
 
 SETTLE_PER_INSTANCE_S: Final = 0.005
 """Time added for each instance: their urgent reports arrive at 200 per second."""
+
+MIN_RESTART_S: Final = 2.0
+"""Time after its end within which an upstream does not start again under its name; a
+response in that time shows that it only broke off a connection."""
+
+MAX_REPORT_DELAY_S: Final = 0.5
+"""Time by which the report of an end may make it appear later than it was."""
--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -15,10 +15,12 @@
     MAX_COMBINATIONS,
     MAX_ENDS,
     MAX_OWN_REQUESTS_PER_END,
+    MAX_REPORT_DELAY_S,
     MAX_REPORTED_PARTS,
     MAX_REQUESTS_PER_END,
     MAX_SERVED_CONTENTS,
     MAX_SERVED_PARTS,
+    MIN_RESTART_S,
     MIN_RETRY_AFTER_S,
     QUESTION_LIFETIME_S,
     SETTLE_BASE_S,
@@ -40,6 +42,7 @@
     QuarantinePolicy,
     UpstreamEnd,
     combinations_to_withhold,
+    is_refuted,
     may_have_caused,
     suspected_parts,
     trial_due_at_s,
@@ -76,9 +79,21 @@
 
 @dataclass(slots=True)
 class _End:
+    """End of an upstream, as far as the broken connections to it tell.
+
+    Parameters
+    ----------
+    answered_at_s : float or None
+        Loop time of a request that it answered afterwards, so that it has not ended.
+    has_answered_here : bool
+        Whether it answered this instance.
+    """
+
     ended_at_s: float
     requests: set[RequestNames] = field(default_factory=set)
     own_requests: set[RequestNames] = field(default_factory=set)
+    answered_at_s: float | None = None
+    has_answered_here: bool = False
 
 
 class PartQuarantine:
@@ -143,6 +158,9 @@
             return
         request = _names(content)
         key = (record.name, record.started_at_ms, content.model)
+        known = self._ends.get(key)
+        if known is not None and known.answered_at_s is not None:
+            del self._ends[key]
         end = self._add_end(key, _now_s(), {request})
         own_requests = end.own_requests
         if request in own_requests or len(own_requests) >= MAX_OWN_REQUESTS_PER_END:
@@ -152,9 +170,18 @@
         self.on_evidence()
 
     @callback
-    def note_served(self, content: RequestContent) -> None:
-        """Record that a request was served."""
+    def note_served(
+        self, content: RequestContent, record: UpstreamRecord, sent_at_s: float
+    ) -> None:
+        """Record that an upstream served a request.
+
+        Parameters
+        ----------
+        sent_at_s : float
+            Loop time at which the request was sent to it.
+        """
         now_s = _now_s()
+        self._note_answered(record, sent_at_s)
         for part in content.shared_parts:
             key = PartKey(content.model, part)
             _put(self._served_at_s, key, now_s, MAX_SERVED_PARTS)
@@ -164,6 +191,20 @@
         if self.combinations and self._release_served():
             self.on_evidence()
 
+    def _note_answered(self, record: UpstreamRecord, sent_at_s: float) -> None:
+        """Void the end of an upstream that only broke off connections."""
+        has_voided = False
+        for (name, started_at_ms, _), end in self._ends.items():
+            if (
+                (name, started_at_ms) == (record.name, record.started_at_ms)
+                and end.answered_at_s is None
+                and end.ended_at_s < sent_at_s <= end.ended_at_s + MIN_RESTART_S
+            ):
+                end.answered_at_s = sent_at_s
+                end.has_answered_here = has_voided = True
+        if has_voided and self._release_refuted():
+            self.on_evidence()
+
     @callback
     def withheld(self, content: RequestContent) -> list[Combination]:
         """Return the withheld combinations of parts that a request has."""
@@ -250,9 +291,11 @@
                 model,
                 now_s - end.ended_at_s,
                 [list(request) for request in sorted(end.own_requests)],
+                end.has_answered_here,
             )
             for (name, started_at_ms, model), end in self._ends.items()
-            if end.own_requests and now_s - end.ended_at_s <= retention_s
+            if (end.own_requests or end.has_answered_here)
+            and now_s - end.ended_at_s <= retention_s
         ]
         served = [
             ServedPart(key.model, key.part, now_s - served_at_s)
@@ -280,12 +323,7 @@
         """Apply the report of another instance."""
         now_s = _now_s()
         for ended in report.ended:
-            key = (UpstreamId(ended.upstream), ended.started_at_ms, ended.model)
-            requests = {tuple(request) for request in ended.requests}
-            known = self._ends.get(key)
-            if known is None or not requests <= known.requests:
-                self._add_end(key, now_s - ended.age_s, requests)
-                self._evaluate_soon()
+            self._apply_end(ended, now_s)
         for served in report.served:
             part = PartKey(served.model, served.part)
             at_s = now_s - served.age_s
@@ -296,6 +334,23 @@
         for reported in report.withheld:
             self._merge(reported, now_s)
 
+    def _apply_end(self, ended: EndedUpstream, now_s: float) -> None:
+        key = (UpstreamId(ended.upstream), ended.started_at_ms, ended.model)
+        requests = {tuple(request) for request in ended.requests}
+        ended_at_s = now_s - ended.age_s
+        known = self._ends.get(key)
+        if known is not None and known.answered_at_s is not None:
+            if ended_at_s <= known.answered_at_s + MAX_REPORT_DELAY_S:
+                return
+            del self._ends[key]
+            known = None
+        if known is None or not requests <= known.requests:
+            known = self._add_end(key, ended_at_s, requests)
+            self._evaluate_soon()
+        if ended.has_answered:
+            known.answered_at_s = now_s
+            self._release_refuted()
+
     def _merge(self, reported: WithheldParts, now_s: float) -> None:
         since_s = now_s - reported.since_age_s
         last_s = now_s - reported.last_age_s
@@ -309,7 +364,8 @@
             return
         known = self.combinations.get(unserved)
         if known is None:
-            self._withhold(unserved, entry, "reported")
+            if not self._is_refuted(unserved):
+                self._withhold(unserved, entry, "reported")
             return
         known.last_s = max(known.last_s, last_s)
         known.trials = max(known.trials, reported.trials)
@@ -356,6 +412,7 @@
                 ),
             )
             for (name, _, model), end in self._ends.items()
+            if end.answered_at_s is None
         ]
         keys = {key for end in ends for request in end.requests for key in request}
         served_at_s = {key: self._served_last_s(key) for key in keys}
@@ -371,6 +428,23 @@
         if has_new:
             self.on_evidence()
 
+    def _is_refuted(self, parts: Combination) -> bool:
+        has_answered = [
+            end.answered_at_s is not None
+            for (_, _, model), end in self._ends.items()
+            if model == parts.model
+            and any(parts.parts.issubset(request) for request in end.requests)
+        ]
+        answered = sum(has_answered)
+        return is_refuted(len(has_answered) - answered, answered, self._policy)
+
+    def _release_refuted(self) -> bool:
+        """Release what upstreams broke off that have not ended."""
+        refuted = [parts for parts in self.combinations if self._is_refuted(parts)]
+        for parts in refuted:
+            self._release(parts, "not_ended")
+        return bool(refuted)
+
     def _withhold(self, parts: Combination, entry: Withheld, source: str) -> None:
         self.combinations[parts] = entry
         LOGGER.warning(
--- a/src/banyanswitch/components/part_quarantine/models.py
+++ b/src/banyanswitch/components/part_quarantine/models.py
@@ -14,6 +14,8 @@
         Time since its end, in seconds.
     requests : list of list of str
         Shared parts and content of each request that may have caused the end.
+    has_answered : bool
+        Whether it answered the reporting instance afterwards, so that it has not ended.
     """
 
     upstream: str
@@ -21,6 +23,7 @@
     model: str
     age_s: float
     requests: list[list[str]]
+    has_answered: bool = False
 
 
 class ServedPart(msgspec.Struct, frozen=True, array_like=True):
--- a/src/banyanswitch/decisions/part_quarantine.py
+++ b/src/banyanswitch/decisions/part_quarantine.py
@@ -192,6 +192,19 @@
     return [{content} for content, count in counts.items() if count == highest]
 
 
+def is_refuted(ended: int, answered: int, policy: QuarantinePolicy) -> bool:
+    """Return whether too few upstreams have ended to withhold a combination.
+
+    Parameters
+    ----------
+    ended : int
+        Number of upstreams that broke off requests with all its parts.
+    answered : int
+        Number of others that did so and answered later requests.
+    """
+    return answered > 0 and ended < min(policy.ends, policy.content_ends)
+
+
 def suspected_parts(
     ends: Sequence[UpstreamEnd],
     served_at_s: Mapping[PartKey, float],
--- a/tests/components/part_quarantine/test_coordinator.py
+++ b/tests/components/part_quarantine/test_coordinator.py
@@ -73,11 +73,23 @@
             if node is not self:
                 node.quarantine.apply(report)
 
-    def end(self, name: str, parts: str, response_age_s: float | None = 0.1) -> None:
-        self.quarantine.note_broken(record(name), request(parts), response_age_s)
+    def end(
+        self,
+        name: str,
+        parts: str,
+        response_age_s: float | None = 0.1,
+        body: bytes | None = None,
+    ) -> None:
+        broken = request(parts, body)
+        self.quarantine.note_broken(record(name), broken, response_age_s)
+
+    def serve(self, served: RequestContent, upstream: str = "other") -> None:
+        """Serve a request that was sent to an upstream just now."""
+        sent_at_s = asyncio.get_running_loop().time()
+        self.quarantine.note_served(served, record(upstream), sent_at_s)
 
-    def is_withheld(self, parts: str) -> bool:
-        return bool(self.quarantine.withheld(request(parts)))
+    def is_withheld(self, parts: str, body: bytes | None = None) -> bool:
+        return bool(self.quarantine.withheld(request(parts, body)))
 
 
 StartNodes = Callable[[], list[Node]]
@@ -116,12 +128,12 @@
 ) -> None:
     nodes = start()
     for node in nodes:
-        node.quarantine.note_served(request("a"))
+        node.serve(request("a"))
     nodes[0].end("u0", "ax")
     await asyncio.sleep(SETTLED_S)
     nodes[1].end("u1", "ax")
     await asyncio.sleep(SETTLED_S)
-    nodes[2].quarantine.note_served(request("a"))
+    nodes[2].serve(request("a"))
     assert not nodes[0].is_withheld("ax")
     nodes[2].end("u2", "ax")
     await asyncio.sleep(SETTLED_S)
@@ -207,7 +219,7 @@
     await async_end_upstreams(nodes, "x")
     await asyncio.sleep(SETTLED_S)
     assert len(await table.async_query("quarantine/")) == 1
-    nodes[1].quarantine.note_served(request("x"))
+    nodes[1].serve(request("x"))
     for node in nodes:
         node.report()
     await asyncio.sleep(SETTLED_S)
@@ -222,7 +234,7 @@
     assert nodes[0].is_withheld("ax")
     assert not nodes[0].is_withheld("bx")
     assert not nodes[0].is_withheld("ab")
-    nodes[1].quarantine.note_served(request("ab"))
+    nodes[1].serve(request("ab"))
     for node in nodes:
         assert node.is_withheld("bx")
         assert not node.is_withheld("ab")
@@ -247,7 +259,7 @@
     await async_end_upstreams(nodes, "x")
     await asyncio.sleep(SETTLED_S)
     (row,) = await table.async_query("quarantine/")
-    nodes[0].quarantine.note_served(request("x"))
+    nodes[0].serve(request("x"))
     await asyncio.sleep(SETTLED_S)
     table.items[row.key] = row
     for node in nodes:
@@ -270,7 +282,7 @@
             node.quarantine.withhold_stored(Combination("m", frozenset(part)), 0)
     await asyncio.sleep(1.0)
     for node in nodes:
-        node.quarantine.note_served(request("xyz"))
+        node.serve(request("xyz"))
     await asyncio.sleep(30.0)
     assert not any(node.task.done() for node in nodes)
     rows = await table.async_query("quarantine/")
@@ -282,7 +294,7 @@
     start: StartNodes,
 ) -> None:
     node = start()[0]
-    node.quarantine.note_served(request("a"))
+    node.serve(request("a"))
     assert not node.quarantine.withhold_stored(Combination("m", frozenset("ax")), 0)
     assert node.is_withheld("bx")
     assert not node.is_withheld("ab")
@@ -292,7 +304,58 @@
 async def test_reports_are_empty_again_after_a_while(start: StartNodes) -> None:
     nodes = start()
     await async_end_upstreams(nodes, "ab", count=2)
-    nodes[0].quarantine.note_served(request("ab"))
+    nodes[0].serve(request("ab"))
     assert nodes[0].quarantine.report(RETENTION_S).served
     await asyncio.sleep(40.0)
     assert nodes[0].quarantine.report(RETENTION_S) == QuarantineReport()
+
+
+# Guards against sound requests withheld when upstreams break off connections and go on.
+async def test_upstream_that_answers_afterwards_has_not_ended(
+    start: StartNodes,
+) -> None:
+    nodes = start()
+    for number in range(4):
+        nodes[number % 3].end(f"u{number}", "x")
+        await asyncio.sleep(0.05)
+        nodes[(number + 1) % 3].serve(request("y"), f"u{number}")
+        for node in nodes:
+            node.report()
+        await asyncio.sleep(SETTLED_S)
+    assert not any(node.is_withheld("x") for node in nodes)
+
+
+# Guards against an end that is overlooked since its upstream broke off before.
+async def test_upstream_that_answered_may_end_later(start: StartNodes) -> None:
+    nodes = start()
+    for number in range(3):
+        nodes[0].end(f"u{number}", "a")
+        await asyncio.sleep(0.05)
+        nodes[0].serve(request("y"), f"u{number}")
+        nodes[0].report()
+        await asyncio.sleep(SETTLED_S)
+    await async_end_upstreams(nodes, "x")
+    assert all(node.is_withheld("x") for node in nodes)
+
+
+# Guards against an end that is forgiven once the upstream has started again.
+async def test_response_after_a_restart_voids_no_end(start: StartNodes) -> None:
+    nodes = start()
+    for number in range(3):
+        nodes[0].end(f"u{number}", "x")
+        await asyncio.sleep(2.5)
+        nodes[0].serve(request("y"), f"u{number}")
+    assert nodes[0].is_withheld("x")
+
+
+# Guards against requests withheld for long as an upstream was slow to answer again.
+async def test_late_response_releases_what_was_withheld(start: StartNodes) -> None:
+    nodes = start()
+    for number in range(3):
+        nodes[number].end(f"u{number}", "", body=b"same")
+    await asyncio.sleep(SETTLED_S)
+    assert all(node.is_withheld("", body=b"same") for node in nodes)
+    nodes[1].serve(request("y"), "u0")
+    for node in (*nodes, *nodes):
+        node.report()
+    assert not any(node.is_withheld("", body=b"same") for node in nodes)
