Blame requests that were served before last

Of the contents that explain enough ends, those are taken first that were never served or the longest ago, and their ends count for no other. Instances remember the contents that they served also while nothing has ended, and answer a report of an end that names one of them, so that an instance that has not served it learns in time.

Ruled out: one more end, as for parts (it comes with the next wave of ends, after which the bound is broken), and contents that were served before as never to blame (a request may begin to crash with a new release).

--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -185,9 +185,8 @@
         for part in content.shared_parts:
             key = PartKey(content.model, part)
             _put(self._served_at_s, key, now_s, MAX_SERVED_PARTS)
-        if self._ends or self.combinations:
-            key = PartKey(content.model, _content_name(content))
-            _put(self._content_served_at_s, key, now_s, MAX_SERVED_CONTENTS)
+        key = PartKey(content.model, _content_name(content))
+        _put(self._content_served_at_s, key, now_s, MAX_SERVED_CONTENTS)
         if self.combinations and self._release_served():
             self.on_evidence()
 
@@ -382,6 +381,10 @@
             if len(self._ends) > MAX_ENDS:
                 self._ends.popitem(last=False)
         end.ended_at_s = min(end.ended_at_s, ended_at_s)
+        for request in requests - end.requests:
+            content = PartKey(key[2], request[-1])
+            if content in self._content_served_at_s:
+                self._question(content)
         room = MAX_REQUESTS_PER_END - len(end.requests)
         end.requests.update(sorted(requests - end.requests)[:room])
         for parts, known in self.combinations.items():
--- a/src/banyanswitch/decisions/part_quarantine.py
+++ b/src/banyanswitch/decisions/part_quarantine.py
@@ -123,7 +123,8 @@
     explains most ends is taken first, and its ends count for no other part: requests
     that were only in flight at the same upstreams are not blamed. Of the parts that
     explain as many, those of the fewest requests are taken. The ends that no part
-    explains count for the contents of the requests.
+    explains count for the contents of the requests, first for those that were never
+    served or the longest ago.
 
     Parameters
     ----------
@@ -135,7 +136,7 @@
     for find_causes in (_parts_with_most_ends, _contents_with_most_ends):
         while True:
             occurrences = _occurrences(unexplained, served_at_s)
-            causes = find_causes(occurrences, policy)
+            causes = find_causes(occurrences, served_at_s, policy)
             if not causes:
                 break
             for parts in causes:
@@ -152,7 +153,9 @@
 
 
 def _parts_with_most_ends(
-    occurrences: Mapping[PartKey, _Occurrences], policy: QuarantinePolicy
+    occurrences: Mapping[PartKey, _Occurrences],
+    _served_at_s: Mapping[PartKey, float],
+    policy: QuarantinePolicy,
 ) -> list[set[PartKey]]:
     """Return the sets of parts that explain most ends, and enough of them.
 
@@ -182,14 +185,26 @@
 
 
 def _contents_with_most_ends(
-    occurrences: Mapping[PartKey, _Occurrences], policy: QuarantinePolicy
+    occurrences: Mapping[PartKey, _Occurrences],
+    served_at_s: Mapping[PartKey, float],
+    policy: QuarantinePolicy,
 ) -> list[set[PartKey]]:
-    """Return the contents that explain most ends, each alone, and enough of them."""
-    counts = _content_counts(occurrences)
-    highest = max(counts.values(), default=0)
-    if highest < policy.content_ends:
+    """Return the contents, each alone, that explain enough ends.
+
+    Of these, the ones are taken that were never served or the longest ago: a popular
+    request is in flight at each upstream of a small service when another one ends it.
+    """
+    counts = {
+        content: count
+        for content, count in _content_counts(occurrences).items()
+        if count >= policy.content_ends
+    }
+    if not counts:
         return []
-    return [{content} for content, count in counts.items() if count == highest]
+    oldest_s = min(served_at_s.get(content, NEVER_S) for content in counts)
+    oldest = [c for c in counts if served_at_s.get(c, NEVER_S) == oldest_s]
+    highest = max(counts[content] for content in oldest)
+    return [{content} for content in oldest if counts[content] == highest]
 
 
 def is_refuted(ended: int, answered: int, policy: QuarantinePolicy) -> bool:
--- a/tests/components/part_quarantine/test_coordinator.py
+++ b/tests/components/part_quarantine/test_coordinator.py
@@ -359,3 +359,21 @@
     for node in (*nodes, *nodes):
         node.report()
     assert not any(node.is_withheld("", body=b"same") for node in nodes)
+
+
+# Guards against a popular request withheld by an instance that has not served it.
+async def test_request_that_another_instance_served_before_is_blamed_last(
+    start: StartNodes,
+) -> None:
+    nodes = start()
+    nodes[1].serve(request("", b"popular"))
+    await asyncio.sleep(0.1)
+    for number in range(3):
+        for body in (b"popular", b"bad"):
+            nodes[0].end(f"u{number}", "", body=body)
+    for node in nodes:
+        node.report()
+    await asyncio.sleep(SETTLED_S)
+    for node in nodes:
+        assert node.is_withheld("", body=b"bad")
+        assert not node.is_withheld("", body=b"popular")
--- a/tests/decisions/test_part_quarantine.py
+++ b/tests/decisions/test_part_quarantine.py
@@ -101,6 +101,16 @@
     assert withheld_contents(ends, a=1.5, bad=2.5) == set()
 
 
+# Guards against a popular request withheld for seconds since it was in flight at each
+# upstream of a small service that another request ended.
+def test_request_that_was_served_before_is_blamed_last() -> None:
+    ends = [content(1.0 + 0.1 * n, "a", "bad") for n in range(3)]
+    assert withheld_contents(ends, a=0.9) == {"bad"}
+    assert withheld_contents([*ends, content(1.4, "a")], a=0.9) == {"bad"}
+    assert withheld_contents(ends, a=0.9, bad=0.1) == {"bad"}
+    assert withheld_contents([content(n + 1.0, "a") for n in range(3)], a=0.9) == {"a"}
+
+
 # Guards against a crashing request that is sent on as another one was beside it.
 def test_requests_that_nothing_tells_apart_are_withheld_each() -> None:
     assert withheld_contents([content(1.0 + n, "a", "b") for n in range(3)]) == {
