Let one request crash the upstreams in some seeds of the soak

Every eighth seed has a request without a prompt that crashes each upstream that begins to run it, sent to either instance every 0.3 s. At most three may reach upstreams later than 3 s after the third crash. No listed seed is one of these; what seeds stand for is the same otherwise. Seed 8 is new in the short soak test.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,4 +1,4 @@
-"""Short soak test: seeds that have failed before, and two more."""
+"""Short soak test: seeds that have failed before, and three more."""
 
 from pathlib import Path
 
@@ -7,7 +7,7 @@
 from tests.soak.run import async_soak
 
 pytestmark = pytest.mark.process
-ADDITIONAL_SEEDS = (1, 2)
+ADDITIONAL_SEEDS = (1, 2, 8)
 REGRESSION_SEEDS = {
     230: "SIGHUP during the startup of a process ended it (62a1981)",
     204: "the test counted a connection that was never accepted as a lost request",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,7 +14,10 @@
 import aiohttp
 from aiohttp import web
 
-from banyanswitch_standins.users_platform.upstream import PlatformUpstream
+from banyanswitch_standins.users_platform.upstream import (
+    CrashingRequest,
+    PlatformUpstream,
+)
 from tests.process.platform_fleet import HOSTS, PROMPT, Platform, registry_entry
 from tests.soak.proxy import Proxy
 from tests.soak.schedule import (
@@ -50,6 +53,8 @@
 CRASH_DOWN_S = 0.6
 STABLE_S = 3.0
 COUNTED_CRASHES = 5
+CRASHING_REQUEST = CrashingRequest("/again/crashing", "ws", b"crashing")
+COUNTED_CRASHES_OF_REQUEST = 3
 LIMIT_WINDOW_S = 4.0
 MAX_LATE_REQUESTS = 3
 EVENT = re.compile(rb"id: (\d+)\ndata: event \d+ (v\d)\n\n")
@@ -178,7 +183,8 @@
     seed : int
         With an odd seed, one of the upstreams has another software version, and with
         every other pair of seeds one sends streams without a length. With every fourth
-        seed, one part of a prompt crashes all of them.
+        seed, one part of a prompt crashes all of them, and with every eighth one a
+        request without a prompt does.
     """
 
     def __init__(self, folder: Path, seed: int) -> None:
@@ -191,6 +197,7 @@
         self.crashed_at_s: list[float] = []
         self.limited: LimitedUpstream | None = None
         self.has_crashing_part = seed % 4 == 1
+        self.has_crashing_request = seed % 8 == 0
         self._replacements = itertools.count(4)
         self.proxies: list[Proxy] = []
         self.is_stopping = False
@@ -198,8 +205,7 @@
         for upstream in self.upstreams.values():
             upstream.events = STREAM_EVENTS
             upstream.names_version = True
-            if self.has_crashing_part:
-                self._let_crash(upstream)
+            self._let_crash(upstream)
 
     def _name_limit(self, name: str, limit_per_s: float | None) -> None:
         """Let an upstream name a limit, unless it has crashed."""
@@ -214,7 +220,10 @@
         upstream.limit_per_s = limit_per_s
 
     def _let_crash(self, upstream: PlatformUpstream) -> None:
-        upstream.crashing_part = CRASHING_PART
+        if self.has_crashing_part:
+            upstream.crashing_part = CRASHING_PART
+        if self.has_crashing_request:
+            upstream.crashing_request = CRASHING_REQUEST
         upstream.on_crash = lambda: self._on_crash(upstream)
 
     def _on_crash(self, upstream: PlatformUpstream) -> None:
@@ -231,6 +240,16 @@
         self._let_crash(replacement)
         self.crash(upstream.name, replacement, CRASH_DOWN_S)
 
+    def crashing_arrivals(self) -> int:
+        """Return the number of requests that reached upstreams and may crash them."""
+        if self.has_crashing_part:
+            return self.arrivals_of(CRASHING_PART)
+        return sum(
+            (seen.target, seen.body) == (CRASHING_REQUEST.target, CRASHING_REQUEST.body)
+            for upstream in self.all_upstreams()
+            for seen in upstream.received
+        )
+
     async def async_update_entries(self) -> None:
         """Update each upstream's registry entry when its weight version changes."""
         written_versions: dict[str, int] = {}
@@ -387,7 +406,7 @@
             await asyncio.sleep(CALL_PAUSE_S)
 
     async def _async_send_crashing(self) -> None:
-        """Send requests with the crashing part until cancelled."""
+        """Send requests that crash upstreams until cancelled."""
         generator = random.Random(f"crashing part {self._seed}")
         number = 0
         while self._platform.has_crashing_part:
@@ -400,24 +419,36 @@
                     await self._platform.async_call(
                         "/stream/", f"crashing-{number}", host=host, headers=headers
                     )
-            self._note_late_base()
+            self._note_late_base(COUNTED_CRASHES)
+            await asyncio.sleep(CRASHING_PAUSE_S)
+        while self._platform.has_crashing_request:
+            number += 1
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with asyncio.timeout(CALL_TIMEOUT_S):
+                    await self._platform.async_call(
+                        CRASHING_REQUEST.target,
+                        f"crashing-{number}",
+                        host=generator.choice(HOSTS),
+                        body=CRASHING_REQUEST.body,
+                    )
+            self._note_late_base(COUNTED_CRASHES_OF_REQUEST)
             await asyncio.sleep(CRASHING_PAUSE_S)
 
-    def _note_late_base(self) -> None:
-        """Note the arrivals up to the bound after the fifth crash."""
-        fifth_s = self._platform.crashed_at_s[COUNTED_CRASHES - 1 : COUNTED_CRASHES]
+    def _note_late_base(self, counted_crashes: int) -> None:
+        """Note the arrivals up to the bound after the counted crashes."""
+        last_s = self._platform.crashed_at_s[counted_crashes - 1 : counted_crashes]
         now_s = asyncio.get_running_loop().time()
-        if not fifth_s or now_s <= fifth_s[0] + STABLE_S:
-            self._arrivals_in_time = self._platform.arrivals_of(CRASHING_PART)
+        if not last_s or now_s <= last_s[0] + STABLE_S:
+            self._arrivals_in_time = self._platform.crashing_arrivals()
 
     def _check_late_requests(self) -> None:
-        if not self._platform.has_crashing_part:
+        platform = self._platform
+        if not platform.has_crashing_part and not platform.has_crashing_request:
             return
-        arrivals = self._platform.arrivals_of(CRASHING_PART)
-        late = arrivals - self._arrivals_in_time
+        late = platform.crashing_arrivals() - self._arrivals_in_time
         self._expect(
             late <= MAX_LATE_REQUESTS,
-            f"{late} late requests with a part that crashed "
+            f"{late} late requests that crashed "
             f"{len(self._platform.crashed_at_s)} upstreams",
         )
         self.outcome.statuses["crashes"] += len(self._platform.crashed_at_s)
