--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -1,4 +1,4 @@
-"""Evidence against prompt parts, and the parts that are withheld."""
+"""Evidence against prompt parts and requests, and what is withheld."""
 
 import asyncio
 from collections import OrderedDict
@@ -8,14 +8,19 @@
 
 import structlog
 
-from banyanswitch.components.forwarding.models import RequestMetadata, UpstreamRecord
+from banyanswitch.components.forwarding.models import UpstreamRecord
+from banyanswitch.components.forwarding.request_content import RequestContent
 from banyanswitch.components.part_quarantine.const import (
     EVIDENCE_LIFETIME_S,
     MAX_COMBINATIONS,
     MAX_ENDS,
+    MAX_OWN_REQUESTS_PER_END,
+    MAX_REPORT_DELAY_S,
     MAX_REPORTED_PARTS,
     MAX_REQUESTS_PER_END,
+    MAX_SERVED_CONTENTS,
     MAX_SERVED_PARTS,
+    MIN_RESTART_S,
     MIN_RETRY_AFTER_S,
     QUESTION_LIFETIME_S,
     SETTLE_BASE_S,
@@ -30,12 +35,14 @@
 )
 from banyanswitch.core import callback
 from banyanswitch.decisions.part_quarantine import (
+    CONTENT_PREFIX,
     NEVER_S,
     Combination,
     PartKey,
     QuarantinePolicy,
     UpstreamEnd,
     combinations_to_withhold,
+    is_refuted,
     may_have_caused,
     suspected_parts,
     trial_due_at_s,
@@ -45,8 +52,10 @@
 
 LOGGER = structlog.get_logger(__name__)
 KeyT = TypeVar("KeyT")
-SharedParts = tuple[str, ...]
-"""Shared parts of one request, in order."""
+RequestNames = tuple[str, ...]
+"""Shared parts of one request, in order, and its content."""
+EndKey = tuple[UpstreamId, int, str]
+"""Name and start of an upstream, and a model of its requests."""
 
 
 @dataclass(slots=True)
@@ -70,18 +79,30 @@
 
 @dataclass(slots=True)
 class _End:
-    model: str
+    """End of an upstream, as far as the broken connections to it tell.
+
+    Parameters
+    ----------
+    answered_at_s : float or None
+        Loop time of a request that it answered afterwards, so that it has not ended.
+    has_answered_here : bool
+        Whether it answered this instance.
+    """
+
     ended_at_s: float
-    requests: set[SharedParts] = field(default_factory=set)
-    own_requests: set[SharedParts] = field(default_factory=set)
+    requests: set[RequestNames] = field(default_factory=set)
+    own_requests: set[RequestNames] = field(default_factory=set)
+    answered_at_s: float | None = None
+    has_answered_here: bool = False
 
 
 class PartQuarantine:
-    """Withhold requests with prompt parts that crash upstreams.
+    """Withhold requests that crash upstreams, by a prompt part or as a whole.
 
     Each instance sees only its own requests break when an upstream ends. The instances
-    report the shared parts of these requests to each other, and which suspected parts
-    they have served since, so all of them withhold the same parts.
+    report the shared parts and the contents of these requests to each other, and which
+    suspected ones they have served since, so all of them withhold the same ones. The
+    content of a request counts as one more of its parts.
 
     Parameters
     ----------
@@ -107,8 +128,9 @@
     ) -> None:
         self._peers = peers
         self._policy = policy or QuarantinePolicy()
-        self._ends: OrderedDict[tuple[UpstreamId, int], _End] = OrderedDict()
+        self._ends: OrderedDict[EndKey, _End] = OrderedDict()
         self._served_at_s: OrderedDict[PartKey, float] = OrderedDict()
+        self._content_served_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._peer_served_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._questioned_at_s: OrderedDict[PartKey, float] = OrderedDict()
         self._evaluation: asyncio.TimerHandle | None = None
@@ -122,7 +144,7 @@
     def note_broken(
         self,
         record: UpstreamRecord,
-        metadata: RequestMetadata,
+        content: RequestContent,
         response_age_s: float | None,
     ) -> None:
         """Record that an upstream broke off a request.
@@ -132,42 +154,71 @@
         response_age_s : float or None
             Time since the response began, in seconds; ``None`` if it had not.
         """
-        request = tuple(part.name for part in metadata.parts[:-1])
-        if not request or not may_have_caused(response_age_s, self._policy):
+        if not may_have_caused(response_age_s, self._policy):
             return
-        key = (record.name, record.started_at_ms)
-        end = self._add_end(key, metadata.model or "", _now_s(), {request})
-        if request in end.own_requests or len(end.own_requests) >= MAX_REQUESTS_PER_END:
+        request = _names(content)
+        key = (record.name, record.started_at_ms, content.model)
+        known = self._ends.get(key)
+        if known is not None and known.answered_at_s is not None:
+            del self._ends[key]
+        end = self._add_end(key, _now_s(), {request})
+        own_requests = end.own_requests
+        if request in own_requests or len(own_requests) >= MAX_OWN_REQUESTS_PER_END:
             return
         end.own_requests.add(request)
         self._evaluate_soon()
         self.on_evidence()
 
     @callback
-    def note_served(self, metadata: RequestMetadata) -> None:
-        """Record that a request was served."""
+    def note_served(
+        self, content: RequestContent, record: UpstreamRecord, sent_at_s: float
+    ) -> None:
+        """Record that an upstream served a request.
+
+        Parameters
+        ----------
+        sent_at_s : float
+            Loop time at which the request was sent to it.
+        """
         now_s = _now_s()
-        for key in _keys(metadata):
+        self._note_answered(record, sent_at_s)
+        for part in content.shared_parts:
+            key = PartKey(content.model, part)
             _put(self._served_at_s, key, now_s, MAX_SERVED_PARTS)
+        key = PartKey(content.model, _content_name(content))
+        _put(self._content_served_at_s, key, now_s, MAX_SERVED_CONTENTS)
         if self.combinations and self._release_served():
             self.on_evidence()
 
+    def _note_answered(self, record: UpstreamRecord, sent_at_s: float) -> None:
+        """Void the end of an upstream that only broke off connections."""
+        has_voided = False
+        for (name, started_at_ms, _), end in self._ends.items():
+            if (
+                (name, started_at_ms) == (record.name, record.started_at_ms)
+                and end.answered_at_s is None
+                and end.ended_at_s < sent_at_s <= end.ended_at_s + MIN_RESTART_S
+            ):
+                end.answered_at_s = sent_at_s
+                end.has_answered_here = has_voided = True
+        if has_voided and self._release_refuted():
+            self.on_evidence()
+
     @callback
-    def withheld(self, metadata: RequestMetadata) -> list[Combination]:
-        """Return the withheld combinations of parts that a prompt has."""
+    def withheld(self, content: RequestContent) -> list[Combination]:
+        """Return the withheld combinations of parts that a request has."""
         if not self.combinations:
             return []
-        model = metadata.model or ""
-        names = {part.name for part in metadata.parts[:-1]}
+        names = set(_names(content))
         return [
             parts
             for parts in self.combinations
-            if parts.model == model and parts.parts <= names
+            if parts.model == content.model and parts.parts <= names
         ]
 
-    async def async_try(self, metadata: RequestMetadata) -> Combination | None:
+    async def async_try(self, content: RequestContent) -> Combination | None:
         """Return the withheld parts that this one request may try, if any."""
-        found = self.withheld(metadata)
+        found = self.withheld(content)
         if len(found) != 1 or not self.is_trial_due(found[0]):
             return None
         return found[0] if await self.async_permit_trial(found[0]) else None
@@ -236,17 +287,19 @@
             EndedUpstream(
                 name,
                 started_at_ms,
-                end.model,
+                model,
                 now_s - end.ended_at_s,
                 [list(request) for request in sorted(end.own_requests)],
+                end.has_answered_here,
             )
-            for (name, started_at_ms), end in self._ends.items()
-            if end.own_requests and now_s - end.ended_at_s <= retention_s
+            for (name, started_at_ms, model), end in self._ends.items()
+            if (end.own_requests or end.has_answered_here)
+            and now_s - end.ended_at_s <= retention_s
         ]
         served = [
-            ServedPart(key.model, key.part, now_s - self._served_at_s[key])
+            ServedPart(key.model, key.part, now_s - served_at_s)
             for key in self._questioned_at_s
-            if key in self._served_at_s
+            if (served_at_s := self._own_served_at_s(key)) != NEVER_S
         ]
         withheld = [
             WithheldParts(
@@ -269,12 +322,7 @@
         """Apply the report of another instance."""
         now_s = _now_s()
         for ended in report.ended:
-            key = (UpstreamId(ended.upstream), ended.started_at_ms)
-            requests = {tuple(request) for request in ended.requests}
-            known = self._ends.get(key)
-            if known is None or not requests <= known.requests:
-                self._add_end(key, ended.model, now_s - ended.age_s, requests)
-                self._evaluate_soon()
+            self._apply_end(ended, now_s)
         for served in report.served:
             part = PartKey(served.model, served.part)
             at_s = now_s - served.age_s
@@ -285,6 +333,23 @@
         for reported in report.withheld:
             self._merge(reported, now_s)
 
+    def _apply_end(self, ended: EndedUpstream, now_s: float) -> None:
+        key = (UpstreamId(ended.upstream), ended.started_at_ms, ended.model)
+        requests = {tuple(request) for request in ended.requests}
+        ended_at_s = now_s - ended.age_s
+        known = self._ends.get(key)
+        if known is not None and known.answered_at_s is not None:
+            if ended_at_s <= known.answered_at_s + MAX_REPORT_DELAY_S:
+                return
+            del self._ends[key]
+            known = None
+        if known is None or not requests <= known.requests:
+            known = self._add_end(key, ended_at_s, requests)
+            self._evaluate_soon()
+        if ended.has_answered:
+            known.answered_at_s = now_s
+            self._release_refuted()
+
     def _merge(self, reported: WithheldParts, now_s: float) -> None:
         since_s = now_s - reported.since_age_s
         last_s = now_s - reported.last_age_s
@@ -298,24 +363,28 @@
             return
         known = self.combinations.get(unserved)
         if known is None:
-            self._withhold(unserved, entry, "reported")
+            if not self._is_refuted(unserved):
+                self._withhold(unserved, entry, "reported")
             return
         known.last_s = max(known.last_s, last_s)
         known.trials = max(known.trials, reported.trials)
 
     def _add_end(
         self,
-        key: tuple[UpstreamId, int],
-        model: str,
+        key: EndKey,
         ended_at_s: float,
-        requests: set[SharedParts],
+        requests: set[RequestNames],
     ) -> _End:
         end = self._ends.get(key)
         if end is None:
-            end = self._ends[key] = _End(model, ended_at_s)
+            end = self._ends[key] = _End(ended_at_s)
             if len(self._ends) > MAX_ENDS:
                 self._ends.popitem(last=False)
         end.ended_at_s = min(end.ended_at_s, ended_at_s)
+        for request in requests - end.requests:
+            content = PartKey(key[2], request[-1])
+            if content in self._content_served_at_s:
+                self._question(content)
         room = MAX_REQUESTS_PER_END - len(end.requests)
         end.requests.update(sorted(requests - end.requests)[:room])
         for parts, known in self.combinations.items():
@@ -341,11 +410,12 @@
                 name,
                 end.ended_at_s,
                 tuple(
-                    frozenset(PartKey(end.model, part) for part in request)
+                    frozenset(PartKey(model, part) for part in request)
                     for request in sorted(end.requests)
                 ),
             )
-            for (name, _), end in self._ends.items()
+            for (name, _, model), end in self._ends.items()
+            if end.answered_at_s is None
         ]
         keys = {key for end in ends for request in end.requests for key in request}
         served_at_s = {key: self._served_last_s(key) for key in keys}
@@ -361,6 +431,23 @@
         if has_new:
             self.on_evidence()
 
+    def _is_refuted(self, parts: Combination) -> bool:
+        has_answered = [
+            end.answered_at_s is not None
+            for (_, _, model), end in self._ends.items()
+            if model == parts.model
+            and any(parts.parts.issubset(request) for request in end.requests)
+        ]
+        answered = sum(has_answered)
+        return is_refuted(len(has_answered) - answered, answered, self._policy)
+
+    def _release_refuted(self) -> bool:
+        """Release what upstreams broke off that have not ended."""
+        refuted = [parts for parts in self.combinations if self._is_refuted(parts)]
+        for parts in refuted:
+            self._release(parts, "not_ended")
+        return bool(refuted)
+
     def _withhold(self, parts: Combination, entry: Withheld, source: str) -> None:
         self.combinations[parts] = entry
         LOGGER.warning(
@@ -417,13 +504,21 @@
 
     def _served_last_s(self, key: PartKey) -> float:
         """Return the loop time at which any instance last served a part."""
-        own_s = self._served_at_s.get(key, NEVER_S)
-        return max(own_s, self._peer_served_at_s.get(key, NEVER_S))
+        peers_s = self._peer_served_at_s.get(key, NEVER_S)
+        return max(self._own_served_at_s(key), peers_s)
+
+    def _own_served_at_s(self, key: PartKey) -> float:
+        """Return the loop time at which this instance last served a part."""
+        times_s = self._content_served_at_s if key.is_content else self._served_at_s
+        return times_s.get(key, NEVER_S)
+
+
+def _content_name(content: RequestContent) -> str:
+    return f"{CONTENT_PREFIX}{content.digest}"
 
 
-def _keys(metadata: RequestMetadata) -> list[PartKey]:
-    """Return the parts of a prompt that other requests may share."""
-    return [PartKey(metadata.model or "", part.name) for part in metadata.parts[:-1]]
+def _names(content: RequestContent) -> RequestNames:
+    return (*content.shared_parts, _content_name(content))
 
 
 def _part_keys(parts: Combination) -> list[PartKey]:
