Tell events of a store from a second answer to an earlier call

No one has reported this; found while the cause of callers' mixed answers was looked for in the product's own calls. If a KV store answers an event call twice, the second time two calls later, its number goes back and the events of the call then open go to the next one: parts that were removed are taken for stored, and stay so. One call later, each further answer goes to the call behind its own.

Cause: event calls follow each other on one kept connection without a pause, the first response is taken for the answer, and no response names a request.

A second answer without events that ends where the call begins can't be told from the own one, and says the same.

The numbers tell the rest: the own events lie after the number in the call, those of a second answer don't, or it continues before that number. Such an answer closes its connection, and the call is repeated once on a connection of its own. Numbers of another epoch aren't compared, so a restart of the store is seen as before.

--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -207,9 +207,18 @@
 class PartStoreClient(Protocol):
     """Client of the KV cache stores."""
 
-    async def async_events(self, address: str, since: int, wait_s: float) -> PartEvents:
+    async def async_events(
+        self, address: str, epoch: int, since: int, wait_s: float
+    ) -> PartEvents:
         """Return events, waiting at most ``wait_s`` seconds for the first one.
 
+        Parameters
+        ----------
+        epoch : int
+            Epoch of ``since``; events of another one begin anew.
+        since : int
+            Sequence number after which the events begin.
+
         Raises
         ------
         UpstreamError
--- a/src/banyanswitch/components/http1/client.py
+++ b/src/banyanswitch/components/http1/client.py
@@ -10,7 +10,11 @@
 from banyanswitch.components.http1.models import Header, Headers, encode_head
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.core import callback
-from banyanswitch.exceptions import UpstreamBrokenError, UpstreamNotSentError
+from banyanswitch.exceptions import (
+    IdentityMismatchError,
+    UpstreamBrokenError,
+    UpstreamNotSentError,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,12 +54,13 @@
         headers: Iterable[Header] = (),
         send_by_s: Callable[[], float] | None = None,
         uses_own_connection: bool = False,
+        is_own: Callable[[HttpResponse], bool] | None = None,
     ) -> HttpResponse:
         """Send one request without retries and return the response.
 
         An upstream may answer the call before on a connection once more where this
-        response is expected. Unless the content of the response shows which call it
-        belongs to, the call needs a connection of its own.
+        response is expected. Unless `is_own` can tell them apart, the call needs a
+        connection of its own.
 
         Parameters
         ----------
@@ -67,6 +72,8 @@
             withdrawn meanwhile.
         uses_own_connection : bool
             Whether the call uses a connection that carries no other one.
+        is_own : callable, optional
+            Returns whether a response may be the one to this call.
 
         Raises
         ------
@@ -75,6 +82,8 @@
         UpstreamBrokenError
             If no complete response was received in time, or the connection failed;
             the request may have been sent.
+        IdentityMismatchError
+            If the response is not the own one; the connection is closed.
         """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
@@ -90,6 +99,9 @@
             async with asyncio.timeout_at(deadline_s):
                 connection.send(_encode_request(method, address, target, body, headers))
                 response = await self._async_read_response(connection)
+            if is_own is not None and not is_own(response):
+                reason = f"response to {method} {target} belongs to another call"
+                raise IdentityMismatchError(reason)
             if not uses_own_connection:
                 self._pool.release(address, connection)
                 is_released = True
--- a/src/banyanswitch/components/kv_tier/store_follower.py
+++ b/src/banyanswitch/components/kv_tier/store_follower.py
@@ -183,7 +183,7 @@
             self._report_clock(answer)
             return
         answer = await self._client.async_events(
-            address, self._next_event, EVENTS_WAIT_S
+            address, self.epoch, self._next_event, EVENTS_WAIT_S
         )
         if answer.epoch != self.epoch or answer.has_gap:
             LOGGER.info("kv_store_resync", store=self.node.name, epoch=answer.epoch)
--- a/src/banyanswitch/exceptions.py
+++ b/src/banyanswitch/exceptions.py
@@ -134,7 +134,7 @@
 
 
 class IdentityMismatchError(UpstreamError):
-    """A response belongs to another run, workspace or weight version."""
+    """A response belongs to another call, run, workspace or weight version."""
 
 
 class PeerError(BanyanswitchError):
--- a/src/banyanswitch/platform/engines.py
+++ b/src/banyanswitch/platform/engines.py
@@ -1,9 +1,11 @@
 """Client of the platform's model servers and KV cache stores."""
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any, TypeVar
 
 import msgspec
+import structlog
 
 from banyanswitch.components.forwarding.protocols import (
     EngineReport,
@@ -12,7 +14,16 @@
     PartEvents,
 )
 from banyanswitch.components.http1.client import HttpClient, HttpResponse
-from banyanswitch.exceptions import FencedError, UpstreamBrokenError
+from banyanswitch.decisions.response_ownership import (
+    EventsView,
+    Ownership,
+    events_ownership,
+)
+from banyanswitch.exceptions import (
+    FencedError,
+    IdentityMismatchError,
+    UpstreamBrokenError,
+)
 from banyanswitch.platform.const import (
     HEADER_EXPECTED_UPSTREAM,
     MILLISECONDS_PER_S,
@@ -23,6 +34,7 @@
     PATH_REPORT,
 )
 
+LOGGER = structlog.get_logger(__name__)
 STATUS_OK = 200
 STATUS_ACCEPTED = 202
 STATUS_FENCED = 412
@@ -129,19 +141,28 @@
             )
         return response.status in (STATUS_OK, STATUS_ACCEPTED)
 
-    async def async_events(self, address: str, since: int, wait_s: float) -> PartEvents:
-        """Return the events from the sequence number ``since`` on.
+    async def async_events(
+        self, address: str, epoch: int, since: int, wait_s: float
+    ) -> PartEvents:
+        """Return the events after the sequence number ``since`` of an epoch.
 
-        Waits at most ``wait_s`` seconds for the first one.
+        Waits at most ``wait_s`` seconds for the first one. A response that belongs to
+        an earlier call is dropped, and the call repeated once.
         """
         wait_ms = int(wait_s * MILLISECONDS_PER_S)
-        response = await self._client.async_call(
+        async_call = partial(
+            self._client.async_call,
             "GET",
             address,
             f"{PATH_PART_EVENTS}?since={since}",
             timeout_s=wait_s + EVENTS_TIMEOUT_MARGIN_S,
             headers=[(b"Wait-Ms", b"%d" % wait_ms)],
         )
+        try:
+            response = await async_call(is_own=partial(_is_own_events, epoch, since))
+        except IdentityMismatchError as error:
+            LOGGER.info("foreign_events_dropped", store=address, reason=str(error))
+            response = await async_call(uses_own_connection=True)
         document = _decode(response, _Events)
         return PartEvents(
             epoch=document.bootEpoch,
@@ -203,6 +224,18 @@
         return response.status in (STATUS_OK, STATUS_ACCEPTED)
 
 
+def _is_own_events(epoch: int, since: int, response: HttpResponse) -> bool:
+    if response.status != STATUS_OK:
+        return True
+    document = _decode(response, _Events)
+    view = EventsView(
+        epoch=document.bootEpoch,
+        next_event=document.next,
+        first_event=min((number for number, *_ in document.events), default=None),
+    )
+    return events_ownership(epoch, since, view) is Ownership.OWN
+
+
 def _decode(response: HttpResponse, response_type: type[ResponseT]) -> ResponseT:
     if response.status != STATUS_OK:
         raise UpstreamBrokenError(
--- a/tests/components/kv_tier/test_coordinator.py
+++ b/tests/components/kv_tier/test_coordinator.py
@@ -45,7 +45,9 @@
     is_down: bool = False
     has_gap: bool = False
 
-    async def async_events(self, address: str, since: int, wait_s: float) -> PartEvents:
+    async def async_events(
+        self, address: str, epoch: int, since: int, wait_s: float
+    ) -> PartEvents:
         await asyncio.sleep(0.01)
         if self.is_down:
             raise UpstreamBrokenError("down")
--- a/tests/components/kv_tier/test_relayed_events.py
+++ b/tests/components/kv_tier/test_relayed_events.py
@@ -41,7 +41,9 @@
     most_calls: int = 0
     refused: int = 0
 
-    async def async_events(self, address: str, since: int, wait_s: float) -> PartEvents:
+    async def async_events(
+        self, address: str, epoch: int, since: int, wait_s: float
+    ) -> PartEvents:
         self.most_calls = max(self.most_calls, self.open_calls + 1)
         if self.open_calls >= MAX_CALLS:
             self.refused += 1
--- a/tests/fakes/stuttering.py
+++ b/tests/fakes/stuttering.py
@@ -32,15 +32,17 @@
 
 
 class StutteringTransport(asyncio.Transport):
-    """Transport to an upstream that repeats each answer before the next one."""
+    """Transport to an upstream that repeats each answer before a later one."""
 
-    def __init__(self, respond: Respond, cut: Cut, sent: list[bytes]) -> None:
+    def __init__(
+        self, respond: Respond, cut: Cut, calls_late: int, sent: list[bytes]
+    ) -> None:
         super().__init__()
         self._loop = asyncio.get_running_loop()
         self._respond = respond
         self._cut = cut
         self._sent = sent
-        self._last_answer = b""
+        self._answers = [b""] * calls_late
         self._is_closed = False
         self.connection = UpstreamConnection()
         self.connection.connection_made(self)
@@ -48,8 +50,8 @@
     def write(self, data: Any) -> None:
         self._sent.append(bytes(data))
         own = self._respond(bytes(data))
-        reads = self._cut(self._last_answer, own)
-        self._last_answer = own
+        reads = self._cut(self._answers.pop(0), own)
+        self._answers.append(own)
         for number, read in enumerate(reads, 1):
             self._loop.call_later(number * PAUSE_S, self._deliver, read)
 
@@ -83,8 +85,10 @@
     respond : callable
         Returns the answer to a request.
     cut : callable
-        Cuts the late second answer to the request before, empty if there is none, and
+        Cuts the late second answer to an earlier request, empty if there is none, and
         the own answer into reads.
+    calls_late : int
+        Number of requests after which the second answer to a request comes.
 
     Attributes
     ----------
@@ -92,13 +96,16 @@
         The requests.
     """
 
-    def __init__(self, respond: Respond, cut: Cut) -> None:
+    def __init__(self, respond: Respond, cut: Cut, calls_late: int = 1) -> None:
         super().__init__()
         self._respond = respond
         self._cut = cut
+        self._calls_late = calls_late
         self.sent: list[bytes] = []
 
     async def async_open(self, address: str) -> UpstreamConnection:
         self.opened_count += 1
         self._change_open_count(address, 1)
-        return StutteringTransport(self._respond, self._cut, self.sent).connection
+        return StutteringTransport(
+            self._respond, self._cut, self._calls_late, self.sent
+        ).connection
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -25,6 +25,7 @@
 from banyanswitch.exceptions import (
     ConditionFailedError,
     HistoryGoneError,
+    IdentityMismatchError,
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
     UpstreamBrokenError,
@@ -96,7 +97,10 @@
         headers: Iterable[Header] = (),
         send_by_s: Callable[[], float] | None = None,
         uses_own_connection: bool = False,
+        is_own: Callable[[HttpResponse], bool] | None = None,
     ) -> HttpResponse:
+        if is_own is not None and not is_own(self.response):
+            raise IdentityMismatchError
         return self.response
 
 
@@ -166,7 +170,7 @@
 @pytest.mark.parametrize(
     ("document", "call"),
     [
-        (EVENTS, lambda engines: engines.async_events(ADDRESS, 0, 1.0)),
+        (EVENTS, lambda engines: engines.async_events(ADDRESS, 2, 0, 1.0)),
         (PART_LIST, lambda engines: engines.async_list(ADDRESS)),
     ],
     ids=["events", "held"],
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -73,7 +73,7 @@
 
 EARLIER = {
     "report": (lambda engines: engines.async_report(ADDRESS), REPORT),
-    "events": (lambda engines: engines.async_events(ADDRESS, 3, 1.0), EVENTS),
+    "events": (lambda engines: engines.async_events(ADDRESS, 7, 3, 1.0), EVENTS),
     "order": (async_order, encode_response(202)),
     "free": (async_free, encode_response(200)),
 }
@@ -118,3 +118,40 @@
     for cut in CUTS:
         engines = await async_after(*EARLIER["order"], REPORT, cut)
         assert (await engines.async_report(ADDRESS)).orders_accepted == 3
+
+
+def respond_with_events(request: bytes) -> bytes:
+    """Return one event after the number in the request."""
+    number = int(request.split(b"since=")[1].split(b" ")[0]) + 1
+    return encode_response(
+        200,
+        b'{"bootEpoch":7,"next":%d,"lost":false,"events":[[%d,"+","s","p%d",16,"m"]]}'
+        % (number, number, number),
+    )
+
+
+# Guards against events that are applied twice, or go to a later call than their own.
+async def test_events_are_not_those_of_a_second_answer() -> None:
+    for cut in CUTS:
+        pool = StutteringPool(respond_with_events, cut)
+        engines = PlatformEngines(HttpClient(pool))
+        for since in range(4):
+            found = await engines.async_events(ADDRESS, 7, since, 1.0)
+            assert found.next_event == since + 1
+            assert [event.part for event in found.events] == [f"p{since + 1}"]
+
+
+# Guards against a restart of the store that is taken for a second answer, and missed.
+async def test_events_of_a_later_epoch_are_returned() -> None:
+    events = encode_response(200, b'{"bootEpoch":8,"next":0,"lost":false,"events":[]}')
+    pool = StutteringPool(lambda _request: events, in_one_read)
+    found = await PlatformEngines(HttpClient(pool)).async_events(ADDRESS, 7, 4, 1.0)
+    assert (found.epoch, len(pool.sent)) == (8, 1)
+
+
+# Guards against calls without end to a store whose numbers go back.
+async def test_events_that_go_back_are_requested_twice_at_most() -> None:
+    pool = StutteringPool(lambda _request: EVENTS, lambda _second, own: (own,))
+    engines = PlatformEngines(HttpClient(pool))
+    found = await engines.async_events(ADDRESS, 7, 9, 1.0)
+    assert (found.next_event, len(pool.sent)) == (4, 2)
