Test that calls given up and bytes between calls end a connection

The other half of the cause of mixed answers: a response that is still due when its call is given up, or bytes that arrive while no call is open, would be the answer to the next call.

No fault found. Both tests pass on the code as it is: the connection is closed. With the connection released instead of discarded and still counted as usable, the first fails in both cases; with bytes between calls ignored, the second does.

--- a/tests/components/http1/test_client.py
+++ b/tests/components/http1/test_client.py
@@ -1,12 +1,14 @@
-"""Time limits of calls over connections that are slow to make."""
+"""Time limits of calls, and which connections later calls may use."""
 
 import asyncio
 
 import pytest
 
 from banyanswitch.components.http1.client import HttpClient, HttpResponse
+from banyanswitch.components.http1.connection_pool import ConnectionPool
+from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.exceptions import UpstreamBrokenError, UpstreamNotSentError
-from tests.fakes.http1 import FakePool, encode_response
+from tests.fakes.http1 import FakePool, FakeTransport, encode_response
 
 pytestmark = pytest.mark.looptime
 TIMEOUT_S = 0.6
@@ -16,7 +18,7 @@
     return asyncio.get_running_loop().time()
 
 
-async def async_call(pool: FakePool) -> HttpResponse:
+async def async_call(pool: ConnectionPool) -> HttpResponse:
     return await HttpClient(pool).async_call("GET", "h:1", "/", timeout_s=TIMEOUT_S)
 
 
@@ -45,3 +47,67 @@
     pool = FakePool(lambda _request: encode_response(200, b"body"))
     pool.connect_s = TIMEOUT_S - 0.2
     assert (await async_call(pool)).body == b"body"
+
+
+class SlowTransport(FakeTransport):
+    """Transport that delivers the first bytes of a response at once, the rest late."""
+
+    def __init__(
+        self, connection: UpstreamConnection, response: bytes, cut: int
+    ) -> None:
+        super().__init__(FakePool(lambda _request: response[:cut] or None), connection)
+        self._rest = response[cut:]
+        self._receiver = connection
+
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        loop = asyncio.get_running_loop()
+        loop.call_later(TIMEOUT_S + 0.1, self._deliver_rest)
+
+    def _deliver_rest(self) -> None:
+        if not self.is_closing():
+            self._receiver.data_received(self._rest)
+
+
+class SlowPool(ConnectionPool):
+    """Pool whose first connection delivers the end of its response late."""
+
+    def __init__(self, cut: int) -> None:
+        super().__init__()
+        self._cut = cut
+
+    async def async_open(self, address: str) -> UpstreamConnection:
+        self.opened_count += 1
+        response = encode_response(200, b"body %d" % self.opened_count)
+        cut = self._cut if self.opened_count == 1 else len(response)
+        connection = UpstreamConnection()
+        connection.connection_made(SlowTransport(connection, response, cut))
+        return connection
+
+
+# Guards against a call that gets the rest of a response to a call that was given up.
+@pytest.mark.parametrize("is_cancelled", [False, True])
+async def test_connection_of_a_call_given_up_is_not_reused(is_cancelled: bool) -> None:
+    for cut in range(len(encode_response(200, b"body 1"))):
+        pool = SlowPool(cut)
+        call = asyncio.create_task(async_call(pool))
+        if is_cancelled:
+            await asyncio.sleep(TIMEOUT_S / 2)
+            call.cancel()
+        with pytest.raises((UpstreamBrokenError, asyncio.CancelledError)):
+            await call
+        for _ in range(2):
+            assert (await async_call(pool)).body == b"body 2"
+            await asyncio.sleep(0.2)
+        assert pool.opened_count == 2
+
+
+# Guards against a late second answer that comes while no call is open.
+async def test_connection_with_bytes_between_two_calls_is_not_reused() -> None:
+    second = encode_response(200, b"body 1")
+    for cut in range(1, len(second)):
+        pool = SlowPool(len(second))
+        assert (await async_call(pool)).body == b"body 1"
+        (idle,) = pool._idle["h:1"]
+        idle.data_received(second[:cut])
+        assert (await async_call(pool)).body == b"body 2"
