--- a/src/banyanswitch/platform/engines.py
+++ b/src/banyanswitch/platform/engines.py
@@ -14,11 +14,8 @@
     PartEvents,
 )
 from banyanswitch.components.http1.client import HttpClient, HttpResponse
-from banyanswitch.decisions.response_ownership import (
-    EventsView,
-    Ownership,
-    events_ownership,
-)
+from banyanswitch.decisions.response_ownership import Ownership
+from banyanswitch.decisions.store_events import EventsView, events_ownership
 from banyanswitch.exceptions import (
     FencedError,
     IdentityMismatchError,
--- a/tests/decisions/test_response_ownership.py
+++ b/tests/decisions/test_store_events.py
@@ -3,11 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from banyanswitch.decisions.response_ownership import (
-    EventsView,
-    Ownership,
-    events_ownership,
-)
+from banyanswitch.decisions.response_ownership import Ownership
+from banyanswitch.decisions.store_events import EventsView, events_ownership
 
 EPOCH = 7
 NUMBERS = st.integers(0, 50)
