Test processes in front of upstreams that answer twice

The stand-in sends second answers to some requests: at once, on the idle connection, or in front of the next answer in one write; the same answer, another body, a server error or one that says "not run"; with a length, in chunks or up to the end of the connection; whole, in two reads, or cut at any byte and followed by the end of the connection. Answers and events can contain the body of the request.

--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -6,6 +6,12 @@
 
 from aiohttp import web
 
+from banyanswitch_standins.users_platform.second_answers import (
+    Framing,
+    SecondAnswers,
+    WrittenAnswer,
+)
+
 EVENT_INTERVAL_S = 0.005
 CRASH_AFTER_S = 0.05
 
@@ -48,6 +54,10 @@
         Number of events in a stream.
     names_version : bool
         Whether each event names the software version.
+    echoes_body : bool
+        Whether answers and each event contain the body of the request.
+    second_answers : SecondAnswers or None
+        Sends second answers to some requests.
     aborts_after : int or None
         Number of the event after which the next stream is aborted, in the middle of
         the following event. The value applies to the next stream only, and has no
@@ -94,6 +104,8 @@
     software_version: str = "v1"
     events: int = 3
     names_version: bool = False
+    echoes_body: bool = False
+    second_answers: SecondAnswers | None = None
     aborts_after: int | None = None
     is_unframed: bool = False
     refuses: bool = False
@@ -153,6 +165,8 @@
 
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
         self.arrived_at_s.append(asyncio.get_running_loop().time())
+        if self.second_answers is not None:
+            self.second_answers.begin(request)
         body = await request.read()
         attempt = request.headers.get("Attempt-Id", "")
         headers = {
@@ -164,7 +178,7 @@
         refusal = self._refusal(request)
         if refusal is not None:
             not_run = {"Attempt-Id": attempt, "Not-Run": "1", **self._limit_header()}
-            return web.Response(status=refusal, headers=not_run)
+            return await self._async_answer(request, refusal, not_run)
         self.received.append(
             ReceivedRequest(
                 attempt,
@@ -183,10 +197,25 @@
         if self.hangs and not (is_stream and self.sends_head_first):
             await self._async_hang()
         if self.fails:
-            return web.Response(status=500, headers=headers)
+            return await self._async_answer(request, 500, headers)
         if is_stream:
-            return await self._async_stream(request, headers)
-        return web.Response(body=b"answer of " + self.name.encode(), headers=headers)
+            return await self._async_stream(request, headers, self._echo(body))
+        answer = f"answer of {self.name}{self._echo(body)}".encode()
+        return await self._async_answer(request, 200, headers, answer)
+
+    async def _async_answer(
+        self,
+        request: web.Request,
+        status: int,
+        headers: dict[str, str],
+        body: bytes = b"",
+    ) -> web.StreamResponse:
+        if self.second_answers is None:
+            return web.Response(status=status, headers=headers, body=body)
+        return await self.second_answers.async_answer(request, status, headers, body)
+
+    def _echo(self, body: bytes) -> str:
+        return f" to {body.decode()}" if self.echoes_body else ""
 
     async def _async_crash(self, request: web.Request) -> web.Response:
         await asyncio.sleep(CRASH_AFTER_S)
@@ -219,9 +248,9 @@
             return 421
         return 503 if self.refuses or self._is_loading() else None
 
-    def _event(self, number: int) -> bytes:
+    def _event(self, number: int, echo: str) -> bytes:
         version = f" {self.software_version}" if self.names_version else ""
-        return f"id: {number}\ndata: event {number}{version}\n\n".encode()
+        return f"id: {number}\ndata: event {number}{version}{echo}\n\n".encode()
 
     async def _async_hang(self) -> None:
         try:
@@ -231,10 +260,19 @@
             self.cancelled_at_s.append(asyncio.get_running_loop().time())
             raise
 
-    async def _async_stream(
+    def _event_stream(
         self, request: web.Request, headers: dict[str, str]
+    ) -> "_EventStream | WrittenAnswer":
+        if self.second_answers is None:
+            return _EventStream(request, headers, is_unframed=self.is_unframed)
+        framing = Framing.CONNECTION_END if self.is_unframed else Framing.CHUNKS
+        headers = {**headers, "Content-Type": "text/event-stream"}
+        return WrittenAnswer(self.second_answers, request, headers, framing)
+
+    async def _async_stream(
+        self, request: web.Request, headers: dict[str, str], echo: str
     ) -> web.StreamResponse:
-        response = _EventStream(request, headers, is_unframed=self.is_unframed)
+        response = self._event_stream(request, headers)
         await response.async_start()
         if self.hangs:
             await self._async_hang()
@@ -249,9 +287,9 @@
             if aborts_after is not None and number > aborts_after >= first:
                 await response.async_write(f"id: {number}\ndata: ha".encode())
                 await asyncio.sleep(EVENT_INTERVAL_S)
-                response.break_off()
+                await response.async_break_off()
                 return response.response
-            await response.async_write(self._event(number))
+            await response.async_write(self._event(number, echo))
             await asyncio.sleep(EVENT_INTERVAL_S)
         await response.async_end()
         return response.response
@@ -295,7 +333,7 @@
         elif self._request.transport is not None:
             self._request.transport.write(data)
 
-    def break_off(self) -> None:
+    async def async_break_off(self) -> None:
         """End the connection: in order without framing, otherwise with a reset."""
         transport = self._request.transport
         if transport is None:
