Let upstreams in the soak answer requests twice

With every seventh seed (seed % 7 == 4), one or two upstreams send second answers, as in tests/process/test_second_answers.py. Bodies and events now contain the body of the request, so that an answer to another request is noticed, and a status of 500, which only second answers have, is a violation. The checks for the stated upstream, the order of events and software versions are as before.

--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -7,7 +7,8 @@
 from tests.soak.run import async_soak
 
 pytestmark = pytest.mark.process
-ADDITIONAL_SEEDS = (1, 2, 8)
+ADDITIONAL_SEEDS = (1, 2, 4, 8)
+"""With seed 4, some upstreams answer requests twice; with 8, a request crashes them."""
 REGRESSION_SEEDS = {
     230: "SIGHUP during the startup of a process ended it (62a1981)",
     204: "the test counted a connection that was never accepted as a lost request",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 
+from banyanswitch_standins.users_platform.second_answers import SecondAnswers
 from banyanswitch_standins.users_platform.upstream import (
     CrashingRequest,
     PlatformUpstream,
@@ -33,6 +34,7 @@
     generate_faults,
     generate_limits,
     generate_store_returns,
+    names_answering_twice,
 )
 
 RUN_LENGTH_S = 6.0
@@ -57,8 +59,9 @@
 COUNTED_CRASHES_OF_REQUEST = 3
 LIMIT_WINDOW_S = 4.0
 MAX_LATE_REQUESTS = 3
-EVENT = re.compile(rb"id: (\d+)\ndata: event \d+ (v\d)\n\n")
+EVENT = re.compile(rb"id: (\d+)\ndata: event \d+ (v\d) to [^\n]*\n\n")
 MAX_ATTEMPTS = 2
+SECOND_FAILURE_STATUS = 500
 DISCONNECT_ERRORS = (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError)
 SIGNALS = {
     Action.KILL: signal.SIGKILL,
@@ -84,6 +87,8 @@
 
     Parameters
     ----------
+    request : bytes
+        Body of the request, the same in all tries.
     begun_by : str or None
         Attempt that brought the first event.
     tries : int
@@ -92,6 +97,7 @@
         Whether the last try was answered with an error.
     """
 
+    request: bytes
     is_complete: bool = False
     is_refused: bool = False
     begun_by: str | None = None
@@ -122,7 +128,8 @@
         """Return what breaks the order of the events or mixes software versions."""
         events = self._events()
         expected = b"".join(
-            b"id: %d\ndata: event %d %b\n\n" % (number, number, version.encode())
+            b"id: %d\ndata: event %d %b to %b\n\n"
+            % (number, number, version.encode(), self.request)
             for number, version in events
         )
         found = []
@@ -184,7 +191,8 @@
         With an odd seed, one of the upstreams has another software version, and with
         every other pair of seeds one sends streams without a length. With every fourth
         seed, one part of a prompt crashes all of them, and with every eighth one a
-        request without a prompt does.
+        request without a prompt does. With every seventh, one or two answer some
+        requests twice.
     """
 
     def __init__(self, folder: Path, seed: int) -> None:
@@ -205,7 +213,10 @@
         for upstream in self.upstreams.values():
             upstream.events = STREAM_EVENTS
             upstream.names_version = True
+            upstream.echoes_body = True
             self._let_crash(upstream)
+        for name in names_answering_twice(seed, sorted(self.upstreams)):
+            self.upstreams[name].second_answers = SecondAnswers(f"{name} {seed}")
 
     def _name_limit(self, name: str, limit_per_s: float | None) -> None:
         """Let an upstream name a limit, unless it has crashed."""
@@ -236,6 +247,8 @@
             is_unframed=upstream.is_unframed,
             events=STREAM_EVENTS,
             names_version=True,
+            echoes_body=True,
+            second_answers=upstream.second_answers,
         )
         self._let_crash(replacement)
         self.crash(upstream.name, replacement, CRASH_DOWN_S)
@@ -393,6 +406,7 @@
         self._check_run_counts()
         self._check_orders()
         self._check_graceful_stops(faults)
+        self._count_second_answers()
         entry_updates.cancel()
         return self.outcome
 
@@ -455,7 +469,7 @@
 
     async def _async_read_stream(self) -> None:
         """Read a stream and take it up again, at any instance, when it breaks."""
-        stream = ReadStream()
+        stream = ReadStream(b"stream begun at call %d" % self._calls)
         for _ in range(STREAM_TRIES):
             if not await self._async_continue(stream, self._random.choice(HOSTS)):
                 break
@@ -476,11 +490,16 @@
             async with (
                 asyncio.timeout(CALL_TIMEOUT_S),
                 self._platform.async_stream(
-                    "/stream/", attempt, host=host, headers=stream.headers()
+                    "/stream/",
+                    attempt,
+                    host=host,
+                    headers=stream.headers(),
+                    body=stream.request,
                 ) as response,
             ):
                 stream.is_refused = response.status != 200
                 self.outcome.statuses[str(response.status)] += 1
+                self._expect_no_second_answer(attempt, response.status)
                 stamp = response.headers.get("Server-Stamp", "")
                 if response.status == 503 and not stamp:
                     self._expect(
@@ -505,7 +524,11 @@
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 status, body, received = await self._platform.async_call(
-                    f"/{kind}/", attempt, host=host, headers=headers
+                    f"/{kind}/",
+                    attempt,
+                    host=host,
+                    headers=headers,
+                    body=request_body(attempt),
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.outcome.statuses[type(error).__name__] += 1
@@ -513,6 +536,7 @@
                 self._disconnected.add(attempt)
             return False
         self.outcome.statuses[str(status)] += 1
+        self._expect_no_second_answer(attempt, status)
         stamp = received.get("Server-Stamp", "")
         if status == 200:
             self._check_answer(kind, attempt, body, stamp)
@@ -526,16 +550,21 @@
     def _check_answer(self, kind: str, attempt: str, body: bytes, stamp: str) -> None:
         self._expect(bool(stamp), f"{attempt}: answer without a Server-Stamp header")
         if kind != "stream":
-            expected_body = b"answer of " + stamp.removeprefix("stamp-").encode()
+            name = stamp.removeprefix("stamp-").encode()
+            expected_body = b"answer of %b to %b" % (name, request_body(attempt))
             self._expect(
                 body == expected_body, f"{attempt}: {body!r} does not match {stamp}"
             )
             return
-        stream = ReadStream(is_complete=True)
+        stream = ReadStream(request_body(attempt), is_complete=True)
         stream.feed(attempt, body)
         for violation in stream.violations():
             self._expect(False, f"{attempt}: {violation}")
 
+    def _expect_no_second_answer(self, attempt: str, status: int) -> None:
+        """Expect another status than 500, which only second answers have."""
+        self._expect(status != SECOND_FAILURE_STATUS, f"{attempt}: status {status}")
+
     def _check_run_counts(self) -> None:
         runs = Counter(
             seen.attempt
@@ -546,6 +575,13 @@
             max_runs = 1 if attempt.startswith("once") else MAX_ATTEMPTS
             self._expect(count <= max_runs, f"{attempt}: ran {count} times")
 
+    def _count_second_answers(self) -> None:
+        upstreams = self._platform.all_upstreams()
+        found = {id(u.second_answers): u.second_answers for u in upstreams}
+        sent = sum(answers.sent for answers in found.values() if answers)
+        if sent:
+            self.outcome.statuses["second_answers"] += sent
+
     def _check_orders(self) -> None:
         for upstream in self._platform.all_upstreams():
             tokens = [order["fencingToken"] for order in upstream.orders]
@@ -588,6 +624,11 @@
             self.outcome.violations.append(violation)
 
 
+def request_body(attempt: str) -> bytes:
+    """Return a body that no other request has."""
+    return f"body of {attempt}".encode()
+
+
 async def async_soak(folder: Path, seed: int) -> Outcome:
     """Run one seed and return its outcome."""
     platform = SoakPlatform(folder, seed)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -148,3 +148,9 @@
     if generator.random() < 0.3:
         faults.append(Limit(generator.uniform(0.7, 0.9) * length_s, "i-2", None))
     return faults
+
+
+def names_answering_twice(seed: int, names: list[str]) -> list[str]:
+    """Return the upstreams that answer requests twice; six of seven runs have none."""
+    generator = random.Random(f"second answers {seed}")
+    return generator.sample(names, generator.randint(1, 2)) if seed % 7 == 4 else []
