Count answers lost with a connection the stand-in has ended

A second answer that ends its connection could be sent after the next request was read and before it began to run. The connection now remembers that it was ended.

--- a/src/banyanswitch_standins/users_platform/second_answers.py
+++ b/src/banyanswitch_standins/users_platform/second_answers.py
@@ -55,6 +55,7 @@
 @dataclass
 class _Connection:
     is_busy: bool = False
+    has_ended: bool = False
     pending: SecondAnswer | None = None
 
 
@@ -85,12 +86,11 @@
 
     def __post_init__(self) -> None:
         self._random = random.Random(self.seed)
-        self._connections: dict[asyncio.BaseTransport, _Connection] = {}
+        self._connections: dict[asyncio.BaseProtocol, _Connection] = {}
 
     def begin(self, request: web.Request) -> None:
         """Note that a request has arrived on its connection."""
-        if request.transport is not None:
-            self._connection(request.transport).is_busy = True
+        self._connection(request.protocol).is_busy = True
 
     async def async_answer(
         self, request: web.Request, status: int, headers: dict[str, str], body: bytes
@@ -112,16 +112,18 @@
             Whether the connection goes on.
         """
         transport = answer.transport
+        connection = self._connection(answer.protocol)
+        if connection.has_ended:
+            self.obscured.add(answer.attempt)
         if transport is None:
             return False
-        connection = self._connection(transport)
         second, connection.pending = connection.pending, None
         if second is None:
             transport.write(data)
             return True
         if second.ends_connection:
             self.obscured.add(answer.attempt)
-            self._send(transport, second)
+            self._send(answer.protocol, transport, second)
             return False
         self.sent += 1
         data = second.data + data
@@ -140,7 +142,7 @@
         transport = answer.transport
         if transport is None:
             return
-        connection = self._connection(transport)
+        connection = self._connection(answer.protocol)
         connection.is_busy = False
         second = None
         if self._random.random() < self.share:
@@ -149,19 +151,19 @@
             if second is not None:
                 self.obscured.add(answer.attempt)
                 await asyncio.sleep(self._random.choice((0.0, IDLE_PAUSE_S)))
-                self._send(transport, second)
-            self._close(transport)
+                self._send(answer.protocol, transport, second)
+            transport.close()
             return
         moment = self._random.choice(list(Moment))
         if second is None:
             return
         if moment is Moment.AT_ONCE:
-            self._send(transport, second)
+            self._send(answer.protocol, transport, second)
             return
         connection.pending = second
         if moment is Moment.IDLE:
             loop = asyncio.get_running_loop()
-            loop.call_later(IDLE_PAUSE_S, self._send_if_idle, transport, second)
+            loop.call_later(IDLE_PAUSE_S, self._send_if_idle, answer, second)
 
     def _draw(self, answer: "WrittenAnswer") -> SecondAnswer:
         """Return the answer once more, or another one to the same request."""
@@ -184,27 +186,31 @@
         ends_connection = extent is Extent.CUT or framing is Framing.CONNECTION_END
         return SecondAnswer(data, ends_connection, extent is Extent.TWO_READS)
 
-    def _send_if_idle(self, transport: asyncio.Transport, second: SecondAnswer) -> None:
-        connection = self._connections.get(transport)
-        if connection is None or connection.is_busy or connection.pending is not second:
+    def _send_if_idle(self, answer: "WrittenAnswer", second: SecondAnswer) -> None:
+        connection = self._connection(answer.protocol)
+        transport = answer.transport
+        if connection.is_busy or connection.pending is not second or transport is None:
             return
         connection.pending = None
-        self._send(transport, second)
+        self._send(answer.protocol, transport, second)
 
-    def _send(self, transport: asyncio.Transport, second: SecondAnswer) -> None:
+    def _send(
+        self,
+        protocol: asyncio.BaseProtocol,
+        transport: asyncio.Transport,
+        second: SecondAnswer,
+    ) -> None:
         if transport.is_closing():
             return
         self.sent += 1
         transport.write(second.data)
         if second.ends_connection:
-            self._close(transport)
+            # A request that has been read may still start to run.
+            self._connection(protocol).has_ended = True
+            transport.close()
 
-    def _close(self, transport: asyncio.Transport) -> None:
-        self._connections.pop(transport, None)
-        transport.close()
-
-    def _connection(self, transport: asyncio.BaseTransport) -> _Connection:
-        return self._connections.setdefault(transport, _Connection())
+    def _connection(self, protocol: asyncio.BaseProtocol) -> _Connection:
+        return self._connections.setdefault(protocol, _Connection())
 
 
 class WrittenAnswer:
@@ -232,6 +238,11 @@
         """Identifier of the request."""
         return self._request.headers.get("Attempt-Id", "")
 
+    @property
+    def protocol(self) -> asyncio.BaseProtocol:
+        """Key of the connection, also after it has ended."""
+        return self._request.protocol
+
     @property
     def transport(self) -> asyncio.Transport | None:
         """Connection of the request, unless it has ended."""
