--- a/tests/process/test_second_answers.py
+++ b/tests/process/test_second_answers.py
@@ -94,7 +94,7 @@
         for host in HOSTS
         for line in (platform.folder / f"{host}.log").read_text().splitlines()
     ]
-    return sum(line["event"] == "foreign_answer_skipped" for line in lines)
+    return sum(line["event"] == "foreign_answer" for line in lines)
 
 
 def check(
