--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -227,7 +227,8 @@
         running = self._running[upstream].pop(number, None)
         if running is None:
             return
-        if self.generator.random() < self.day.broken_share:
+        share = self.day.broken_share
+        if share and self.generator.random() < share:
             self._break_off(upstream, running)
             return
         broken = self._breaks.get(upstream)
