Read on inside long responses to other requests

A request would wait for its deadline behind a second answer of more than 256 kB: its body counted as buffered for the reader, so the connection stopped reading, and no reader took the body and let it go on.

The body of a skipped response is only counted against its own limit again. The scripted transport of the tests stops delivering while reading is paused, which it ignored before.

test_own_answer_behind_a_long_second_answer failed before (504 at the deadline).

--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -263,17 +263,11 @@
         if self._scanner is not None:
             body = self._scanner.feed(body)
         if self._is_skipping:
-            self._skipped_bytes += len(body)
-            if self._skipped_bytes > MAX_BUFFERED_BODY_BYTES:
-                self._fail("responses to other requests are too long")
+            self._skip_body(len(body))
         elif body:
-            self._parts.append(body)
-        self._buffered_bytes += len(body)
-        if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport:
-            self._transport.pause_reading()
+            self._queue_part(body)
         if self._scanner is not None and self._scanner.has_found:
             self._fail("the body contains the head of another response")
-        self._wake_reader()
 
     def on_message_complete(self) -> None:
         """Complete the response; skip interim responses."""
@@ -289,7 +283,7 @@
                 self._fail(INSIDE_ANOTHER_RESPONSE)
                 return
             self._may_end_inside_head = True
-            self._parts.append(self._scanner.flush())
+            self._queue_part(self._scanner.flush())
         self._complete()
 
     def _ownership(self, head: ResponseHead) -> Ownership:
@@ -311,6 +305,18 @@
         elif self._is_head_only or self._framing is BodyFraming.CONNECTION_END:
             self._fail("received a response to another request without a known end")
 
+    def _skip_body(self, size_bytes: int) -> None:
+        self._skipped_bytes += size_bytes
+        if self._skipped_bytes > MAX_BUFFERED_BODY_BYTES:
+            self._fail("responses to other requests are too long")
+
+    def _queue_part(self, body: bytes) -> None:
+        self._parts.append(body)
+        self._buffered_bytes += len(body)
+        if self._buffered_bytes > READ_HIGH_WATER_BYTES and self._transport:
+            self._transport.pause_reading()
+        self._wake_reader()
+
     def _body_framing(self, headers: tuple[Header, ...]) -> BodyFraming:
         if header_value(headers, b"transfer-encoding") is not None:
             return BodyFraming.CHUNKED
--- a/tests/components/forwarding/scripted_connections.py
+++ b/tests/components/forwarding/scripted_connections.py
@@ -44,7 +44,7 @@
         self._loop = asyncio.get_running_loop()
         self._exchanges = exchanges
         self._is_closed = False
-        self._delay_s = 0.0
+        self._is_paused = False
         self.connection = UpstreamConnection()
         self.connection.connection_made(self)
 
@@ -63,7 +63,10 @@
             self._loop.call_later(number * exchange.pause_s, self._run, [step])
 
     def _run(self, steps: list[Callable[[], None]]) -> None:
-        for step in steps:
+        for number, step in enumerate(steps):
+            if self._is_paused and not self._is_closed:
+                self._loop.call_later(PAUSE_S, self._run, steps[number:])
+                return
             if not self._is_closed:
                 step()
 
@@ -87,10 +90,10 @@
         return 0
 
     def pause_reading(self) -> None:
-        return
+        self._is_paused = True
 
     def resume_reading(self) -> None:
-        return
+        self._is_paused = False
 
 
 class ScriptedPool(ConnectionPool):
--- a/tests/components/forwarding/test_second_answers.py
+++ b/tests/components/forwarding/test_second_answers.py
@@ -97,3 +97,18 @@
     exchanges = [Exchange([answer])]
     (reply,), _, _ = await async_send(exchanges, Repeatability.REPEATABLE, [b"r1"])
     assert (reply.status, reply.body) == (200, EVENTS)
+
+
+# Guards against a connection that stops reading for good inside a long second answer.
+async def test_own_answer_behind_a_long_second_answer() -> None:
+    late = with_length(b"r1", b"earlier " * 100_000)
+    reads = [late[start : start + 65_536] for start in range(0, len(late), 65_536)]
+    exchanges = [
+        Exchange([with_length(b"r1", EARLIER_EVENTS)]),
+        Exchange([*reads, with_length(b"r2", EVENTS)], pause_s=None),
+    ]
+    replies, last_s, _ = await async_send(
+        exchanges, Repeatability.REPEATABLE, [b"r1", b"r2"]
+    )
+    assert (replies[1].status, replies[1].body) == (200, EVENTS)
+    assert last_s < PROMPT_ANSWER_S
