--- a/bench/capacity/poll_cost.py
+++ b/bench/capacity/poll_cost.py
@@ -11,6 +11,7 @@
 import aiohttp
 import uvloop
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.upstream_load.poller import HttpLoadPoller
 from banyanswitch.config.models import Upstream
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
@@ -42,7 +43,7 @@
         failure_domain=FailureDomainId("domain-0"),
     )
     loop = asyncio.get_running_loop()
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(connector=LimitedConnector()) as session:
         poller = HttpLoadPoller(session)
         await poller.async_poll(upstream, loop.time())
         processor_s = time.process_time()
