--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -419,6 +419,7 @@
         name = placed.record.name
         context.excluded.add(name)
         if isinstance(error, UpstreamNotSentError):
+            self._metrics.count_not_sent(placed.record.service)
             return self._prepare_retry_unsent(context, name, error, now_s)
         outcome = RunOutcome.UNKNOWN
         if isinstance(error, NotRunError):
@@ -446,7 +447,7 @@
         self,
         context: _RequestContext,
         name: UpstreamId,
-        error: UpstreamError,
+        error: UpstreamNotSentError,
         now_s: float,
     ) -> bool:
         context.sent -= 1
@@ -457,6 +458,7 @@
             request=context.metadata.attempt.decode("latin-1"),
             upstream=name,
             reason=str(error),
+            has_timed_out=error.has_timed_out,
         )
         if context.unsent < MAX_UNSENT_ATTEMPTS:
             return True
--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -26,6 +26,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._not_sent = Counter(
+            "banyanswitch_attempts_not_sent",
+            "Attempts whose upstream could not be reached, by service",
+            ("service",),
+            registry=self._registry,
+        )
         self._withdrawn = Counter(
             "banyanswitch_attempts_withdrawn",
             "Attempts withdrawn before the upstream's weights were too old, by service",
@@ -56,6 +62,11 @@
         """Count an attempt that an upstream did not run."""
         self._not_run.labels(service).inc()
 
+    @callback
+    def count_not_sent(self, service: ServiceName) -> None:
+        """Count an attempt whose upstream could not be reached."""
+        self._not_sent.labels(service).inc()
+
     @callback
     def count_withdrawn(self, service: ServiceName) -> None:
         """Count an attempt that was withdrawn because of the upstream's weights."""
--- a/src/banyanswitch/components/http1/connection_pool.py
+++ b/src/banyanswitch/components/http1/connection_pool.py
@@ -76,7 +76,10 @@
                 )
         except (OSError, TimeoutError, ValueError) as error:
             self._change_open_count(address, -1)
-            raise UpstreamNotSentError(f"can't connect to {address}") from error
+            raise UpstreamNotSentError(
+                f"can't connect to {address}",
+                has_timed_out=isinstance(error, TimeoutError),
+            ) from error
         except BaseException:
             self._change_open_count(address, -1)
             raise
--- a/src/banyanswitch/exceptions.py
+++ b/src/banyanswitch/exceptions.py
@@ -84,8 +84,17 @@
 
     The poller of load reports raises it for every failed poll, also if the upstream was
     reached.
+
+    Parameters
+    ----------
+    has_timed_out : bool
+        Whether a new connection got no response in time, rather than being refused.
     """
 
+    def __init__(self, message: str = "", *, has_timed_out: bool = False) -> None:
+        super().__init__(message)
+        self.has_timed_out = has_timed_out
+
 
 class UpstreamBrokenError(UpstreamError):
     """The request may have been sent, but no complete and valid response came.
