Reproduce instances cut off from all upstreams

Each process has proxies of its own to the upstreams, so that the links of one process can hang, be reset, or refuse new connections alone.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -21,6 +21,7 @@
     PlatformUpstream,
     shared_parts,
 )
+from tests.process.instance_links import InstanceLinks, async_link
 
 HOSTS = ("127.0.0.2", "127.0.0.3")
 KEY = {"Authorization": "Bearer key-1"}
@@ -93,12 +94,25 @@
     ----------
     version_propagation_ms : int or None
         Bound in the settings of the processes; ``None`` means their default.
+    has_links : bool
+        Whether each process has links of its own to the upstreams, which can be cut.
+
+    Attributes
+    ----------
+    links : dict of str to InstanceLinks
+        Links of the processes, by host.
     """
 
     def __init__(
-        self, folder: Path, *, version_propagation_ms: int | None = None
+        self,
+        folder: Path,
+        *,
+        version_propagation_ms: int | None = None,
+        has_links: bool = False,
     ) -> None:
         self.folder = folder
+        self._has_links = has_links
+        self.links: dict[str, InstanceLinks] = {}
         self._version_propagation_ms = version_propagation_ms
         self.store = PlatformStore()
         self.store_drill = StoreDrill(self.store, seed=1)
@@ -118,6 +132,9 @@
         self._store_address = await self._async_listen(self.store.make_app())
         for name in self.upstreams:
             await self._async_start_upstream(name)
+        if self._has_links:
+            paths = {host: self.folder / f"{host}.links" for host in HOSTS}
+            self.links = await async_link(paths, list(self._addresses.values()))
         await self.store.async_put("op", "config", configuration(1))
         for host in HOSTS:
             await self.async_start_process(host)
@@ -169,10 +186,14 @@
     async def async_start_process(self, host: str) -> None:
         path = self.folder / f"{host}.toml"
         path.write_text(self._settings(host))
+        program = ["banyanswitch.cli.forward"]
+        if host in self.links:
+            links = str(self.links[host].path)
+            program = ["tests.process.linked_forward", links]
         self.processes[host] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "banyanswitch.cli.forward",
+            *program,
             str(path),
             stdout=(self.folder / f"{host}.log").open("ab"),
             env={**os.environ, "UV_USE_IO_URING": "0"},
@@ -185,6 +206,8 @@
             if process.returncode is None:
                 process.kill()
             await process.wait()
+        for links in self.links.values():
+            links.stop()
         self._reservations.close()
         await self.session.close()
         for runner in self._runners:
