--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -7,7 +7,6 @@
 import structlog
 
 from banyanswitch.components.forwarding.const import ONCE_MAX_IDLE_S
-from banyanswitch.components.forwarding.event_stream import EventSplitter
 from banyanswitch.components.forwarding.models import (
     Repeatability,
     RequestMetadata,
@@ -16,14 +15,18 @@
 )
 from banyanswitch.components.forwarding.placement import PlacementResult
 from banyanswitch.components.forwarding.protocols import RequestTranslator
+from banyanswitch.components.forwarding.response_relay import (
+    FIRST_CLIENT_ERROR_STATUS,
+    ResponseBody,
+    ResponseProgress,
+    ResponseRelay,
+)
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
-from banyanswitch.components.http1.body import async_read_body
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.const import (
     DEFAULT_MAX_IDLE_S,
-    MAX_BUFFERED_BODY_BYTES,
 )
 from banyanswitch.components.http1.models import (
     BodyFraming,
@@ -42,30 +45,9 @@
 from banyanswitch.identifiers import UpstreamId
 
 LOGGER = structlog.get_logger(__name__)
-FIRST_SERVER_ERROR_STATUS = 500
-FIRST_CLIENT_ERROR_STATUS = 400
 NOT_RUN_STATUSES = frozenset({421, 429, 503, 400, 408})
 
 
-@dataclass(slots=True)
-class ResponseProgress:
-    """Progress of the response to the caller, across all attempts."""
-
-    splitter: EventSplitter
-    first_byte_at_s: float | None = None
-
-    @property
-    def has_started(self) -> bool:
-        """Whether a part of the response was sent to the caller."""
-        return self.first_byte_at_s is not None
-
-    def age_s(self, now_s: float) -> float | None:
-        """Return the time since the first byte, in seconds, for the log."""
-        if self.first_byte_at_s is None:
-            return None
-        return round(now_s - self.first_byte_at_s, 4)
-
-
 class Attempt:
     """Send a request to an upstream and relay the response.
 
@@ -107,13 +89,17 @@
         self._request = request
         self._metadata = metadata
         self._route = route
-        self._reply = reply
-        self._progress = progress
+        self._relay = ResponseRelay(
+            reply=reply,
+            progress=progress,
+            is_streaming=route.is_streaming,
+            translator=translator,
+            on_first_events=on_first_events,
+        )
         self._translator = translator
         self._pool = pool
         self._registry = registry
         self._start_limits = start_limits
-        self._on_first_events = on_first_events
         self._loop = asyncio.get_running_loop()
         self.has_sent = False
         self.began_at_s: float | None = None
@@ -161,7 +147,7 @@
             self.began_at_s = self._loop.time()
             self._registry.loads.note_answered(number)
             self._pool.note_keep_alive(address, head.headers)
-            body = _Body(connection, first_part)
+            body = ResponseBody(connection, first_part)
             await self._async_relay(body, head, response, placed, is_last=is_last)
             self._pool.release(address, connection)
             is_released = True
@@ -207,7 +193,7 @@
 
     async def _async_relay(
         self,
-        body: "_Body",
+        body: ResponseBody,
         head: ResponseHead,
         response: ResponseMetadata,
         placed: PlacementResult,
@@ -227,46 +213,7 @@
             )
         if head.status < FIRST_CLIENT_ERROR_STATUS and not response.is_signed:
             raise UpstreamBrokenError("successful response without a signature")
-        is_failure = head.status >= FIRST_SERVER_ERROR_STATUS
-        if self._progress.has_started:
-            if head.status >= FIRST_CLIENT_ERROR_STATUS:
-                raise UpstreamBrokenError(
-                    f"resuming the stream failed with status {head.status}"
-                )
-            await self._async_relay_events(body)
-            return
-        if is_failure and not is_last:
-            await body.async_read_all()
-            raise UpstreamFailureError(f"upstream responded with status {head.status}")
-        if self._route.is_streaming and head.status < FIRST_CLIENT_ERROR_STATUS:
-            headers = self._translator.caller_headers(head)
-            # The total length of a stream that may be resumed is unknown.
-            self._reply.start(
-                head.status, headers, BodyFraming.CHUNKED, reason=head.reason
-            )
-            self._progress.first_byte_at_s = self._loop.time()
-            await self._async_relay_events(body)
-            return
-        content = await body.async_read_all()
-        headers = self._translator.caller_headers(head)
-        self._progress.first_byte_at_s = self._loop.time()
-        self._reply.send(head.status, headers, content, reason=head.reason)
-
-    async def _async_relay_events(self, body: "_Body") -> None:
-        splitter = self._progress.splitter
-        has_events = False
-        while (part := await body.async_part()) is not None:
-            events = splitter.feed(part)
-            if events and not has_events:
-                has_events = True
-                self._on_first_events()
-            self._reply.write(events)
-            await self._reply.async_drain()
-        # Neither a closed connection nor a last chunk shows that the stream is whole.
-        if splitter.is_inside_event:
-            raise UpstreamBrokenError("the stream ended inside an event")
-        self._reply.write(splitter.flush())
-        self._reply.end()
+        await self._relay.async_relay(body, head, is_last=is_last)
 
     def _note_response(
         self, response: ResponseMetadata, placed: PlacementResult
@@ -309,22 +256,5 @@
         return self.translator.read_response_metadata(head).attempt is not None
 
 
-class _Body:
-    """Body of a response, of which the first part was already read."""
-
-    def __init__(self, connection: UpstreamConnection, first: bytes | None) -> None:
-        self._connection = connection
-        self._first = first
-
-    async def async_part(self) -> bytes | None:
-        """Return the next part, or ``None`` at the end."""
-        first, self._first = self._first, None
-        return first if first is not None else await self._connection.async_part()
-
-    async def async_read_all(self) -> bytes:
-        """Return all parts."""
-        return await async_read_body(self.async_part, MAX_BUFFERED_BODY_BYTES)
-
-
 def _text(value: bytes) -> str:
     return value.decode("latin-1")
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -3,16 +3,12 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import partial
 
 import structlog
 
-from banyanswitch.components.forwarding.attempt import (
-    FIRST_CLIENT_ERROR_STATUS,
-    Attempt,
-    ResponseProgress,
-)
+from banyanswitch.components.forwarding.attempt import Attempt
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
     MAX_LIMIT_RETRY_AFTER_S,
@@ -29,8 +25,6 @@
 from banyanswitch.components.forwarding.event_stream import EventSplitter
 from banyanswitch.components.forwarding.metrics import ForwardingMetrics
 from banyanswitch.components.forwarding.models import (
-    ForwardedService,
-    ForwardedWorkspace,
     Repeatability,
     RequestMetadata,
     Route,
@@ -57,6 +51,12 @@
     jittered_retry_after_s,
 )
 from banyanswitch.components.forwarding.request_content import RequestContent
+from banyanswitch.components.forwarding.request_context import RequestContext
+from banyanswitch.components.forwarding.request_log import RequestLog
+from banyanswitch.components.forwarding.response_relay import (
+    FIRST_CLIENT_ERROR_STATUS,
+    ResponseProgress,
+)
 from banyanswitch.components.forwarding.routing_state import (
     RoutingState,
     pick_service,
@@ -107,34 +107,6 @@
     window_s: float
 
 
-@dataclass(slots=True, kw_only=True)
-class _RequestContext:
-    """State of one request while it is handled.
-
-    Parameters
-    ----------
-    tried_parts : Combination or None
-        Withheld parts that this request may try at one upstream.
-    """
-
-    request: Request
-    metadata: RequestMetadata
-    content: RequestContent
-    reply: Reply
-    route: Route
-    workspace: ForwardedWorkspace | None
-    service: ForwardedService
-    ends_at_s: float
-    progress: ResponseProgress
-    excluded: set[UpstreamId] = field(default_factory=set)
-    sent: int = 0
-    unsent: int = 0
-    may_have_run: bool = False
-    last_upstream: str = ""
-    origin: StreamOrigin | None = None
-    tried_parts: Combination | None = None
-
-
 class Forwarder:
     """Forward callers' requests to upstreams.
 
@@ -191,6 +163,7 @@
         self._versions = versions
         self._parts = parts
         self._on_replaced = on_replaced
+        self._log = RequestLog(routing)
         self._loop = asyncio.get_running_loop()
 
     async def async_handle(self, request: Request, reply: Reply) -> None:
@@ -212,13 +185,13 @@
         except TimeoutError:
             self._end_timed_out(found)
         except asyncio.CancelledError:
-            self._log(found, "caller_left")
+            self._log.event(found, "caller_left")
             self._metrics.count_request(found.route.name, "caller_left")
             raise
 
     def _admit(
         self, request: Request, metadata: RequestMetadata, reply: Reply
-    ) -> "_RequestContext | Refusal":
+    ) -> RequestContext | Refusal:
         if self._routing.configuration is None:
             wait_s = UNCONFIGURED_RETRY_AFTER_S
             return Refusal(STATUS_UNAVAILABLE, RefusalReason.UNCONFIGURED, wait_s)
@@ -237,7 +210,7 @@
         limit_s = route.timeout_s
         if metadata.time_left_s is not None:
             limit_s = min(limit_s, metadata.time_left_s)
-        return _RequestContext(
+        return RequestContext(
             request=request,
             metadata=metadata,
             content=RequestContent(
@@ -251,7 +224,7 @@
             progress=ResponseProgress(EventSplitter(_resumed_after(metadata, route))),
         )
 
-    async def _async_find_origin(self, context: _RequestContext) -> Refusal | None:
+    async def _async_find_origin(self, context: RequestContext) -> Refusal | None:
         """Bind a stream that its caller takes up again to the version that began it.
 
         Returns
@@ -269,7 +242,7 @@
         versions = {name: self._versions.possible(name) for name in services}
         origin = origin_of_resumed_stream(search, services, versions)
         service = self._placement.service_of(origin.service) if origin else None
-        self._log(
+        self._log.event(
             context,
             "stream_taken_up",
             resumes=_text(metadata.resumes),
@@ -288,7 +261,7 @@
         return None
 
     def _note_first_events(
-        self, context: _RequestContext, placed: PlacementResult
+        self, context: RequestContext, placed: PlacementResult
     ) -> None:
         """Bind a stream to the version that brings its first events."""
         if context.origin is not None:
@@ -299,7 +272,7 @@
         if context.route.repeatability is Repeatability.RESUMABLE_STREAM:
             self._origins.note(context.metadata.attempt, context.origin)
 
-    async def _async_serve(self, context: _RequestContext) -> None:
+    async def _async_serve(self, context: RequestContext) -> None:
         context.tried_parts = await self._parts.async_try(context.content)
         while True:
             placed = await self._async_place(context)
@@ -308,7 +281,7 @@
                 return
             context.last_upstream = placed.record.name
             self._placement.commit(placed)
-            self._log_placed(context, placed)
+            self._log.placed(context, placed)
             attempt = Attempt(
                 request=context.request,
                 metadata=context.metadata,
@@ -333,7 +306,7 @@
             self._note_served(context, placed, attempt)
             return
 
-    async def _async_place(self, context: _RequestContext) -> PlacementResult | None:
+    async def _async_place(self, context: RequestContext) -> PlacementResult | None:
         """Place a request; one with a large prefill may wait for capacity first."""
         service = context.service.name
         number = self._wait_queue.allocate_number()
@@ -357,7 +330,7 @@
             self._wait_queue.remove(service, number)
 
     def _place(
-        self, context: _RequestContext, now_s: float, *, is_wait_over: bool
+        self, context: RequestContext, now_s: float, *, is_wait_over: bool
     ) -> PlacementResult | None:
         time_left_s = context.ends_at_s - now_s
         if time_left_s < MIN_TIME_LEFT_S or self._withheld_parts(context) is not None:
@@ -382,14 +355,14 @@
             now_s,
         )
 
-    def _withheld_parts(self, context: _RequestContext) -> Combination | None:
+    def _withheld_parts(self, context: RequestContext) -> Combination | None:
         """Return the withheld parts that keep a request from being sent."""
         found = self._parts.withheld(context.content)
         return next((parts for parts in found if parts != context.tried_parts), None)
 
     def _note_broken(
         self,
-        context: _RequestContext,
+        context: RequestContext,
         placed: PlacementResult,
         attempt: Attempt,
         error: UpstreamError,
@@ -404,12 +377,12 @@
         age_s = None if began_at_s is None else self._loop.time() - began_at_s
         self._parts.note_broken(placed.record, context.content, age_s)
 
-    def _may_repeat(self, context: _RequestContext) -> bool:
+    def _may_repeat(self, context: RequestContext) -> bool:
         is_repeatable = context.route.repeatability is not Repeatability.ONCE
         return is_repeatable and context.sent < context.route.max_attempts
 
     async def _async_prepare_retry(
-        self, context: _RequestContext, placed: PlacementResult, error: UpstreamError
+        self, context: RequestContext, placed: PlacementResult, error: UpstreamError
     ) -> bool:
         """Prepare another attempt after a failed one; return whether there is one.
 
@@ -434,7 +407,7 @@
             self._metrics.count_broken(placed.record.service)
             self._registry.ejector.on_failure(name, now_s)
         decision = self._decide(context, error, outcome, now_s)
-        self._log_failure(context, name, error, decision)
+        self._log.failed(context, name, error, decision)
         if isinstance(decision, GiveUp):
             self._give_up(context, error)
             return False
@@ -445,7 +418,7 @@
 
     def _prepare_retry_unsent(
         self,
-        context: _RequestContext,
+        context: RequestContext,
         name: UpstreamId,
         error: UpstreamNotSentError,
         now_s: float,
@@ -478,7 +451,7 @@
 
     def _decide(
         self,
-        context: _RequestContext,
+        context: RequestContext,
         error: UpstreamError,
         outcome: RunOutcome,
         now_s: float,
@@ -504,7 +477,7 @@
         )
         return self._retrier(context.service.name).decide(failed, now_s)
 
-    def _has_upstream(self, context: _RequestContext, now_s: float) -> bool:
+    def _has_upstream(self, context: RequestContext, now_s: float) -> bool:
         """Return whether an upstream can take another attempt.
 
         At the end of a start limit all its requests are withdrawn at once. Without this
@@ -530,9 +503,9 @@
         self._retriers[service] = (instances, retrier)
         return retrier
 
-    def _give_up(self, context: _RequestContext, error: UpstreamError) -> None:
+    def _give_up(self, context: RequestContext, error: UpstreamError) -> None:
         if context.progress.has_started:
-            self._log(context, "answer_broken", reason=str(error))
+            self._log.event(context, "answer_broken", reason=str(error))
             self._metrics.count_request(context.route.name, "broken")
             context.reply.abort()
             return
@@ -551,7 +524,7 @@
             refusal = Refusal(STATUS_UNAVAILABLE, reason, wait_s)
         self._refuse(context.request, context.metadata, context.reply, refusal, context)
 
-    def _refuse_unplaced(self, context: _RequestContext, now_s: float) -> None:
+    def _refuse_unplaced(self, context: RequestContext, now_s: float) -> None:
         if context.ends_at_s - now_s < MIN_TIME_LEFT_S:
             self._end_timed_out(context)
             return
@@ -574,14 +547,14 @@
         refusal = Refusal(STATUS_UNAVAILABLE, reason, wait_s)
         self._refuse(context.request, context.metadata, context.reply, refusal, context)
 
-    def _limit_wait_s(self, context: _RequestContext, now_s: float) -> float | None:
+    def _limit_wait_s(self, context: RequestContext, now_s: float) -> float | None:
         """Return when to come back if upstreams are at their limit, in seconds."""
         wait_s = self._placement.limit_wait_s(context.service.name, now_s)
         return None if wait_s is None else min(wait_s, MAX_LIMIT_RETRY_AFTER_S)
 
-    def _end_timed_out(self, context: _RequestContext) -> None:
+    def _end_timed_out(self, context: RequestContext) -> None:
         if context.progress.has_started:
-            self._log(context, "answer_broken", reason="timeout")
+            self._log.event(context, "answer_broken", reason="timeout")
             self._metrics.count_request(context.route.name, "broken")
             context.reply.abort()
             return
@@ -598,7 +571,7 @@
         metadata: RequestMetadata,
         reply: Reply,
         refusal: Refusal,
-        context: _RequestContext | None = None,
+        context: RequestContext | None = None,
     ) -> None:
         retry_after_s = refusal.retry_after_s
         if retry_after_s is not None:
@@ -623,7 +596,7 @@
         self._metrics.count_request(route, refusal.reason.value)
 
     def _note_served(
-        self, context: _RequestContext, placed: PlacementResult, attempt: Attempt
+        self, context: RequestContext, placed: PlacementResult, attempt: Attempt
     ) -> None:
         now_s = self._loop.time()
         self._registry.ejector.on_success(placed.record.name, now_s)
@@ -634,7 +607,7 @@
         ) - context.request.received_at_s
         self._metrics.observe_first_byte(context.route.name, first_s)
         self._metrics.count_request(context.route.name, str(attempt.status))
-        self._log(
+        self._log.event(
             context,
             "request_served",
             status=attempt.status,
@@ -644,62 +617,6 @@
             weights=placed.plan.expected_weights,
         )
 
-    def _log_placed(self, context: _RequestContext, placed: PlacementResult) -> None:
-        superseded_for_s = placed.superseded_for_s
-        if superseded_for_s is not None:
-            superseded_for_s = round(superseded_for_s, 3)
-        self._log(
-            context,
-            "request_placed",
-            must_wait=placed.must_wait,
-            superseded_for_s=superseded_for_s,
-            time_left_s=round(placed.plan.time_left_s, 3),
-            entry_age_s=round(placed.entry_age_s, 3),
-            candidates=placed.candidates,
-            running_requests=placed.running_requests,
-            queued_tokens=placed.queued_tokens,
-            held_tokens=placed.held_tokens,
-            prefill_tokens=placed.in_flight.prefill_tokens,
-            shared_part=placed.home_key,
-            stored_tokens=placed.stored_tokens,
-            unstored_tokens=placed.unstored_tokens,
-            saves=sum(map(bool, placed.plan.saves)),
-            weights=placed.plan.expected_weights,
-            software_version=placed.record.software_version,
-            resumes=_text(context.metadata.resumes),
-        )
-
-    def _log_failure(
-        self,
-        context: _RequestContext,
-        name: UpstreamId,
-        error: UpstreamError,
-        decision: Retry | GiveUp,
-    ) -> None:
-        outcome = decision.reason.value if isinstance(decision, GiveUp) else "retry"
-        self._log(
-            context,
-            "attempt_failed",
-            upstream=name,
-            reason=str(error),
-            decision=outcome,
-            is_failure_status=isinstance(error, UpstreamFailureError),
-            response_age_s=context.progress.age_s(self._loop.time()),
-            **context.content.log_values(),
-        )
-
-    def _log(self, context: _RequestContext, event: str, **values: object) -> None:
-        values.setdefault("upstream", context.last_upstream)
-        configuration = self._routing.configuration
-        LOGGER.info(
-            event,
-            request=context.metadata.attempt.decode("latin-1"),
-            route=context.route.name,
-            attempts=context.sent,
-            configuration=configuration.version if configuration else None,
-            **values,
-        )
-
 
 def _resumed_after(metadata: RequestMetadata, route: Route) -> bytes | None:
     """Return the last event that a caller has of a stream that it takes up again."""
--- /dev/null
+++ b/src/banyanswitch/components/forwarding/response_relay.py
@@ -0,0 +1,143 @@
+"""Relay of an upstream's response to the caller."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from banyanswitch.components.forwarding.event_stream import EventSplitter
+from banyanswitch.components.forwarding.protocols import RequestTranslator
+from banyanswitch.components.http1.body import async_read_body
+from banyanswitch.components.http1.caller_connection import Reply
+from banyanswitch.components.http1.const import MAX_BUFFERED_BODY_BYTES
+from banyanswitch.components.http1.models import BodyFraming, ResponseHead
+from banyanswitch.components.http1.upstream_connection import UpstreamConnection
+from banyanswitch.exceptions import UpstreamBrokenError, UpstreamFailureError
+
+FIRST_SERVER_ERROR_STATUS = 500
+FIRST_CLIENT_ERROR_STATUS = 400
+
+
+@dataclass(slots=True)
+class ResponseProgress:
+    """Progress of the response to the caller, across all attempts."""
+
+    splitter: EventSplitter
+    first_byte_at_s: float | None = None
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a part of the response was sent to the caller."""
+        return self.first_byte_at_s is not None
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return the time since the first byte, in seconds, for the log."""
+        if self.first_byte_at_s is None:
+            return None
+        return round(now_s - self.first_byte_at_s, 4)
+
+
+class ResponseRelay:
+    """Relay the response of one attempt to the caller.
+
+    Parameters
+    ----------
+    reply : Reply
+        Response channel to the caller.
+    progress : ResponseProgress
+        Progress of the response over all attempts.
+    is_streaming : bool
+        Whether successful responses are event streams.
+    on_first_events : callable
+        Called before the first events of this attempt are sent to the caller.
+    """
+
+    def __init__(
+        self,
+        *,
+        reply: Reply,
+        progress: ResponseProgress,
+        is_streaming: bool,
+        translator: RequestTranslator,
+        on_first_events: Callable[[], None],
+    ) -> None:
+        self._reply = reply
+        self._progress = progress
+        self._is_streaming = is_streaming
+        self._translator = translator
+        self._on_first_events = on_first_events
+        self._loop = asyncio.get_running_loop()
+
+    async def async_relay(
+        self, body: "ResponseBody", head: ResponseHead, *, is_last: bool
+    ) -> None:
+        """Send a response, or the rest of a stream that has started, to the caller.
+
+        Parameters
+        ----------
+        is_last : bool
+            Whether a server error is relayed instead of raised.
+
+        Raises
+        ------
+        UpstreamFailureError
+            If the upstream responded with a server error and ``is_last`` is false.
+        UpstreamBrokenError
+            If the response is incomplete or invalid.
+        """
+        is_failure = head.status >= FIRST_SERVER_ERROR_STATUS
+        if self._progress.has_started:
+            if head.status >= FIRST_CLIENT_ERROR_STATUS:
+                raise UpstreamBrokenError(
+                    f"resuming the stream failed with status {head.status}"
+                )
+            await self._async_relay_events(body)
+            return
+        if is_failure and not is_last:
+            await body.async_read_all()
+            raise UpstreamFailureError(f"upstream responded with status {head.status}")
+        if self._is_streaming and head.status < FIRST_CLIENT_ERROR_STATUS:
+            headers = self._translator.caller_headers(head)
+            # The total length of a stream that may be resumed is unknown.
+            self._reply.start(
+                head.status, headers, BodyFraming.CHUNKED, reason=head.reason
+            )
+            self._progress.first_byte_at_s = self._loop.time()
+            await self._async_relay_events(body)
+            return
+        content = await body.async_read_all()
+        headers = self._translator.caller_headers(head)
+        self._progress.first_byte_at_s = self._loop.time()
+        self._reply.send(head.status, headers, content, reason=head.reason)
+
+    async def _async_relay_events(self, body: "ResponseBody") -> None:
+        splitter = self._progress.splitter
+        has_events = False
+        while (part := await body.async_part()) is not None:
+            events = splitter.feed(part)
+            if events and not has_events:
+                has_events = True
+                self._on_first_events()
+            self._reply.write(events)
+            await self._reply.async_drain()
+        # Neither a closed connection nor a last chunk shows that the stream is whole.
+        if splitter.is_inside_event:
+            raise UpstreamBrokenError("the stream ended inside an event")
+        self._reply.write(splitter.flush())
+        self._reply.end()
+
+
+class ResponseBody:
+    """Body of a response, of which the first part was already read."""
+
+    def __init__(self, connection: UpstreamConnection, first: bytes | None) -> None:
+        self._connection = connection
+        self._first = first
+
+    async def async_part(self) -> bytes | None:
+        """Return the next part, or ``None`` at the end."""
+        first, self._first = self._first, None
+        return first if first is not None else await self._connection.async_part()
+
+    async def async_read_all(self) -> bytes:
+        """Return all parts."""
+        return await async_read_body(self.async_part, MAX_BUFFERED_BODY_BYTES)
