Pass requests on through an instance that reaches their upstream

Cause: an instance judged one upstream at a time and asked nobody else. With all links down it tried three upstreams again and refused, though the other instances, which it reached, reached them all. Ruled out: ejections that outlive the cut (refusals stop with it), and callers who keep coming (first tries count however few they are).

An upstream to which no connection can be opened is now unreached until a check has opened one; requests don't test it. Instances report which upstreams they don't reach and where they take requests. If too few are reached, requests are placed on all that any instance reaches, and passed on whole, once, over a signed internal request.

--- a/src/banyanswitch/components/discovery/graceful_shutdown.py
+++ b/src/banyanswitch/components/discovery/graceful_shutdown.py
@@ -21,8 +21,8 @@
 
     Parameters
     ----------
-    server : CallerServer
-        Server of the callers' connections.
+    servers : sequence of CallerServer
+        Servers of the connections of callers, and of instances that pass on requests.
     grace_s : float
         Time until the process is killed, in seconds.
     on_leaving : sequence of callable
@@ -40,11 +40,11 @@
 
     def __init__(
         self,
-        server: CallerServer,
+        servers: Sequence[CallerServer],
         grace_s: float,
         on_leaving: Sequence[Callable[[], None]],
     ) -> None:
-        self._server = server
+        self._servers = tuple(servers)
         self.grace_s = grace_s
         self._on_leaving = tuple(on_leaving)
         self.requested = asyncio.Event()
@@ -59,7 +59,8 @@
             LOGGER.info("stop_requested", grace_s=self.grace_s)
             for handler in self._on_leaving:
                 handler()
-            self._server.announce_close()
+            for server in self._servers:
+                server.announce_close()
         self.requested.set()
 
     async def async_wait_stopped(self) -> None:
@@ -72,16 +73,21 @@
         began_at_s = loop.time()
         await asyncio.sleep(ACCEPT_SHARE * self.grace_s)
         self.is_refusing = True
-        self._server.stop_listening()
-        self._server.close_idle()
+        for server in self._servers:
+            server.stop_listening()
+            server.close_idle()
         ends_at_s = began_at_s + DRAIN_SHARE * self.grace_s
         while True:
-            if not self._server.busy_count or loop.time() >= ends_at_s:
+            if not self._busy_count() or loop.time() >= ends_at_s:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         LOGGER.info(
             "stopped",
             after_s=round(loop.time() - began_at_s, 3),
-            unfinished=self._server.busy_count,
+            unfinished=self._busy_count(),
         )
-        self._server.abort_all()
+        for server in self._servers:
+            server.abort_all()
+
+    def _busy_count(self) -> int:
+        return sum(server.busy_count for server in self._servers)
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -41,6 +41,7 @@
     StreamOrigins,
 )
 from banyanswitch.components.forwarding.refusals import (
+    DECLINE_REASONS,
     STATUS_BAD_GATEWAY,
     STATUS_NOT_FOUND,
     STATUS_TIMEOUT,
@@ -67,6 +68,8 @@
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.peer_forwarding.client import PeerForwarder
+from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.decisions.retry import (
     FailedAttempt,
@@ -122,6 +125,10 @@
         Software versions, for streams without a known origin.
     parts : PartGuard
         Prompt parts and requests that must not be sent.
+    links : UpstreamLinks
+        Links of this instance to the upstreams.
+    peer_forwarder : PeerForwarder
+        Passes requests on through instances that reach their upstream.
     on_replaced : callable
         Called with an upstream when another upstream responded at its address.
     """
@@ -144,6 +151,8 @@
         origins: StreamOrigins,
         versions: ServiceVersions,
         parts: PartGuard,
+        links: UpstreamLinks,
+        peer_forwarder: PeerForwarder,
         on_replaced: Callable[[UpstreamId], None],
     ) -> None:
         self._translator = translator
@@ -162,25 +171,37 @@
         self._origins = origins
         self._versions = versions
         self._parts = parts
+        self._links = links
+        self._peer_forwarder = peer_forwarder
         self._on_replaced = on_replaced
         self._log = RequestLog(routing)
         self._loop = asyncio.get_running_loop()
 
-    async def async_handle(self, request: Request, reply: Reply) -> None:
-        """Handle one request."""
+    async def async_handle(
+        self, request: Request, reply: Reply, *, earlier_attempts: int | None = None
+    ) -> None:
+        """Handle one request.
+
+        Parameters
+        ----------
+        earlier_attempts : int or None
+            Attempts at the instance that passed the request on; ``None`` if a caller
+            sent it here.
+        """
         metadata = self._translator.read_request_metadata(request)
         found = self._admit(request, metadata, reply)
         if isinstance(found, Refusal):
             self._refuse(request, metadata, reply, found)
             return
+        if earlier_attempts is not None:
+            found.earlier_attempts = found.sent = earlier_attempts
+            found.is_counted = earlier_attempts > 0
         try:
             async with asyncio.timeout_at(found.ends_at_s):
                 refusal = await self._async_find_origin(found)
                 if refusal is not None:
                     self._refuse(request, metadata, reply, refusal, found)
                     return
-                retrier = self._retrier(found.service.name)
-                retrier.on_first_attempt(self._loop.time())
                 await self._async_serve(found)
         except TimeoutError:
             self._end_timed_out(found)
@@ -280,8 +301,13 @@
                 self._refuse_unplaced(context, self._loop.time())
                 return
             context.last_upstream = placed.record.name
+            if not placed.is_direct or self._prefers_peer(context):
+                if await self._async_pass_on(context, placed):
+                    return
+                continue
             self._placement.commit(placed)
             self._log.placed(context, placed)
+            self._count_request(context)
             attempt = Attempt(
                 request=context.request,
                 metadata=context.metadata,
@@ -306,6 +332,44 @@
             self._note_served(context, placed, attempt)
             return
 
+    def _prefers_peer(self, context: RequestContext) -> bool:
+        """Return whether too many links failed for one more attempt over another."""
+        if context.unsent < MAX_UNSENT_ATTEMPTS - 1:
+            return False
+        return context.earlier_attempts is None and self._links.has_peer()
+
+    async def _async_pass_on(
+        self, context: RequestContext, placed: PlacementResult
+    ) -> bool:
+        """Let an instance that reaches the upstream handle a request.
+
+        Returns
+        -------
+        is_done : bool
+            Whether the request has its response; otherwise no upstream received it.
+        """
+        try:
+            instance, status = await self._peer_forwarder.async_serve(
+                context, placed.record.name, lambda: None
+            )
+        except UpstreamNotSentError as error:
+            return not self._prepare_retry_unsent(context, placed, error)
+        except (NotRunError, UpstreamBrokenError) as error:
+            context.may_have_run |= isinstance(error, UpstreamBrokenError)
+            self._log.event(context, "passed_on_request_failed", reason=str(error))
+            self._give_up(context, error)
+            return True
+        self._metrics.count_passed_on(context.service.name)
+        self._metrics.count_request(context.route.name, str(status))
+        self._log.event(context, "request_passed_on", instance=instance, status=status)
+        return True
+
+    def _count_request(self, context: RequestContext) -> None:
+        """Add what a request allows to the retry budget, once and where it is sent."""
+        if not context.is_counted:
+            context.is_counted = True
+            self._retrier(context.service.name).on_first_attempt(self._loop.time())
+
     async def _async_place(self, context: RequestContext) -> PlacementResult | None:
         """Place a request; one with a large prefill may wait for capacity first."""
         service = context.service.name
@@ -320,6 +384,9 @@
                 placed = self._place(context, now_s, is_wait_over=is_wait_over)
                 if placed is None or not placed.is_large_prefill or is_wait_over:
                     return placed
+                # The instance that sends the request lets it wait.
+                if not placed.is_direct:
+                    return placed
                 if not placed.must_wait and self._wait_queue.is_first(service, number):
                     return placed
                 self._wait_queue.enqueue(service, number)
@@ -351,6 +418,7 @@
                     context.origin.software_version if context.origin else None
                 ),
                 is_wait_over=is_wait_over,
+                is_passed_on=context.earlier_attempts is not None,
             ),
             now_s,
         )
@@ -390,10 +458,12 @@
         """
         now_s = self._loop.time()
         name = placed.record.name
-        context.excluded.add(name)
         if isinstance(error, UpstreamNotSentError):
+            context.sent -= 1
             self._metrics.count_not_sent(placed.record.service)
-            return self._prepare_retry_unsent(context, name, error, now_s)
+            self._links.note_not_sent(placed.record, has_timed_out=error.has_timed_out)
+            return self._prepare_retry_unsent(context, placed, error)
+        context.excluded.add(name)
         outcome = RunOutcome.UNKNOWN
         if isinstance(error, NotRunError):
             outcome = RunOutcome.NOT_RUN
@@ -419,17 +489,14 @@
     def _prepare_retry_unsent(
         self,
         context: RequestContext,
-        name: UpstreamId,
+        placed: PlacementResult,
         error: UpstreamNotSentError,
-        now_s: float,
     ) -> bool:
-        context.sent -= 1
         context.unsent += 1
-        self._registry.ejector.eject(name, now_s)
         LOGGER.info(
             "attempt_not_sent",
             request=context.metadata.attempt.decode("latin-1"),
-            upstream=name,
+            upstream=placed.record.name,
             reason=str(error),
             has_timed_out=error.has_timed_out,
         )
@@ -579,7 +646,10 @@
             left_s = (metadata.time_left_s or 1.0) - elapsed_s
             retry_after_s = jittered_retry_after_s(retry_after_s, left_s, self._random)
         headers = self._translator.generated_headers(metadata, retry_after_s)
-        reply.send(refusal.status, headers, b"")
+        is_declined = refusal.reason in DECLINE_REASONS and not (
+            context is not None and context.has_attempts
+        )
+        reply.refuse(refusal.status, headers, is_declined=is_declined)
         configuration = self._routing.configuration
         LOGGER.info(
             "request_refused",
--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -32,6 +32,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._passed_on = Counter(
+            "banyanswitch_requests_passed_on",
+            "Requests served through another instance, by service",
+            ("service",),
+            registry=self._registry,
+        )
         self._withdrawn = Counter(
             "banyanswitch_attempts_withdrawn",
             "Attempts withdrawn before the upstream's weights were too old, by service",
@@ -67,6 +73,11 @@
         """Count an attempt whose upstream could not be reached."""
         self._not_sent.labels(service).inc()
 
+    @callback
+    def count_passed_on(self, service: ServiceName) -> None:
+        """Count a request that another instance served."""
+        self._passed_on.labels(service).inc()
+
     @callback
     def count_withdrawn(self, service: ServiceName) -> None:
         """Count an attempt that was withdrawn because of the upstream's weights."""
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -26,6 +26,7 @@
 )
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.kv_tier.coordinator import PartPlan, PartTier
+from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
 from banyanswitch.decisions.prefix import versioned_cache_salt
 from banyanswitch.decisions.upstream_choice import (
@@ -63,6 +64,9 @@
         Whether the request can't wait at this instance any longer. It is then sent to
         an upstream without room for it, unless the upstream's weights would soon be too
         old to start it.
+    is_passed_on : bool
+        Whether another instance has passed the request on, so that only upstreams that
+        this one reaches may be used.
     """
 
     metadata: RequestMetadata
@@ -74,6 +78,7 @@
     resume_after: bytes | None = None
     software_version: str | None = None
     is_wait_over: bool = False
+    is_passed_on: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +90,8 @@
     superseded_for_s : float or None
         Time since a newer weight version than the upstream's became the target;
         ``None`` if there is none.
+    is_direct : bool
+        Whether this instance can send the request to the upstream itself.
     """
 
     record: UpstreamRecord
@@ -102,6 +109,7 @@
     parts: PartPlan = field(default_factory=PartPlan)
     must_wait: bool = False
     is_large_prefill: bool = False
+    is_direct: bool = True
 
 
 class Placement:
@@ -123,6 +131,7 @@
         failure_domain: FailureDomainId,
         start_limits: StartLimits,
         instance_count: Callable[[], int],
+        links: UpstreamLinks,
         generator: random.Random,
         policy: UpstreamChoicePolicy | None = None,
     ) -> None:
@@ -133,6 +142,7 @@
         self._failure_domain = failure_domain
         self._start_limits = start_limits
         self._instance_count = instance_count
+        self._links = links
         self._random = generator
         self._policy = policy or UpstreamChoicePolicy()
 
@@ -199,15 +209,21 @@
             parts=parts,
             must_wait=must_wait(view, choice, self._policy),
             is_large_prefill=is_large_prefill,
+            is_direct=self._links.is_direct(state.record),
         )
 
     def _eligible(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
         service = request.service
         limit = service.max_connections * CONNECTION_SHARE / self._instance_count()
         model = request.metadata.model if service.engine else None
+        accepting = self._registry.accepting(service.name, now_s)
+        if request.is_passed_on:
+            usable = [s for s in accepting if self._links.is_direct(s.record)]
+        else:
+            usable = self._links.usable(accepting)
         states = [
             state
-            for state in self._registry.accepting(service.name, now_s)
+            for state in usable
             if state.record.name not in request.excluded
             and request.software_version in (None, state.record.software_version)
             and self._pool.open_count(state.record.address) < max(1.0, limit)
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -65,6 +65,22 @@
     def upstream_request(self, request: Request, plan: UpstreamRequestPlan) -> bytes:
         """Return the encoded request for the upstream of a plan."""
 
+    def peer_request(
+        self,
+        request: Request,
+        *,
+        time_left_s: float,
+        resume_after: bytes | None,
+        more_headers: Sequence[Header],
+    ) -> bytes:
+        """Return the encoded request for another instance.
+
+        Parameters
+        ----------
+        resume_after : bytes or None
+            Identifier of the last event that the caller received in this attempt.
+        """
+
     def read_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         """Return the metadata in an upstream's response headers."""
 
--- a/src/banyanswitch/components/forwarding/refusals.py
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -33,6 +33,19 @@
     PART_WITHHELD = "part_withheld"
 
 
+DECLINE_REASONS = frozenset(
+    {
+        RefusalReason.UNCONFIGURED,
+        RefusalReason.NO_ROUTE,
+        RefusalReason.UNKNOWN_KEY,
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.NOT_REACHED,
+        RefusalReason.LEAVING,
+    }
+)
+"""Reasons for which another instance may serve the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """Error response that is sent instead of an upstream's.
--- a/src/banyanswitch/components/forwarding/request_context.py
+++ b/src/banyanswitch/components/forwarding/request_context.py
@@ -25,6 +25,11 @@
     ----------
     tried_parts : Combination or None
         Withheld parts that this request may try at one upstream.
+    earlier_attempts : int or None
+        Attempts at the instance that passed the request on; ``None`` if a caller sent
+        it here.
+    is_counted : bool
+        Whether the request has been counted for the retry budget.
     """
 
     request: Request
@@ -43,3 +48,10 @@
     last_upstream: str = ""
     origin: StreamOrigin | None = None
     tried_parts: Combination | None = None
+    earlier_attempts: int | None = None
+    is_counted: bool = False
+
+    @property
+    def has_attempts(self) -> bool:
+        """Whether this instance has sent the request to an upstream."""
+        return self.sent > (self.earlier_attempts or 0)
--- a/src/banyanswitch/components/forwarding/settings.py
+++ b/src/banyanswitch/components/forwarding/settings.py
@@ -13,6 +13,8 @@
         Host and port to listen on.
     peer_port : int
         Port for other instances, the same on all of them.
+    request_port : int
+        Port at which other instances pass on requests, the same on all of them.
     peer_seeds : tuple of str
         Hosts and ports of the instances to contact first.
     store_address : str
@@ -44,6 +46,7 @@
     readiness_address: str
     directory_address: str
     peer_port: int
+    request_port: int
     peer_seeds: tuple[str, ...]
     store_address: str
     entry_interval_s: float
--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -43,6 +43,12 @@
         Whether the response has no body, as for HEAD.
     keeps_alive : bool
         Whether the caller allows another request on the connection.
+
+    Attributes
+    ----------
+    refusal_headers : callable
+        Returns headers that a refusal has beside its own, given whether the request
+        was declined.
     """
 
     def __init__(
@@ -54,6 +60,21 @@
         self._is_chunked = False
         self.has_started = False
         self.is_complete = False
+        self.refusal_headers: Callable[[bool], Iterable[Header]] = lambda _: ()
+
+    @callback
+    def refuse(
+        self, status: int, headers: Iterable[Header], *, is_declined: bool
+    ) -> None:
+        """Send a response without a body instead of an upstream's.
+
+        Parameters
+        ----------
+        is_declined : bool
+            Whether the request was sent to no upstream and another instance may take
+            it.
+        """
+        self.send(status, [*headers, *self.refusal_headers(is_declined)], b"")
 
     @callback
     def send(
--- a/src/banyanswitch/components/http1/connection_pool.py
+++ b/src/banyanswitch/components/http1/connection_pool.py
@@ -38,6 +38,11 @@
         """Return the number of connections to an address, in use or idle."""
         return self._open_counts.get(address, 0)
 
+    @callback
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection to an address may be usable."""
+        return any(c.is_usable for c in self._idle.get(address, ()))
+
     async def async_acquire(
         self, address: str, *, max_idle_s: float = DEFAULT_MAX_IDLE_S
     ) -> UpstreamConnection:
--- /dev/null
+++ b/src/banyanswitch/components/peer_forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that one instance passes on through another one."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -25,6 +25,7 @@
 )
 from banyanswitch.components.state_exchange.models import InstanceReport
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.interfaces import PeerDirectory
@@ -58,6 +59,10 @@
         Target weight versions.
     quarantine : PartQuarantine
         Ends of upstreams, and withheld prompt parts.
+    links : UpstreamLinks
+        Links to the upstreams.
+    request_address : str
+        Address at which this instance takes requests that others pass on.
     generator : random.Random
         Chooses the order of the recipients.
 
@@ -77,10 +82,14 @@
         mirrors: Mapping[str, TableMirror],
         routing: RoutingState,
         quarantine: PartQuarantine,
+        links: UpstreamLinks,
+        request_address: str,
         generator: random.Random,
     ) -> None:
         self._routing = routing
         self._quarantine = quarantine
+        self._links = links
+        self._request_address = request_address
         self._transport = transport
         self._peers = peers
         self._registry = registry
@@ -193,6 +202,8 @@
             },
             quarantine=self._quarantine.report(self._retention_s()),
             limits=self._registry.limits.report(self._retention_s()),
+            request_address=self._request_address,
+            unreached=list(self._links.report()),
         )
         addresses = [
             peer.peer_address
@@ -291,6 +302,9 @@
             self._tier.note_floor(model, floor)
         self._quarantine.apply(report.quarantine)
         self._registry.limits.apply(report.limits)
+        self._links.peers.note_report(
+            report.instance, report.request_address, report.unreached
+        )
 
 
 def _reported_age_s(age_s: float) -> float:
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -42,6 +42,11 @@
         Ends of upstreams, and prompt parts that are withheld.
     limits : list of LimitReport
         Limits that upstreams named to the sender.
+    request_address : str
+        Address at which the sender takes requests that others pass on; empty if it
+        takes none, as in reports of earlier versions.
+    unreached : list of str
+        Upstreams that the sender doesn't reach.
     """
 
     instance: str
@@ -56,3 +61,5 @@
     target_ages_s: dict[str, dict[int, float]]
     quarantine: QuarantineReport = EMPTY_REPORT
     limits: list[LimitReport] = []
+    request_address: str = ""
+    unreached: list[str] = []
--- /dev/null
+++ b/src/banyanswitch/components/upstream_links/__init__.py
@@ -0,0 +1,1 @@
+"""Links from this instance, and from others, to upstreams."""
--- a/src/banyanswitch/platform/headers.py
+++ b/src/banyanswitch/platform/headers.py
@@ -1,6 +1,6 @@
 """Request headers of callers and response headers of upstreams."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from banyanswitch.components.forwarding.models import (
     PromptPart,
@@ -84,11 +84,32 @@
             for header in end_to_end_headers(request.headers)
             if header[0].lower() not in dropped
         ]
-        headers += _plan_headers(plan)
-        if request.body or _has_body_header(request.headers):
-            headers.append((b"Content-Length", b"%d" % len(request.body)))
-        first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
-        return encode_head(first_line, headers) + request.body
+        return _encode_request(request, headers + _plan_headers(plan))
+
+    def peer_request(
+        self,
+        request: Request,
+        *,
+        time_left_s: float,
+        resume_after: bytes | None,
+        more_headers: Sequence[Header],
+    ) -> bytes:
+        """Encode the request to pass on to another instance."""
+        dropped = {HEADER_DEADLINE.lower(), b"content-length", b"expect"}
+        left_ms = max(1, int(time_left_s * MILLISECONDS_PER_S))
+        headers = [(HEADER_DEADLINE, b"%d" % left_ms), *more_headers]
+        if resume_after is not None:
+            dropped |= {HEADER_LAST_EVENT.lower(), HEADER_RESUMES.lower()}
+            values = _values_by_name(request.headers)
+            begun_by = values.get(HEADER_RESUMES.lower())
+            begun_by = begun_by or values.get(HEADER_ATTEMPT.lower(), b"")
+            headers += [(HEADER_LAST_EVENT, resume_after), (HEADER_RESUMES, begun_by)]
+        headers += [
+            header
+            for header in end_to_end_headers(request.headers)
+            if header[0].lower() not in dropped
+        ]
+        return _encode_request(request, headers)
 
     def read_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         """Parse the headers of an upstream's response."""
@@ -127,6 +148,13 @@
         return headers
 
 
+def _encode_request(request: Request, headers: list[Header]) -> bytes:
+    if request.body or _has_body_header(request.headers):
+        headers = [*headers, (b"Content-Length", b"%d" % len(request.body))]
+    first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
+    return encode_head(first_line, headers) + request.body
+
+
 def _plan_headers(plan: UpstreamRequestPlan) -> list[Header]:
     left_ms = max(1, int(plan.time_left_s * MILLISECONDS_PER_S))
     headers = [
--- a/src/banyanswitch/platform/node_settings.py
+++ b/src/banyanswitch/platform/node_settings.py
@@ -79,6 +79,7 @@
         readiness_address=node.listen.readyAddr,
         directory_address=node.listen.directory,
         peer_port=port,
+        request_port=port + 1,
         peer_seeds=tuple(
             f"{address.rpartition(':')[0]}:{port}" for address in node.seedAddresses
         ),
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -32,7 +32,7 @@
     MAX_TABLE_BODY_BYTES,
     SWEEP_INTERVAL_S,
 )
-from banyanswitch.components.http1.models import Request
+from banyanswitch.components.http1.models import ConnectionLimits, Request
 from banyanswitch.components.kv_tier.cleaner import StoreCleaner
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.event_relay import EventRelay
@@ -42,6 +42,9 @@
 from banyanswitch.components.membership.models import Member, MemberState
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.part_quarantine.row_store import QuarantineStore
+from banyanswitch.components.peer_forwarding.client import PeerForwarder
+from banyanswitch.components.peer_forwarding.const import MAX_EXTRA_HEADER_BYTES
+from banyanswitch.components.peer_forwarding.endpoint import PeerRequestEndpoint
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.state_exchange.coordinator import StateExchange
@@ -52,6 +55,8 @@
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
+from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
+from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
 from banyanswitch.components.weight_rollout.const import (
     DUTY,
     LEASE_S,
@@ -159,6 +164,7 @@
         self._make_clients()
         self._make_membership()
         self._make_state()
+        self._make_links()
         self._make_exchange()
         self._make_serving()
         self._make_duties()
@@ -171,6 +177,7 @@
         await self._directory.async_start(*host_and_port(settings.directory_address))
         await self._readiness.async_start(*host_and_port(settings.readiness_address))
         await self._internal.async_start(settings.host, settings.peer_port)
+        await self._request_server.async_start(settings.host, settings.request_port)
         coroutines: dict[str, Coroutine[Any, Any, None]] = {
             "membership": self._membership.async_run(),
             "operator_table": self._mirrors[TABLE_OPERATOR].async_run(),
@@ -181,6 +188,7 @@
             "named_times": self._target_time_store.async_run(),
             "software_versions": self._version_store.async_run(),
             "quarantine": self._quarantine_store.async_run(),
+            "links": self._links.async_run(),
             "rollout": self._rollout.async_run(),
             "cleaner": self._cleaner.async_run(),
             "housekeeping": self._async_housekeep(),
@@ -211,6 +219,7 @@
             ConnectionPool(), max_body_bytes=MAX_TABLE_BODY_BYTES
         )
         self._pool = ConnectionPool()
+        self._peer_pool = ConnectionPool()
         self._tables = PlatformTables(
             self._store_client,
             self._settings.store_address,
@@ -271,7 +280,15 @@
         )
         self._readers = ReaderAssignment(self._membership)
 
+    def _make_links(self) -> None:
+        self._links = UpstreamLinks(
+            self._registry,
+            self._pool,
+            PeerLinkTable(self._membership, self._random),
+        )
+
     def _make_exchange(self) -> None:
+        settings = self._settings
         self._quarantine = PartQuarantine(self._membership)
         self._quarantine_store = QuarantineStore(
             quarantine=self._quarantine,
@@ -288,8 +305,11 @@
             mirrors=self._mirrors,
             routing=self._routing,
             quarantine=self._quarantine,
+            links=self._links,
+            request_address=f"{settings.host}:{settings.request_port}",
             generator=self._random,
         )
+        self._links.on_change = self._exchange.report_soon
         self._quarantine.on_evidence = self._exchange.report_soon
         self._registry.limits.on_change = self._exchange.report_soon
         self._event_relay = EventRelay(
@@ -328,10 +348,13 @@
             failure_domain=FailureDomainId(settings.failure_domain),
             start_limits=start_limits,
             instance_count=self._instance_count,
+            links=self._links,
             generator=self._random,
         )
+        translator = HeaderTranslator()
+        keys = SigningKeys(INTERNAL_KEY, None)
         forwarder = Forwarder(
-            translator=HeaderTranslator(),
+            translator=translator,
             routing=self._routing,
             placement=placement,
             registry=self._registry,
@@ -352,13 +375,26 @@
             ),
             versions=SoftwareVersions(self._registry, self._version_store),
             parts=self._quarantine,
+            links=self._links,
+            peer_forwarder=PeerForwarder(
+                instance=InstanceId(settings.instance),
+                translator=translator,
+                peers=self._links.peers,
+                pool=self._peer_pool,
+                keys=keys,
+            ),
             on_replaced=self._exchange.announce_replaced,
         )
         self._server = CallerServer(
             forwarder.async_handle, lambda: self._routing.limits
         )
+        self._request_server = CallerServer(
+            PeerRequestEndpoint(forwarder, keys).async_handle, self._peer_request_limits
+        )
         self._shutdown = GracefulShutdown(
-            self._server, settings.grace_s, [self._membership.begin_leaving]
+            (self._server, self._request_server),
+            settings.grace_s,
+            [self._membership.begin_leaving],
         )
         discovery = DiscoveryEndpoint(
             codec=PlatformDiscoveryCodec(),
@@ -419,6 +455,12 @@
         self._exchange.report_soon()
         self._wait_queue.notify()
 
+    @callback
+    def _peer_request_limits(self) -> ConnectionLimits:
+        limits = self._routing.limits
+        size_bytes = limits.max_header_bytes + MAX_EXTRA_HEADER_BYTES
+        return replace(limits, max_header_bytes=size_bytes)
+
     @callback
     def _instance_count(self) -> int:
         return max(1, len(self._membership.peers()))
@@ -430,6 +472,7 @@
             self._engine_client,
             self._peer_client,
             self._pool,
+            self._peer_pool,
         )
         configured_version = -1
         while True:
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -4,7 +4,7 @@
 import math
 import random
 import re
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -175,6 +175,20 @@
             return encode_head(first_line, ())
         return encode_head(first_line, [(LAST_EVENT, last_event)])
 
+    def peer_request(
+        self,
+        request: Request,
+        *,
+        time_left_s: float,
+        resume_after: bytes | None,
+        more_headers: Sequence[Header],
+    ) -> bytes:
+        first_line = b"%b %b HTTP/1.1" % (request.method, request.target)
+        headers = [*more_headers, (b"time-left-s", b"%f" % time_left_s)]
+        if resume_after is not None:
+            headers.append((LAST_EVENT, resume_after))
+        return encode_head(first_line, headers)
+
     def read_response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         return ResponseMetadata(
             attempt=header_value(head.headers, ATTEMPT),
@@ -227,6 +241,7 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     body: bytes = b""
     is_aborted: bool = False
+    is_declined: bool = False
     ended_at_s: float | None = None
 
     def send(
@@ -236,6 +251,12 @@
         self.write(body)
         self.end()
 
+    def refuse(
+        self, status: int, headers: Iterable[Header], *, is_declined: bool
+    ) -> None:
+        self.is_declined = is_declined
+        self.send(status, headers, b"")
+
     def start(
         self,
         status: int,
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -23,13 +23,22 @@
 from banyanswitch.components.http1.models import Headers
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
+from banyanswitch.components.peer_forwarding.client import PeerForwarder
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.stream_origins.exchange import OriginExchange
 from banyanswitch.components.stream_origins.software_versions import SoftwareVersions
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
+from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
 from banyanswitch.decisions.weight_age import WeightAgePolicy
+from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import SuspensionWatch
-from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
+from banyanswitch.identifiers import (
+    FailureDomainId,
+    InstanceId,
+    ServiceName,
+    UpstreamId,
+)
 from banyanswitch.interfaces import Item, TableChanges
 from tests.components.forwarding.fakes import (
     HOST,
@@ -52,6 +61,7 @@
 WEIGHTS_DEADLINE_S = 4.0
 PROMPT_TOKENS = 17_000
 CAPACITY_TOKENS = 100_000
+KEYS = SigningKeys(b"test-key")
 
 
 def make_configuration() -> ForwardingConfiguration:
@@ -84,6 +94,8 @@
     origins: StreamOrigins,
     stored_versions: "FakeStoredVersions",
     quarantine: PartQuarantine,
+    links: UpstreamLinks,
+    peer_pool: ConnectionPool,
 ) -> Forwarder:
     generator = random.Random(1)
     tier = PartTier(
@@ -103,12 +115,14 @@
         failure_domain=FailureDomainId("z1"),
         start_limits=start_limits,
         instance_count=lambda: 1,
+        links=links,
         generator=generator,
     )
     wait_queue = WaitQueue()
     upstreams.loads.on_large_prefill_change = wait_queue.notify
+    translator = PlainTranslator()
     return Forwarder(
-        translator=PlainTranslator(),
+        translator=translator,
         routing=routing,
         placement=placement,
         registry=upstreams.registry,
@@ -123,6 +137,14 @@
         origins=origins,
         versions=SoftwareVersions(upstreams.registry, stored_versions),
         parts=quarantine,
+        links=links,
+        peer_forwarder=PeerForwarder(
+            instance=InstanceId("a"),
+            translator=translator,
+            peers=links.peers,
+            pool=peer_pool,
+            keys=KEYS,
+        ),
         on_replaced=lambda _name: None,
     )
 
@@ -153,6 +175,13 @@
         self.routing = RoutingState(self._operator, PlainDecoder(), "config")
         self.routing.apply(make_configuration())
         self.quarantine = PartQuarantine(alone)
+        self.peer_pool = FakePool()
+        others = FixedPeers(make_peer("a"), [make_peer("b"), make_peer("c")])
+        self.links = UpstreamLinks(
+            self.upstreams.registry,
+            self.pool,
+            PeerLinkTable(others, random.Random(1)),
+        )
         self._forwarder = make_forwarder(
             routing=self.routing,
             upstreams=self.upstreams,
@@ -160,6 +189,8 @@
             origins=self.origins,
             stored_versions=self.stored_versions,
             quarantine=self.quarantine,
+            links=self.links,
+            peer_pool=self.peer_pool,
         )
 
     def add(
--- a/tests/components/forwarding/test_settings_file.py
+++ b/tests/components/forwarding/test_settings_file.py
@@ -21,6 +21,7 @@
     caller_address="127.0.0.2:1",
     readiness_address="127.0.0.2:2",
     directory_address="127.0.0.2:3",
+    request_port=2,
     peer_port=4,
     peer_seeds=("127.0.0.3:4",),
     store_address="127.0.0.4:1",
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -7,6 +7,7 @@
 
 from banyanswitch.components.forwarding.loads import InFlight, Load
 from banyanswitch.components.forwarding.routing_state import RoutingState
+from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.peers.const import BURST_BYTES
@@ -17,6 +18,8 @@
 )
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
+from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import FailureDomainId, InstanceId, UpstreamId
 from banyanswitch.interfaces import Peer
@@ -54,6 +57,11 @@
             self.upstreams.loads,
             ReaderAssignment(self),
         )
+        self.links = UpstreamLinks(
+            self.upstreams.registry,
+            ConnectionPool(),
+            PeerLinkTable(self, random.Random(1)),
+        )
         self.exchange = StateExchange(
             transport=self.transport,
             peers=self,
@@ -62,6 +70,8 @@
             mirrors={"servers": self.upstreams.mirror},
             routing=self.routing,
             quarantine=PartQuarantine(self),
+            links=self.links,
+            request_address=f"{name}:2",
             generator=random.Random(1),
         )
 
