Reproduce requests to upstreams that ask for rest

With one of two resting it got 13 requests of an instance in 3 s, with both resting 56, where 2 are allowed.

--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -86,8 +86,16 @@
         Ends the upstream; called when it crashes.
     limit_per_s : float or None
         Limit that it names in its responses, in requests per second from all callers.
+    rest_s : float or None
+        Rest that it asks for, in seconds, with 503 to each request and report.
+    is_leaving : bool
+        Whether it says in all its responses that it leaves.
+    arrivals : list of tuple
+        Loop time and attempt of each request that arrived, also refused ones.
     arrived_at_s : list of float
         Loop times at which requests arrived, also those that it refused.
+    reported_at_s : list of float
+        Loop times at which reports were read.
     received : list of ReceivedRequest
         Requests that were not refused.
     orders : list of dict
@@ -118,7 +126,11 @@
     crashing_request: CrashingRequest | None = None
     on_crash: Callable[[], None] | None = None
     limit_per_s: float | None = None
+    rest_s: float | None = None
+    is_leaving: bool = False
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
     arrived_at_s: list[float] = field(default_factory=list)
+    reported_at_s: list[float] = field(default_factory=list)
     received: list[ReceivedRequest] = field(default_factory=list)
     orders: list[dict[str, object]] = field(default_factory=list)
     cancelled: int = 0
@@ -135,12 +147,16 @@
         return app
 
     async def _async_report(self, _request: web.Request) -> web.Response:
+        self.reported_at_s.append(asyncio.get_running_loop().time())
+        if self.rest_s is not None:
+            return web.Response(status=503, headers=self._notice_headers())
         return web.json_response(
             {
                 "sequence": len(self.orders),
                 "busy": self._is_loading(),
                 "models": [{"name": self.model, "version": self.weight_version}],
-            }
+            },
+            headers=self._notice_headers(),
         )
 
     async def _async_order(self, request: web.Request) -> web.Response:
@@ -169,15 +185,16 @@
             self.second_answers.begin(request)
         body = await request.read()
         attempt = request.headers.get("Attempt-Id", "")
+        self.arrivals.append((self.arrived_at_s[-1], attempt))
         headers = {
             "Attempt-Id": attempt,
             "Server-Stamp": f"stamp-{self.name}",
             "Weight-Versions": str(self.weight_version),
-            **self._limit_header(),
+            **self._notice_headers(),
         }
         refusal = self._refusal(request)
         if refusal is not None:
-            not_run = {"Attempt-Id": attempt, "Not-Run": "1", **self._limit_header()}
+            not_run = {"Attempt-Id": attempt, "Not-Run": "1", **self._notice_headers()}
             return await self._async_answer(request, refusal, not_run)
         self.received.append(
             ReceivedRequest(
@@ -225,10 +242,16 @@
             request.transport.abort()
         return web.Response()
 
-    def _limit_header(self) -> dict[str, str]:
-        return (
-            {} if self.limit_per_s is None else {"Server-Limit": str(self.limit_per_s)}
-        )
+    def _notice_headers(self) -> dict[str, str]:
+        """Return the headers in which it speaks of itself."""
+        headers = {}
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = str(self.limit_per_s)
+        if self.rest_s is not None:
+            headers["Retry-After"] = str(self.rest_s)
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+        return headers
 
     def most_arrivals(
         self, window_s: float, since_s: float, until_s: float = float("inf")
@@ -246,7 +269,8 @@
         expected = request.headers.get("Expect-Version")
         if expected is not None and int(expected) != self.weight_version:
             return 421
-        return 503 if self.refuses or self._is_loading() else None
+        is_turned_away = self.refuses or self.rest_s is not None
+        return 503 if is_turned_away or self._is_loading() else None
 
     def _event(self, number: int, echo: str) -> bytes:
         version = f" {self.software_version}" if self.names_version else ""
