Announce no loads of upstreams that this instance does not reach

Unreached upstreams wait, as resting and leaving ones do.

Tests: test_upstream_that_is_not_reached_is_not_announced_as_loading and test_upstream_that_rests_is_not_ordered_to_load.

--- a/src/banyanswitch/components/upstream_links/coordinator.py
+++ b/src/banyanswitch/components/upstream_links/coordinator.py
@@ -95,12 +95,15 @@
         )
         self.on_change()
 
+    @callback
+    def is_reached(self, record: UpstreamRecord) -> bool:
+        """Return whether connections to an upstream can be opened, as far as known."""
+        return record.name not in self._unreached
+
     @callback
     def is_direct(self, record: UpstreamRecord) -> bool:
         """Return whether a request can be sent directly to an upstream."""
-        if record.name not in self._unreached:
-            return True
-        return self._pool.has_idle(record.address)
+        return self.is_reached(record) or self._pool.has_idle(record.address)
 
     @callback
     def has_peer(self) -> bool:
--- a/src/banyanswitch/components/weight_rollout/coordinator.py
+++ b/src/banyanswitch/components/weight_rollout/coordinator.py
@@ -14,6 +14,7 @@
     UpstreamState,
 )
 from banyanswitch.components.state_exchange.coordinator import StateExchange
+from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.weight_rollout.const import (
     ANNOUNCEMENT_DELAY_S,
     CHECK_INTERVAL_S,
@@ -46,6 +47,8 @@
         Services and target weight versions.
     registry : UpstreamRegistry
         Upstreams, their load and their weight versions.
+    links : UpstreamLinks
+        Links of this instance to the upstreams.
     engines : EngineClient
         Reads reports of model servers and sends them orders.
     exchange : StateExchange
@@ -60,6 +63,7 @@
         order_lease: OrderLease,
         routing: RoutingState,
         registry: UpstreamRegistry,
+        links: UpstreamLinks,
         engines: EngineClient,
         exchange: StateExchange,
         holder: str,
@@ -67,6 +71,7 @@
         self._order_lease = order_lease
         self._routing = routing
         self._registry = registry
+        self._links = links
         self._engines = engines
         self._exchange = exchange
         self._holder = holder
@@ -166,10 +171,20 @@
                 or self._registry.notices.is_leaving(state.record)
             ),
             running_requests=load.requests,
-            retry_at_s=max(
-                self._retry_at_s.get(name, 0.0),
-                self._registry.notices.rests_until_s(state.record),
-            ),
+            retry_at_s=self._load_not_before_s(state),
+        )
+
+    def _load_not_before_s(self, state: UpstreamState) -> float:
+        """Return the loop time before which an upstream gets no order, in seconds.
+
+        An upstream that is not reached must not be announced as loading either, since
+        it would get no requests.
+        """
+        if not self._links.is_reached(state.record):
+            return float("inf")
+        return max(
+            self._retry_at_s.get(state.record.name, 0.0),
+            self._registry.notices.rests_until_s(state.record),
         )
 
     async def _async_load(
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -440,6 +440,7 @@
             order_lease=order_lease,
             routing=self._routing,
             registry=self._registry,
+            links=self._links,
             engines=self._engines,
             exchange=self._exchange,
             holder=settings.instance,
--- a/tests/components/weight_rollout/test_coordinator.py
+++ b/tests/components/weight_rollout/test_coordinator.py
@@ -20,6 +20,7 @@
     RETRY_DELAY_S,
 )
 from banyanswitch.components.weight_rollout.coordinator import WeightRollout
+from banyanswitch.decisions.upstream_notices import ResponseNotice
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.platform.engines import PlatformEngines
 from tests.components.forwarding.fakes import MODEL, SERVICE
@@ -58,6 +59,7 @@
             order_lease=self.lease.order_lease,
             routing=self.node.routing,
             registry=self.node.upstreams.registry,
+            links=self.node.links,
             engines=PlatformEngines(HttpClient(self.pool)),
             exchange=self.node.exchange,
             holder="n0",
@@ -148,3 +150,36 @@
         await asyncio.sleep(0.05)
     retry_s = scenario.order_times_s()[0] - failed_at_s
     assert retry_s <= RETRY_DELAY_S + IDLE_CHECK_INTERVAL_S + CHECK_INTERVAL_S
+
+
+# Guards against upstreams without requests, as an instance that doesn't reach them
+# announces loads that it can't order.
+async def test_upstream_that_is_not_reached_is_not_announced_as_loading(
+    scenario: Scenario,
+) -> None:
+    registry = scenario.node.upstreams.registry
+    state = registry.state(UpstreamId("u"))
+    assert state is not None
+    scenario.node.links.note_not_sent(state.record, has_timed_out=True)
+    await scenario.async_start()
+    await asyncio.sleep(3 * RETRY_DELAY_S)
+    assert scenario.reported_at_s == []
+    assert registry.loading(now_s()) == {}
+
+
+# Guards against reports and orders to an upstream that has asked for rest.
+async def test_upstream_that_rests_is_not_ordered_to_load(scenario: Scenario) -> None:
+    registry = scenario.node.upstreams.registry
+    state = registry.state(UpstreamId("u"))
+    assert state is not None
+    notice = ResponseNotice(status=503, retry_after_s=5.0)
+    registry.note_notice_at(state.record.address, notice)
+    await scenario.async_start()
+    for _ in range(16):
+        await asyncio.sleep(0.3)
+        scenario.lease.leases.renew(1)
+    assert scenario.reported_at_s == []
+    for _ in range(10):
+        await asyncio.sleep(0.3)
+        scenario.lease.leases.renew(1)
+    assert scenario.reported_at_s != []
--- a/tests/components/weight_rollout/test_second_answers.py
+++ b/tests/components/weight_rollout/test_second_answers.py
@@ -72,6 +72,7 @@
         order_lease=lease.order_lease,
         routing=node.routing,
         registry=node.upstreams.registry,
+        links=node.links,
         engines=PlatformEngines(
             HttpClient(StutteringPool(server.respond, cut, calls_late))
         ),
