Say that the outcome of a passed-on request is unknown at its deadline

Cause: it was not counted as an attempt, and without an attempt a timeout is a refusal. It is now counted before it is sent, and no longer if no upstream got it.

Test: test_outcome_is_unknown_at_the_deadline, failed before (503 for a request that ran).

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -348,11 +348,15 @@
         is_done : bool
             Whether the request has its response; otherwise no upstream received it.
         """
+        passing_on = self._peer_forwarder.async_serve(
+            context, placed.record.name, earlier_attempts=context.sent
+        )
+        # Counted before it is sent, since its outcome is unknown if it is cancelled.
+        context.sent += 1
         try:
-            instance, status = await self._peer_forwarder.async_serve(
-                context, placed.record.name, lambda: None
-            )
+            instance, status = await passing_on
         except UpstreamNotSentError as error:
+            context.sent -= 1
             return not self._prepare_retry_unsent(context, placed, error)
         except (NotRunError, UpstreamBrokenError) as error:
             context.may_have_run |= isinstance(error, UpstreamBrokenError)
--- a/src/banyanswitch/components/peer_forwarding/client.py
+++ b/src/banyanswitch/components/peer_forwarding/client.py
@@ -1,7 +1,6 @@
 """Passing on of requests through an instance that reaches their upstream."""
 
 import asyncio
-from collections.abc import Callable
 
 from banyanswitch.components.forwarding.const import ONCE_MAX_IDLE_S
 from banyanswitch.components.forwarding.protocols import RequestTranslator
@@ -69,14 +68,15 @@
         self,
         context: RequestContext,
         upstream: UpstreamId,
-        on_first_events: Callable[[], None],
+        *,
+        earlier_attempts: int,
     ) -> tuple[InstanceId, int]:
         """Serve a caller through an instance that reaches an upstream.
 
         Parameters
         ----------
-        on_first_events : callable
-            Called before the first events are sent to the caller.
+        earlier_attempts : int
+            Attempts of the request at upstreams so far.
 
         Returns
         -------
@@ -100,14 +100,14 @@
             raise UpstreamNotSentError(f"no instance reaches {upstream}")
         with self._peers.passing_on(peer.instance):
             return peer.instance, await self._async_serve(
-                context, peer, on_first_events
+                context, peer, earlier_attempts
             )
 
     async def _async_serve(
         self,
         context: RequestContext,
         peer: PeerLinks,
-        on_first_events: Callable[[], None],
+        earlier_attempts: int,
     ) -> int:
         try:
             connection = await self._pool.async_acquire(
@@ -119,7 +119,8 @@
         is_released = False
         try:
             connection.send(
-                self._encode(context), is_head_only=context.request.method == b"HEAD"
+                self._encode(context, earlier_attempts),
+                is_head_only=context.request.method == b"HEAD",
             )
             head = await connection.async_head()
             await self._async_check_refusal(connection, head, peer)
@@ -128,7 +129,8 @@
                 progress=context.progress,
                 is_streaming=context.route.is_streaming,
                 translator=self._translator,
-                on_first_events=on_first_events,
+                # The other instance notes the origin of the stream.
+                on_first_events=lambda: None,
             )
             body = ResponseBody(connection, None)
             await relay.async_relay(body, head, is_last=True)
@@ -139,9 +141,9 @@
             if not is_released:
                 self._pool.discard(peer.address, connection)
 
-    def _encode(self, context: RequestContext) -> bytes:
+    def _encode(self, context: RequestContext, earlier_attempts: int) -> bytes:
         time_left_s = context.ends_at_s - asyncio.get_running_loop().time()
-        passed_on = PassedOn(self._instance, context.sent)
+        passed_on = PassedOn(self._instance, earlier_attempts)
         resume_after = None
         if context.progress.has_started:
             resume_after = context.progress.splitter.last_id
--- a/tests/process/test_passing_on.py
+++ b/tests/process/test_passing_on.py
@@ -159,3 +159,13 @@
         async with platform.session.post(url, headers=sent, data=b"") as response:
             assert response.status == 403
     assert platform.run_count("stranger") == 0
+
+
+# Guards against a false "not run" at the deadline of a request that was passed on.
+async def test_outcome_is_unknown_at_the_deadline(platform: Platform) -> None:
+    await async_cut(platform)
+    for upstream in platform.upstreams.values():
+        upstream.hangs = True
+    status, _, _ = await platform.async_call("/once/", "late", host=CUT_HOST)
+    assert status in (502, 504)
+    assert platform.run_count("late") == 1
