Store the origins of streams while their software version is ambiguous

Cause: the origin of a stream was kept in the memory of five instances. When all instances ended at once while two software versions could have begun it, nobody knew it, and the table `software` can't decide between two versions. No text was joined from two versions.

Ruled out: an origin that upstreams are asked for (a report lists only running requests, and they end with their connections); identifiers of our own in the stream (its bytes are the upstream's).

Change: while several versions of a service can have begun an unfinished stream, each instance keeps one row with the origins of the streams that it has begun, also before the second version appeared. The rows are read when a stream is taken up whose origin no instance has noted, and removed 30 to 50 s after the last release. With one version there is no call. May be lost: what was begun within the last write (tens of ms) or before an instance has seen the second version; such a stream is refused at once.

--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -11,6 +11,7 @@
 from banyanswitch.components.forwarding.models import (
     ForwardedWorkspace,
     ForwardingConfiguration,
+    Repeatability,
     Route,
 )
 from banyanswitch.components.forwarding.protocols import DocumentDecoder
@@ -113,6 +114,17 @@
                 return route
         return None
 
+    @callback
+    def resumable_services(self) -> frozenset[ServiceName]:
+        """Return the services of the streams that may be resumed."""
+        routes = self.configuration.routes if self.configuration is not None else ()
+        return frozenset(
+            share.service
+            for route in routes
+            if route.repeatability is Repeatability.RESUMABLE_STREAM
+            for share in route.shares
+        )
+
     @callback
     def workspace(self, key: str | None) -> ForwardedWorkspace | None:
         """Return the workspace of an API key, or ``None`` if there is none."""
--- a/src/banyanswitch/components/stream_origins/const.py
+++ b/src/banyanswitch/components/stream_origins/const.py
@@ -46,3 +46,21 @@
 ERA_READ_SPREAD_S: Final = 2.0
 """Time over which the instances read the stored versions again after the store has
 returned from an older copy."""
+
+ORIGINS_TABLE: Final = "origins"
+"""Table of the origins of unfinished streams while their version is ambiguous."""
+
+ORIGIN_TICK_S: Final = 0.25
+"""Interval at which new software versions are noticed."""
+
+ORIGIN_WRITES_PER_S: Final = 100.0
+"""Rows with origins that all instances together write per second."""
+
+ORIGIN_READ_INTERVAL_S: Final = 0.5
+"""Minimum age of the stored origins before they are read again."""
+
+ORIGIN_SWEEP_DELAY_S: Final = 20.0
+"""Longest random delay before the rows are removed after the last release."""
+
+ORIGIN_SWEEP_BATCH: Final = 100
+"""Number of rows that one transaction removes."""
--- a/src/banyanswitch/components/stream_origins/exchange.py
+++ b/src/banyanswitch/components/stream_origins/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from typing import Protocol
 
 import structlog
 
@@ -30,6 +31,16 @@
 LOGGER = structlog.get_logger(__name__)
 
 
+class OriginArchive(Protocol):
+    """Origins that outlast the instances."""
+
+    def note(self, stream: bytes, origin: StreamOrigin) -> None:
+        """Store the origin of a stream if it may be asked for."""
+
+    async def async_find(self, stream: bytes) -> OriginSearch:
+        """Search for the origin of a stream among the stored ones."""
+
+
 @dataclass(slots=True)
 class _Search:
     """Search for one origin, and the instances whose answer is missing."""
@@ -43,9 +54,9 @@
 
     Each origin is sent to a few other instances, which are selected by the stream, so
     that an instance which is asked to go on with it knows whom to ask. The number of
-    messages doesn't grow with the number of instances, and nothing is written to the
-    table service. Origins are sent before the first event of the stream, and they are
-    not acknowledged: `KEEPERS` copies make up for lost datagrams.
+    messages doesn't grow with the number of instances. Origins are sent before the
+    first event of the stream, and they are not acknowledged: `KEEPERS` copies make up
+    for lost datagrams. The stored origins make up for the end of all instances.
 
     Parameters
     ----------
@@ -55,6 +66,8 @@
         The other instances.
     follows_upstreams : callable
         Returns whether this instance reaches the table of the upstreams.
+    stored : OriginArchive
+        Origins in the table service.
     """
 
     def __init__(
@@ -62,7 +75,9 @@
         transport: DatagramPeerTransport,
         peers: PeerDirectory,
         follows_upstreams: Callable[[], bool],
+        stored: OriginArchive,
     ) -> None:
+        self._stored = stored
         self._transport = transport
         self._peers = peers
         self._follows_upstreams = follows_upstreams
@@ -79,26 +94,36 @@
         if not _is_usable(stream):
             return
         self._memory.note(stream, origin)
+        self._stored.note(stream, origin)
         message = StreamBegan(stream, origin.service, origin.software_version)
         staying = (peer for peer in self._others() if not peer.is_leaving)
         for address in _selected(stream, staying, KEEPERS):
             self._send(address, message)
 
     async def async_find(self, stream: bytes) -> OriginSearch:
-        """Search for the origin of a stream here and at other instances.
+        """Search for the origin of a stream at the instances and in the store.
 
         Returns
         -------
         search : OriginSearch
             Not complete if an instance has not answered after `ASK_ROUNDS` times
-            `ASK_ROUND_S`, or if the stream has no usable identifier. Without other
-            instances, it is complete only if this one is not cut off.
+            `ASK_ROUND_S`, if the store can't be read, or if the stream has no usable
+            identifier. Without other instances, it is complete only if this one is not
+            cut off.
         """
         if not _is_usable(stream):
             return OriginSearch(is_complete=False)
         known = self._memory.find(stream)
         if known is not None:
             return OriginSearch(known)
+        noted = await self._async_find_noted(stream)
+        if noted.origin is not None:
+            return noted
+        stored = await self._stored.async_find(stream)
+        return OriginSearch(stored.origin, noted.is_complete and stored.is_complete)
+
+    async def _async_find_noted(self, stream: bytes) -> OriginSearch:
+        """Search for an origin that other instances have noted."""
         search = self._searches.get(stream)
         if search is not None:
             return await asyncio.shield(search.found)
--- a/src/banyanswitch/components/stream_origins/memory.py
+++ b/src/banyanswitch/components/stream_origins/memory.py
@@ -41,6 +41,11 @@
         found = self._origins.get(stream)
         return None if found is None else found[1]
 
+    def items(self) -> list[tuple[bytes, StreamOrigin]]:
+        """Return all remembered origins."""
+        self._forget_expired()
+        return [(stream, origin) for stream, (_, origin) in self._origins.items()]
+
     def _forget_expired(self) -> None:
         now_s = self._loop.time()
         while self._origins:
--- a/src/banyanswitch/components/stream_origins/models.py
+++ b/src/banyanswitch/components/stream_origins/models.py
@@ -44,3 +44,16 @@
     stream: bytes
     peer_address: str
     origin: tuple[str, str] | None = None
+
+
+class StoredOrigins(msgspec.Struct, frozen=True):
+    """Row of one instance in the table service.
+
+    Parameters
+    ----------
+    streams : dict of str to dict of str to list of str
+        Attempts that brought the first event of a stream, by service and software
+        version.
+    """
+
+    streams: dict[str, dict[str, list[str]]]
--- a/src/banyanswitch/components/stream_origins/software_versions.py
+++ b/src/banyanswitch/components/stream_origins/software_versions.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Protocol
 
+from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.stream_origins.const import STREAM_LIFETIME_S
 from banyanswitch.core import callback
@@ -16,6 +17,16 @@
         """Return the stored versions of a service; ``None`` until they are read."""
 
 
+class AmbiguousVersions(Protocol):
+    """Services with streams that more than one software version may have begun."""
+
+    def ambiguous(self) -> frozenset[ServiceName]:
+        """Return the services of which several versions may have begun a stream."""
+
+    def are_known(self) -> bool:
+        """Return whether the versions of all services are known."""
+
+
 class SoftwareVersions:
     """Software versions of each service, with those that have just left.
 
@@ -25,11 +36,19 @@
         The upstreams, and when the last one of each version left.
     stored : StoredVersions
         The versions before this instance has started.
+    routing : RoutingState
+        Routes, which tell the services of streams that may be resumed.
     """
 
-    def __init__(self, registry: UpstreamRegistry, stored: StoredVersions) -> None:
+    def __init__(
+        self,
+        registry: UpstreamRegistry,
+        stored: StoredVersions,
+        routing: RoutingState,
+    ) -> None:
         self._registry = registry
         self._stored = stored
+        self._routing = routing
         self._loop = asyncio.get_running_loop()
 
     @callback
@@ -48,3 +67,18 @@
             return known
         stored = self._stored.versions(service)
         return None if stored is None else known | stored
+
+    @callback
+    def ambiguous(self) -> frozenset[ServiceName]:
+        """Return the services of which several versions may have begun a stream."""
+        return frozenset(
+            service
+            for service in self._routing.resumable_services()
+            if len(self.possible(service) or ()) > 1
+        )
+
+    @callback
+    def are_known(self) -> bool:
+        """Return whether the versions of all services are known."""
+        services = self._routing.resumable_services()
+        return all(self.possible(service) is not None for service in services)
--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -6,7 +6,6 @@
 import msgspec
 import structlog
 
-from banyanswitch.components.forwarding.models import Repeatability
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.lease.candidates import WatcherSelector
@@ -130,7 +129,7 @@
         now_s = asyncio.get_running_loop().time()
         self._selector.refresh()
         due = []
-        for service in self._services():
+        for service in sorted(self._routing.resumable_services()):
             missing, gone = self._difference(service, now_s)
             if not missing and not gone:
                 self._due_at_s.pop(service, None)
@@ -146,18 +145,6 @@
             for service in due:
                 await self._async_write(service)
 
-    def _services(self) -> list[ServiceName]:
-        configuration = self._routing.configuration
-        routes = configuration.routes if configuration is not None else ()
-        return sorted(
-            {
-                share.service
-                for route in routes
-                if route.repeatability is Repeatability.RESUMABLE_STREAM
-                for share in route.shares
-            }
-        )
-
     def _difference(
         self, service: ServiceName, now_s: float
     ) -> tuple[frozenset[str], frozenset[str]]:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -49,6 +49,7 @@
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.stream_origins.exchange import OriginExchange
+from banyanswitch.components.stream_origins.origin_store import OriginStore
 from banyanswitch.components.stream_origins.software_versions import SoftwareVersions
 from banyanswitch.components.stream_origins.version_store import SoftwareVersionStore
 from banyanswitch.components.table_mirror.mirror import TableMirror
@@ -188,6 +189,7 @@
             "relay": self._relay.async_run(),
             "named_times": self._target_time_store.async_run(),
             "software_versions": self._version_store.async_run(),
+            "stream_origins": self._origin_store.async_run(),
             "quarantine": self._quarantine_store.async_run(),
             "links": self._links.async_run(),
             "rollout": self._rollout.async_run(),
@@ -339,6 +341,14 @@
             generator=self._random,
             eras=self._tables,
         )
+        versions = SoftwareVersions(self._registry, self._version_store, self._routing)
+        self._origin_store = OriginStore(
+            table=self._tables,
+            row=f"{settings.instance}/{self._incarnation}",
+            versions=versions,
+            peers=self._membership,
+            generator=self._random,
+        )
         self._metrics = ForwardingMetrics()
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
@@ -374,9 +384,12 @@
             generator=self._random,
             wait_queue=self._wait_queue,
             origins=OriginExchange(
-                self._transport, self._membership, self._registry.is_followed
+                self._transport,
+                self._membership,
+                self._registry.is_followed,
+                self._origin_store,
             ),
-            versions=SoftwareVersions(self._registry, self._version_store),
+            versions=versions,
             parts=self._quarantine,
             links=self._links,
             peer_forwarder=PeerForwarder(
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -57,6 +57,7 @@
 from tests.components.kv_tier.test_coordinator import FakeClock, FakeStore
 from tests.components.lease.conftest import FixedPeers, make_peer
 from tests.components.peers.in_memory_transport import InMemoryTransport
+from tests.components.stream_origins.test_exchange import NoArchive
 
 WEIGHTS_DEADLINE_S = 4.0
 PROMPT_TOKENS = 17_000
@@ -135,7 +136,7 @@
         generator=generator,
         wait_queue=wait_queue,
         origins=origins,
-        versions=SoftwareVersions(upstreams.registry, stored_versions),
+        versions=SoftwareVersions(upstreams.registry, stored_versions, routing),
         parts=quarantine,
         links=links,
         peer_forwarder=PeerForwarder(
@@ -167,7 +168,7 @@
         self.stored_versions = FakeStoredVersions()
         alone = FixedPeers(make_peer("a"), [])
         self.origins = OriginExchange(
-            InMemoryTransport("a", {}), alone, lambda: self.is_connected
+            InMemoryTransport("a", {}), alone, lambda: self.is_connected, NoArchive()
         )
         self._pool = FakePool()
         self.pool: ConnectionPool = pool or self._pool
--- a/tests/components/stream_origins/test_exchange.py
+++ b/tests/components/stream_origins/test_exchange.py
@@ -25,6 +25,16 @@
 OTHER_ORIGIN = StreamOrigin(ServiceName("llm"), "v2")
 
 
+class NoArchive:
+    """Implements ``OriginArchive`` for services with one software version."""
+
+    def note(self, stream: bytes, origin: StreamOrigin) -> None:
+        return
+
+    async def async_find(self, stream: bytes) -> OriginSearch:
+        return OriginSearch()
+
+
 class Fleet:
     """Instances that all know each other, also after some of them have ended."""
 
@@ -40,7 +50,8 @@
         """Start an instance that remembers nothing."""
         transport = InMemoryTransport(f"n{number}", self.transports)
         self.transports[transport.address] = transport
-        return OriginExchange(transport, _Directory(self, number), lambda: True)
+        directory = _Directory(self, number)
+        return OriginExchange(transport, directory, lambda: True, NoArchive())
 
     def end(self, number: int) -> None:
         self.transports.pop(f"n{number}:1", None)
