Keep the load of each upstream at one instance and look it up for each request

Cause: each instance reported its whole state to all others. What one instance receives is limited to 80 reports per second, so with 195 instances a load figure was up to 2.4 s old, and ignored for the last 0.9 s of that (LOAD_REPORT_TTL_S); with 330 up to 4.1 s.

Ruled out: collectors for each failure domain and figures spread by gossip (both older at the same cost, both cost more with more upstreams, and both send all figures to instances that decide twice a second); subsets of upstreams for each instance (shared prompt parts lose their home); the load in the upstreams' responses (an instance meets each of them every 20 s).

Change: with more than 16 instances, rendezvous hashing names a home for the load of each upstream. Instances report their share there as it changes, and ask the homes of four upstreams before a request is placed among these: the home of its shared parts and random others. A silent home costs one request 30 ms; its upstream is left out until another home is known. Reports contain no loads any more, and go to all instances only with observations, else to four of them. Both versions read each other's reports.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -32,8 +32,8 @@
 address; its entry expires after three heartbeats of 1.2 s."""
 
 LOAD_REPORT_TTL_S: Final = 1.5
-"""Age after which another instance's load report is ignored. Reports come every 0.1 to
-0.5 s among up to 40 instances, and less often among more."""
+"""Age after which another instance's load report, or the load that an upstream's home
+has told, is ignored."""
 
 SILENCE_TIMEOUT_S: Final = 1.0
 """Time without a response head from an upstream with outstanding responses after which
@@ -108,5 +108,8 @@
 instances do not claim the same free capacity; a placement is reported to the other
 instances within a few ms."""
 
+SAMPLE_SIZE: Final = 4
+"""Number of upstreams whose load is looked up for one request in a large fleet."""
+
 MAX_LOGGED_PARTS: Final = 8
 """Number of prompt parts in a log line."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 import structlog
@@ -19,6 +19,7 @@
     QUEUE_POLL_INTERVAL_S,
     QUEUE_POLL_JITTER_S,
     RETRY_BUDGET_SHARE,
+    SAMPLE_SIZE,
     UNAVAILABLE_RETRY_AFTER_S,
     UNCONFIGURED_RETRY_AFTER_S,
 )
@@ -35,6 +36,7 @@
     PlacementResult,
 )
 from banyanswitch.components.forwarding.protocols import (
+    LoadSource,
     PartGuard,
     RequestTranslator,
     ServiceVersions,
@@ -84,6 +86,7 @@
     StreamOrigin,
     origin_of_resumed_stream,
 )
+from banyanswitch.decisions.upstream_sample import UpstreamSample
 from banyanswitch.exceptions import (
     NotRunError,
     RunOutcome,
@@ -129,6 +132,8 @@
         Links of this instance to the upstreams.
     peer_forwarder : PeerForwarder
         Passes requests on through instances that reach their upstream.
+    load_source : LoadSource
+        Loads of the upstreams in a large fleet.
     on_replaced : callable
         Called with an upstream when another upstream responded at its address.
     """
@@ -153,6 +158,7 @@
         parts: PartGuard,
         links: UpstreamLinks,
         peer_forwarder: PeerForwarder,
+        load_source: LoadSource,
         on_replaced: Callable[[UpstreamId], None],
     ) -> None:
         self._translator = translator
@@ -173,6 +179,7 @@
         self._parts = parts
         self._links = links
         self._peer_forwarder = peer_forwarder
+        self._load_source = load_source
         self._on_replaced = on_replaced
         self._log = RequestLog(routing)
         self._loop = asyncio.get_running_loop()
@@ -307,6 +314,7 @@
                 continue
             self._placement.commit(placed)
             self._log.placed(context, placed)
+            self._metrics.observe_load_age(placed.load_age_s)
             self._count_request(context)
             attempt = Attempt(
                 request=context.request,
@@ -383,9 +391,16 @@
         queue_deadline_s = self._loop.time() + wait_s
         try:
             while True:
-                now_s = self._loop.time()
-                is_wait_over = now_s >= queue_deadline_s
-                placed = self._place(context, now_s, is_wait_over=is_wait_over)
+                is_wait_over = self._loop.time() >= queue_deadline_s
+                sample = None
+                if is_wait_over or self._wait_queue.is_first(service, number):
+                    sample = await self._async_sample(context)
+                placed = self._place(
+                    context,
+                    self._loop.time(),
+                    is_wait_over=is_wait_over,
+                    sample=sample,
+                )
                 if placed is None or not placed.is_large_prefill or is_wait_over:
                     return placed
                 # The instance that sends the request lets it wait.
@@ -400,31 +415,54 @@
         finally:
             self._wait_queue.remove(service, number)
 
+    async def _async_sample(self, context: RequestContext) -> UpstreamSample | None:
+        """Look up the load of a few upstreams among which to place a request.
+
+        Returns
+        -------
+        sample : UpstreamSample or None
+            ``None`` if the loads of all upstreams are known anyway.
+        """
+        if not self._load_source.is_needed():
+            return None
+        now_s = self._loop.time()
+        request = self._placement_request(context, now_s, is_wait_over=False)
+        sample = self._placement.sample(request, SAMPLE_SIZE, now_s)
+        return sample.among(await self._load_source.async_refresh(sample.names))
+
     def _place(
-        self, context: RequestContext, now_s: float, *, is_wait_over: bool
+        self,
+        context: RequestContext,
+        now_s: float,
+        *,
+        is_wait_over: bool,
+        sample: UpstreamSample | None = None,
     ) -> PlacementResult | None:
         time_left_s = context.ends_at_s - now_s
         if time_left_s < MIN_TIME_LEFT_S or self._withheld_parts(context) is not None:
             return None
+        request = self._placement_request(context, now_s, is_wait_over=is_wait_over)
+        return self._placement.place(replace(request, sample=sample), now_s)
+
+    def _placement_request(
+        self, context: RequestContext, now_s: float, *, is_wait_over: bool
+    ) -> PlacementRequest:
         resume_after = (
             context.progress.splitter.last_id if context.progress.has_started else None
         )
-        return self._placement.place(
-            PlacementRequest(
-                metadata=context.metadata,
-                route=context.route,
-                workspace=context.workspace,
-                service=context.service,
-                excluded=context.excluded,
-                time_left_s=time_left_s,
-                resume_after=resume_after,
-                software_version=(
-                    context.origin.software_version if context.origin else None
-                ),
-                is_wait_over=is_wait_over,
-                is_passed_on=context.earlier_attempts is not None,
+        return PlacementRequest(
+            metadata=context.metadata,
+            route=context.route,
+            workspace=context.workspace,
+            service=context.service,
+            excluded=context.excluded,
+            time_left_s=context.ends_at_s - now_s,
+            resume_after=resume_after,
+            software_version=(
+                context.origin.software_version if context.origin else None
             ),
-            now_s,
+            is_wait_over=is_wait_over,
+            is_passed_on=context.earlier_attempts is not None,
         )
 
     def _withheld_parts(self, context: RequestContext) -> Combination | None:
--- a/src/banyanswitch/components/forwarding/loads.py
+++ b/src/banyanswitch/components/forwarding/loads.py
@@ -2,30 +2,14 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-
-import msgspec
+from typing import Protocol
 
 from banyanswitch.components.forwarding.const import LOAD_REPORT_TTL_S
 from banyanswitch.core import callback
+from banyanswitch.decisions.load_shares import NO_LOAD, Load
 from banyanswitch.identifiers import UpstreamId
 
 
-class Load(msgspec.Struct, frozen=True, array_like=True):
-    """Load of a number of requests at one upstream."""
-
-    requests: int = 0
-    prefill_tokens: int = 0
-    memory_tokens: int = 0
-
-    def plus(self, other: "Load") -> "Load":
-        """Return the sum of two loads."""
-        return Load(
-            self.requests + other.requests,
-            self.prefill_tokens + other.prefill_tokens,
-            self.memory_tokens + other.memory_tokens,
-        )
-
-
 @dataclass(slots=True)
 class InFlight:
     """Request in flight at an upstream.
@@ -45,6 +29,13 @@
     fetches: Mapping[str, int] = field(default_factory=dict)
 
 
+class LoadChangeHandler(Protocol):
+    """Called with the upstream of a request that began, was answered or ended."""
+
+    def __call__(self, upstream: UpstreamId, *, is_large: bool) -> None:
+        """Handle a change of this instance's load at an upstream."""
+
+
 class LoadTracker:
     """Tracker of the requests in flight and their load.
 
@@ -55,6 +46,8 @@
         or ended.
     on_large_prefill_change : callable
         Called at each change of a request with a large prefill.
+    on_change : LoadChangeHandler
+        Called at each change.
     """
 
     def __init__(self) -> None:
@@ -62,9 +55,11 @@
         self._requests: dict[int, InFlight] = {}
         self._remote: dict[str, tuple[float, Mapping[str, Load]]] = {}
         self._remote_fetches: dict[str, tuple[float, Mapping[str, int]]] = {}
+        self._others: dict[UpstreamId, tuple[float, Load]] = {}
         self._next_number = 0
         self.change_count = 0
         self.on_large_prefill_change: Callable[[], None] = lambda: None
+        self.on_change: LoadChangeHandler = _ignore_change
 
     @callback
     def begin(self, request: InFlight) -> int:
@@ -94,6 +89,7 @@
 
     def _note_change(self, request: InFlight) -> None:
         self.change_count += 1
+        self.on_change(request.upstream, is_large=request.is_large_prefill)
         if request.is_large_prefill:
             self.on_large_prefill_change()
 
@@ -102,14 +98,34 @@
         self, instance: str, loads: Mapping[str, Load], now_s: float
     ) -> None:
         """Record the loads that another instance reported."""
-        self._remote[instance] = (now_s, loads)
+        if loads:
+            self._remote[instance] = (now_s, loads)
+        else:
+            self._remote.pop(instance, None)
+
+    @callback
+    def note_others(self, upstream: UpstreamId, load: Load, now_s: float) -> None:
+        """Record the load of all other instances, as the upstream's home knows it."""
+        self._others[upstream] = (now_s, load)
+
+    @callback
+    def forget_expired(self, now_s: float) -> None:
+        """Forget the loads of others that are too old to be used."""
+        self._others = {
+            upstream: (at_s, load)
+            for upstream, (at_s, load) in self._others.items()
+            if now_s - at_s <= LOAD_REPORT_TTL_S
+        }
 
     @callback
     def note_remote_fetches(
         self, instance: str, fetches: Mapping[str, int], now_s: float
     ) -> None:
         """Record the fetches in progress that another instance reported."""
-        self._remote_fetches[instance] = (now_s, fetches)
+        if fetches:
+            self._remote_fetches[instance] = (now_s, fetches)
+        else:
+            self._remote_fetches.pop(instance, None)
 
     @callback
     def local_fetches(self) -> dict[str, int]:
@@ -148,10 +164,39 @@
             name: self.local(name) for name, numbers in self._local.items() if numbers
         }
 
+    @callback
+    def upstreams_with_work(self) -> list[UpstreamId]:
+        """Return the upstreams at which this instance has requests in flight."""
+        return [name for name, numbers in self._local.items() if numbers]
+
+    @callback
+    def has_work(self, upstream: UpstreamId) -> bool:
+        """Return whether this instance has requests in flight at an upstream."""
+        return bool(self._local.get(upstream))
+
+    @callback
+    def age_s(self, upstream: UpstreamId, now_s: float) -> float | None:
+        """Return the age of the oldest figure in the load of an upstream, in seconds.
+
+        ``None`` means that nothing is known of other instances.
+        """
+        ages_s = [
+            now_s - at_s
+            for at_s, _ in self._remote.values()
+            if now_s - at_s <= LOAD_REPORT_TTL_S
+        ]
+        at_s, _ = self._others.get(upstream, (float("-inf"), NO_LOAD))
+        if now_s - at_s <= LOAD_REPORT_TTL_S:
+            ages_s.append(now_s - at_s)
+        return max(ages_s, default=None)
+
     @callback
     def total(self, upstream: UpstreamId, now_s: float) -> Load:
         """Return the load of all instances at an upstream."""
         total = self.local(upstream)
+        at_s, load = self._others.get(upstream, (float("-inf"), NO_LOAD))
+        if now_s - at_s <= LOAD_REPORT_TTL_S:
+            total = total.plus(load)
         for received_at_s, loads in self._remote.values():
             if now_s - received_at_s <= LOAD_REPORT_TTL_S and upstream in loads:
                 total = total.plus(loads[upstream])
@@ -169,3 +214,7 @@
             if not self._requests[number].has_answered
         ]
         return min(waiting, default=None)
+
+
+def _ignore_change(upstream: UpstreamId, *, is_large: bool) -> None:
+    return
--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -8,6 +8,9 @@
 FIRST_BYTE_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 5.0, 10.0)
 """Bucket bounds around the latency objectives of 0.2 to 1 s."""
 
+LOAD_AGE_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.3, 0.5, 1.0, 1.5)
+"""Bucket bounds up to the age at which a load is no longer used."""
+
 
 class ForwardingMetrics:
     """Metrics of one process."""
@@ -58,6 +61,19 @@
             registry=self._registry,
         )
 
+        self._load_age = Histogram(
+            "banyanswitch_load_age_seconds",
+            "Age of the other instances' load at the upstream of a placed request",
+            buckets=LOAD_AGE_BUCKETS_S,
+            registry=self._registry,
+        )
+
+    @callback
+    def observe_load_age(self, age_s: float | None) -> None:
+        """Record the age of the load by which a request was placed, if known."""
+        if age_s is not None:
+            self._load_age.observe(age_s)
+
     @callback
     def count_request(self, route: str, outcome: str) -> None:
         """Count a completed request by its outcome."""
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -34,10 +34,11 @@
     UpstreamChoiceRequest,
     UpstreamView,
     choose_upstream,
-    home_of,
+    home_among,
     must_wait,
     prefill_cost_tokens,
 )
+from banyanswitch.decisions.upstream_sample import UpstreamSample, sample_upstreams
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 
 MIN_HEALTH = 0.05
@@ -67,6 +68,8 @@
     is_passed_on : bool
         Whether another instance has passed the request on, so that only upstreams that
         this one reaches may be used.
+    sample : UpstreamSample or None
+        Upstreams among which it is placed; ``None`` for all that can take it.
     """
 
     metadata: RequestMetadata
@@ -79,6 +82,7 @@
     software_version: str | None = None
     is_wait_over: bool = False
     is_passed_on: bool = False
+    sample: UpstreamSample | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +96,8 @@
         ``None`` if there is none.
     is_direct : bool
         Whether this instance can send the request to the upstream itself.
+    load_age_s : float or None
+        Age of what is known of the other instances' load at the upstream, in seconds.
     """
 
     record: UpstreamRecord
@@ -110,6 +116,7 @@
     must_wait: bool = False
     is_large_prefill: bool = False
     is_direct: bool = True
+    load_age_s: float | None = None
 
 
 class Placement:
@@ -146,6 +153,23 @@
         self._random = generator
         self._policy = policy or UpstreamChoicePolicy()
 
+    @callback
+    def sample(
+        self, request: PlacementRequest, count: int, now_s: float
+    ) -> UpstreamSample:
+        """Return the upstreams among which to place a request."""
+        states = self._eligible(request, now_s)
+        names = [state.record.name for state in states]
+        model = request.metadata.model if request.service.engine else None
+        newest = self._newest_version(model, states)
+        preferred = [
+            state.record.name
+            for state in states
+            if self._weight_version(state, model) == newest
+        ]
+        home = home_among(self._choice_request(request).home_key, names)
+        return sample_upstreams(names, preferred, home, count, self._random)
+
     @callback
     def place(self, request: PlacementRequest, now_s: float) -> PlacementResult | None:
         """Return the placement of a request, or ``None`` if no upstream can take it."""
@@ -166,14 +190,17 @@
         choice = self._choice_request(request)
         if request.is_wait_over:
             views = self._startable(views, states, request, choice, now_s)
-        name = choose_upstream(views, choice, self._policy)
+        home = request.sample.home if request.sample else None
+        if home not in {state.record.name for state in states}:
+            names = [state.record.name for state in states]
+            home = home_among(choice.home_key, names)
+        name = choose_upstream(views, choice, self._policy, home)
         if name is None:
             return None
         state = next(state for state in states if state.record.name == name)
         view = next(view for view in views if view.name == name)
         weight_version = self._weight_version(state, model)
         parts = plans[weight_version]
-        home = home_of(choice.home_key, views)
         is_home = home == name
         if home is not None and not is_home:
             parts = self._with_home_source(parts, states, home, weight_version, model)
@@ -210,9 +237,18 @@
             must_wait=must_wait(view, choice, self._policy),
             is_large_prefill=is_large_prefill,
             is_direct=self._links.is_direct(state.record),
+            load_age_s=self._registry.loads.age_s(name, now_s),
         )
 
     def _eligible(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
+        """Return the upstreams that can take a request, of its sample if any can."""
+        states = self._usable(request, now_s)
+        if request.sample is None:
+            return states
+        sampled = [s for s in states if s.record.name in request.sample.names]
+        return sampled or states
+
+    def _usable(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
         service = request.service
         limit = service.max_connections * CONNECTION_SHARE / self._instance_count()
         model = request.metadata.model if service.engine else None
@@ -285,7 +321,7 @@
         self, model: str | None, states: list[UpstreamState]
     ) -> int | None:
         """Return the target version, or the newest served one if that is higher."""
-        if model is None:
+        if model is None or not states:
             return None
         target = self._routing.targets.get(model)
         serving = max(state.weight_versions.get(model, 0) for state in states)
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -1,6 +1,6 @@
 """Protocols that a platform implements for forwarding."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -56,6 +56,18 @@
         """
 
 
+class LoadSource(Protocol):
+    """Source of the upstreams' loads in a large fleet."""
+
+    def is_needed(self) -> bool:
+        """Return whether loads must be looked up for each request."""
+
+    async def async_refresh(
+        self, upstreams: Iterable[UpstreamId]
+    ) -> frozenset[UpstreamId]:
+        """Look up the load of some upstreams; return those that it is known of."""
+
+
 class RequestTranslator(Protocol):
     """Translates requests and responses between callers and upstreams."""
 
--- a/src/banyanswitch/components/forwarding/request_log.py
+++ b/src/banyanswitch/components/forwarding/request_log.py
@@ -46,6 +46,7 @@
             weights=placed.plan.expected_weights,
             software_version=placed.record.software_version,
             resumes=_text(context.metadata.resumes),
+            load_age_s=_rounded(placed.load_age_s),
         )
 
     @callback
@@ -86,3 +87,7 @@
 
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
+
+
+def _rounded(duration_s: float | None) -> float | None:
+    return None if duration_s is None else round(duration_s, 4)
--- /dev/null
+++ b/src/banyanswitch/components/load_homes/models.py
@@ -0,0 +1,49 @@
+"""Messages about the load of upstreams."""
+
+import msgspec
+
+from banyanswitch.decisions.load_shares import Load
+
+
+class ShareReport(msgspec.Struct, frozen=True, array_like=True):
+    """Work of the sender in flight at upstreams whose home is the recipient.
+
+    Parameters
+    ----------
+    loads : dict of str to Load
+        Load by upstream; an empty load ends the sender's share.
+    """
+
+    instance: str
+    loads: dict[str, Load]
+
+
+class LoadQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Question for the load of upstreams whose home is the recipient.
+
+    Parameters
+    ----------
+    number : int
+        Number of the question at its sender.
+    peer_address : str
+        Address to answer to.
+    """
+
+    number: int
+    instance: str
+    peer_address: str
+    upstreams: list[str]
+
+
+class LoadAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Answer to a question.
+
+    Parameters
+    ----------
+    loads : dict of str to Load
+        Load of all instances but the one that asked, by upstream.
+    """
+
+    number: int
+    peer_address: str
+    loads: dict[str, Load]
--- a/src/banyanswitch/components/state_exchange/const.py
+++ b/src/banyanswitch/components/state_exchange/const.py
@@ -18,6 +18,13 @@
 """Reports per second that one instance receives if all instances send reports before
 their interval has passed."""
 
+SAMPLED_INTERVAL_S: Final = 0.4
+"""Mean interval between two reports of an instance in a large fleet."""
+
+SAMPLED_RECIPIENTS: Final = 4
+"""Number of instances that get a report without observations in a large fleet; each
+instance receives ten such reports per second, for any number of instances."""
+
 OBSERVATION_RETENTION_S: Final = 3.0
 """Time for which reports repeat an observed weight version or a replaced upstream; the
 upstream's entry in the store shows a new weight version after about 2 s."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -6,10 +6,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+import structlog
+
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.load_homes.homes import LoadHomes
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
+from banyanswitch.components.part_quarantine.models import EMPTY_REPORT
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.paced_broadcaster import PacedBroadcaster
 from banyanswitch.components.state_exchange.const import (
@@ -19,6 +23,8 @@
     OBSERVATION_REPEATS,
     OBSERVATION_RETENTION_S,
     REPORTS_PER_S,
+    SAMPLED_INTERVAL_S,
+    SAMPLED_RECIPIENTS,
     URGENT_REPORTS_PER_S,
     VERSION_AGE_RETENTION_S,
     VERSIONS_LIFETIME_S,
@@ -27,9 +33,11 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
+from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.interfaces import PeerDirectory
 
+LOGGER = structlog.get_logger(__name__)
 MILLISECONDS_PER_S = 1000.0
 
 
@@ -43,6 +51,10 @@
 class StateExchange:
     """Report this instance's state to the other instances, and apply their reports.
 
+    In a large fleet, reports contain no loads (`LoadHomes`), and only reports with
+    observations go to all instances. The others go to a few random ones, which repeat
+    what holds for all: fetch floors, table versions and the ages of target weights.
+
     Parameters
     ----------
     transport : DatagramPeerTransport
@@ -61,6 +73,8 @@
         Ends of upstreams, and withheld prompt parts.
     links : UpstreamLinks
         Links to the upstreams.
+    homes : LoadHomes
+        Tells whether loads are kept by the upstreams' homes.
     request_address : str
         Address at which this instance takes requests that others pass on.
     generator : random.Random
@@ -69,7 +83,7 @@
     Attributes
     ----------
     on_report : callable
-        Called for each received report, after its loads have been applied.
+        Called for each received report with loads, after they have been applied.
     """
 
     def __init__(
@@ -83,9 +97,12 @@
         routing: RoutingState,
         quarantine: PartQuarantine,
         links: UpstreamLinks,
+        homes: LoadHomes,
         request_address: str,
         generator: random.Random,
     ) -> None:
+        self._homes = homes
+        self._random = generator
         self._routing = routing
         self._quarantine = quarantine
         self._links = links
@@ -119,6 +136,10 @@
 
     async def _async_report(self) -> None:
         while True:
+            if self._homes.are_used():
+                await asyncio.sleep(SAMPLED_INTERVAL_S * self._random.uniform(0.8, 1.2))
+                self._report_sampled()
+                continue
             interval_s = self.interval_s()
             wait_s = interval_s - (_now_s() - self._sent_at_s)
             if wait_s > 0.0:
@@ -130,9 +151,24 @@
                 self.report_now()
             await asyncio.sleep(interval_s)
 
+    def _report_sampled(self) -> None:
+        """Report to all instances if there is something new, else to a few."""
+        report = self._make_report()
+        is_due = _now_s() - self._sent_at_s >= self.interval_s()
+        if is_due and _has_observations(report):
+            self.report_now()
+            return
+        addresses = self._other_addresses()
+        count = min(SAMPLED_RECIPIENTS, len(addresses))
+        for address in self._random.sample(addresses, count):
+            try:
+                self._transport.send(address, report)
+            except PeerError as error:
+                LOGGER.info("report_not_sent", peer=address, reason=str(error))
+
     @callback
     def interval_s(self) -> float:
-        """Return the interval between two reports during changes, in seconds."""
+        """Return the interval between two reports to all instances, in seconds."""
         return max(INTERVAL_MIN_S, len(self._peers.peers()) / REPORTS_PER_S)
 
     @callback
@@ -168,9 +204,17 @@
         self._is_report_queued = False
         self._sent_at_s = _now_s()
         self._sent_change_count = self._registry.loads.change_count
+        self._broadcaster.send(self._make_report(), self._other_addresses())
+
+    def _other_addresses(self) -> list[str]:
+        own = self._peers.this_instance().instance
+        return [p.peer_address for p in self._peers.peers() if p.instance != own]
+
+    def _make_report(self) -> InstanceReport:
         now_s = _now_s()
         this = self._peers.this_instance()
-        report = InstanceReport(
+        loads = self._registry.loads
+        return InstanceReport(
             instance=this.instance,
             peer_address=self._transport.address,
             table_versions={
@@ -178,8 +222,8 @@
                 for name, mirror in self._mirrors.items()
                 if mirror.is_loaded
             },
-            loads=self._registry.loads.local_loads(),
-            fetches=self._registry.loads.local_fetches(),
+            loads={} if self._homes.are_used() else loads.local_loads(),
+            fetches=loads.local_fetches(),
             loading=dict(self._local_loading),
             weights={
                 name: (observed.model, observed.version)
@@ -205,12 +249,6 @@
             request_address=self._request_address,
             unreached=list(self._links.report()),
         )
-        addresses = [
-            peer.peer_address
-            for peer in self._peers.peers()
-            if peer.instance != this.instance
-        ]
-        self._broadcaster.send(report, addresses)
 
     def _retention_s(self) -> float:
         """Return the time for which reports repeat what was seen once, in seconds."""
@@ -288,7 +326,8 @@
         self._registry.loads.note_remote(report.instance, report.loads, now_s)
         self._registry.loads.note_remote_fetches(report.instance, report.fetches, now_s)
         self._tier.note_peer_report()
-        self.on_report()
+        if report.loads:
+            self.on_report()
         for name, version in report.loading.items():
             self._registry.note_loading(UpstreamId(name), version, now_s)
         for name, (model, version) in report.weights.items():
@@ -307,6 +346,18 @@
         )
 
 
+def _has_observations(report: InstanceReport) -> bool:
+    """Return whether a report contains what only its sender has seen."""
+    return bool(
+        report.loading
+        or report.weights
+        or report.replaced
+        or report.limits
+        or report.unreached
+        or report.quarantine != EMPTY_REPORT
+    )
+
+
 def _reported_age_s(age_s: float) -> float:
     """Round an age down to milliseconds.
 
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
-from banyanswitch.components.forwarding.loads import Load
 from banyanswitch.components.part_quarantine.models import (
     EMPTY_REPORT,
     QuarantineReport,
 )
 from banyanswitch.components.upstream_limits.models import LimitReport
 from banyanswitch.decisions.fetch_floor import FetchFloor
+from banyanswitch.decisions.load_shares import Load
 
 
 class InstanceReport(msgspec.Struct, frozen=True, array_like=True):
@@ -23,7 +23,8 @@
     table_versions : dict of str to int
         Content version of each table that the sender knows.
     loads : dict of str to Load
-        The sender's work in flight at each upstream.
+        The sender's work in flight at each upstream; empty in a large fleet, where the
+        upstreams' homes keep it.
     fetches : dict of str to int
         Tokens of the sender's fetches in progress from each address.
     loading : dict of str to int
--- a/src/banyanswitch/decisions/upstream_choice.py
+++ b/src/banyanswitch/decisions/upstream_choice.py
@@ -106,11 +106,19 @@
     views: Sequence[UpstreamView],
     request: UpstreamChoiceRequest,
     policy: UpstreamChoicePolicy,
+    home: UpstreamId | None = None,
 ) -> UpstreamId | None:
-    """Return the upstream with the lowest expected cost, or ``None`` without views."""
+    """Return the upstream with the lowest expected cost, or ``None`` without views.
+
+    Parameters
+    ----------
+    home : UpstreamId, optional
+        Home of the request; by default, its home among the views.
+    """
     if not views:
         return None
-    home = home_of(request.home_key, views)
+    if home is None:
+        home = home_of(request.home_key, views)
     best = min(
         views,
         key=lambda view: (
@@ -147,9 +155,14 @@
     Rendezvous hashing gives the same result on all instances without communication,
     and the loss of an upstream moves only the prompts that had it as their home.
     """
-    if not home_key or not views:
+    return home_among(home_key, [view.name for view in views])
+
+
+def home_among(home_key: str, names: Sequence[UpstreamId]) -> UpstreamId | None:
+    """Return the home among some upstreams of requests with this key."""
+    if not home_key or not names:
         return None
-    return max(views, key=lambda view: _hash_rank(home_key, view.name)).name
+    return max(names, key=lambda name: _hash_rank(home_key, name))
 
 
 def prefill_cost_tokens(
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -38,6 +38,10 @@
 from banyanswitch.components.kv_tier.event_relay import EventRelay
 from banyanswitch.components.kv_tier.list_relay import LIST_PATH, ListRelay
 from banyanswitch.components.lease.coordinator import LeaseCoordinator
+from banyanswitch.components.load_homes.homes import LoadHomes
+from banyanswitch.components.load_homes.keeper import LoadKeeper
+from banyanswitch.components.load_homes.lookup import LoadLookup
+from banyanswitch.components.load_homes.share_reporter import ShareReporter
 from banyanswitch.components.membership.coordinator import MembershipCoordinator
 from banyanswitch.components.membership.models import Member, MemberState
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
@@ -167,6 +171,7 @@
         self._make_membership()
         self._make_state()
         self._make_links()
+        self._make_load_homes()
         self._make_exchange()
         self._make_serving()
         self._make_duties()
@@ -185,6 +190,7 @@
             "operator_table": self._mirrors[TABLE_OPERATOR].async_run(),
             "upstream_table": self._mirrors[TABLE_UPSTREAMS].async_run(),
             "exchange": self._exchange.async_run(),
+            "shares": self._share_reporter.async_run(),
             "words": self._event_relay.async_run(),
             "relay": self._relay.async_run(),
             "named_times": self._target_time_store.async_run(),
@@ -292,6 +298,24 @@
             PeerLinkTable(self._membership, self._random),
         )
 
+    def _make_load_homes(self) -> None:
+        self._homes = LoadHomes(self._membership, self._readers)
+        keeper = LoadKeeper(self._transport)
+        self._share_reporter = ShareReporter(
+            transport=self._transport,
+            peers=self._membership,
+            homes=self._homes,
+            keeper=keeper,
+            loads=self._loads,
+        )
+        self._load_lookup = LoadLookup(
+            transport=self._transport,
+            peers=self._membership,
+            homes=self._homes,
+            keeper=keeper,
+            loads=self._loads,
+        )
+
     def _make_exchange(self) -> None:
         settings = self._settings
         self._quarantine = PartQuarantine(self._membership)
@@ -311,6 +335,7 @@
             routing=self._routing,
             quarantine=self._quarantine,
             links=self._links,
+            homes=self._homes,
             request_address=f"{settings.host}:{settings.request_port}",
             generator=self._random,
         )
@@ -399,6 +424,7 @@
                 pool=self._peer_pool,
                 keys=keys,
             ),
+            load_source=self._load_lookup,
             on_replaced=self._exchange.announce_replaced,
         )
         self._server = CallerServer(
@@ -469,7 +495,8 @@
 
     @callback
     def _on_large_prefill_change(self) -> None:
-        self._exchange.report_soon()
+        if not self._homes.are_used():
+            self._exchange.report_soon()
         self._wait_queue.notify()
 
     @callback
@@ -495,6 +522,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._registry.remove_expired(loop.time())
+            self._loads.forget_expired(loop.time())
             for client in clients:
                 client.sweep(loop.time())
             configuration = self._routing.configuration
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
 from banyanswitch.components.forwarding.forwarder import Forwarder, RetryBudget
-from banyanswitch.components.forwarding.loads import InFlight, Load
+from banyanswitch.components.forwarding.loads import InFlight
 from banyanswitch.components.forwarding.metrics import ForwardingMetrics
 from banyanswitch.components.forwarding.models import (
     EngineProfile,
@@ -30,6 +31,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
+from banyanswitch.decisions.load_shares import Load
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import SuspensionWatch
@@ -146,10 +148,23 @@
             pool=peer_pool,
             keys=KEYS,
         ),
+        load_source=NoLoadSource(),
         on_replaced=lambda _name: None,
     )
 
 
+class NoLoadSource:
+    """Implements ``LoadSource`` for a small fleet."""
+
+    def is_needed(self) -> bool:
+        return False
+
+    async def async_refresh(
+        self, upstreams: Iterable[UpstreamId]
+    ) -> frozenset[UpstreamId]:
+        raise NotImplementedError
+
+
 class FakeStoredVersions:
     """Implements ``StoredVersions`` for one service."""
 
--- a/tests/components/forwarding/test_upstream_registry.py
+++ b/tests/components/forwarding/test_upstream_registry.py
@@ -9,7 +9,8 @@
     MISSING_ENTRY_GRACE_S,
     SILENCE_TIMEOUT_S,
 )
-from banyanswitch.components.forwarding.loads import InFlight, Load
+from banyanswitch.components.forwarding.loads import InFlight
+from banyanswitch.decisions.load_shares import Load
 from banyanswitch.identifiers import UpstreamId
 from tests.components.forwarding.fakes import MODEL, SERVICE, Upstreams, record
 
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -3,23 +3,27 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
-from banyanswitch.components.forwarding.loads import InFlight, Load
+from banyanswitch.components.forwarding.loads import InFlight
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.load_homes.homes import LoadHomes
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.peers.const import BURST_BYTES
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.state_exchange.const import (
     BROADCAST_BYTES_PER_S,
+    SAMPLED_RECIPIENTS,
     URGENT_REPORTS_PER_S,
 )
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
+from banyanswitch.decisions.load_shares import Load
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import FailureDomainId, InstanceId, UpstreamId
 from banyanswitch.interfaces import Peer
@@ -71,6 +75,7 @@
             routing=self.routing,
             quarantine=PartQuarantine(self),
             links=self.links,
+            homes=LoadHomes(self, ReaderAssignment(self)),
             request_address=f"{name}:2",
             generator=random.Random(1),
         )
@@ -184,6 +189,52 @@
     assert node.transport.sent >= 2 * 90
 
 
+@pytest.mark.parametrize("instances", [91, 195, 330])
+async def test_quiet_large_fleet_sends_few_reports_without_loads(
+    instances: int,
+) -> None:
+    (node,) = make_nodes(1, instances)
+    running = asyncio.create_task(node.exchange.async_run())
+    for _ in range(50):
+        call = InFlight(UpstreamId("u"), 12_800, 17_000, now_s())
+        node.upstreams.loads.begin(call)
+        await asyncio.sleep(0.2)
+    running.cancel()
+    assert SAMPLED_RECIPIENTS <= node.transport.sent <= 12.0 * 10.0
+    assert node.transport.sent_bytes < 300 * node.transport.sent
+
+
+async def test_observation_reaches_all_instances_of_a_large_fleet() -> None:
+    nodes = make_nodes(91)
+    nodes[0].exchange.announce_replaced(UpstreamId("u"))
+    await asyncio.sleep(nodes[0].exchange.broadcast_time_s() + 0.01)
+    assert not any(node.upstreams.accepting(now_s()) for node in nodes[1:])
+
+
+async def test_lost_observation_is_repeated_in_a_large_fleet() -> None:
+    nodes = make_nodes(91)
+    address = nodes[5].transport.address
+    lost = nodes[0].transport._transports.pop(address)
+    running = asyncio.create_task(nodes[0].exchange.async_run())
+    nodes[0].exchange.announce_replaced(UpstreamId("u"))
+    await asyncio.sleep(0.5)
+    nodes[0].transport._transports[address] = lost
+    assert nodes[5].upstreams.accepting(now_s()) == ["u"]
+    await asyncio.sleep(2.0)
+    running.cancel()
+    assert nodes[5].upstreams.accepting(now_s()) == []
+
+
+async def test_load_of_the_earlier_version_counts_in_a_large_fleet() -> None:
+    """It reports its load to all instances, whatever their number."""
+    first, second = make_nodes(2, 91)
+    report = first.exchange._make_report()
+    assert report.loads == {}
+    earlier = msgspec.structs.replace(report, loads={"u": Load(1, 300, 400)})
+    first.transport.send(second.transport.address, earlier)
+    assert second.upstreams.loads.total(UpstreamId("u"), now_s()) == Load(1, 300, 400)
+
+
 async def test_order_of_recipients_varies() -> None:
     nodes = make_nodes(20)
     first_recipients = set()
--- a/tests/components/state_exchange/test_earlier_version.py
+++ b/tests/components/state_exchange/test_earlier_version.py
@@ -2,7 +2,6 @@
 
 import msgspec
 
-from banyanswitch.components.forwarding.loads import Load
 from banyanswitch.components.part_quarantine.models import (
     EMPTY_REPORT,
     QuarantineReport,
@@ -10,6 +9,7 @@
 from banyanswitch.components.state_exchange.models import InstanceReport
 from banyanswitch.components.upstream_limits.models import LimitReport
 from banyanswitch.decisions.fetch_floor import FetchFloor
+from banyanswitch.decisions.load_shares import Load
 
 
 class EarlierReport(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -14,7 +14,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from banyanswitch.components.forwarding.loads import Load
 from banyanswitch.components.forwarding.protocols import EngineReport, PartEvents
 from banyanswitch.components.http1.client import HttpResponse
 from banyanswitch.components.http1.models import Header
@@ -22,6 +21,7 @@
 from banyanswitch.components.peers.signed_frames import SignedFrames
 from banyanswitch.components.state_exchange.models import InstanceReport
 from banyanswitch.decisions.fetch_floor import FetchFloor
+from banyanswitch.decisions.load_shares import Load
 from banyanswitch.exceptions import (
     ConditionFailedError,
     HistoryGoneError,
