Ask all readers of a table before the store is read in their place

Cause: if a reader had lost the store, each of its followers read the store itself, once for each such response.

Ruled out: more readers (each is a call every 3 s, and a third of them fails as well).

Change: a follower asks the readers one after the other within the time of one call. The store is read only if none of them reaches it, and after a failure every 3 s on average; the readers notice themselves that it is back.

--- a/src/banyanswitch/components/table_mirror/const.py
+++ b/src/banyanswitch/components/table_mirror/const.py
@@ -27,6 +27,13 @@
 """Number of instances that read a table's feed on behalf of all, if there are many. If
 the store refuses a third of the instances, it refuses all six once in 700 times."""
 
+READER_COOLDOWN_S: Final = 0.5
+"""Time for which a reader that failed is not asked; one that has lost the store may
+have it back after `RETRY_MAX_S`."""
+
+STORE_PAUSE_S: Final = 3.0
+"""Mean time between two reads of a store that has failed, in place of its readers."""
+
 READER_TIMEOUT_MARGIN_S: Final = 0.4
 """Time beyond the wait time of a feed call to another instance before the call fails;
 the latency between failure domains is 1.4 ms."""
--- a/tests/components/table_mirror/test_relayed_feed.py
+++ b/tests/components/table_mirror/test_relayed_feed.py
@@ -17,6 +17,8 @@
 from banyanswitch.components.table_mirror.const import (
     FEED_WAIT_S,
     READER_TIMEOUT_MARGIN_S,
+    RETRY_MAX_S,
+    STORE_PAUSE_S,
     TABLE_READERS,
 )
 from banyanswitch.components.table_mirror.mirror import TableMirror
@@ -231,6 +233,39 @@
         assert name in refused_readers or node.keys() == {"a"}
 
 
+@pytest.mark.parametrize("instances", [40, 195])
+async def test_readers_refused_by_the_store_cost_no_call_of_all_others(
+    instances: int,
+) -> None:
+    """Pattern: the store refuses a third of the machines, some readers among them."""
+    fleet = Fleet(instances)
+    await asyncio.sleep(4.0)
+    for node in fleet.readers()[: TABLE_READERS // 2]:
+        node.mirror._feed._store = RefusingStore()  # type: ignore[attr-defined]
+    fleet.store.calls = 0
+    for number in range(10):
+        fleet.store.put(f"k{number}")
+        await asyncio.sleep(1.0)
+    followers = set(fleet.nodes.values()) - set(fleet.readers())
+    assert all(len(node.keys()) >= 9 for node in followers)
+    assert fleet.store.calls <= TABLE_READERS * 2 * 10
+
+
+async def test_outage_of_the_store_costs_few_calls_of_many_instances() -> None:
+    fleet = Fleet(195)
+    await asyncio.sleep(4.0)
+    fleet.store.is_down = True
+    await asyncio.sleep(4.0)
+    fleet.store.calls = 0
+    await asyncio.sleep(10.0)
+    readers_calls = TABLE_READERS * 10.0 / (0.7 * RETRY_MAX_S)
+    assert fleet.store.calls <= readers_calls + 195 * 10.0 / STORE_PAUSE_S
+    fleet.store.is_down = False
+    fleet.store.put("a")
+    await asyncio.sleep(2.0)
+    assert fleet.known_keys() == [{"a"}] * 195
+
+
 async def test_store_outage_is_detected_by_all_instances() -> None:
     fleet = Fleet(40)
     await asyncio.sleep(1.0)
