Check few other upstreams when some of them crash

Cause: an instance that had lost two upstreams of a service opened a connection to all others every 0.5 s, to find out whether it is cut off.

Change: for each upstream lost since the last check, two others are checked. If these fail too, their number doubles, so an instance without links finds 45 upstreams down within 2 s (6 upstreams as before: in the first round). If they answer, it stops.

Test: 264 connections to reached upstreams before, at most 33 after, per instance.

--- a/src/banyanswitch/components/upstream_links/coordinator.py
+++ b/src/banyanswitch/components/upstream_links/coordinator.py
@@ -37,7 +37,7 @@
     """Upstreams to which this instance can open no connections.
 
     Requests don't test such a link: connections are opened to it at intervals until one
-    succeeds. As soon as several links of a service are down, all of them are checked.
+    succeeds. As soon as several links of a service are down, others are checked too.
 
     Parameters
     ----------
@@ -146,9 +146,13 @@
             checked_at_s = {
                 name: self._checked_at_s.get(name, float("-inf")) for name in states
             }
-            unreached = [name for name in states if name in self._unreached]
+            unreached_since_s = {
+                name: self._unreached[name].since_s
+                for name in states
+                if name in self._unreached
+            }
             for name in upstreams_to_check(
-                unreached, checked_at_s, self._policy, now_s
+                unreached_since_s, checked_at_s, self._policy, now_s
             ):
                 if name in self._checks:
                     continue
--- a/src/banyanswitch/decisions/upstream_links.py
+++ b/src/banyanswitch/decisions/upstream_links.py
@@ -17,13 +17,18 @@
         Share of a service's upstreams that must be reached for requests to be sent
         directly to these alone. With fewer, other instances send some requests.
     suspect_count : int
-        Number of unreached upstreams of a service from which the others are checked.
+        Number of unreached upstreams of a service from which others are checked.
+    checks_per_loss : int
+        Number of other upstreams that are checked for each one that was lost since the
+        last check. An instance that is cut off finds out in a few rounds; one that
+        only meets crashed upstreams soon stops.
     check_interval_s : float
         Time between two checks of an unreached upstream, in seconds.
     """
 
     min_direct_share: float = 0.5
     suspect_count: int = 2
+    checks_per_loss: int = 2
     check_interval_s: float = 0.5
 
 
@@ -88,7 +93,7 @@
 
 
 def upstreams_to_check(
-    unreached: Collection[UpstreamId],
+    unreached_since_s: Mapping[UpstreamId, float],
     checked_at_s: Mapping[UpstreamId, float],
     policy: LinkPolicy,
     now_s: float,
@@ -97,12 +102,24 @@
 
     Parameters
     ----------
+    unreached_since_s : mapping of UpstreamId to float
+        Loop time at which each unreached upstream was lost, in seconds.
     checked_at_s : mapping of UpstreamId to float
         Loop time of the last check of each upstream of the service, in seconds.
     """
-    is_suspect = len(unreached) >= min(policy.suspect_count, len(checked_at_s))
-    return [
+    due = [
         name
         for name, at_s in checked_at_s.items()
-        if (name in unreached or is_suspect) and now_s - at_s >= policy.check_interval_s
+        if now_s - at_s >= policy.check_interval_s
     ]
+    down = [name for name in due if name in unreached_since_s]
+    if len(unreached_since_s) < min(policy.suspect_count, len(checked_at_s)):
+        return down
+    lost = [
+        at_s
+        for at_s in unreached_since_s.values()
+        if now_s - at_s < policy.check_interval_s
+    ]
+    others = [name for name in due if name not in unreached_since_s]
+    others.sort(key=lambda name: checked_at_s[name])
+    return down + others[: policy.checks_per_loss * len(lost)]
--- a/tests/decisions/test_upstream_links.py
+++ b/tests/decisions/test_upstream_links.py
@@ -73,10 +73,55 @@
 # Guards against callers who each wait for another link that is down too.
 def test_second_lost_link_lets_all_links_be_checked() -> None:
     checked_at_s = dict.fromkeys(NAMES, float("-inf")) | {NAMES[0]: 1.0}
-    assert upstreams_to_check([NAMES[0]], checked_at_s, POLICY, 1.2) == []
-    assert upstreams_to_check([NAMES[0]], checked_at_s, POLICY, 1.5) == [NAMES[0]]
-    assert upstreams_to_check(NAMES[:2], checked_at_s, POLICY, 1.2) == NAMES[1:]
+    one = {NAMES[0]: 1.0}
+    assert upstreams_to_check(one, checked_at_s, POLICY, 1.2) == []
+    assert upstreams_to_check(one, checked_at_s, POLICY, 1.5) == [NAMES[0]]
+    both = {NAMES[0]: 1.0, NAMES[1]: 1.2}
+    assert upstreams_to_check(both, checked_at_s, POLICY, 1.2) == NAMES[1:]
 
 
 def test_only_upstream_of_a_service_is_checked() -> None:
-    assert upstreams_to_check([NAMES[0]], {NAMES[0]: 0.0}, POLICY, 1.0) == [NAMES[0]]
+    only = {NAMES[0]: 0.0}
+    assert upstreams_to_check(only, only, POLICY, 1.0) == [NAMES[0]]
+
+
+def checks(cut: set[UpstreamId], found: int, duration_s: float) -> tuple[int, float]:
+    """Return the checks of reached upstreams, and when all of ``cut`` were found.
+
+    Parameters
+    ----------
+    found : int
+        Number of unreached upstreams that requests have found at first.
+    """
+    names = [UpstreamId(f"u{number}") for number in range(45)]
+    checked_at_s = dict.fromkeys(names, float("-inf"))
+    unreached = dict.fromkeys(sorted(cut)[:found], 0.0)
+    wasted, now_s, all_found_at_s = 0, 0.0, float("inf")
+    while now_s < duration_s:
+        for name in upstreams_to_check(unreached, checked_at_s, POLICY, now_s):
+            checked_at_s[name] = now_s
+            if name not in cut:
+                wasted += 1
+            elif name not in unreached:
+                unreached[name] = now_s
+        if set(unreached) == cut:
+            all_found_at_s = min(all_found_at_s, now_s)
+        now_s += 0.1
+    return wasted, all_found_at_s
+
+
+def test_crash_of_a_quarter_does_not_make_all_instances_check_all_upstreams() -> None:
+    """Pattern: 12 of 45 upstreams crash for 4 s; a request finds two of them.
+
+    Each of 195 instances opened 264 connections to the others.
+    """
+    cut = {UpstreamId(f"u{number}") for number in range(12)}
+    wasted, _ = checks(cut, 2, 4.0)
+    assert wasted <= 33
+
+
+def test_instance_without_links_finds_them_down_within_two_seconds() -> None:
+    cut = {UpstreamId(f"u{number}") for number in range(45)}
+    wasted, all_found_at_s = checks(cut, 2, 4.0)
+    assert wasted == 0
+    assert all_found_at_s <= 2.0
