Relay store events as often as their readers, not all instances, allow

Cause: the interval between two messages of a reader assumed that all instances are readers: 2.4 s with 195 instances and 4.1 s with 330, where a store counts as stale after 4 s and nothing would be fetched from it.

Change: the interval counts the readers (two for each store) and limits what one reader sends to 200 messages per second: 0.98 s with 195 instances, 1.65 s with 330.

Test: with 330 instances, events arrive within half of the time after which the store is stale.

--- a/src/banyanswitch/components/kv_tier/const.py
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -23,8 +23,7 @@
 
 RELAY_STALE_AFTER_S: Final = 4.0
 """Time without events from a store's readers after which nothing is fetched from the
-store. A dead reader is detected and replaced within about 2 s. With 91 instances, a
-reader relays events every 1.1 s."""
+store. A dead reader is detected and replaced within about 2 s."""
 
 SNAPSHOT_INTERVAL_S: Final = 0.5
 """Minimum interval between two requests of one instance for a store's whole list."""
@@ -58,9 +57,12 @@
 """Minimum interval between two messages of a reader."""
 
 RELAY_MESSAGES_PER_S: Final = 80.0
-"""Messages per second that one instance receives if all instances are readers; the
-interval between a reader's messages grows with the number of instances. Of 91 instances
-with 27 stores, about half are readers."""
+"""Messages per second that one instance receives from all readers. Of 91 instances with
+27 stores, about half are readers."""
+
+RELAYED_PER_S: Final = 200.0
+"""Messages per second that one reader sends; with 330 instances, it sends to each of
+them every 1.7 s, within `RELAY_STALE_AFTER_S`."""
 
 RELAY_BYTES_PER_S: Final = 200_000.0
 """Rate at which a message is sent, in bytes per second. It is a third of the slowest
--- a/src/banyanswitch/components/kv_tier/event_relay.py
+++ b/src/banyanswitch/components/kv_tier/event_relay.py
@@ -7,12 +7,15 @@
     RELAY_BYTES_PER_S,
     RELAY_INTERVAL_MIN_S,
     RELAY_MESSAGES_PER_S,
+    RELAY_READERS,
+    RELAYED_PER_S,
 )
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.list_relay import ListRelay
 from banyanswitch.components.kv_tier.models import StoreWords
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
 from banyanswitch.components.peers.paced_broadcaster import PacedBroadcaster
+from banyanswitch.core import callback
 from banyanswitch.interfaces import PeerDirectory
 
 
@@ -55,16 +58,24 @@
         """Relay events until cancelled."""
         try:
             while True:
-                count = len(self._peers.peers())
-                await asyncio.sleep(
-                    max(RELAY_INTERVAL_MIN_S, count / RELAY_MESSAGES_PER_S)
-                )
+                await asyncio.sleep(self.interval_s())
                 # Events that arrive during a send go into the next message.
                 if not self._broadcaster.is_busy:
                     self._send()
         finally:
             self._broadcaster.stop()
 
+    @callback
+    def interval_s(self) -> float:
+        """Return the interval between two messages of a reader, in seconds."""
+        instances = len(self._peers.peers())
+        readers = min(instances, RELAY_READERS * len(self._tier.stores))
+        return max(
+            RELAY_INTERVAL_MIN_S,
+            readers / RELAY_MESSAGES_PER_S,
+            instances / RELAYED_PER_S,
+        )
+
     def _send(self) -> None:
         events_by_store = self._tier.drain_unsent()
         if not events_by_store:
--- a/tests/components/kv_tier/test_event_relay.py
+++ b/tests/components/kv_tier/test_event_relay.py
@@ -29,6 +29,8 @@
 class FakeTier:
     """Fake of the tier and the list relay: events read and events received."""
 
+    stores = (STORE,) * 27
+
     def __init__(self) -> None:
         self.unsent: dict[str, int] = {}
         self.since = 0
@@ -125,6 +127,21 @@
     assert all(node.tier.messages for node in nodes[1:])
 
 
+@pytest.mark.parametrize("instances", [195, 330])
+async def test_events_of_a_large_fleet_arrive_long_before_the_store_is_stale(
+    instances: int,
+) -> None:
+    nodes = make_nodes(instances)
+    first = nodes[0]
+    task = asyncio.create_task(first.relay.async_run())
+    for _ in range(10):
+        first.tier.read(parts=3)
+        await asyncio.sleep(RELAY_STALE_AFTER_S / 2)
+        assert first.tier.since == first.tier.next_event
+    task.cancel()
+    assert all(len(node.tier.messages) >= 9 for node in nodes[1:])
+
+
 async def test_relayed_events_do_not_fill_the_link() -> None:
     nodes = make_nodes(91)
     first = nodes[0]
