--- a/review/standins/model.py
+++ b/review/standins/model.py
@@ -184,7 +184,14 @@
 
 
 class ModelRunner:
-    """Runner of one model, with a cache of parts and orders to load weights."""
+    """Runner of one model, with a cache of parts and orders to load weights.
+
+    Attributes
+    ----------
+    uses : list of tuple
+        Time, request, tenant, part and the tenant that made it, of each part that a
+        request found in the cache.
+    """
 
     def __init__(self, name, service, model, stores, record, *, load_s, cache_tokens):
         self.name = name
@@ -196,7 +203,9 @@
         self._record = record
         self._load_s = load_s
         self._cache_tokens = cache_tokens
+        self.uses = []
         self._cache = OrderedDict()
+        self._makers = {}
         self._sequence = 0
         self._token = 0
         self._is_busy = False
@@ -309,6 +318,7 @@
 
     async def _async_read_prompt(self, headers, attempt):
         salt = headers.get("cache-salt", "")
+        tenant = headers.get("tenant", "")
         parts = [item.split(":") for item in headers["prompt-prefix"].split(",")]
         fetches = _addresses(headers.get("kv-fetch"), len(parts))
         saves = _addresses(headers.get("kv-save"), len(parts))
@@ -319,6 +329,8 @@
             key = (salt, part)
             if key in self._cache:
                 self._cache.move_to_end(key)
+                maker = self._makers.get(key)
+                self.uses.append((time.monotonic(), attempt, tenant, part, maker))
                 continue
             store = self._stores.get(source)
             if store is None or not await store.async_fetch(
@@ -326,6 +338,7 @@
             ):
                 await asyncio.sleep(tokens / PREFILL_TOKENS_PER_S)
             self._keep(key, tokens)
+            self._makers[key] = tenant
             if target in self._stores:
                 save = self._stores[target].async_save(salt, part, tokens, self.model)
                 task = asyncio.create_task(save)
