Fetch stored parts only with evidence that the floor is known

An instance took the report of any other instance as proof that it knew the fetch floor, and fetched parts of the newest weights that it knew without any proof. Both fail for instances that are cut off from the holder of the duty.

The holder now issues permits for a limited time with the floors and frees parts only after those permits, and the fetches planned under them, have ended. The evidence for the newest weights is a permit, a recent answer of the store, or reports of most instances.

Two tests of the tier use a permit in place of a report of any instance, since that report is no proof; one states the time limit that a plan now contains.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -65,17 +65,6 @@
 the request is sent, the reset of a connection that the upstream had closed can't be
 distinguished from a lost response, so the request could not be sent again."""
 
-FETCH_TIMEOUT_MS: Final = 800
-"""Time limit of a fetch; after it, the engine computes the prompt part instead. The
-longest fetches take 70 ms, and links may be 8 times slower. The cleaner frees a part
-only after this limit has passed for the last fetches of it: `FREE_DELAY_S` includes
-the limit."""
-
-NEWEST_FETCH_TIMEOUT_MS: Final = 1600
-"""Time limit of a fetch of parts of the newest weights. None of these parts is freed
-before the next version is named, an upstream has loaded it, which takes at least 1.5 s,
-and `FREE_DELAY_S` has passed."""
-
 TARGET_TIME_RESOLUTION_S: Final = 0.001
 """Resolution of the ages of target weight versions in the instances' reports."""
 
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -4,11 +4,7 @@
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
-from banyanswitch.components.forwarding.const import (
-    CONNECTION_SHARE,
-    FETCH_TIMEOUT_MS,
-    NEWEST_FETCH_TIMEOUT_MS,
-)
+from banyanswitch.components.forwarding.const import CONNECTION_SHARE
 from banyanswitch.components.forwarding.loads import InFlight
 from banyanswitch.components.forwarding.models import (
     ForwardedService,
@@ -42,6 +38,7 @@
 from banyanswitch.decisions.upstream_sample import UpstreamSample, sample_upstreams
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 
+MILLISECONDS_PER_S = 1000.0
 MIN_HEALTH = 0.05
 """Lower bound of the health in the choice of an upstream; unhealthy upstreams are among
 the candidates if too few are healthy."""
@@ -425,9 +422,7 @@
         is_model = model is not None
         salt = self._salt(request, model, version) if model is not None else None
         clock_ms = self._tier.clock_ms()
-        target = self._routing.targets.get(model) if model else None
-        is_newest = target is None or (version or 0) >= target.version
-        lifetime_ms = NEWEST_FETCH_TIMEOUT_MS if is_newest else FETCH_TIMEOUT_MS
+        lifetime_ms = int(parts.fetch_limit_s * MILLISECONDS_PER_S)
         return UpstreamRequestPlan(
             upstream=record.name,
             workspace=workspace.name if workspace else None,
--- a/src/banyanswitch/components/kv_tier/cleaner.py
+++ b/src/banyanswitch/components/kv_tier/cleaner.py
@@ -1,7 +1,6 @@
 """Removal of stored parts that belong to weight versions no longer in use."""
 
 import asyncio
-from collections import deque
 
 import structlog
 
@@ -9,9 +8,11 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.kv_tier.const import (
+    CLEAN_INTERVAL_S,
+    FETCH_END_DELAY_S,
     FREE_BATCH_PARTS,
     FREE_DELAY_S,
-    REPORT_INTERVAL_S,
+    MAX_PERMIT_S,
 )
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.models import PartKey
@@ -20,6 +21,7 @@
 from banyanswitch.components.weight_rollout.order_lease import OrderLease
 from banyanswitch.core import callback
 from banyanswitch.decisions.fetch_floor import (
+    AnnouncedFloors,
     FetchFloor,
     WeightVersionsView,
     fetch_floor,
@@ -28,8 +30,6 @@
 from banyanswitch.exceptions import UpstreamError
 
 LOGGER = structlog.get_logger(__name__)
-CLEAN_INTERVAL_S = 0.5
-"""Interval between two cleaning passes."""
 
 
 class StoreCleaner:
@@ -70,31 +70,39 @@
         self._tier = tier
         self._stores = stores
         self._exchange = exchange
-        self._announced_floors: dict[str, deque[tuple[float, FetchFloor]]] = {}
+        self._announced_floors: dict[str, AnnouncedFloors] = {}
+        self._held_since_s: float | None = None
 
     async def async_run(self) -> None:
         """Run cleaning passes while the lease is held, until cancelled."""
         while True:
             await asyncio.sleep(CLEAN_INTERVAL_S)
+            now_s = asyncio.get_running_loop().time()
+            self._tier.permit.tick(now_s)
             if not self._order_lease.is_holder():
                 self._announced_floors.clear()
+                self._held_since_s = None
                 continue
-            now_s = asyncio.get_running_loop().time()
-            self._raise_floors(now_s)
+            if self._held_since_s is None:
+                self._held_since_s = now_s
+            if self._order_lease.taken_over_token(now_s) is None:
+                continue
+            self._raise_floors(now_s, self._held_since_s)
             await self._async_free(now_s)
 
     @callback
-    def _raise_floors(self, now_s: float) -> None:
+    def _raise_floors(self, now_s: float, held_since_s: float) -> None:
+        settles_at_s = self._settles_at_s(now_s, held_since_s)
         for model, target in self._routing.targets.items():
             versions = tuple(
                 state.weight_versions[model]
                 for state in self._registry.serving_model(model)
             )
             view = WeightVersionsView(target=target.version, upstream_versions=versions)
-            announced = self._announced_floors.setdefault(model, deque())
-            previous = announced[-1][1] if announced else self._tier.floor(model)
-            floor = fetch_floor(view, previous)
-            if not announced or floor != announced[-1][1]:
+            announced = self._announced_floors.setdefault(model, AnnouncedFloors())
+            floor = fetch_floor(view, announced.newest or self._tier.floor(model))
+            if floor != announced.newest:
+                announced.announce(floor, settles_at_s)
                 LOGGER.info(
                     "fetch_floor_raised",
                     model=model,
@@ -102,14 +110,23 @@
                     target=floor.target,
                     retired_share=round(floor.retired_share, 2),
                 )
-            announced.append((now_s, floor))
             self._tier.note_floor(model, floor)
         self._exchange.report_soon()
 
+    def _settles_at_s(self, now_s: float, held_since_s: float) -> float:
+        """Return the time from which parts below a floor raised now may be freed.
+
+        All permits issued with earlier floors have ended by then, and all fetches that
+        were planned under them. Those of the previous holder, which this instance may
+        not know, were issued before this one held the lease.
+        """
+        delay_s = FREE_DELAY_S + 2.0 * self._exchange.excess_interval_s()
+        permits_end_at_s = max(self._tier.permit.ends_at_s, held_since_s + MAX_PERMIT_S)
+        return max(now_s + delay_s, permits_end_at_s + FETCH_END_DELAY_S)
+
     async def _async_free(self, now_s: float) -> None:
         floors = [
-            self._settled_floor(announced, now_s)
-            for announced in self._announced_floors.values()
+            announced.settled(now_s) for announced in self._announced_floors.values()
         ]
         # A salt does not identify its model; with several models, the lowest floor is
         # safe for all of them.
@@ -124,19 +141,6 @@
             ):
                 await self._async_free_store(follower, floor)
 
-    def _settled_floor(
-        self, announced: deque[tuple[float, FetchFloor]], now_s: float
-    ) -> FetchFloor | None:
-        """Return the newest floor announced at least the free delay ago."""
-        excess_interval_s = max(0.0, self._exchange.interval_s() - REPORT_INTERVAL_S)
-        delay_s = FREE_DELAY_S + 2.0 * excess_interval_s
-        settled: FetchFloor | None = None
-        while announced and now_s - announced[0][0] >= delay_s:
-            settled = announced.popleft()[1]
-        if settled is not None:
-            announced.appendleft((now_s - delay_s, settled))
-        return settled
-
     async def _async_free_store(
         self, follower: StoreFollower, floor: FetchFloor
     ) -> None:
--- a/src/banyanswitch/components/kv_tier/const.py
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -36,19 +36,33 @@
 unsent, the message contains none, and the recipients that missed them request the whole
 list."""
 
-FLOOR_LIFETIME_S: Final = 0.8
-"""Time after the last report that arrived from any other instance, after which parts of
-older weights are not fetched; reports arrive every 0.1 to 0.4 s."""
+PERMIT_LIFETIME_S: Final = 0.8
+"""Time for which a permit to fetch parts of older weights is valid; reports arrive
+every 0.1 to 0.4 s."""
+
+MAX_PERMIT_S: Final = 3.0
+"""Longest lifetime of a permit. A new holder doesn't know the permits of the previous
+one, and waits for this time."""
+
+FETCH_END_DELAY_S: Final = 1.7
+"""Time from the end of a permit until all fetches have ended that were planned under
+it: the time limit of a fetch (0.8 s), and a margin for the time that reports spend on
+the way and for pauses below `MAX_TICK_GAP_S`."""
+
+MAX_TICK_GAP_S: Final = 0.9
+"""Time without a tick of the event loop from which the process counts as paused; it
+ticks every `CLEAN_INTERVAL_S`."""
 
 FREE_DELAY_S: Final = 2.5
-"""Delay between the announcement that a part is no longer fetched and its removal. It
-covers the time until another instance repeats the announcement in a report (0.4 s),
-`FLOOR_LIFETIME_S` (0.8 s), the time limit of a fetch (0.8 s) and a margin for lost
-datagrams."""
+"""Minimum delay between the announcement that a part is no longer fetched and its
+removal: a permit's lifetime (0.8 s) and `FETCH_END_DELAY_S`."""
 
 REPORT_INTERVAL_S: Final = 0.4
-"""Report interval that `FREE_DELAY_S` assumes; the excess of a longer interval is added
-to the delay twice."""
+"""Report interval that `FREE_DELAY_S` and `PERMIT_LIFETIME_S` assume. The excess of a
+longer interval is added to the lifetime, and twice to the delay."""
+
+CLEAN_INTERVAL_S: Final = 0.5
+"""Interval between two cleaning passes."""
 
 FREE_BATCH_PARTS: Final = 400
 """Number of parts that one call frees; about 12 kB."""
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -8,9 +8,10 @@
 from banyanswitch.components.forwarding.models import KvStoreNode, PromptPart
 from banyanswitch.components.forwarding.protocols import PartStoreClient
 from banyanswitch.components.kv_tier.const import (
-    FLOOR_LIFETIME_S,
     PENDING_SAVE_LIFETIME_S,
+    PERMIT_LIFETIME_S,
 )
+from banyanswitch.components.kv_tier.fetch_permit import FetchPermit
 from banyanswitch.components.kv_tier.models import (
     Missed,
     PartKey,
@@ -21,6 +22,11 @@
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.core import callback
 from banyanswitch.decisions.fetch_floor import FetchFloor
+from banyanswitch.decisions.fetch_limit import (
+    FETCH_TIMEOUT_S,
+    FetchEvidence,
+    fetch_limit_s,
+)
 from banyanswitch.decisions.part_stores import (
     MAX_TRANSFER_S,
     StoreView,
@@ -56,12 +62,15 @@
         Tokens of the parts that are fetched from stores.
     planned_saves : tuple of Save
         Saves that become pending when the plan is sent.
+    fetch_limit_s : float
+        Time within which the fetches have to end, in seconds.
     """
 
     fetches: tuple[str, ...] = ()
     saves: tuple[str, ...] = ()
     stored_tokens: int = 0
     planned_saves: tuple[Save, ...] = ()
+    fetch_limit_s: float = FETCH_TIMEOUT_S
 
     def with_source(self, address: str) -> "PartPlan":
         """Return the plan with a source for the shared parts that no store provides."""
@@ -86,6 +95,15 @@
         Tokens of the fetches in progress at each store.
     readers : ReaderAssignment
         Decides whether this instance reads a store itself.
+
+    Attributes
+    ----------
+    permit : FetchPermit
+        Permission to fetch parts of older weights.
+    targets_confirmed_at_s : callable
+        Returns the loop time at which the store last confirmed the target weights.
+    hears_most : callable
+        Returns whether most instances have just reported to this one.
     """
 
     def __init__(
@@ -100,6 +118,9 @@
         self._readers = readers
         self._watch = watch
         self._fetches_resume_at_s = float("-inf")
+        self.permit = FetchPermit(watch)
+        self.targets_confirmed_at_s: Callable[[], float] = lambda: float("-inf")
+        self.hears_most: Callable[[], bool] = lambda: False
         watch.subscribe(self._suspend_fetches)
         self._client = client
         self._newest_version = newest_version
@@ -107,7 +128,6 @@
         self._tasks: dict[StoreId, asyncio.Task[None]] = {}
         self._pending: dict[PartKey, tuple[float, StoreId, int]] = {}
         self._floors: dict[str, FetchFloor] = {}
-        self._peer_report_at_s = float("-inf")
         self._clock = RemoteClock()
 
     @property
@@ -156,11 +176,6 @@
         """
         self._floors[model] = max(floor, self.floor(model))
 
-    @callback
-    def note_peer_report(self) -> None:
-        """Record the arrival of another instance's report, which repeats its floors."""
-        self._peer_report_at_s = _now_s()
-
     @callback
     def plan(
         self,
@@ -174,18 +189,18 @@
         if not self._stores or version is None:
             return PartPlan()
         self._watch.check()
-        has_resumed = _now_s() >= self._fetches_resume_at_s
         newest = self._newest_version(model)
         is_newest = newest is None or version >= newest
+        limit_s = self._fetch_limit_s(is_newest)
+        floor = self.floor(model)
         fetches: list[str] = []
         saves: list[str] = []
         planned_saves: list[Save] = []
         stored_tokens = 0
         for part in parts[:-1]:
             key = (salt, part.name)
-            can_fetch = is_newest or self._is_allowed(model, version, part.name)
             source = None
-            if can_fetch and has_resumed:
+            if limit_s > 0.0 and floor.allows(version, part.name):
                 source = self._fastest_store(key, part.tokens, token_bytes)
             fetches.append(source.node.address if source else "")
             stored_tokens += part.tokens if source else 0
@@ -194,7 +209,11 @@
             saves.append(self._stores[save.store].node.address if save else "")
             planned_saves += [save] if save else []
         return PartPlan(
-            (*fetches, ""), (*saves, ""), stored_tokens, tuple(planned_saves)
+            (*fetches, ""),
+            (*saves, ""),
+            stored_tokens,
+            tuple(planned_saves),
+            limit_s or FETCH_TIMEOUT_S,
         )
 
     @callback
@@ -216,17 +235,29 @@
 
     def _suspend_fetches(self) -> None:
         """Fetch nothing until reports of other instances had time to arrive."""
-        self._fetches_resume_at_s = _now_s() + FLOOR_LIFETIME_S
+        now_s = _now_s()
+        self._fetches_resume_at_s = now_s + PERMIT_LIFETIME_S
+        self.permit.withdraw(now_s)
 
-    def _is_allowed(self, model: str, version: int, part: str) -> bool:
-        """Return whether a part of older weights may be fetched.
+    def _fetch_limit_s(self, is_newest: bool) -> float:
+        """Return how long a fetch planned now may take; 0 if it may not be planned.
 
-        All instances repeat the fetch floors in their reports, so an instance that
-        receives reports of any other instance learns of a new floor in time.
+        For parts of older weights, reports of instances other than the holder don't
+        show that the floors are up to date: all of these instances may be cut off from
+        the holder.
         """
-        if _now_s() - self._peer_report_at_s > FLOOR_LIFETIME_S:
-            return False
-        return self.floor(model).allows(version, part)
+        now_s = _now_s()
+        permit_left_s = self.permit.left_s(now_s)
+        if now_s < self._fetches_resume_at_s:
+            return 0.0
+        return fetch_limit_s(
+            FetchEvidence(
+                is_newest=is_newest,
+                permit_left_s=permit_left_s,
+                targets_age_s=now_s - self.targets_confirmed_at_s(),
+                hears_most=is_newest and permit_left_s <= 0.0 and self.hears_most(),
+            )
+        )
 
     def _is_stored(self, key: PartKey) -> bool:
         return any(
--- a/src/banyanswitch/components/state_exchange/const.py
+++ b/src/banyanswitch/components/state_exchange/const.py
@@ -42,3 +42,14 @@
 BROADCAST_BYTES_PER_S: Final = 300_000.0
 """Rate at which a report is sent, in bytes per second; half of the slowest link of the
 platform's machines, 5 Mbit/s."""
+
+HEARD_LIFETIME_S: Final = 0.8
+"""Time after its report for which an instance counts as heard; reports arrive every 0.1
+to 0.4 s."""
+
+PEER_COUNT_RETENTION_S: Final = 30.0
+"""Time for which an instance that is no longer heard counts among all instances."""
+
+MIN_HEARD_INSTANCES: Final = 8
+"""Number of heard instances that suffices in a large fleet, in which reports go to a
+few random instances."""
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -6,11 +6,17 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+import msgspec
 import structlog
 
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
+from banyanswitch.components.kv_tier.const import REPORT_INTERVAL_S
 from banyanswitch.components.kv_tier.coordinator import PartTier
+from banyanswitch.components.kv_tier.fetch_permit import (
+    PermitReport,
+    permit_lifetime_s,
+)
 from banyanswitch.components.load_homes.homes import LoadHomes
 from banyanswitch.components.part_quarantine.coordinator import PartQuarantine
 from banyanswitch.components.part_quarantine.models import EMPTY_REPORT
@@ -18,10 +24,13 @@
 from banyanswitch.components.peers.paced_broadcaster import PacedBroadcaster
 from banyanswitch.components.state_exchange.const import (
     BROADCAST_BYTES_PER_S,
+    HEARD_LIFETIME_S,
     INTERVAL_IDLE_S,
     INTERVAL_MIN_S,
+    MIN_HEARD_INSTANCES,
     OBSERVATION_REPEATS,
     OBSERVATION_RETENTION_S,
+    PEER_COUNT_RETENTION_S,
     REPORTS_PER_S,
     SAMPLED_INTERVAL_S,
     SAMPLED_RECIPIENTS,
@@ -34,6 +43,7 @@
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
 from banyanswitch.exceptions import PeerError
+from banyanswitch.helpers.recent_maximum import RecentMaximum
 from banyanswitch.identifiers import UpstreamId
 from banyanswitch.interfaces import PeerDirectory
 
@@ -116,6 +126,7 @@
         self._local_loading: dict[str, int] = {}
         self._observed_weights: dict[str, _ObservedWeights] = {}
         self._replaced: dict[str, float] = {}
+        self._peer_count = RecentMaximum(PEER_COUNT_RETENTION_S)
         self._sent_change_count = -1
         self._sent_at_s = float("-inf")
         self._urgent_at_s = float("-inf")
@@ -171,6 +182,11 @@
         """Return the interval between two reports to all instances, in seconds."""
         return max(INTERVAL_MIN_S, len(self._peers.peers()) / REPORTS_PER_S)
 
+    @callback
+    def excess_interval_s(self) -> float:
+        """Return by how much the interval exceeds `REPORT_INTERVAL_S`, in seconds."""
+        return max(0.0, self.interval_s() - REPORT_INTERVAL_S)
+
     @callback
     def report_soon(self) -> None:
         """Send a report at once, or as soon as the limit of urgent reports allows.
@@ -204,14 +220,17 @@
         self._is_report_queued = False
         self._sent_at_s = _now_s()
         self._sent_change_count = self._registry.loads.change_count
-        self._broadcaster.send(self._make_report(), self._other_addresses())
+        # The last recipient gets the report, and the permit in it, after this time.
+        report = self._make_report(delay_s=self._broadcaster.broadcast_time_s)
+        self._broadcaster.send(report, self._other_addresses())
 
     def _other_addresses(self) -> list[str]:
         own = self._peers.this_instance().instance
         return [p.peer_address for p in self._peers.peers() if p.instance != own]
 
-    def _make_report(self) -> InstanceReport:
+    def _make_report(self, delay_s: float = 0.0) -> InstanceReport:
         now_s = _now_s()
+        self._peer_count.note(len(self._peers.peers()), now_s)
         this = self._peers.this_instance()
         loads = self._registry.loads
         return InstanceReport(
@@ -248,8 +267,16 @@
             limits=self._registry.limits.report(self._retention_s()),
             request_address=self._request_address,
             unreached=list(self._links.report()),
+            permit=self._reported_permit(now_s, delay_s),
         )
 
+    def _reported_permit(self, now_s: float, delay_s: float) -> PermitReport | None:
+        lifetime_s = permit_lifetime_s(self.excess_interval_s())
+        permit = self._tier.permit.report(now_s, lifetime_s)
+        if permit is None or permit.left_s <= delay_s:
+            return None
+        return msgspec.structs.replace(permit, left_s=permit.left_s - delay_s)
+
     def _retention_s(self) -> float:
         """Return the time for which reports repeat what was seen once, in seconds."""
         return max(OBSERVATION_RETENTION_S, OBSERVATION_REPEATS * self.interval_s())
@@ -276,6 +303,23 @@
             if now_s - seen_at_s <= VERSIONS_LIFETIME_S and table in versions
         }
 
+    @callback
+    def hears_most(self) -> bool:
+        """Return whether most instances have just reported to this one.
+
+        Instances that have ended count for `PEER_COUNT_RETENTION_S`, since those that
+        are cut off can't be told from them. In a large fleet, the senders of
+        `MIN_HEARD_INSTANCES` reports are random ones, so they are no small group.
+        """
+        now_s = _now_s()
+        window_s = VERSIONS_LIFETIME_S if self._homes.are_used() else HEARD_LIFETIME_S
+        heard = sum(
+            now_s - seen_at_s <= window_s
+            for seen_at_s, _ in self._table_versions.values()
+        )
+        count = self._peer_count.note(len(self._peers.peers()), now_s)
+        return heard + 1 > count / 2 or heard >= MIN_HEARD_INSTANCES
+
     @callback
     def announce_replaced(self, upstream: UpstreamId) -> None:
         """Report an upstream at whose address another upstream responded."""
@@ -325,7 +369,6 @@
         self._table_versions[report.peer_address] = (now_s, report.table_versions)
         self._registry.loads.note_remote(report.instance, report.loads, now_s)
         self._registry.loads.note_remote_fetches(report.instance, report.fetches, now_s)
-        self._tier.note_peer_report()
         if report.loads:
             self.on_report()
         for name, version in report.loading.items():
@@ -339,6 +382,8 @@
                 self._routing.note_target_time(model, version, now_s - age_s)
         for model, floor in report.fetch_floors.items():
             self._tier.note_floor(model, floor)
+        if report.permit is not None:
+            self._tier.permit.note(report.permit, now_s)
         self._quarantine.apply(report.quarantine)
         self._registry.limits.apply(report.limits)
         self._links.peers.note_report(
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from banyanswitch.components.kv_tier.fetch_permit import PermitReport
 from banyanswitch.components.part_quarantine.models import (
     EMPTY_REPORT,
     QuarantineReport,
@@ -48,6 +49,9 @@
         takes none, as in reports of earlier versions.
     unreached : list of str
         Upstreams that the sender doesn't reach.
+    permit : PermitReport or None
+        Newest permit to fetch parts of older weights; ``None`` if it has ended. The
+        sender knows the floors that the holder had raised when it issued the permit.
     """
 
     instance: str
@@ -64,3 +68,4 @@
     limits: list[LimitReport] = []
     request_address: str = ""
     unreached: list[str] = []
+    permit: PermitReport | None = None
--- a/src/banyanswitch/components/weight_rollout/order_lease.py
+++ b/src/banyanswitch/components/weight_rollout/order_lease.py
@@ -59,13 +59,30 @@
         if lease is None or self._is_leaving():
             self._token = 0
             return None
-        if lease.fencing_token != self._token:
-            self._token = lease.fencing_token
-            self._starts_at_s = self._handover_ends_at_s(lease, now_s)
-            self._log_taken(lease, now_s)
+        self._note_lease(lease, now_s)
         is_fresh = now_s - lease.renewed_at_s <= ORDER_WINDOW_S
         return self._token if now_s >= self._starts_at_s and is_fresh else None
 
+    @callback
+    def taken_over_token(self, now_s: float) -> int | None:
+        """Return the fencing token once calls of earlier holders can't arrive any more.
+
+        Unlike `token`, it is returned until the lease expires.
+        """
+        self._watch.check()
+        lease = self._leases.held(DUTY)
+        if lease is None or self._is_leaving():
+            return None
+        self._note_lease(lease, now_s)
+        return lease.fencing_token if now_s >= self._starts_at_s else None
+
+    def _note_lease(self, lease: Lease, now_s: float) -> None:
+        if lease.fencing_token == self._token:
+            return
+        self._token = lease.fencing_token
+        self._starts_at_s = self._handover_ends_at_s(lease, now_s)
+        self._log_taken(lease, now_s)
+
     @callback
     def send_by_s(self, token: int) -> float:
         """Return the loop time until which orders with this token may be sent.
--- a/src/banyanswitch/decisions/fetch_floor.py
+++ b/src/banyanswitch/decisions/fetch_floor.py
@@ -1,5 +1,6 @@
 """Decision on which stored parts of older weight versions may be fetched."""
 
+from collections import deque
 from dataclasses import dataclass
 from typing import Final
 
@@ -78,5 +79,31 @@
     return max(previous, FetchFloor(oldest, view.target, share))
 
 
+class AnnouncedFloors:
+    """Floors of one model that its holder has announced.
+
+    A floor is settled once no fetch can be under way that it doesn't allow.
+    """
+
+    def __init__(self) -> None:
+        self._settled: FetchFloor | None = None
+        self._unsettled: deque[tuple[float, FetchFloor]] = deque()
+
+    @property
+    def newest(self) -> FetchFloor | None:
+        """Floor that was announced last; ``None`` before the first one."""
+        return self._unsettled[-1][1] if self._unsettled else self._settled
+
+    def announce(self, floor: FetchFloor, settles_at_s: float) -> None:
+        """Add a floor that will be settled at ``settles_at_s``."""
+        self._unsettled.append((settles_at_s, floor))
+
+    def settled(self, now_s: float) -> FetchFloor | None:
+        """Return the newest settled floor; ``None`` if there is none."""
+        while self._unsettled and now_s >= self._unsettled[0][0]:
+            self._settled = self._unsettled.popleft()[1]
+        return self._settled
+
+
 def _hash_fraction(part: str) -> float:
     return xxhash.xxh32_intdigest(part.encode()) / HASH_RANGE
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -265,6 +265,8 @@
             self._loads,
             self._readers,
         )
+        targets = self._mirrors[TABLE_OPERATOR]
+        self._tier.targets_confirmed_at_s = lambda: targets.last_contact_s
         self._lists = ListRelay(
             self._tier, self._peer_client, self._membership, self._random
         )
@@ -339,6 +341,7 @@
             request_address=f"{settings.host}:{settings.request_port}",
             generator=self._random,
         )
+        self._tier.hears_most = self._exchange.hears_most
         self._links.on_change = self._exchange.report_soon
         self._quarantine.on_evidence = self._exchange.report_soon
         self._registry.limits.on_change = self._exchange.report_soon
@@ -466,6 +469,7 @@
             self._watch,
             lambda: self._shutdown.is_leaving,
         )
+        self._tier.permit.issuing_token = order_lease.taken_over_token
         self._target_time_store = TargetTimeStore(
             table=self._tables,
             clock=self._tables,
--- a/tests/components/kv_tier/test_coordinator.py
+++ b/tests/components/kv_tier/test_coordinator.py
@@ -9,10 +9,12 @@
 from banyanswitch.components.forwarding.loads import InFlight, LoadTracker
 from banyanswitch.components.forwarding.models import KvStoreNode, PromptPart
 from banyanswitch.components.forwarding.protocols import PartEvent, PartEvents
-from banyanswitch.components.kv_tier.const import FLOOR_LIFETIME_S
+from banyanswitch.components.kv_tier.const import PERMIT_LIFETIME_S
 from banyanswitch.components.kv_tier.coordinator import PartPlan, PartTier
+from banyanswitch.components.kv_tier.fetch_permit import PermitReport
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.decisions.fetch_floor import FetchFloor
+from banyanswitch.decisions.fetch_limit import NEWEST_FETCH_TIMEOUT_S
 from banyanswitch.decisions.prefix import salt_version, versioned_cache_salt
 from banyanswitch.exceptions import UpstreamBrokenError
 from banyanswitch.helpers.suspension import SuspensionWatch
@@ -23,6 +25,16 @@
 MODEL = "m"
 PARTS = (PromptPart("shared", 12_800), PromptPart("own", 4_260))
 ADDRESS = "10.0.0.2:1"
+NODE = KvStoreNode(
+    name=StoreId("s"),
+    address=ADDRESS,
+    failure_domain=FailureDomainId("z"),
+    capacity_tokens=100_000,
+    bandwidth_mbps=45_000.0,
+    first_byte_s=0.0005,
+    max_event_readers=12,
+    is_managed=True,
+)
 
 
 class FakeClock:
@@ -44,6 +56,8 @@
     events: list[PartEvent] = field(default_factory=list)
     is_down: bool = False
     has_gap: bool = False
+    freed: list[tuple[float, tuple[str, str]]] = field(default_factory=list)
+    """Loop time and key of each part that was freed."""
 
     async def async_events(
         self, address: str, epoch: int, since: int, wait_s: float
@@ -79,6 +93,8 @@
         parts: Sequence[tuple[str, str]],
         send_by_s: Callable[[], float],
     ) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        self.freed += [(now_s, key) for key in parts]
         return True
 
 
@@ -86,6 +102,7 @@
     def __init__(self) -> None:
         self.store = FakeStore()
         self.newest = 1
+        self.permits = 0
         self.loads = LoadTracker()
         self.clock = FakeClock()
         self.tier = PartTier(
@@ -95,25 +112,23 @@
             self.loads,
             ReaderAssignment(FixedPeers(make_peer("a"), [])),
         )
+        self.tier.targets_confirmed_at_s = lambda: asyncio.get_running_loop().time()
 
     async def async_start(self) -> None:
-        node = KvStoreNode(
-            name=StoreId("s"),
-            address=ADDRESS,
-            failure_domain=FailureDomainId("z"),
-            capacity_tokens=100_000,
-            bandwidth_mbps=45_000.0,
-            first_byte_s=0.0005,
-            max_event_readers=12,
-            is_managed=True,
-        )
-        self.tier.set_stores([node])
+        self.tier.set_stores([NODE])
         await asyncio.sleep(0.1)
 
     def plan(self, version: int = 1) -> PartPlan:
         salt = versioned_cache_salt(MODEL, version)
         return self.tier.plan(PARTS, salt, MODEL, version, 18_432)
 
+    def note_permit(self) -> None:
+        """Record a new permit of the holder."""
+        self.permits += 1
+        now_s = asyncio.get_running_loop().time()
+        permit = PermitReport(1, self.permits, PERMIT_LIFETIME_S)
+        self.tier.permit.note(permit, now_s)
+
     def stored_event(self, version: int = 1) -> PartEvent:
         salt = versioned_cache_salt(MODEL, version)
         return PartEvent(True, salt, "shared", 12_800)
@@ -154,7 +169,9 @@
     await asyncio.sleep(0.1)
     setup.store.is_down = True
     await asyncio.sleep(0.1)
-    assert setup.plan() == PartPlan(("", ""), ("", ""))
+    assert setup.plan() == PartPlan(
+        ("", ""), ("", ""), fetch_limit_s=NEWEST_FETCH_TIMEOUT_S
+    )
     setup.store.is_down = False
     setup.store.epoch = 2
     await asyncio.sleep(2.0)
@@ -176,7 +193,7 @@
     await asyncio.sleep(0.1)
     setup.newest = 2
     assert setup.plan().fetches == ("", "")
-    setup.tier.note_peer_report()
+    setup.note_permit()
     assert setup.plan().fetches == (ADDRESS, "")
     setup.tier.note_floor(MODEL, FetchFloor(2, 2, 1.0))
     assert setup.plan().fetches == ("", "")
@@ -184,12 +201,14 @@
     assert setup.plan().fetches == ("", "")
 
 
-async def test_older_weights_are_not_fetched_without_peer_reports(setup: Setup) -> None:
+async def test_older_weights_are_not_fetched_after_the_permit_ended(
+    setup: Setup,
+) -> None:
     await setup.async_start()
     setup.store.events.append(setup.stored_event())
     setup.newest = 2
-    setup.tier.note_peer_report()
-    await asyncio.sleep(FLOOR_LIFETIME_S + 0.1)
+    setup.note_permit()
+    await asyncio.sleep(PERMIT_LIFETIME_S + 0.1)
     assert setup.plan().fetches == ("", "")
 
 
@@ -199,7 +218,7 @@
     await asyncio.sleep(0.1)
     setup.clock.seconds += 3.0
     assert setup.plan().fetches == ("", "")
-    await asyncio.sleep(FLOOR_LIFETIME_S)
+    await asyncio.sleep(PERMIT_LIFETIME_S)
     assert setup.plan().fetches == (ADDRESS, "")
 
 
--- a/tests/components/peers/in_memory_transport.py
+++ b/tests/components/peers/in_memory_transport.py
@@ -18,10 +18,12 @@
         self.sent = 0
         self.sent_bytes = 0
         self.recipients: list[str] = []
+        self.is_cut_off = False
 
     def send(self, peer_address: str, message: object) -> None:
         self.sent += 1
         self.sent_bytes += len(self.frame(peer_address, message))
         self.recipients.append(peer_address)
-        if peer_address in self._transports:
-            self._transports[peer_address].deliver(self.frame(peer_address, message))
+        peer = self._transports.get(peer_address)
+        if peer is not None and not self.is_cut_off and not peer.is_cut_off:
+            peer.deliver(self.frame(peer_address, message))
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -54,9 +54,11 @@
         self._name = name
         mirror = TableMirror("op", NoFeed(), random.Random(1))
         self.routing = RoutingState(mirror, PlainDecoder(), "config")
+        self.store = FakeStore()
+        self.newest = 1
         self.tier = PartTier(
-            FakeStore(),
-            lambda _model: 1,
+            self.store,
+            lambda _model: self.newest,
             SuspensionWatch(FakeClock()),
             self.upstreams.loads,
             ReaderAssignment(self),
