Judge a stored part by the fetch floor of its own model

The cleaner applied the lowest settled floor to the parts of all models, since a salt didn't identify its model. A model without a named version has no floor and was left out; and floors are ordered by (version, target, retired share), which isn't the order of what they allow.

Ruled out: late or lost floors, since nothing is cut off in these cases.

Salts now contain the model's hash apart from that of an isolated workspace. Shared salts are unchanged, so caches stay warm over an update. Isolated salts of earlier software versions are freed below the floors of all models.

--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -175,6 +175,11 @@
         """Return the upstreams that serve a model."""
         return [s for s in self._states.values() if model in s.weight_versions]
 
+    @callback
+    def models(self) -> set[str]:
+        """Return the models that any upstream serves."""
+        return {model for s in self._states.values() for model in s.weight_versions}
+
     @callback
     def accepting(self, service: ServiceName, now_s: float) -> list[UpstreamState]:
         """Return the upstreams of a service that may get new requests."""
--- a/src/banyanswitch/components/kv_tier/cleaner.py
+++ b/src/banyanswitch/components/kv_tier/cleaner.py
@@ -15,18 +15,16 @@
     MAX_PERMIT_S,
 )
 from banyanswitch.components.kv_tier.coordinator import PartTier
-from banyanswitch.components.kv_tier.models import PartKey
 from banyanswitch.components.kv_tier.store_follower import StoreFollower
 from banyanswitch.components.state_exchange.coordinator import StateExchange
 from banyanswitch.components.weight_rollout.order_lease import OrderLease
 from banyanswitch.core import callback
 from banyanswitch.decisions.fetch_floor import (
     AnnouncedFloors,
-    FetchFloor,
+    ModelFloors,
     WeightVersionsView,
     fetch_floor,
 )
-from banyanswitch.decisions.prefix import salt_version
 from banyanswitch.exceptions import UpstreamError
 
 LOGGER = structlog.get_logger(__name__)
@@ -72,6 +70,8 @@
         self._exchange = exchange
         self._announced_floors: dict[str, AnnouncedFloors] = {}
         self._held_since_s: float | None = None
+        # Models remain known while they have no upstreams.
+        self._models: set[str] = set()
 
     async def async_run(self) -> None:
         """Run cleaning passes while the lease is held, until cancelled."""
@@ -125,26 +125,26 @@
         return max(now_s + delay_s, permits_end_at_s + FETCH_END_DELAY_S)
 
     async def _async_free(self, now_s: float) -> None:
-        floors = [
-            announced.settled(now_s) for announced in self._announced_floors.values()
-        ]
-        # A salt does not identify its model; with several models, the lowest floor is
-        # safe for all of them.
-        if not floors or None in floors:
+        self._models.update(self._registry.models(), self._announced_floors)
+        settled = {
+            model: announced.settled(now_s)
+            for model, announced in self._announced_floors.items()
+        }
+        if not any(settled.values()):
             return
-        floor = min(floor for floor in floors if floor is not None)
+        floors = ModelFloors({model: settled.get(model) for model in self._models})
         for follower in self._tier.stores:
             if (
                 follower.is_usable
                 and follower.epoch is not None
                 and follower.node.is_managed
             ):
-                await self._async_free_store(follower, floor)
+                await self._async_free_store(follower, floors)
 
     async def _async_free_store(
-        self, follower: StoreFollower, floor: FetchFloor
+        self, follower: StoreFollower, floors: ModelFloors
     ) -> None:
-        unused = [key for key in follower.parts if not _is_allowed(key, floor)]
+        unused = [key for key in follower.parts if not floors.allows(*key)]
         unused = unused[:FREE_BATCH_PARTS]
         if not unused or follower.epoch is None:
             return
@@ -166,12 +166,5 @@
             "parts_freed",
             store=follower.node.name,
             parts=len(unused),
-            below_version=floor.target,
             is_done=is_done,
         )
-
-
-def _is_allowed(key: PartKey, floor: FetchFloor) -> bool:
-    salt, part = key
-    version = salt_version(salt)
-    return version is None or floor.allows(version, part)
--- a/src/banyanswitch/decisions/fetch_floor.py
+++ b/src/banyanswitch/decisions/fetch_floor.py
@@ -1,11 +1,14 @@
 """Decision on which stored parts of older weight versions may be fetched."""
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
 
 import xxhash
 
+from banyanswitch.decisions.prefix import model_in_salt, salt_model, salt_version
+
 HASH_RANGE: Final = 2**32
 
 
@@ -105,5 +108,38 @@
         return self._settled
 
 
+class ModelFloors:
+    """Settled floors of all models, which decide on the stored parts to free.
+
+    Parameters
+    ----------
+    floors : mapping of str to FetchFloor or None
+        Settled floor of each known model; ``None`` for a model without one, of which
+        all parts may be fetched.
+    """
+
+    def __init__(self, floors: Mapping[str, FetchFloor | None]) -> None:
+        self._floors = {salt_model(model): floor for model, floor in floors.items()}
+
+    def allows(self, salt: str, part: str) -> bool:
+        """Return whether fetches of a part may be under way.
+
+        A part is judged by the floor of its own model. Parts of unknown models, and of
+        isolated workspaces as saved by earlier software versions, are allowed as long
+        as they would be for any known model.
+        """
+        version = salt_version(salt)
+        model = model_in_salt(salt)
+        if version is None:
+            return True
+        if model in self._floors:
+            floor = self._floors[model]
+            return floor is None or floor.allows(version, part)
+        return any(
+            floor is None or floor.allows(version, part)
+            for floor in self._floors.values()
+        )
+
+
 def _hash_fraction(part: str) -> float:
     return xxhash.xxh32_intdigest(part.encode()) / HASH_RANGE
--- a/src/banyanswitch/decisions/prefix.py
+++ b/src/banyanswitch/decisions/prefix.py
@@ -83,7 +83,7 @@
 def versioned_cache_salt(
     model: str, version: int, isolated_workspace: WorkspaceId | None = None
 ) -> str:
-    """Return a salt from which the weight version can be read back.
+    """Return a salt from which the weight version and the model can be read back.
 
     Parameters
     ----------
@@ -91,11 +91,19 @@
         Workspace that does not share its prefixes with other workspaces; ``None`` for
         prefixes that workspaces share.
     """
+    salt = f"{version}-{salt_model(model)}"
+    if isolated_workspace is None:
+        return salt
+    digest = blake2b(isolated_workspace.encode(), digest_size=SALT_DIGEST_BYTES)
+    return f"{salt}-{digest.hexdigest()}"
+
+
+@lru_cache(maxsize=KEY_CACHE_SIZE)
+def salt_model(model: str) -> str:
+    """Return the identifier of a model in its salts."""
     digest = blake2b(digest_size=SALT_DIGEST_BYTES)
     digest.update(len(model).to_bytes(LENGTH_SIZE_BYTES, "big") + model.encode())
-    if isolated_workspace is not None:
-        digest.update(isolated_workspace.encode())
-    return f"{version}-{digest.hexdigest()}"
+    return digest.hexdigest()
 
 
 def salt_version(salt: str) -> int | None:
@@ -104,4 +112,14 @@
     The result is ``None`` for any other salt.
     """
     version, _, digest = salt.partition("-")
-    return int(version) if digest and version.isdigit() else None
+    return int(version) if digest and version.isdecimal() else None
+
+
+def model_in_salt(salt: str) -> str:
+    """Return the `salt_model` of a salt from `versioned_cache_salt`.
+
+    Salts of isolated workspaces from earlier software versions have another text in
+    its place.
+    """
+    _, _, digests = salt.partition("-")
+    return digests.partition("-")[0]
