Start a new shared cache when the isolated workspaces change

All workspaces that aren't isolated shared one salt per model and version, and what the isolated one had left under it was still found.

Ruled out: instances with the older configuration; all had applied the newer one.

The scope of the shared salt is now a hash of the isolated workspaces. It follows from the configuration alone, so that instances agree on it without messages, also after a restart. With no isolated workspace, salts are the same as before. A change of the set costs the shared parts once.

--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -391,11 +391,8 @@
         return self._tier.plan(parts, salt, model, version, token_bytes)
 
     def _salt(self, request: PlacementRequest, model: str, version: int | None) -> str:
-        workspace = request.workspace
-        isolated_workspace = (
-            workspace.name if workspace and workspace.is_isolated else None
-        )
-        return versioned_cache_salt(model, version or 0, isolated_workspace)
+        scope = self._routing.cache_scope(request.workspace)
+        return versioned_cache_salt(model, version or 0, scope)
 
     def _choice_request(self, request: PlacementRequest) -> UpstreamChoiceRequest:
         metadata = request.metadata
--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -18,6 +18,7 @@
 from banyanswitch.components.http1.models import ConnectionLimits
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
+from banyanswitch.decisions.prefix import isolated_scope, shared_scope
 from banyanswitch.identifiers import ServiceName
 from banyanswitch.interfaces import Item
 
@@ -72,6 +73,7 @@
         self._targets: dict[str, WeightTarget] = {}
         self._target_handlers: list[Callable[[str], None]] = []
         self.configuration: ForwardingConfiguration | None = None
+        self._shared_scope = ""
         self.applied_at_s = 0.0
         mirror.subscribe(self._on_rows)
 
@@ -130,6 +132,13 @@
         """Return the workspace of an API key, or ``None`` if there is none."""
         return self._workspaces_by_key.get(key) if key else None
 
+    @callback
+    def cache_scope(self, workspace: ForwardedWorkspace | None) -> str:
+        """Return the scope of the cache salts of a workspace's requests."""
+        if workspace is not None and workspace.is_isolated:
+            return isolated_scope(workspace.name)
+        return self._shared_scope
+
     @callback
     def note_target_time(self, model: str, version: int, target_since_s: float) -> None:
         """Record when a version became the target, unless an earlier time is known.
@@ -159,6 +168,11 @@
             for workspace in configuration.workspaces
             for key in workspace.keys
         }
+        self._shared_scope = shared_scope(
+            workspace.name
+            for workspace in configuration.workspaces
+            if workspace.is_isolated
+        )
         self.configuration = configuration
         self.applied_at_s = asyncio.get_running_loop().time()
         LOGGER.info(
--- a/src/banyanswitch/decisions/prefix.py
+++ b/src/banyanswitch/decisions/prefix.py
@@ -1,5 +1,6 @@
 """Identifiers of prompt prefixes: chained hashes of pieces, salted per workspace."""
 
+from collections.abc import Iterable
 from functools import lru_cache
 from hashlib import blake2b
 from typing import Final
@@ -10,6 +11,7 @@
 LENGTH_SIZE_BYTES: Final = 8
 SALT_DIGEST_BYTES: Final = 6
 KEY_CACHE_SIZE: Final = 256
+SHARED_SCOPE_PERSON: Final = b"shared-scope"
 
 
 def cache_salt(workspace: WorkspaceId, version: WeightVersion) -> str:
@@ -80,22 +82,44 @@
     return tuple([prefix_key(piece_hash) for piece_hash in piece_hashes])
 
 
-def versioned_cache_salt(
-    model: str, version: int, isolated_workspace: WorkspaceId | None = None
-) -> str:
+def versioned_cache_salt(model: str, version: int, scope: str = "") -> str:
     """Return a salt from which the weight version and the model can be read back.
 
     Parameters
     ----------
-    isolated_workspace : WorkspaceId or None
-        Workspace that does not share its prefixes with other workspaces; ``None`` for
-        prefixes that workspaces share.
+    scope : str
+        Result of `isolated_scope` or `shared_scope`.
     """
     salt = f"{version}-{salt_model(model)}"
-    if isolated_workspace is None:
-        return salt
-    digest = blake2b(isolated_workspace.encode(), digest_size=SALT_DIGEST_BYTES)
-    return f"{salt}-{digest.hexdigest()}"
+    return f"{salt}-{scope}" if scope else salt
+
+
+@lru_cache(maxsize=KEY_CACHE_SIZE)
+def isolated_scope(workspace: WorkspaceId) -> str:
+    """Return the scope of the prefixes of an isolated workspace."""
+    digest = blake2b(workspace.encode(), digest_size=SALT_DIGEST_BYTES)
+    return digest.hexdigest()
+
+
+def shared_scope(isolated: Iterable[WorkspaceId]) -> str:
+    """Return the scope of the prefixes that all other workspaces share.
+
+    It depends on which workspaces are isolated. A workspace that becomes isolated has
+    left parts in the earlier scope, and it isn't known which parts are its own.
+
+    Parameters
+    ----------
+    isolated : iterable of WorkspaceId
+        All isolated workspaces.
+    """
+    names = sorted(set(isolated))
+    if not names:
+        return ""
+    digest = blake2b(digest_size=SALT_DIGEST_BYTES, person=SHARED_SCOPE_PERSON)
+    for name in names:
+        encoded = name.encode()
+        digest.update(len(encoded).to_bytes(LENGTH_SIZE_BYTES, "big") + encoded)
+    return digest.hexdigest()
 
 
 @lru_cache(maxsize=KEY_CACHE_SIZE)
--- a/tests/components/kv_tier/test_coordinator.py
+++ b/tests/components/kv_tier/test_coordinator.py
@@ -15,7 +15,14 @@
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.decisions.fetch_floor import FetchFloor
 from banyanswitch.decisions.fetch_limit import NEWEST_FETCH_TIMEOUT_S
-from banyanswitch.decisions.prefix import salt_version, versioned_cache_salt
+from banyanswitch.decisions.prefix import (
+    isolated_scope,
+    model_in_salt,
+    salt_model,
+    salt_version,
+    shared_scope,
+    versioned_cache_salt,
+)
 from banyanswitch.exceptions import UpstreamBrokenError
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import FailureDomainId, StoreId, UpstreamId, WorkspaceId
@@ -234,10 +241,12 @@
     assert setup.plan().fetches == (ADDRESS, "")
 
 
-def test_salts_contain_version_and_isolated_workspace() -> None:
-    workspaces = [None, WorkspaceId("a"), WorkspaceId("b")]
-    salts = {versioned_cache_salt(MODEL, 3, workspace) for workspace in workspaces}
-    assert len(salts) == 3
+def test_salts_contain_version_and_scope() -> None:
+    isolated = [WorkspaceId("a"), WorkspaceId("b")]
+    scopes = [shared_scope(()), shared_scope(isolated), *map(isolated_scope, isolated)]
+    salts = {versioned_cache_salt(MODEL, 3, scope) for scope in scopes}
+    assert len(salts) == 4
     assert {salt_version(salt) for salt in salts} == {3}
+    assert {model_in_salt(salt) for salt in salts} == {salt_model(MODEL)}
     assert versioned_cache_salt(MODEL, 4) not in salts
     assert salt_version("other") is None
