Skip entries of upstreams that are nested too deeply or out of range

An operator reported processes that ended at odd entries of another writer. Deep nesting raises `RecursionError`, which the decoders didn't catch; numbers out of range, and addresses that are no IP address with a port, were accepted. asyncio raises `OverflowError` for a port above 65535, which the pool didn't catch, and uvloop connects to the port modulo 65536.

Such entries name no upstream; the others hold.

--- a/src/banyanswitch/components/http1/connection_pool.py
+++ b/src/banyanswitch/components/http1/connection_pool.py
@@ -13,6 +13,7 @@
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.core import callback
 from banyanswitch.exceptions import UpstreamNotSentError
+from banyanswitch.helpers.addresses import split_address
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -71,13 +72,13 @@
         UpstreamNotSentError
             If no connection could be made.
         """
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._change_open_count(address, 1)
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    UpstreamConnection, host, int(port)
+                    UpstreamConnection, host, port
                 )
         except (OSError, TimeoutError, ValueError) as error:
             self._change_open_count(address, -1)
--- a/src/banyanswitch/components/part_quarantine/row_store.py
+++ b/src/banyanswitch/components/part_quarantine/row_store.py
@@ -15,6 +15,7 @@
 from banyanswitch.components.part_quarantine.models import StoredParts
 from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.exceptions import ConditionFailedError, PlatformError
+from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.helpers.digests import text_digest
 from banyanswitch.interfaces import (
     Item,
@@ -131,7 +132,7 @@
     def _adopt(self, item: Item) -> None:
         try:
             stored = msgspec.json.decode(item.value, type=StoredParts)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             LOGGER.warning("stored_part_unreadable", key=item.key, reason=str(error))
             return
         key = Combination(stored.model, frozenset(stored.parts))
--- a/src/banyanswitch/components/stream_origins/origin_store.py
+++ b/src/banyanswitch/components/stream_origins/origin_store.py
@@ -22,6 +22,7 @@
 from banyanswitch.core import callback
 from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
 from banyanswitch.exceptions import PlatformError
+from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.identifiers import ServiceName
 from banyanswitch.interfaces import Item, PeerDirectory, TableStore, Write, WriteClass
 
@@ -192,7 +193,7 @@
     for item in items:
         try:
             stored = msgspec.json.decode(item.value, type=StoredOrigins)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             LOGGER.warning("stream_origins_unreadable", row=item.key, reason=str(error))
             continue
         for service, versions in stored.streams.items():
--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -19,6 +19,7 @@
 )
 from banyanswitch.core import callback
 from banyanswitch.exceptions import ConditionFailedError, PlatformError
+from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.identifiers import ServiceName
 from banyanswitch.interfaces import (
     PeerDirectory,
@@ -116,7 +117,7 @@
             service = ServiceName(item.key.partition("/")[2])
             try:
                 versions = msgspec.json.decode(item.value, type=frozenset[str])
-            except msgspec.MsgspecError as error:
+            except DECODING_ERRORS as error:
                 LOGGER.warning(
                     "software_versions_unreadable", service=service, reason=str(error)
                 )
--- a/src/banyanswitch/components/weight_rollout/target_time_store.py
+++ b/src/banyanswitch/components/weight_rollout/target_time_store.py
@@ -18,6 +18,7 @@
 )
 from banyanswitch.components.weight_rollout.order_lease import OrderLease
 from banyanswitch.exceptions import PlatformError
+from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.interfaces import (
     PeerDirectory,
     StoreClock,
@@ -127,7 +128,7 @@
             model = item.key.partition("/")[2]
             try:
                 times = msgspec.json.decode(item.value, type=dict[int, float])
-            except msgspec.MsgspecError as error:
+            except DECODING_ERRORS as error:
                 LOGGER.warning("named_times_unreadable", model=model, reason=str(error))
                 continue
             self._stored[model] = times
--- a/src/banyanswitch/platform/documents.py
+++ b/src/banyanswitch/platform/documents.py
@@ -16,7 +16,9 @@
     ServiceShare,
     UpstreamRecord,
 )
+from banyanswitch.components.forwarding.record_check import is_fit
 from banyanswitch.components.http1.models import ConnectionLimits
+from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.identifiers import (
     FailureDomainId,
     ServiceName,
@@ -169,7 +171,7 @@
         entry = _decode(value, _UpstreamEntry, key)
         if entry is None or entry.state not in (STATE_READY, STATE_DRAINING):
             return None
-        return UpstreamRecord(
+        record = UpstreamRecord(
             name=UpstreamId(key),
             service=ServiceName(entry.service),
             address=entry.address,
@@ -181,6 +183,7 @@
             sequence=entry.sequence,
             software_version=entry.version,
         )
+        return record if is_fit(record) else None
 
 
 def _decode(
@@ -188,7 +191,7 @@
 ) -> DocumentT | None:
     try:
         return msgspec.json.decode(value, type=document_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         LOGGER.warning("row_unreadable", row=place, reason=str(error))
         return None
 
--- a/src/banyanswitch/platform/engines.py
+++ b/src/banyanswitch/platform/engines.py
@@ -22,6 +22,7 @@
     IdentityMismatchError,
     UpstreamBrokenError,
 )
+from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.platform.const import (
     HEADER_EXPECTED_UPSTREAM,
     MILLISECONDS_PER_S,
@@ -255,7 +256,7 @@
         )
     try:
         return msgspec.json.decode(response.body, type=response_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise UpstreamBrokenError(
             f"response of a model server or KV store can't be decoded: {error}"
         ) from error
--- a/src/banyanswitch/platform/tables.py
+++ b/src/banyanswitch/platform/tables.py
@@ -17,6 +17,7 @@
     UpstreamBrokenError,
     UpstreamNotSentError,
 )
+from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.helpers.remote_clock import RemoteClock
 from banyanswitch.helpers.store_version import era_of, make_version, number_of
 from banyanswitch.helpers.suspension import SuspensionClock
@@ -288,7 +289,7 @@
 ) -> ResponseT:
     try:
         return msgspec.json.decode(response.body, type=response_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise error_type(f"response of the store can't be decoded: {error}") from error
 
 
