Save to a restarted KV store only when nobody fetches its old contents

A KV store had returned empty with its failure domain. Instances that had not noticed planned fetches of parts that others were saving there again.

Change: epochs of a store are ordered, relayed events and lists state their age, and saves wait until the contents of the previous epoch are stale everywhere and the fetches by them have ended.

--- a/src/banyanswitch/components/kv_tier/const.py
+++ b/src/banyanswitch/components/kv_tier/const.py
@@ -25,6 +25,13 @@
 """Time without events from a store's readers after which nothing is fetched from the
 store. A dead reader is detected and replaced within about 2 s."""
 
+READ_STALE_AFTER_S: Final = 2.0
+"""Time without an answer after which an instance that reads a store itself fetches
+nothing from it; a call that gets none fails within 1.8 s."""
+
+MESSAGE_DELAY_S: Final = 0.9
+"""Time that relayed events, or the answer to a call, may have spent on the way."""
+
 SNAPSHOT_INTERVAL_S: Final = 0.5
 """Minimum interval between two requests of one instance for a store's whole list."""
 
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -238,6 +238,8 @@
         now_s = _now_s()
         self._fetches_resume_at_s = now_s + PERMIT_LIFETIME_S
         self.permit.withdraw(now_s)
+        for follower in self._stores.values():
+            follower.distrust(self._fetches_resume_at_s)
 
     def _fetch_limit_s(self, is_newest: bool) -> float:
         """Return how long a fetch planned now may take; 0 if it may not be planned.
@@ -302,7 +304,7 @@
         views = [
             self._view(follower)
             for follower in self._stores.values()
-            if follower.is_usable
+            if follower.may_save
         ]
         name = choose_store(key[1], tokens, views) if views else None
         return Save(key, name, rounded_tokens(tokens)) if name is not None else None
--- a/src/banyanswitch/components/kv_tier/models.py
+++ b/src/banyanswitch/components/kv_tier/models.py
@@ -28,12 +28,19 @@
         Number of the first event after these.
     parts : dict of str to list
         By salt, the parts that changed, each with its name and the tokens stored now.
+    age_s : float
+        Time since the store's last answer, in seconds.
+    epoch_age_s : float or None
+        Time for which the sender has known the epoch, in seconds; earlier versions
+        don't state it.
     """
 
     epoch: int
     since: int
     next_event: int
     parts: GroupedParts
+    age_s: float = 0.0
+    epoch_age_s: float | None = None
 
 
 class StoreWords(msgspec.Struct, frozen=True, array_like=True):
@@ -78,11 +85,18 @@
         Number of the first event that the list does not include.
     parts : dict of str to list
         By salt, all parts, each with its name and the tokens stored.
+    age_s : float
+        Time since the store's last answer that the list includes, in seconds.
+    epoch_age_s : float or None
+        Time for which the sender has known the epoch, in seconds; earlier versions
+        don't state it.
     """
 
     epoch: int
     next_event: int
     parts: GroupedParts
+    age_s: float = 0.0
+    epoch_age_s: float | None = None
 
 
 def group_parts(parts: Iterable[tuple[PartKey, int]]) -> GroupedParts:
--- a/src/banyanswitch/components/kv_tier/store_follower.py
+++ b/src/banyanswitch/components/kv_tier/store_follower.py
@@ -14,6 +14,8 @@
 from banyanswitch.components.kv_tier.const import (
     EVENTS_WAIT_S,
     MAX_RELAYED_EVENTS,
+    MESSAGE_DELAY_S,
+    READ_STALE_AFTER_S,
     READER_SHARE,
     RELAY_READERS,
     RELAY_STALE_AFTER_S,
@@ -30,7 +32,9 @@
 )
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.core import callback
+from banyanswitch.decisions.fetch_limit import NEWEST_FETCH_TIMEOUT_S
 from banyanswitch.decisions.part_stores import rounded_tokens
+from banyanswitch.decisions.store_epochs import EpochOrder, StoreEpochs
 from banyanswitch.exceptions import UpstreamError
 
 LOGGER = structlog.get_logger(__name__)
@@ -71,7 +75,9 @@
         self._on_stored = on_stored
         self._on_clock = on_clock
         self.epoch: int | None = None
-        self.is_usable = False
+        self._epochs = StoreEpochs()
+        self._is_listed = False
+        self._trusted_from_s = float("-inf")
         self.used_tokens = 0
         self.parts: dict[PartKey, int] = {}
         self._next_event = 0
@@ -83,6 +89,30 @@
         self._unsent: dict[PartKey, int] = {}
         self._unsent_since = 0
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether the contents are known and as recent as they have to be."""
+        return self._is_listed and _now_s() - self._updated_at_s < self._stale_after_s()
+
+    @property
+    def may_save(self) -> bool:
+        """Whether parts may be saved to the store.
+
+        After a restart, that is when no instance can still fetch by the contents from
+        before: when those have become stale, and the last fetches have ended.
+        """
+        delay_s = self._stale_after_s() + NEWEST_FETCH_TIMEOUT_S + MESSAGE_DELAY_S
+        return self.is_usable and self._epochs.may_save(_now_s(), delay_s)
+
+    @callback
+    def distrust(self, until_s: float) -> None:
+        """Use the contents again after an update at a loop time or later.
+
+        Updates that arrived during a pause of the process are read only after it.
+        """
+        self._trusted_from_s = until_s
+        self._updated_at_s = float("-inf")
+
     async def async_run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -93,11 +123,11 @@
             try:
                 await self._async_read()
             except UpstreamError as error:
-                if self.is_usable:
+                if self._is_listed:
                     LOGGER.warning(
                         "kv_store_lost", store=self.node.name, reason=str(error)
                     )
-                self.is_usable = False
+                self._is_listed = False
                 await asyncio.sleep(RETRY_DELAY_S)
 
     @callback
@@ -129,6 +159,8 @@
             since=since,
             next_event=self._next_event,
             parts=group_parts(changed.items()),
+            age_s=max(0.0, _now_s() - self._updated_at_s),
+            epoch_age_s=self._epochs.age_s(_now_s()),
         )
         self._clear_unsent()
         return relayed
@@ -136,21 +168,19 @@
     @callback
     def apply_relayed(self, relayed: RelayedEvents) -> Missed:
         """Apply relayed events; return what was missed before them."""
+        if relayed.epoch_age_s is not None:
+            self._epochs.note_age(relayed.epoch, relayed.epoch_age_s, _now_s())
         if self._is_reading():
             return Missed.NOTHING
         if self.epoch != relayed.epoch:
-            # While updates of the current epoch still arrive, a message with another
-            # epoch is from a reader that has not detected the restart yet or was
-            # paused.
-            is_stale = _now_s() - self._updated_at_s >= EVENTS_WAIT_S
-            return Missed.RESTART if is_stale else Missed.NOTHING
+            return self._note_other_epoch(relayed)
         if relayed.since > self._next_event:
             return Missed.EVENTS
         if relayed.next_event >= self._next_event:
             self._next_event = relayed.next_event
             self._apply(part_events(relayed.parts))
             self._clear_unsent()
-        self._note_update()
+        self._note_update(relayed.age_s)
         return Missed.NOTHING
 
     @callback
@@ -159,27 +189,36 @@
         if not self.is_usable or self.epoch is None:
             return None
         parts = group_parts(self.parts.items())
-        return StoreList(self.epoch, self._next_event, parts)
+        age_s = max(0.0, _now_s() - self._updated_at_s)
+        epoch_age_s = self._epochs.age_s(_now_s())
+        return StoreList(self.epoch, self._next_event, parts, age_s, epoch_age_s)
 
     @callback
     def apply_list(self, part_list: StoreList) -> None:
         """Apply another instance's list of all parts.
 
         The list is ignored if this instance reads the store, or has applied later
-        events of the same epoch.
+        events of the same epoch or events of a later one.
         """
         is_older = part_list.next_event < self._next_event
         if self._is_reading() or (part_list.epoch == self.epoch and is_older):
             return
+        order = self._epochs.order(part_list.epoch, part_list.epoch_age_s, _now_s())
+        if order is EpochOrder.EARLIER:
+            return
+        self._epochs.begin(part_list.epoch, _now_s(), part_list.epoch_age_s or 0.0)
         self._restart(
             part_list.epoch, part_list.next_event, part_events(part_list.parts)
         )
+        self._note_update(part_list.age_s)
 
     async def _async_read(self) -> None:
         address = self.node.address
         if self.epoch is None:
             answer = await self._client.async_list(address)
+            self._epochs.begin(answer.epoch, _now_s())
             self._restart(answer.epoch, answer.next_event, answer.events)
+            self._note_update()
             self._report_clock(answer)
             return
         answer = await self._client.async_events(
@@ -187,7 +226,7 @@
         )
         if answer.epoch != self.epoch or answer.has_gap:
             LOGGER.info("kv_store_resync", store=self.node.name, epoch=answer.epoch)
-            self.is_usable = False
+            self._is_listed = False
             self.epoch = None
             return
         self._next_event = answer.next_event
@@ -210,9 +249,15 @@
         self.used_tokens = 0
         self._apply(events)
         self._clear_unsent()
-        event = "kv_store_listed" if self.is_usable else "kv_store_regained"
-        LOGGER.info(event, store=self.node.name, parts=len(self.parts))
-        self._note_update()
+        event = "kv_store_listed" if self._is_listed else "kv_store_regained"
+        LOGGER.info(
+            event,
+            store=self.node.name,
+            parts=len(self.parts),
+            epoch=epoch,
+            epoch_age_s=round(self._epochs.age_s(_now_s()), 3),
+        )
+        self._is_listed = True
 
     def _apply(self, events: Iterable[PartEvent]) -> None:
         for event in events:
@@ -232,14 +277,37 @@
         self._unsent.clear()
         self._unsent_since = self._next_event
 
-    def _note_update(self) -> None:
-        self._updated_at_s = _now_s()
-        self.is_usable = True
+    def _note_other_epoch(self, relayed: RelayedEvents) -> Missed:
+        """Return what was missed if relayed events are of another epoch.
+
+        If the epoch is a later one, the known contents are not used any more.
+        """
+        order = self._epochs.order(relayed.epoch, relayed.epoch_age_s, _now_s())
+        if order is EpochOrder.EARLIER:
+            return Missed.NOTHING
+        if order is EpochOrder.LATER:
+            self._is_listed = False
+            return Missed.RESTART
+        # A reader of an earlier version has possibly not detected the restart yet.
+        is_stale = _now_s() - self._updated_at_s >= EVENTS_WAIT_S
+        return Missed.RESTART if is_stale else Missed.NOTHING
+
+    def _note_update(self, age_s: float = 0.0) -> None:
+        """Record that the contents are those of ``age_s`` seconds ago."""
+        now_s = _now_s()
+        if now_s < self._trusted_from_s:
+            return
+        self._updated_at_s = max(self._updated_at_s, now_s - age_s)
+
+    def _stale_after_s(self) -> float:
+        if self._readers.is_relayed(self._max_direct_readers()):
+            return RELAY_STALE_AFTER_S
+        return READ_STALE_AFTER_S
 
     def _drop_if_stale(self) -> None:
-        if not self.is_usable or _now_s() - self._updated_at_s < RELAY_STALE_AFTER_S:
+        if not self._is_listed or self.is_usable:
             return
-        self.is_usable = False
+        self._is_listed = False
         LOGGER.warning(
             "kv_store_lost", store=self.node.name, reason="no events from its readers"
         )
--- a/tests/components/kv_tier/test_coordinator.py
+++ b/tests/components/kv_tier/test_coordinator.py
@@ -30,6 +30,8 @@
 
 pytestmark = pytest.mark.looptime
 MODEL = "m"
+SAVE_DELAY_S = 5.0
+"""Time after which parts are saved to a store that may have just restarted."""
 PARTS = (PromptPart("shared", 12_800), PromptPart("own", 4_260))
 ADDRESS = "10.0.0.2:1"
 NODE = KvStoreNode(
@@ -123,7 +125,7 @@
 
     async def async_start(self) -> None:
         self.tier.set_stores([NODE])
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(SAVE_DELAY_S)
 
     def plan(self, version: int = 1) -> PartPlan:
         salt = versioned_cache_salt(MODEL, version)
@@ -183,6 +185,9 @@
     setup.store.epoch = 2
     await asyncio.sleep(2.0)
     assert setup.plan().fetches == ("", "")
+    assert setup.plan().saves == ("", "")
+    await asyncio.sleep(SAVE_DELAY_S)
+    assert setup.plan().fetches == ("", "")
     assert setup.plan().saves == (ADDRESS, "")
 
 
@@ -226,6 +231,9 @@
     setup.clock.seconds += 3.0
     assert setup.plan().fetches == ("", "")
     await asyncio.sleep(PERMIT_LIFETIME_S)
+    assert setup.plan().fetches == ("", "")
+    # The store has to confirm its contents in an answer after that.
+    await asyncio.sleep(0.1)
     assert setup.plan().fetches == (ADDRESS, "")
 
 
