Decode the numbers of cold upstreams and the rows of evacuations

Cause: coldS and coldPerS of services, coldRemainingMs of entries, coldOver, coldSlack and evacuationMs of the settings and the rows op/evacuate/ZONE were not decoded, and an entry whose coldRemainingMs is no number was skipped as a whole. Change: the numbers are decoded apart from their rows. An unusable one counts as 0 and is logged as cold_value_unusable.

--- a/src/banyanswitch/components/forwarding/models.py
+++ b/src/banyanswitch/components/forwarding/models.py
@@ -87,11 +87,17 @@
     ----------
     engine : EngineProfile or None
         Profile of the model engines; ``None`` for a plain service.
+    cold_s : float
+        Time for which an upstream is cold after its start, in seconds; 0 for never.
+    cold_per_s : float
+        Requests per second that a cold upstream can handle; 0 if none is ever cold.
     """
 
     name: ServiceName
     max_connections: int
     engine: EngineProfile | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,6 +174,8 @@
     software_version : str
         Version of its software. A stream that one version began can only be continued
         by the same version of the service.
+    cold_remaining_s : float
+        Time for which it stays cold after the entry is read, in seconds.
     """
 
     name: UpstreamId
@@ -180,6 +188,7 @@
     started_at_ms: int
     sequence: int = 0
     software_version: str = ""
+    cold_remaining_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/banyanswitch/components/forwarding/settings.py
+++ b/src/banyanswitch/components/forwarding/settings.py
@@ -37,6 +37,13 @@
         on older weights, in seconds.
     address_ttl_s : float
         Maximum time for which callers cache an address, in seconds.
+    cold_over, cold_slack : float
+        In any second, a cold upstream may get its service's cold rate times
+        ``cold_over`` plus ``cold_slack`` requests from all instances together; without
+        both, only the rate counts.
+    evacuation_s : float
+        Time after which nothing may be sent to an evacuated failure domain any more, in
+        seconds.
     """
 
     instance: str
@@ -60,6 +67,9 @@
     lease_s: float
     weights_deadline_s: float
     address_ttl_s: float
+    cold_over: float = 0.0
+    cold_slack: float = 0.0
+    evacuation_s: float = 5.0
 
 
 def host_and_port(address: str) -> tuple[str, int]:
--- a/src/banyanswitch/platform/const.py
+++ b/src/banyanswitch/platform/const.py
@@ -8,6 +8,7 @@
 TABLE_OPERATOR: Final = "op"
 TABLE_UPSTREAMS: Final = "servers"
 KEY_CONFIGURATION: Final = "config"
+KEY_EVACUATION_PREFIX: Final = "evacuate/"
 KEY_WEIGHTS_PREFIX: Final = "version/"
 
 PATH_ROWS_GET: Final = "/-/rows-get"
--- a/src/banyanswitch/platform/documents.py
+++ b/src/banyanswitch/platform/documents.py
@@ -26,7 +26,9 @@
     UpstreamId,
     WorkspaceId,
 )
+from banyanswitch.platform import cold_values
 from banyanswitch.platform.const import (
+    KEY_EVACUATION_PREFIX,
     KEY_WEIGHTS_PREFIX,
     KIND_IDEMPOTENT,
     KIND_STREAMING,
@@ -74,6 +76,8 @@
     name: str
     maxConnections: int = 64  # noqa: N815
     engine: _Engine | None = None
+    coldS: msgspec.Raw = cold_values.NO_NUMBER  # noqa: N815
+    coldPerS: msgspec.Raw = cold_values.NO_NUMBER  # noqa: N815
     # Only set for a KV store, which is listed as a service without upstreams.
     kvStoreAddress: str = ""  # noqa: N815
     zone: str = ""
@@ -130,7 +134,7 @@
     sequence: int
     # Unix time at which the upstream started, in milliseconds.
     born: int
-    coldRemainingMs: float = 0.0  # noqa: N815
+    coldRemainingMs: msgspec.Raw = cold_values.NO_NUMBER  # noqa: N815
     models: list[_LoadedModel] = []
 
 
@@ -163,6 +167,16 @@
         document = _decode(value, _TargetWeights, key)
         return None if document is None else (document.model, document.version)
 
+    def evacuated_domain(self, key: str) -> FailureDomainId | None:
+        """Return the failure domain that a row evacuates, whatever its value is.
+
+        Returns ``None`` if the row is of another kind.
+        """
+        if not key.startswith(KEY_EVACUATION_PREFIX):
+            return None
+        domain = key.removeprefix(KEY_EVACUATION_PREFIX)
+        return FailureDomainId(domain) if domain else None
+
     def upstream(self, key: str, value: bytes) -> UpstreamRecord | None:
         """Decode an upstream's entry.
 
@@ -182,6 +196,7 @@
             started_at_ms=entry.born,
             sequence=entry.sequence,
             software_version=entry.version,
+            cold_remaining_s=cold_values.remaining_s(entry.coldRemainingMs, key),
         )
         return record if is_fit(record) else None
 
@@ -238,6 +253,8 @@
         name=ServiceName(service.name),
         max_connections=service.maxConnections,
         engine=engine,
+        cold_s=cold_values.duration_s(service.coldS, service.name),
+        cold_per_s=cold_values.rate_per_s(service.coldPerS, service.name),
     )
 
 
--- a/src/banyanswitch/platform/node_settings.py
+++ b/src/banyanswitch/platform/node_settings.py
@@ -31,6 +31,9 @@
     leaseMs: float = 3000.0  # noqa: N815
     versionPropagationMs: float = 12000.0  # noqa: N815
     ttl_max_s: float = 5.0
+    coldOver: float = 0.0  # noqa: N815
+    coldSlack: float = 0.0  # noqa: N815
+    evacuationMs: float = 5000.0  # noqa: N815
 
 
 class _Store(msgspec.Struct, frozen=True):
@@ -95,4 +98,7 @@
         lease_s=bounds.leaseMs / MILLISECONDS_PER_S,
         weights_deadline_s=bounds.versionPropagationMs / MILLISECONDS_PER_S,
         address_ttl_s=bounds.ttl_max_s,
+        cold_over=max(0.0, bounds.coldOver),
+        cold_slack=max(0.0, bounds.coldSlack),
+        evacuation_s=bounds.evacuationMs / MILLISECONDS_PER_S,
     )
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,8 +6,10 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from banyanswitch.components.forwarding.models import Repeatability
+from banyanswitch.identifiers import ServiceName
 from banyanswitch.platform.documents import RowDecoder
 
 DECODER = RowDecoder()
@@ -172,3 +174,41 @@
     assert isinstance(record.address, str)
     assert isinstance(record.slots, int)
     assert all(isinstance(v, int) for v in record.weight_versions.values())
+
+
+# Guards against cold upstreams that are taken for warm ones.
+def test_cold_values_are_decoded() -> None:
+    record = DECODER.upstream("i-1", encode({**ENTRY, "coldRemainingMs": 2500}))
+    assert record is not None
+    assert record.cold_remaining_s == 2.5
+    cold = {"name": "app", "coldS": 3.0, "coldPerS": 13}
+    configuration = DECODER.configuration(
+        encode({**CONFIGURATION, "services": [cold, {"name": "llm"}]})
+    )
+    assert configuration is not None
+    services = configuration.services
+    assert services[ServiceName("app")].cold_s == 3.0
+    assert services[ServiceName("app")].cold_per_s == 13.0
+    assert services[ServiceName("llm")].cold_per_s == 0.0
+
+
+# Guards against an upstream or a configuration that is lost because of such a value.
+@pytest.mark.parametrize("value", ["-1", '"x"', "null", "true", "[3]", "1e400", "1e9"])
+def test_unusable_cold_values_count_as_zero(value: str) -> None:
+    with capture_logs() as logs:
+        entry = json.dumps({**ENTRY, "coldRemainingMs": 0})
+        entry = entry.replace('"coldRemainingMs": 0', f'"coldRemainingMs": {value}')
+        record = DECODER.upstream("i-1", entry.encode())
+        row = f'{{"version": 1, "services": [{{"name": "s", "coldPerS": {value}}}]}}'
+        configuration = DECODER.configuration(row.encode())
+    assert record is not None
+    assert record.cold_remaining_s == 0.0
+    assert configuration is not None
+    assert configuration.services[ServiceName("s")].cold_per_s == 0.0
+    assert [line["field"] for line in logs] == ["coldRemainingMs", "coldPerS"]
+
+
+def test_evacuated_failure_domain_is_decoded() -> None:
+    assert DECODER.evacuated_domain("evacuate/z1") == "z1"
+    assert DECODER.evacuated_domain("evacuate/") is None
+    assert DECODER.evacuated_domain("config") is None
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -61,3 +61,14 @@
 def test_missing_file_is_a_settings_error(tmp_path: Path) -> None:
     with pytest.raises(SettingsError):
         load_node_settings(tmp_path / "none.toml")
+
+
+# Guards against bounds of cold upstreams that are not kept.
+def test_bounds_of_cold_upstreams_are_loaded(tmp_path: Path) -> None:
+    settings = load_node_settings(write(tmp_path, DOCUMENT))
+    assert (settings.cold_over, settings.cold_slack) == (0.0, 0.0)
+    bounds = "[bounds]\ncoldOver = 1.5\ncoldSlack = 5\nevacuationMs = 4000"
+    path = write(tmp_path, DOCUMENT.replace("[bounds]", bounds))
+    settings = load_node_settings(path)
+    assert (settings.cold_over, settings.cold_slack) == (1.5, 5.0)
+    assert settings.evacuation_s == 4.0
