Keep the limits of cold upstreams with those that upstreams name

Cause: nothing read that an upstream is cold, so it got the load of a warm one and crashed. The division of a named limit alone would not do: the instances on each side of a partition select senders of their own. Change: limit_shares takes a bound on the requests of any second and keeps the bursts plus one second of the rates of all senders within 0.75 of it. Senders to cold upstreams are selected among all instances seen in the last ten minutes or named in the settings, must be selected by each set of the last 3 s, and a new or leaving instance sends nothing to a cold upstream. The lower one of the named and the cold limit applies.

--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -467,10 +467,7 @@
     @callback
     def service_of(self, name: ServiceName | None) -> ForwardedService | None:
         """Return a service of the active configuration."""
-        configuration = self._routing.configuration
-        if configuration is None or name is None:
-            return None
-        return configuration.services.get(name)
+        return None if name is None else self._routing.service(name)
 
 
 def _rank(route: Route, workspace: ForwardedWorkspace | None) -> int:
--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -9,6 +9,7 @@
 
 from banyanswitch.components.forwarding.const import TARGET_TIME_RESOLUTION_S
 from banyanswitch.components.forwarding.models import (
+    ForwardedService,
     ForwardedWorkspace,
     ForwardingConfiguration,
     Repeatability,
@@ -116,6 +117,13 @@
                 return route
         return None
 
+    @callback
+    def service(self, name: ServiceName) -> ForwardedService | None:
+        """Return a service of the active configuration."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services.get(name)
+
     @callback
     def resumable_services(self) -> frozenset[ServiceName]:
         """Return the services of the streams that may be resumed."""
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -307,6 +307,7 @@
                 sequence=record.sequence,
             )
             return
+        self.limits.cold.note_entry(record, now_s)
         if known is not None and _version_key(known.record) != _version_key(record):
             self._note_version_left(known.record, now_s)
         if known is None or record.started_at_ms > known.record.started_at_ms:
--- a/src/banyanswitch/components/membership/coordinator.py
+++ b/src/banyanswitch/components/membership/coordinator.py
@@ -104,6 +104,11 @@
         """
         return self._members.serving(service)
 
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Peer addresses of the other instances that the settings name."""
+        return self._seeds
+
     @callback
     def set_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the addresses to probe while no other instance is known."""
--- a/src/banyanswitch/decisions/upstream_limits.py
+++ b/src/banyanswitch/decisions/upstream_limits.py
@@ -7,6 +7,11 @@
 MIN_RATE_PER_S: Final = 0.2
 """Rate below which no limit is kept, so that answers can show its end."""
 
+BOUND_SHARE: Final = 0.75
+"""Share of a bound on the requests of any second that is used. The rest is for requests
+that arrive closer together than they were sent, and for senders that do not know yet of
+an instance which has taken their place."""
+
 
 @dataclass(frozen=True, slots=True)
 class LimitShares:
@@ -43,7 +48,43 @@
     observed_at_s: float
 
 
-def limit_shares(limit_per_s: float, instances: int) -> LimitShares:
+@dataclass(frozen=True, slots=True)
+class ColdPolicy:
+    """Bound on the requests of a cold upstream in any second, from all instances.
+
+    It is the upstream's cold rate times ``over`` plus ``slack``. Without both, there is
+    no such bound, and only the rate counts.
+    """
+
+    over: float = 0.0
+    slack: float = 0.0
+
+    def bound(self, cold_per_s: float) -> float | None:
+        """Return the number of requests in any second; ``None`` without a bound."""
+        if self.over <= 0.0 and self.slack <= 0.0:
+            return None
+        return max(1.0, cold_per_s * self.over + self.slack)
+
+
+@dataclass(frozen=True, slots=True)
+class ColdLimit:
+    """Limit of an upstream while it is cold.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests per second that it can handle.
+    bound : float or None
+        Number of requests that it may get in any second; ``None`` without a bound.
+    """
+
+    rate_per_s: float
+    bound: float | None
+
+
+def limit_shares(
+    limit_per_s: float, instances: int, bound: float | None = None
+) -> LimitShares:
     """Divide a limit among as many instances as can each send something.
 
     With a share each, many instances would have less than one request each, and their
@@ -54,11 +95,18 @@
     ----------
     instances : int
         Number of live instances.
+    bound : float, optional
+        Number of requests that the upstream may get in any second. The bursts of all
+        senders and one second of their rates stay within `BOUND_SHARE` of it.
     """
+    rate_per_s = max(MIN_RATE_PER_S, limit_per_s)
     total_burst = math.floor(limit_per_s) + 1
+    if bound is not None:
+        allowed = BOUND_SHARE * bound
+        rate_per_s = min(rate_per_s, max(MIN_RATE_PER_S, allowed - 1.0))
+        total_burst = max(1, min(total_burst, math.floor(allowed - rate_per_s)))
     senders = max(1, min(instances, total_burst))
-    rate_per_s = max(MIN_RATE_PER_S, limit_per_s) / senders
-    return LimitShares(senders, rate_per_s, total_burst / senders)
+    return LimitShares(senders, rate_per_s / senders, total_burst / senders)
 
 
 def newer_notice(known: LimitNotice | None, other: LimitNotice) -> LimitNotice:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -59,6 +59,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
+from banyanswitch.components.upstream_limits.cold_upstreams import ColdUpstreams
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
@@ -73,6 +74,7 @@
 from banyanswitch.components.weight_rollout.target_time_store import TargetTimeStore
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
+from banyanswitch.decisions.upstream_limits import ColdPolicy
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import (
@@ -253,7 +255,15 @@
             decoder,
             self._loads,
             Ejector(EJECTION, self._random),
-            UpstreamLimits(self._membership, self._readers),
+            UpstreamLimits(
+                self._membership,
+                self._readers,
+                cold=ColdUpstreams(
+                    ColdPolicy(self._settings.cold_over, self._settings.cold_slack),
+                    self._routing.service,
+                ),
+                named_instances=lambda: self._membership.seeds,
+            ),
             notices=UpstreamNotices(),
         )
         self._engines.on_notice = self._registry.note_notice_at
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -12,6 +12,7 @@
 
 from banyanswitch.components.forwarding.loads import LoadTracker
 from banyanswitch.components.forwarding.models import (
+    ForwardedService,
     ForwardingConfiguration,
     PromptPart,
     RequestMetadata,
@@ -34,9 +35,11 @@
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.components.upstream_limits.cold_upstreams import ColdUpstreams
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.components.upstream_notices.coordinator import UpstreamNotices
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
+from banyanswitch.decisions.upstream_limits import ColdPolicy
 from banyanswitch.helpers.store_version import make_version
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 from banyanswitch.interfaces import Item, TableChanges
@@ -97,6 +100,7 @@
     domain: str = "z1",
     sequence: int = 0,
     software_version: str = "v1",
+    cold_remaining_s: float = 0.0,
 ) -> UpstreamRecord:
     return UpstreamRecord(
         name=UpstreamId(name),
@@ -109,6 +113,7 @@
         started_at_ms=started_at_ms,
         sequence=sequence,
         software_version=software_version,
+        cold_remaining_s=cold_remaining_s,
     )
 
 
@@ -120,7 +125,9 @@
         self.loads = LoadTracker()
         ejector = Ejector(EjectionPolicy(), random.Random(1))
         alone = FixedPeers(make_peer("a"), [])
-        limits = UpstreamLimits(alone, ReaderAssignment(alone))
+        self.services: dict[ServiceName, ForwardedService] = {}
+        cold = ColdUpstreams(ColdPolicy(1.5, 5.0), self.services.get)
+        limits = UpstreamLimits(alone, ReaderAssignment(alone), cold=cold)
         self.registry = UpstreamRegistry(
             self.mirror,
             PlainDecoder(),
--- a/tests/components/upstream_limits/test_coordinator.py
+++ b/tests/components/upstream_limits/test_coordinator.py
@@ -7,8 +7,9 @@
 import pytest
 
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
+from banyanswitch.components.upstream_limits.cold_upstreams import ColdUpstreams
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
-from banyanswitch.decisions.upstream_limits import limit_shares
+from banyanswitch.decisions.upstream_limits import ColdPolicy, limit_shares
 from tests.components.forwarding.fakes import record
 from tests.fakes.peers import FakeNetwork, FakeNode
 
@@ -41,7 +42,8 @@
 
     def add(self, number: int) -> None:
         peer = self._peers[number] = self._network.add(number)
-        limits = UpstreamLimits(peer, ReaderAssignment(peer))
+        cold = ColdUpstreams(ColdPolicy(), lambda _name: None)
+        limits = UpstreamLimits(peer, ReaderAssignment(peer), cold=cold)
         limits.on_change = lambda: self._report_later(number)
         self.instances[number] = limits
 
