Place large prefills past cold upstreams

Cause: a cold upstream has no load, so the choice preferred it for long prompts as well. Change: without_cold leaves out cold upstreams whose prefill would be large while a warm one is not overloaded, and samples of large fleets contain a warm one. A counter and a gauge show it.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -318,6 +318,8 @@
             self._placement.commit(placed)
             self._log.placed(context, placed)
             self._metrics.observe_load_age(placed.load_age_s)
+            if placed.has_avoided_cold:
+                self._metrics.count_avoided_cold(context.service.name)
             self._count_request(context)
             attempt = Attempt(
                 request=context.request,
--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -1,6 +1,14 @@
 """Prometheus metrics of forwarding."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 from banyanswitch.core import callback
 from banyanswitch.identifiers import ServiceName
@@ -67,6 +75,22 @@
             buckets=LOAD_AGE_BUCKETS_S,
             registry=self._registry,
         )
+        self._avoided_cold = Counter(
+            "banyanswitch_placements_avoiding_cold",
+            "Requests with a large prefill placed past cold upstreams, by service",
+            ("service",),
+            registry=self._registry,
+        )
+
+    @callback
+    def show_gauge(self, name: str, text: str, value: Callable[[], int]) -> None:
+        """Add a gauge whose value is read when the metrics are rendered."""
+        Gauge(name, text, registry=self._registry).set_function(value)
+
+    @callback
+    def count_avoided_cold(self, service: ServiceName) -> None:
+        """Count a request with a large prefill that was placed past cold upstreams."""
+        self._avoided_cold.labels(service).inc()
 
     @callback
     def observe_load_age(self, age_s: float | None) -> None:
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -24,6 +24,7 @@
 from banyanswitch.components.kv_tier.coordinator import PartPlan, PartTier
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
+from banyanswitch.decisions.cold_upstreams import warm_among, without_cold
 from banyanswitch.decisions.prefix import versioned_cache_salt
 from banyanswitch.decisions.upstream_choice import (
     UpstreamChoicePolicy,
@@ -98,6 +99,8 @@
         Whether the upstream can't start the request in useful time.
     load_age_s : float or None
         Age of what is known of the other instances' load at the upstream, in seconds.
+    has_avoided_cold : bool
+        Whether cold upstreams were left out because of a large prefill.
     """
 
     record: UpstreamRecord
@@ -118,6 +121,7 @@
     is_large_prefill: bool = False
     is_direct: bool = True
     load_age_s: float | None = None
+    has_avoided_cold: bool = False
 
 
 class Placement:
@@ -168,7 +172,10 @@
             for state in states
             if self._weight_version(state, model) == newest
         ]
-        home = home_among(self._choice_request(request).home_key, names)
+        choice = self._choice_request(request)
+        cold = self._cold(states, now_s)
+        preferred = warm_among(preferred, cold, choice, self._policy)
+        home = home_among(choice.home_key, names)
         return sample_upstreams(names, preferred, home, count, self._random)
 
     @callback
@@ -191,6 +198,8 @@
         choice = self._choice_request(request)
         if request.is_wait_over:
             views = self._startable(views, states, request, choice, now_s)
+        known = len(views)
+        views = without_cold(views, self._cold(states, now_s), choice, self._policy)
         home = request.sample.home if request.sample else None
         if home not in {state.record.name for state in states}:
             names = [state.record.name for state in states]
@@ -226,6 +235,7 @@
             plan=plan,
             in_flight=in_flight,
             candidates=len(views),
+            has_avoided_cold=len(views) < known,
             home_key=choice.home_key,
             stored_tokens=view.stored_tokens,
             unstored_tokens=choice.shared_tokens - view.stored_tokens,
@@ -277,6 +287,11 @@
             return healthy
         return states
 
+    def _cold(self, states: list[UpstreamState], now_s: float) -> set[UpstreamId]:
+        cold = self._registry.limits.cold
+        records = [state.record for state in states]
+        return {r.name for r in records if cold.limit(r, now_s) is not None}
+
     def _has_weights(self, state: UpstreamState, model: str, now_s: float) -> bool:
         version = state.weight_versions.get(model)
         if version is None:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -388,6 +388,12 @@
             generator=self._random,
         )
         self._metrics = ForwardingMetrics()
+        loop = asyncio.get_running_loop()
+        self._metrics.show_gauge(
+            "banyanswitch_cold_upstreams",
+            "Upstreams that are cold",
+            lambda: self._registry.limits.cold.count(loop.time()),
+        )
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
         )
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -259,6 +259,9 @@
         loads = {upstream.name: Load(4, tokens, CAPACITY_TOKENS - 1_000)}
         self.upstreams.loads.note_remote("other", loads, now_s())
 
+    def metrics_text(self) -> str:
+        return self._forwarder._metrics.render().decode()
+
     def retry_budget_left(self) -> float:
         return self._forwarder._retrier(SERVICE).budget_left(now_s())
 
