Send nothing new to the upstreams of evacuated failure domains

Cause: the rows op/evacuate/ZONE were taken for no row at all. Change: RoutingState keeps the evacuated failure domains, and placement leaves out their upstreams for first attempts, retries, resumed streams, requests that are passed on, and sources of cached parts. Links to them are not checked. If nothing else is left, the request is refused with domains_evacuated. After the row is removed, the upstreams count as cold until their next entry.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -53,6 +53,10 @@
 """Highest base of the Retry-After time while upstreams are at their limit, of which
 other instances may have a share."""
 
+EVACUATED_RETRY_AFTER_S: Final = 2.0
+"""Base of the Retry-After time while all upstreams of a service are evacuated; an
+evacuation takes minutes, and the end of one is known within about a second."""
+
 MAX_RETRY_AFTER_SHARE: Final = 0.3
 """Maximum Retry-After time as a share of the request's remaining time; callers honour
 up to a third."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
     DUE_SHARE,
+    EVACUATED_RETRY_AFTER_S,
     MAX_LIMIT_RETRY_AFTER_S,
     MAX_QUEUE_WAIT_S,
     MAX_QUEUE_WAIT_SHARE,
@@ -672,6 +673,8 @@
         if parts is not None:
             reason = RefusalReason.PART_WITHHELD
             wait_s = self._parts.retry_after_s(parts)
+        elif self._placement.is_evacuated(context.service.name, now_s):
+            reason, wait_s = RefusalReason.EVACUATED, EVACUATED_RETRY_AFTER_S
         elif (limit_s := self._limit_wait_s(context, now_s)) is not None:
             reason, wait_s = RefusalReason.UPSTREAM_LIMIT, limit_s
         elif (
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -266,7 +266,7 @@
         model = request.metadata.model if service.engine else None
         accepting = [
             state
-            for state in self._registry.accepting(service.name, now_s)
+            for state in self._accepting(service.name, now_s)
             if self._registry.notices.may_send(state.record, now_s)
         ]
         if request.is_passed_on:
@@ -287,6 +287,14 @@
             return healthy
         return states
 
+    def _accepting(self, service: ServiceName, now_s: float) -> list[UpstreamState]:
+        evacuated = self._routing.evacuated
+        return [
+            state
+            for state in self._registry.accepting(service, now_s)
+            if state.record.failure_domain not in evacuated
+        ]
+
     def _cold(self, states: list[UpstreamState], now_s: float) -> set[UpstreamId]:
         cold = self._registry.limits.cold
         records = [state.record for state in states]
@@ -454,6 +462,15 @@
         self._tier.mark_saves_pending(placed.parts)
         self._registry.limits.note_sent(placed.record, placed.in_flight.started_at_s)
 
+    @callback
+    def is_evacuated(self, service: ServiceName, now_s: float) -> bool:
+        """Return whether only evacuated failure domains have upstreams of a service."""
+        evacuated = self._routing.evacuated
+        return not self._accepting(service, now_s) and any(
+            state.record.failure_domain in evacuated
+            for state in self._registry.of_service(service)
+        )
+
     @callback
     def limit_wait_s(self, service: ServiceName, now_s: float) -> float | None:
         """Return the time until an upstream at its limit takes a request, in seconds.
@@ -463,7 +480,7 @@
         """
         waits_s = [
             self._registry.limits.wait_s(state.record, now_s)
-            for state in self._registry.accepting(service, now_s)
+            for state in self._accepting(service, now_s)
         ]
         return min((wait_s for wait_s in waits_s if wait_s > 0.0), default=None)
 
@@ -475,7 +492,7 @@
         """
         waits_s = [
             self._registry.notices.rests_until_s(state.record) - now_s
-            for state in self._registry.accepting(service, now_s)
+            for state in self._accepting(service, now_s)
         ]
         return min((wait_s for wait_s in waits_s if wait_s > 0.0), default=None)
 
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -15,7 +15,7 @@
 from banyanswitch.components.http1.models import Header, Headers, Request, ResponseHead
 from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.decisions.stream_resumption import OriginSearch, StreamOrigin
-from banyanswitch.identifiers import ServiceName, UpstreamId
+from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 
 
 class PartGuard(Protocol):
@@ -137,6 +137,12 @@
         ``None`` means that the row contains none.
         """
 
+    def evacuated_domain(self, key: str) -> FailureDomainId | None:
+        """Return the failure domain that a row evacuates.
+
+        ``None`` means that the row is of another kind.
+        """
+
     def upstream(self, key: str, value: bytes) -> UpstreamRecord | None:
         """Return the upstream in a row, or ``None`` if the row is unusable."""
 
--- a/src/banyanswitch/components/forwarding/refusals.py
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -33,6 +33,7 @@
     UPSTREAM_RESTS = "upstream_rests"
     PART_WITHHELD = "part_withheld"
     OVERLOADED = "upstreams_overloaded"
+    EVACUATED = "domains_evacuated"
 
 
 DECLINE_REASONS = frozenset(
--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -1,8 +1,9 @@
-"""Active configuration and target weight versions."""
+"""Active configuration, target weight versions and evacuated failure domains."""
 
 import asyncio
 import random
 from collections.abc import Callable
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 
 import structlog
@@ -20,7 +21,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
 from banyanswitch.decisions.prefix import isolated_scope, shared_scope
-from banyanswitch.identifiers import ServiceName
+from banyanswitch.identifiers import FailureDomainId, ServiceName
 from banyanswitch.interfaces import Item
 
 LOGGER = structlog.get_logger(__name__)
@@ -62,6 +63,11 @@
         Decodes its rows.
     configuration_key : str
         Key of the row with the configuration.
+
+    Attributes
+    ----------
+    on_returned : callable
+        Called with a failure domain that is no longer evacuated.
     """
 
     def __init__(
@@ -72,6 +78,8 @@
         self._routes_by_host: dict[str, list[Route]] = {}
         self._workspaces_by_key: dict[str, ForwardedWorkspace] = {}
         self._targets: dict[str, WeightTarget] = {}
+        self._evacuated: set[FailureDomainId] = set()
+        self.on_returned: Callable[[FailureDomainId], None] = lambda _domain: None
         self._target_handlers: list[Callable[[str], None]] = []
         self.configuration: ForwardingConfiguration | None = None
         self._shared_scope = ""
@@ -95,6 +103,11 @@
         """Target weight version by model."""
         return self._targets
 
+    @property
+    def evacuated(self) -> AbstractSet[FailureDomainId]:
+        """Failure domains to whose upstreams nothing more is sent."""
+        return self._evacuated
+
     @callback
     def subscribe_targets(self, handler: Callable[[str], None]) -> None:
         """Call ``handler`` with a model whose target versions or times change."""
@@ -198,9 +211,30 @@
                 if configuration is not None:
                     self.apply(configuration)
                 continue
+            domain = self._decoder.evacuated_domain(key)
+            if domain is not None:
+                self._note_evacuated(domain, item.revision)
+                continue
             named = self._decoder.target_weights(key, item.value)
             if named is not None:
                 self._note_target(*named, item.revision)
+        for key in removed:
+            domain = self._decoder.evacuated_domain(key.partition("/")[2])
+            if domain is not None:
+                self._note_returned(domain)
+
+    def _note_evacuated(self, domain: FailureDomainId, revision: int) -> None:
+        if domain in self._evacuated:
+            return
+        self._evacuated.add(domain)
+        LOGGER.info("failure_domain_evacuated", domain=domain, revision=revision)
+
+    def _note_returned(self, domain: FailureDomainId) -> None:
+        if domain not in self._evacuated:
+            return
+        self._evacuated.remove(domain)
+        LOGGER.info("failure_domain_returned", domain=domain)
+        self.on_returned(domain)
 
     def _note_target(self, model: str, version: int, revision: int) -> None:
         target = self._targets.setdefault(model, WeightTarget(0, {}))
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -25,7 +25,7 @@
 from banyanswitch.decisions.ejection import Ejector
 from banyanswitch.decisions.upstream_notices import ResponseNotice
 from banyanswitch.helpers.store_version import era_of
-from banyanswitch.identifiers import ServiceName, UpstreamId
+from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 from banyanswitch.interfaces import Item
 
 LOGGER = structlog.get_logger(__name__)
@@ -205,6 +205,14 @@
                 return 0.0
         return self.ejector.weight(state.record.name, now_s)
 
+    @callback
+    def note_returned(self, domain: FailureDomainId) -> None:
+        """Take the upstreams of a failure domain for cold until their next entries."""
+        now_s = asyncio.get_running_loop().time()
+        for state in self._states.values():
+            if state.record.failure_domain == domain:
+                self.limits.cold.assume_cold(state.record, now_s)
+
     @callback
     def note_received(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that a response head was received from an upstream."""
--- a/src/banyanswitch/components/upstream_links/coordinator.py
+++ b/src/banyanswitch/components/upstream_links/coordinator.py
@@ -22,7 +22,7 @@
     usable_upstreams,
 )
 from banyanswitch.exceptions import UpstreamNotSentError
-from banyanswitch.identifiers import ServiceName, UpstreamId
+from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -52,6 +52,8 @@
     ----------
     on_change : callable
         Called when a link goes down or is up again.
+    is_evacuated : callable
+        Returns whether a failure domain is evacuated; its links are not checked.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self._checks: dict[UpstreamId, asyncio.Task[None]] = {}
         self._has_unreached = asyncio.Event()
         self.on_change: Callable[[], None] = lambda: None
+        self.is_evacuated: Callable[[FailureDomainId], bool] = lambda _domain: False
 
     @callback
     def note_not_sent(self, record: UpstreamRecord, *, has_timed_out: bool) -> None:
@@ -142,7 +145,11 @@
     def _start_checks(self) -> None:
         now_s = _now_s()
         for service in {down.service for down in self._unreached.values()}:
-            states = {s.record.name: s for s in self._registry.of_service(service)}
+            states = {
+                state.record.name: state
+                for state in self._registry.of_service(service)
+                if not self.is_evacuated(state.record.failure_domain)
+            }
             checked_at_s = {
                 name: self._checked_at_s.get(name, float("-inf")) for name in states
             }
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -267,6 +267,7 @@
             notices=UpstreamNotices(),
         )
         self._engines.on_notice = self._registry.note_notice_at
+        self._routing.on_returned = self._registry.note_returned
         self._watch = SuspensionWatch(SystemSuspensionClock())
         self._tier = PartTier(
             self._engines,
@@ -309,6 +310,7 @@
             self._pool,
             PeerLinkTable(self._membership, self._random),
         )
+        self._links.is_evacuated = lambda domain: domain in self._routing.evacuated
 
     def _make_load_homes(self) -> None:
         self._homes = LoadHomes(self._membership, self._readers)
@@ -394,6 +396,11 @@
             "Upstreams that are cold",
             lambda: self._registry.limits.cold.count(loop.time()),
         )
+        self._metrics.show_gauge(
+            "banyanswitch_evacuated_failure_domains",
+            "Failure domains to whose upstreams nothing is sent",
+            lambda: len(self._routing.evacuated),
+        )
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
         )
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -85,6 +85,10 @@
     def target_weights(self, key: str, value: bytes) -> tuple[str, int] | None:
         return MODEL, int(value)
 
+    def evacuated_domain(self, key: str) -> FailureDomainId | None:
+        kind, _, domain = key.partition("/")
+        return FailureDomainId(domain) if kind == "evacuate" else None
+
     def upstream(self, key: str, value: bytes) -> UpstreamRecord | None:
         if value == b"?":
             return None
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -180,6 +180,7 @@
     def __init__(self, pool: ConnectionPool | None = None) -> None:
         self.upstreams = Upstreams()
         self.is_connected = True
+        self._version = 100
         self.stored_versions = FakeStoredVersions()
         alone = FixedPeers(make_peer("a"), [])
         self.origins = OriginExchange(
@@ -221,6 +222,7 @@
         sends_head_first: bool = False,
         software_version: str = "v1",
         crashes: bool = False,
+        domain: str = "z1",
     ) -> FakeUpstream:
         upstream = FakeUpstream(
             name,
@@ -231,7 +233,9 @@
             sends_head_first,
             crashes,
         )
-        entry = record(name, version=version, software_version=software_version)
+        entry = record(
+            name, version=version, software_version=software_version, domain=domain
+        )
         self._pool.upstreams[entry.address] = upstream
         self.upstreams.put(entry)
         return upstream
@@ -246,6 +250,14 @@
         self._operator.apply_changes(TableChanges(version, (row,), ()))
         return now_s()
 
+    def evacuate(self, domain: str, *, is_ended: bool = False) -> None:
+        """Write the row that evacuates a failure domain, or remove it."""
+        self._version += 1
+        key = f"op/evacuate/{domain}"
+        rows = () if is_ended else (Item(key, self._version, b"{}"),)
+        removed = (key,) if is_ended else ()
+        self._operator.apply_changes(TableChanges(self._version, rows, removed))
+
     def fill_memory(self, upstream: FakeUpstream) -> None:
         """Let an answered request use nearly all memory of an upstream."""
         name = UpstreamId(upstream.name)
