--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
     DUE_SHARE,
+    EVACUATED_RETRY_AFTER_S,
     MAX_LIMIT_RETRY_AFTER_S,
     MAX_QUEUE_WAIT_S,
     MAX_QUEUE_WAIT_SHARE,
@@ -318,6 +319,8 @@
             self._placement.commit(placed)
             self._log.placed(context, placed)
             self._metrics.observe_load_age(placed.load_age_s)
+            if placed.has_avoided_cold:
+                self._metrics.count_avoided_cold(context.service.name)
             self._count_request(context)
             attempt = Attempt(
                 request=context.request,
@@ -670,6 +673,8 @@
         if parts is not None:
             reason = RefusalReason.PART_WITHHELD
             wait_s = self._parts.retry_after_s(parts)
+        elif self._placement.is_evacuated(context.service.name, now_s):
+            reason, wait_s = RefusalReason.EVACUATED, EVACUATED_RETRY_AFTER_S
         elif (limit_s := self._limit_wait_s(context, now_s)) is not None:
             reason, wait_s = RefusalReason.UPSTREAM_LIMIT, limit_s
         elif (
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -24,6 +24,7 @@
 from banyanswitch.components.kv_tier.coordinator import PartPlan, PartTier
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
+from banyanswitch.decisions.cold_upstreams import warm_among, without_cold
 from banyanswitch.decisions.prefix import versioned_cache_salt
 from banyanswitch.decisions.upstream_choice import (
     UpstreamChoicePolicy,
@@ -98,6 +99,8 @@
         Whether the upstream can't start the request in useful time.
     load_age_s : float or None
         Age of what is known of the other instances' load at the upstream, in seconds.
+    has_avoided_cold : bool
+        Whether cold upstreams were left out because of a large prefill.
     """
 
     record: UpstreamRecord
@@ -118,6 +121,7 @@
     is_large_prefill: bool = False
     is_direct: bool = True
     load_age_s: float | None = None
+    has_avoided_cold: bool = False
 
 
 class Placement:
@@ -168,7 +172,10 @@
             for state in states
             if self._weight_version(state, model) == newest
         ]
-        home = home_among(self._choice_request(request).home_key, names)
+        choice = self._choice_request(request)
+        cold = self._cold(states, now_s)
+        preferred = warm_among(preferred, cold, choice, self._policy)
+        home = home_among(choice.home_key, names)
         return sample_upstreams(names, preferred, home, count, self._random)
 
     @callback
@@ -191,6 +198,8 @@
         choice = self._choice_request(request)
         if request.is_wait_over:
             views = self._startable(views, states, request, choice, now_s)
+        known = len(views)
+        views = without_cold(views, self._cold(states, now_s), choice, self._policy)
         home = request.sample.home if request.sample else None
         if home not in {state.record.name for state in states}:
             names = [state.record.name for state in states]
@@ -226,6 +235,7 @@
             plan=plan,
             in_flight=in_flight,
             candidates=len(views),
+            has_avoided_cold=len(views) < known,
             home_key=choice.home_key,
             stored_tokens=view.stored_tokens,
             unstored_tokens=choice.shared_tokens - view.stored_tokens,
@@ -256,7 +266,7 @@
         model = request.metadata.model if service.engine else None
         accepting = [
             state
-            for state in self._registry.accepting(service.name, now_s)
+            for state in self._accepting(service.name, now_s)
             if self._registry.notices.may_send(state.record, now_s)
         ]
         if request.is_passed_on:
@@ -277,6 +287,19 @@
             return healthy
         return states
 
+    def _accepting(self, service: ServiceName, now_s: float) -> list[UpstreamState]:
+        evacuated = self._routing.evacuated
+        return [
+            state
+            for state in self._registry.accepting(service, now_s)
+            if state.record.failure_domain not in evacuated
+        ]
+
+    def _cold(self, states: list[UpstreamState], now_s: float) -> set[UpstreamId]:
+        cold = self._registry.limits.cold
+        records = [state.record for state in states]
+        return {r.name for r in records if cold.limit(r, now_s) is not None}
+
     def _has_weights(self, state: UpstreamState, model: str, now_s: float) -> bool:
         version = state.weight_versions.get(model)
         if version is None:
@@ -439,6 +462,15 @@
         self._tier.mark_saves_pending(placed.parts)
         self._registry.limits.note_sent(placed.record, placed.in_flight.started_at_s)
 
+    @callback
+    def is_evacuated(self, service: ServiceName, now_s: float) -> bool:
+        """Return whether only evacuated failure domains have upstreams of a service."""
+        evacuated = self._routing.evacuated
+        return not self._accepting(service, now_s) and any(
+            state.record.failure_domain in evacuated
+            for state in self._registry.of_service(service)
+        )
+
     @callback
     def limit_wait_s(self, service: ServiceName, now_s: float) -> float | None:
         """Return the time until an upstream at its limit takes a request, in seconds.
@@ -448,7 +480,7 @@
         """
         waits_s = [
             self._registry.limits.wait_s(state.record, now_s)
-            for state in self._registry.accepting(service, now_s)
+            for state in self._accepting(service, now_s)
         ]
         return min((wait_s for wait_s in waits_s if wait_s > 0.0), default=None)
 
@@ -460,17 +492,14 @@
         """
         waits_s = [
             self._registry.notices.rests_until_s(state.record) - now_s
-            for state in self._registry.accepting(service, now_s)
+            for state in self._accepting(service, now_s)
         ]
         return min((wait_s for wait_s in waits_s if wait_s > 0.0), default=None)
 
     @callback
     def service_of(self, name: ServiceName | None) -> ForwardedService | None:
         """Return a service of the active configuration."""
-        configuration = self._routing.configuration
-        if configuration is None or name is None:
-            return None
-        return configuration.services.get(name)
+        return None if name is None else self._routing.service(name)
 
 
 def _rank(route: Route, workspace: ForwardedWorkspace | None) -> int:
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -25,7 +25,7 @@
 from banyanswitch.decisions.ejection import Ejector
 from banyanswitch.decisions.upstream_notices import ResponseNotice
 from banyanswitch.helpers.store_version import era_of
-from banyanswitch.identifiers import ServiceName, UpstreamId
+from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 from banyanswitch.interfaces import Item
 
 LOGGER = structlog.get_logger(__name__)
@@ -205,6 +205,14 @@
                 return 0.0
         return self.ejector.weight(state.record.name, now_s)
 
+    @callback
+    def note_returned(self, domain: FailureDomainId) -> None:
+        """Take the upstreams of a failure domain for cold until their next entries."""
+        now_s = asyncio.get_running_loop().time()
+        for state in self._states.values():
+            if state.record.failure_domain == domain:
+                self.limits.cold.assume_cold(state.record, now_s)
+
     @callback
     def note_received(self, upstream: UpstreamId, now_s: float) -> None:
         """Record that a response head was received from an upstream."""
@@ -307,6 +315,7 @@
                 sequence=record.sequence,
             )
             return
+        self.limits.cold.note_entry(record, now_s)
         if known is not None and _version_key(known.record) != _version_key(record):
             self._note_version_left(known.record, now_s)
         if known is None or record.started_at_ms > known.record.started_at_ms:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -59,6 +59,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
+from banyanswitch.components.upstream_limits.cold_upstreams import ColdUpstreams
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
@@ -73,6 +74,7 @@
 from banyanswitch.components.weight_rollout.target_time_store import TargetTimeStore
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
+from banyanswitch.decisions.upstream_limits import ColdPolicy
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.signing import SigningKeys
 from banyanswitch.helpers.suspension import (
@@ -253,10 +255,19 @@
             decoder,
             self._loads,
             Ejector(EJECTION, self._random),
-            UpstreamLimits(self._membership, self._readers),
+            UpstreamLimits(
+                self._membership,
+                self._readers,
+                cold=ColdUpstreams(
+                    ColdPolicy(self._settings.cold_over, self._settings.cold_slack),
+                    self._routing.service,
+                ),
+                named_instances=lambda: self._membership.seeds,
+            ),
             notices=UpstreamNotices(),
         )
         self._engines.on_notice = self._registry.note_notice_at
+        self._routing.on_returned = self._registry.note_returned
         self._watch = SuspensionWatch(SystemSuspensionClock())
         self._tier = PartTier(
             self._engines,
@@ -299,6 +310,7 @@
             self._pool,
             PeerLinkTable(self._membership, self._random),
         )
+        self._links.is_evacuated = lambda domain: domain in self._routing.evacuated
 
     def _make_load_homes(self) -> None:
         self._homes = LoadHomes(self._membership, self._readers)
@@ -378,6 +390,17 @@
             generator=self._random,
         )
         self._metrics = ForwardingMetrics()
+        loop = asyncio.get_running_loop()
+        self._metrics.show_gauge(
+            "banyanswitch_cold_upstreams",
+            "Upstreams that are cold",
+            lambda: self._registry.limits.cold.count(loop.time()),
+        )
+        self._metrics.show_gauge(
+            "banyanswitch_evacuated_failure_domains",
+            "Failure domains to whose upstreams nothing is sent",
+            lambda: len(self._routing.evacuated),
+        )
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
         )
