Confirm the upstreams' entries before a stream of unknown origin goes on

Cause: a caller without `Resumes` got a search that counted as complete, and the instance took its own copy of the upstreams' entries for the whole list. An instance that was partitioned or suspended didn't know of a new version, and one that came and went meanwhile stayed unknown for good.

Change: such a stream goes on only after a read of the store that began after the question; without an answer within 0.3 s it is refused with 503.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -270,6 +270,8 @@
         if metadata.resumes is not None:
             search = await self._origins.async_find(metadata.resumes)
         services = {share.service for share in route.shares}
+        if search.origin is None and not await self._versions.async_confirm(services):
+            search = OriginSearch(is_complete=False)
         versions = {name: self._versions.possible(name) for name in services}
         origin = origin_of_resumed_stream(search, services, versions)
         service = self._placement.service_of(origin.service) if origin else None
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -1,6 +1,6 @@
 """Protocols that a platform implements for forwarding."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -124,6 +124,9 @@
         ``None`` means that they are not known.
         """
 
+    async def async_confirm(self, services: Collection[ServiceName]) -> bool:
+        """Return whether no version of the services is missing from `possible`."""
+
 
 class DocumentDecoder(Protocol):
     """Decodes the table rows that operators and upstreams write."""
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -102,11 +102,6 @@
         Limits that upstreams name.
     notices : UpstreamNotices
         Rests and departures that upstreams announce.
-
-    Attributes
-    ----------
-    followed_since_s : float or None
-        Loop time at which the first entries were read; ``None`` before.
     """
 
     def __init__(
@@ -129,9 +124,24 @@
         self._by_service: dict[ServiceName, list[UpstreamId]] = {}
         self._dropped: dict[UpstreamId, _Dropped] = {}
         self._version_left_at_s: dict[tuple[ServiceName, str], float] = {}
-        self.followed_since_s: float | None = None
+        self._first_read_at_s: float | None = None
         mirror.subscribe(self._on_rows)
 
+    @property
+    def gap_at_s(self) -> float:
+        """Loop time at which this instance last may have missed an upstream that left.
+
+        It is minus infinity before the first such time.
+        """
+        return self._mirror.gap_at_s
+
+    @property
+    def followed_since_s(self) -> float | None:
+        """Loop time since which no entry was missed; ``None`` before the first read."""
+        if self._first_read_at_s is None:
+            return None
+        return max(self._first_read_at_s, self.gap_at_s)
+
     @callback
     def is_followed(self) -> bool:
         """Return whether the store has just answered a read of the entries."""
@@ -282,8 +292,8 @@
 
     def _on_rows(self, changed: tuple[Item, ...], removed: tuple[str, ...]) -> None:
         now_s = asyncio.get_running_loop().time()
-        if self.followed_since_s is None:
-            self.followed_since_s = now_s
+        if self._first_read_at_s is None:
+            self._first_read_at_s = now_s
         for item in changed:
             self._on_entry(item, now_s)
         for key in removed:
--- a/src/banyanswitch/components/stream_origins/const.py
+++ b/src/banyanswitch/components/stream_origins/const.py
@@ -43,6 +43,24 @@
 REMOVAL_DELAY_S: Final = 20.0
 """Longest random delay before a version that is gone is removed."""
 
+SETTLED_AFTER_S: Final = ADDITION_DELAY_S + 2 * VERSIONS_INTERVAL_S
+"""Time after which another instance has stored a version that it has seen."""
+
+CONFIRMATION_TIMEOUT_S: Final = 0.3
+"""Longest read that confirms the entries of the upstreams. The store answers in 4 ms; a
+stream that can't go on is refused within the time that the search for its origin
+takes."""
+
+CONFIRMATION_PAUSE_S: Final = 0.25
+"""Time after a failed read for which streams are refused without another one."""
+
+CONFIRMATIONS_PER_S: Final = 200.0
+"""Reads that all instances together begin per second, when many streams break."""
+
+CONFIRMATION_MAX_SPACING_S: Final = 0.5
+"""Longest time between the starts of two reads of one instance, for which a caller
+waits."""
+
 ERA_READ_SPREAD_S: Final = 2.0
 """Time over which the instances read the stored versions again after the store has
 returned from an older copy."""
--- a/src/banyanswitch/components/stream_origins/origin_store.py
+++ b/src/banyanswitch/components/stream_origins/origin_store.py
@@ -92,7 +92,9 @@
             self._noted.clear()
             ambiguous = self._versions.ambiguous()
             if not ambiguous:
-                await self._async_sweep()
+                # Without known versions, unfinished streams may still need the rows.
+                if self._versions.are_known():
+                    await self._async_sweep()
                 continue
             self._sweep_at_s = _now_s() + self._random.uniform(0, ORIGIN_SWEEP_DELAY_S)
             if await self._async_write(ambiguous):
--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -13,10 +13,12 @@
     ADDITION_DELAY_S,
     ERA_READ_SPREAD_S,
     REMOVAL_DELAY_S,
+    SETTLED_AFTER_S,
     STREAM_LIFETIME_S,
     VERSIONS_INTERVAL_S,
     VERSIONS_TABLE,
 )
+from banyanswitch.components.stream_origins.software_versions import EntryConfirmation
 from banyanswitch.core import callback
 from banyanswitch.exceptions import ConditionFailedError, PlatformError
 from banyanswitch.helpers.decoding import DECODING_ERRORS
@@ -35,10 +37,12 @@
 class SoftwareVersionStore:
     """Keep the versions that may have begun an unfinished stream in the table service.
 
-    An instance that has just started can't know which versions have left before. It
-    reads the stored ones once. A few instances, selected without communication, store
-    a new version when they see it, and remove it some time after its last upstream has
-    left. There are a few writes for each release, and none for a stream.
+    An instance that has just started can't know which versions have left before, and
+    one that was cut off or suspended can't know which have come and gone since. It
+    reads the stored ones once; after a gap, it does so when the others have stored what
+    they saw. A few instances, selected without communication, store a new version when
+    they see it, and remove it some time after its last upstream has left. There are a
+    few writes for each release, and none for a stream.
 
     Parameters
     ----------
@@ -54,6 +58,8 @@
         Source of the delays, and of the random part of the selection.
     eras : StoreEra
         Era of the table service, which may return from an older copy.
+    confirmation : EntryConfirmation
+        Reads the entries that this instance lacks, before it removes a version.
     """
 
     def __init__(
@@ -65,6 +71,7 @@
         peers: PeerDirectory,
         generator: random.Random,
         eras: StoreEra,
+        confirmation: EntryConfirmation,
     ) -> None:
         self._table = table
         self._registry = registry
@@ -72,6 +79,8 @@
         self._selector = WatcherSelector(peers, generator)
         self._generator = generator
         self._eras = eras
+        self._confirmation = confirmation
+        self._requested_at_s = float("-inf")
         self._era = 0
         self._is_read = False
         self._is_of_era = False
@@ -81,8 +90,17 @@
 
     @callback
     def versions(self, service: ServiceName) -> frozenset[str] | None:
-        """Return the stored versions of a service; ``None`` until they are read."""
-        return self._stored.get(service, frozenset()) if self._is_read else None
+        """Return the stored versions of a service; ``None`` until they are read.
+
+        After a gap in the entries, they are not known until they are read again.
+        """
+        if not self._is_read or self._lacks_gap():
+            return None
+        return self._stored.get(service, frozenset())
+
+    def _lacks_gap(self) -> bool:
+        """Return whether others may since have stored what this instance missed."""
+        return self._requested_at_s < self._registry.gap_at_s + SETTLED_AFTER_S
 
     async def async_run(self) -> None:
         """Read the stored versions once, then store changes until cancelled."""
@@ -91,7 +109,9 @@
                 self._is_of_era = False
                 delay_s = self._generator.uniform(0.0, ERA_READ_SPREAD_S)
                 await asyncio.sleep(delay_s)
-            if not self._is_of_era:
+            now_s = asyncio.get_running_loop().time()
+            is_settled = now_s >= self._registry.gap_at_s + SETTLED_AFTER_S
+            if not self._is_of_era or (is_settled and self._lacks_gap()):
                 self._is_of_era = await self._async_read()
                 self._is_read = self._is_read or self._is_of_era
             else:
@@ -106,11 +126,13 @@
         return has_earlier_era
 
     async def _async_read(self) -> bool:
+        requested_at_s = asyncio.get_running_loop().time()
         try:
             items = await self._table.async_query(f"{VERSIONS_TABLE}/")
         except PlatformError as error:
             LOGGER.info("software_versions_not_read", reason=str(error))
             return False
+        self._requested_at_s = requested_at_s
         self._stored.clear()
         self._revisions.clear()
         for item in items:
@@ -160,6 +182,11 @@
     async def _async_write(self, service: ServiceName) -> None:
         now_s = asyncio.get_running_loop().time()
         missing, gone = self._difference(service, now_s)
+        if gone and await self._confirmation.async_confirm():
+            missing, gone = self._difference(service, now_s)
+        elif gone:
+            # A version that this instance doesn't know yet must not be removed.
+            gone = frozenset()
         if not missing and not gone:
             return
         versions = (self._stored.get(service, frozenset()) | missing) - gone
--- a/src/banyanswitch/components/table_mirror/const.py
+++ b/src/banyanswitch/components/table_mirror/const.py
@@ -6,6 +6,10 @@
 """Wait time of one feed call. A connection that stopped responding is detected after
 it; shorter waits cost more calls to the store."""
 
+MAX_SILENCE_S: Final = FEED_WAIT_S + 1.0
+"""Time between two answers of the feed above which rows may have come and gone unseen.
+Each call waits up to `FEED_WAIT_S`, and the store has a second to answer."""
+
 RETRY_MIN_S: Final = 0.2
 """First pause after a failed call."""
 
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -9,6 +9,7 @@
 from banyanswitch.components.table_mirror.const import (
     FEED_WAIT_S,
     MAX_REMOVED_ROWS,
+    MAX_SILENCE_S,
     RETRY_MAX_S,
     RETRY_MIN_S,
 )
@@ -50,6 +51,9 @@
     regained_at_s : float
         Loop time of the first contact after the last failed call, or of the first
         content of a new era of the store; minus infinity before.
+    gap_at_s : float
+        Loop time at which this copy has last caught up after it may have missed rows
+        that were added, and removed or replaced, in between; minus infinity before.
     """
 
     def __init__(self, table: str, feed: TableFeed, generator: random.Random) -> None:
@@ -71,6 +75,7 @@
         self.last_contact_s = float("-inf")
         self.last_failure_s = float("-inf")
         self.regained_at_s = float("-inf")
+        self.gap_at_s = float("-inf")
 
     @property
     def items(self) -> tuple[Item, ...]:
@@ -141,6 +146,28 @@
         """Apply changed and removed rows."""
         self._apply(changes)
 
+    async def async_catch_up(self, store: TableFeed) -> None:
+        """Apply the changes that the store has now, without a wait.
+
+        Parameters
+        ----------
+        store : TableFeed
+            The store's own feed; another instance may lag itself.
+
+        Raises
+        ------
+        PlatformError
+            If the store can't be read, or if the table was not read before.
+        """
+        if self._cursor is None:
+            raise PlatformUnavailableError(f"table {self.table} has not been read")
+        changes = await store.async_changes(self.table, self._cursor, 0.0)
+        if changes.version < self.content_version:
+            raise PlatformUnavailableError(f"stale read of table {self.table}")
+        self._note_gap()
+        if changes.items or changes.removed:
+            self.apply_changes(changes)
+
     async def async_run(self) -> None:
         """Follow the table until cancelled."""
         pause_s = RETRY_MIN_S
@@ -164,6 +191,9 @@
             if snapshot.version < self.content_version:
                 raise PlatformUnavailableError(f"stale read of table {self.table}")
             self._note_era(era_of(snapshot.version))
+            if self.last_contact_s > float("-inf"):
+                # The rows that came and went since the last read are not in it.
+                self.gap_at_s = asyncio.get_running_loop().time()
             newest = max((item.revision for item in snapshot.items), default=0)
             version = max(newest, self.content_version)
             self.apply_snapshot(TableChanges(version, snapshot.items, ()))
@@ -174,12 +204,15 @@
         # back, and not only with the next change.
         wait_s = FEED_WAIT_S if self.is_connected else 0.0
         changes = await self._feed.async_changes(self.table, self._cursor, wait_s)
+        self._note_gap()
         self._cursor = max(self._cursor, changes.version)
         if changes.items or changes.removed:
             self.apply_changes(changes)
 
     def _apply(self, changes: TableChanges) -> None:
         self._note_era(era_of(changes.version))
+        if any(self._is_unseen(key) for key in changes.removed):
+            self.gap_at_s = asyncio.get_running_loop().time()
         changed = tuple(item for item in changes.items if self._is_newer(item))
         removed = tuple(
             key for key in changes.removed if self._is_outdated(key, changes.version)
@@ -222,6 +255,10 @@
             return item.revision > known.revision
         return item.revision > self._removed_at.get(item.key, 0)
 
+    def _is_unseen(self, key: str) -> bool:
+        """Return whether this copy has neither had a row nor heard of its removal."""
+        return key not in self._items and key not in self._removed_at
+
     def _is_outdated(self, key: str, version: int) -> bool:
         """Return whether the known revision of a row is not newer than a version."""
         known = self._items.get(key)
@@ -236,6 +273,12 @@
             LOGGER.info("table_era_changed", table=self.table, era=era)
         self._era = era
 
+    def _note_gap(self) -> None:
+        """Record a time without contact that is longer than a call may wait."""
+        now_s = asyncio.get_running_loop().time()
+        if float("-inf") < self.last_contact_s < now_s - MAX_SILENCE_S:
+            self.gap_at_s = now_s
+
     def _note_contact(self) -> None:
         self.last_contact_s = asyncio.get_running_loop().time()
         if self.last_failure_s > self.regained_at_s:
--- a/src/banyanswitch/decisions/stream_resumption.py
+++ b/src/banyanswitch/decisions/stream_resumption.py
@@ -23,7 +23,8 @@
     origin : StreamOrigin or None
         Origin, if it was found.
     is_complete : bool
-        Whether all instances that might know it were reached.
+        Whether all instances that might know it were reached, and the store confirmed
+        that no upstream is missing from this instance's copy.
     """
 
     origin: StreamOrigin | None = None
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -55,6 +55,9 @@
 from banyanswitch.components.stream_origins.exchange import OriginExchange
 from banyanswitch.components.stream_origins.origin_store import OriginStore
 from banyanswitch.components.stream_origins.software_versions import SoftwareVersions
+from banyanswitch.components.stream_origins.upstream_confirmation import (
+    UpstreamConfirmation,
+)
 from banyanswitch.components.stream_origins.version_store import SoftwareVersionStore
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
@@ -361,6 +364,9 @@
 
     def _make_serving(self) -> None:
         settings = self._settings
+        confirmation = UpstreamConfirmation(
+            self._mirrors[TABLE_UPSTREAMS], self._tables, self._instance_count
+        )
         self._version_store = SoftwareVersionStore(
             table=self._tables,
             registry=self._registry,
@@ -368,8 +374,11 @@
             peers=self._membership,
             generator=self._random,
             eras=self._tables,
+            confirmation=confirmation,
+        )
+        versions = SoftwareVersions(
+            self._registry, self._version_store, self._routing, confirmation
         )
-        versions = SoftwareVersions(self._registry, self._version_store, self._routing)
         self._origin_store = OriginStore(
             table=self._tables,
             row=f"{settings.instance}/{self._incarnation}",
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -14,6 +14,7 @@
     Repeatability,
     Route,
     ServiceShare,
+    UpstreamRecord,
 )
 from banyanswitch.components.forwarding.placement import Placement
 from banyanswitch.components.forwarding.protocols import StreamOrigins
@@ -96,6 +97,7 @@
     pool: ConnectionPool,
     origins: StreamOrigins,
     stored_versions: "FakeStoredVersions",
+    confirmation: "FakeConfirmation",
     quarantine: PartQuarantine,
     links: UpstreamLinks,
     peer_pool: ConnectionPool,
@@ -138,7 +140,9 @@
         generator=generator,
         wait_queue=wait_queue,
         origins=origins,
-        versions=SoftwareVersions(upstreams.registry, stored_versions, routing),
+        versions=SoftwareVersions(
+            upstreams.registry, stored_versions, routing, confirmation
+        ),
         parts=quarantine,
         links=links,
         peer_forwarder=PeerForwarder(
@@ -174,6 +178,32 @@
         return self.stored
 
 
+class FakeConfirmation:
+    """Implements ``EntryConfirmation``.
+
+    Attributes
+    ----------
+    missing : list of UpstreamRecord
+        Entries in the store that this instance has not read.
+    is_reached : bool
+        Whether the store answers.
+    """
+
+    def __init__(self, upstreams: Upstreams) -> None:
+        self._upstreams = upstreams
+        self.missing: list[UpstreamRecord] = []
+        self.is_reached = True
+        self.calls = 0
+
+    async def async_confirm(self) -> bool:
+        self.calls += 1
+        if self.is_reached:
+            for entry in self.missing:
+                self._upstreams.put(entry)
+            self.missing.clear()
+        return self.is_reached
+
+
 class Instance:
     """Forwarder in front of fake upstreams, with the targets that a test names."""
 
@@ -181,6 +211,7 @@
         self.upstreams = Upstreams()
         self.is_connected = True
         self.stored_versions = FakeStoredVersions()
+        self.confirmation = FakeConfirmation(self.upstreams)
         alone = FixedPeers(make_peer("a"), [])
         self.origins = OriginExchange(
             InMemoryTransport("a", {}), alone, lambda: self.is_connected, NoArchive()
@@ -204,6 +235,7 @@
             pool=self.pool,
             origins=self.origins,
             stored_versions=self.stored_versions,
+            confirmation=self.confirmation,
             quarantine=self.quarantine,
             links=self.links,
             peer_pool=self.peer_pool,
--- a/tests/components/forwarding/test_software_versions.py
+++ b/tests/components/forwarding/test_software_versions.py
@@ -16,6 +16,7 @@
     RETRY_AFTER,
     FakeReply,
     FakeUpstream,
+    record,
 )
 from tests.components.forwarding.instance import Instance
 
@@ -180,6 +181,41 @@
     assert served(upstream) == []
 
 
+# Guards against a stream of two versions at an instance that lags behind the store.
+@pytest.mark.parametrize("resumes", [b"unknown", None])
+async def test_version_that_has_not_been_read_yet_counts(resumes: bytes | None) -> None:
+    instance = Instance()
+    upstream = instance.add("a", 1)
+    await asyncio.sleep(60.0)
+    instance.confirmation.missing.append(record("x", software_version="v2"))
+    reply = await async_take_up(instance, resumes=resumes)
+    assert reply.status == 503
+    assert served(upstream) == []
+
+
+# Guards against a guess of an instance that can't ask the store for newer entries.
+async def test_stream_of_an_unknown_version_is_refused_without_the_store() -> None:
+    instance = Instance()
+    upstream = instance.add("a", 1)
+    await asyncio.sleep(60.0)
+    instance.confirmation.is_reached = False
+    reply = await async_take_up(instance, resumes=None)
+    assert reply.status == 503
+    assert float(reply.headers[RETRY_AFTER]) > 0.0
+    assert served(upstream) == []
+
+
+# Guards against the loss of streams with a known origin while the store is down, and
+# against reads of the store for them.
+async def test_stream_of_a_noted_version_goes_on_without_the_store() -> None:
+    instance = Instance()
+    await async_begin_and_break(instance)
+    instance.confirmation.is_reached = False
+    reply = await async_take_up(instance)
+    assert reply.body == SECOND % b"a"
+    assert instance.confirmation.calls == 0
+
+
 # Guards against the loss of all streams when all instances have just started.
 @pytest.mark.parametrize("resumes", [b"unknown", None])
 async def test_instance_that_has_just_started_trusts_the_stored_versions(
--- a/tests/components/stream_origins/test_origin_store.py
+++ b/tests/components/stream_origins/test_origin_store.py
@@ -26,7 +26,11 @@
     Upstreams,
     record,
 )
-from tests.components.forwarding.instance import FakeStoredVersions, make_configuration
+from tests.components.forwarding.instance import (
+    FakeConfirmation,
+    FakeStoredVersions,
+    make_configuration,
+)
 from tests.components.lease.conftest import FixedPeers, make_peer
 from tests.fakes.table import FakeTable
 
@@ -53,7 +57,9 @@
         self.store = OriginStore(
             table=table,
             row=f"{name}/{start}",
-            versions=SoftwareVersions(registry, stored, routing),
+            versions=SoftwareVersions(
+                registry, stored, routing, FakeConfirmation(self.upstreams)
+            ),
             peers=FixedPeers(make_peer(name), others),
             generator=random.Random(start),
         )
--- a/tests/components/stream_origins/test_version_store.py
+++ b/tests/components/stream_origins/test_version_store.py
@@ -12,6 +12,7 @@
     ADDITION_DELAY_S,
     ERA_READ_SPREAD_S,
     REMOVAL_DELAY_S,
+    SETTLED_AFTER_S,
     STREAM_LIFETIME_S,
     VERSIONS_INTERVAL_S,
     VERSIONS_TABLE,
@@ -26,7 +27,7 @@
     Upstreams,
     record,
 )
-from tests.components.forwarding.instance import make_configuration
+from tests.components.forwarding.instance import FakeConfirmation, make_configuration
 from tests.components.weight_rollout.test_target_time_store import Access
 from tests.fakes.peers import FakeNetwork, FakeNode
 from tests.fakes.table import FakeTable
@@ -50,6 +51,7 @@
         self.upstreams = Upstreams()
         self.access = Access(table)
         self.eras = Eras()
+        self.confirmation = FakeConfirmation(self.upstreams)
         operator = TableMirror("op", NoFeed(), random.Random(1))
         routing = RoutingState(operator, PlainDecoder(), "config")
         routing.apply(make_configuration())
@@ -60,6 +62,7 @@
             peers=peer,
             generator=random.Random(seed),
             eras=self.eras,
+            confirmation=self.confirmation,
         )
         self.task = asyncio.create_task(self.store.async_run())
 
@@ -139,6 +142,43 @@
     assert await async_stored(table) == ["v0", "v1"]
 
 
+# Guards against the removal of a version by an instance that lags behind the store.
+@pytest.mark.parametrize("is_reached", [True, False])
+async def test_instance_that_lags_removes_no_version_that_it_does_not_know(
+    table: FakeTable, start_nodes: StartNodes, is_reached: bool
+) -> None:
+    (node,) = start_nodes(1)
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(STREAM_LIFETIME_S + 1.0)
+    (item,) = await table.async_get([KEY])
+    write = Write(KEY, b'["v1", "v2"]', item.revision)
+    await table.async_transact([write], WriteClass.LEASE)
+    node.confirmation.missing.append(record("b", software_version="v2"))
+    node.confirmation.is_reached = is_reached
+    # The stored versions are read again before any version is added or removed.
+    node.eras.number = 2
+    await asyncio.sleep(ERA_READ_SPREAD_S + REMOVAL_DELAY_S + 3 * VERSIONS_INTERVAL_S)
+    assert await async_stored(table) == ["v1", "v2"]
+
+
+# Guards against versions that came and went while this instance was cut off.
+async def test_versions_are_read_again_after_a_gap_in_the_entries(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    (node,) = start_nodes(1)
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(STORED_WITHIN_S)
+    assert node.store.versions(SERVICE) == {"v1"}
+    node.upstreams.remove("unseen")
+    await asyncio.sleep(SETTLED_AFTER_S - 0.1)
+    assert node.store.versions(SERVICE) is None
+    (item,) = await table.async_get([KEY])
+    write = Write(KEY, b'["v1", "v2"]', item.revision)
+    await table.async_transact([write], WriteClass.LEASE)
+    await asyncio.sleep(2 * VERSIONS_INTERVAL_S)
+    assert node.store.versions(SERVICE) == {"v1", "v2"}
+
+
 # Guards against versions that the store lost when it returned from an older copy.
 @pytest.mark.parametrize("outage_s", [0.0, 2 * ERA_READ_SPREAD_S])
 async def test_versions_are_stored_again_after_the_return_of_an_older_copy(
--- a/tests/components/table_mirror/test_mirror.py
+++ b/tests/components/table_mirror/test_mirror.py
@@ -9,6 +9,7 @@
 from banyanswitch.components.table_mirror.const import (
     FEED_WAIT_S,
     MAX_REMOVED_ROWS,
+    MAX_SILENCE_S,
 )
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.exceptions import HistoryGoneError, PlatformUnavailableError
@@ -241,3 +242,47 @@
     mirror = TableMirror("t", feed, random.Random(1))
     await async_follow(mirror)
     assert feed.waits_s == [FEED_WAIT_S, FEED_WAIT_S, 0.0, FEED_WAIT_S, FEED_WAIT_S]
+
+
+# Guards against rows that came and went unnoticed while the feed was not followed.
+@pytest.mark.parametrize(
+    ("changes", "has_gap"),
+    [
+        (TableChanges(7, (item("a", 6),), ("t/b",)), False),
+        (TableChanges(7, (), ("t/b", "t/unseen")), True),
+        (HistoryGoneError("test"), True),
+    ],
+)
+async def test_rows_that_may_have_been_missed_are_noted(
+    changes: TableChanges | Exception, has_gap: bool
+) -> None:
+    feed = ScriptedFeed()
+    rows = (item("a", 3), item("b", 4))
+    feed.snapshots = [TableChanges(5, rows, ()), TableChanges(8, rows, ())]
+    feed.changes = [changes]
+    mirror = TableMirror("t", feed, random.Random(1))
+    await async_follow(mirror)
+    assert (mirror.gap_at_s > -math.inf) is has_gap
+
+
+# Guards against a suspension or a partition that no failed call has shown.
+@pytest.mark.parametrize("silence_s", [FEED_WAIT_S, MAX_SILENCE_S + 0.1])
+async def test_late_answer_of_the_feed_is_noted(silence_s: float) -> None:
+    mirror = TableMirror("t", SlowFeed(silence_s), random.Random(1))
+    await async_follow(mirror)
+    assert (mirror.gap_at_s > -math.inf) is (silence_s > MAX_SILENCE_S)
+
+
+class SlowFeed(ScriptedFeed):
+    """Feed that answers each call for changes after a time."""
+
+    def __init__(self, answer_s: float) -> None:
+        super().__init__()
+        self.snapshots = [TableChanges(5, (item("a", 3),), ())]
+        self._answer_s = answer_s
+
+    async def async_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> TableChanges:
+        await asyncio.sleep(self._answer_s)
+        return TableChanges(after, (), ())
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -96,6 +96,8 @@
         Bound in the settings of the processes; ``None`` means their default.
     has_links : bool
         Whether each process has links of its own to the upstreams, which can be cut.
+    has_store_link : bool
+        Whether these links include the store's address.
 
     Attributes
     ----------
@@ -109,9 +111,12 @@
         *,
         version_propagation_ms: int | None = None,
         has_links: bool = False,
+        has_store_link: bool = False,
     ) -> None:
         self.folder = folder
         self._has_links = has_links
+        self._has_store_link = has_store_link
+        self.store_address = ""
         self.links: dict[str, InstanceLinks] = {}
         self._version_propagation_ms = version_propagation_ms
         self.store = PlatformStore()
@@ -129,12 +134,15 @@
         self.session = aiohttp.ClientSession()
 
     async def async_start(self) -> None:
-        self._store_address = await self._async_listen(self.store.make_app())
+        self.store_address = await self._async_listen(self.store.make_app())
         for name in self.upstreams:
             await self._async_start_upstream(name)
         if self._has_links:
             paths = {host: self.folder / f"{host}.links" for host in HOSTS}
-            self.links = await async_link(paths, list(self._addresses.values()))
+            addresses = list(self._addresses.values())
+            if self._has_store_link:
+                addresses.append(self.store_address)
+            self.links = await async_link(paths, addresses)
         await self.store.async_put("op", "config", configuration(1))
         for host in HOSTS:
             await self.async_start_process(host)
@@ -319,5 +327,5 @@
 leaseMs = 1000
 {propagation}
 [platform]
-address = "{self._store_address}"
+address = "{self.store_address}"
 """
