Close a connection on which an upstream has refused a request

Cause: a refusal left its connection in the pool. A caller that repeats its request under the same identifier could get that connection, and a second copy of the refusal could not be told from the answer to the second send: the caller heard "not run" of a request that ran, or it was sent to a second upstream. The product's own client, whose answers name no call, had the same fault.

Change: no connection carries a further request after 408, 421, 429 or 503 or any response that counts as "not run"; the own client's after a status of 400 or more.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -156,7 +156,7 @@
             if self.has_sent:
                 raise
             raise NotRunError(str(error)) from error
-        except (NotRunError, UpstreamFailureError):
+        except UpstreamFailureError:
             if connection is not None:
                 self._pool.release(address, connection)
                 is_released = True
--- a/src/banyanswitch/components/http1/client.py
+++ b/src/banyanswitch/components/http1/client.py
@@ -16,6 +16,8 @@
     UpstreamNotSentError,
 )
 
+FIRST_ERROR_STATUS = 400
+
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
@@ -60,7 +62,8 @@
 
         An upstream may answer the call before on a connection once more where this
         response is expected. Unless `is_own` can tell them apart, the call needs a
-        connection of its own.
+        connection of its own. After an error, the connection carries no further call:
+        a second copy would say of the next call that it was refused.
 
         Parameters
         ----------
@@ -102,7 +105,7 @@
             if is_own is not None and not is_own(response):
                 reason = f"response to {method} {target} belongs to another call"
                 raise IdentityMismatchError(reason)
-            if not uses_own_connection:
+            if not uses_own_connection and response.status < FIRST_ERROR_STATUS:
                 self._pool.release(address, connection)
                 is_released = True
             return response
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -80,6 +80,9 @@
 """Connections that may wait to be accepted; when one instance restarts, about a hundred
 callers connect to the others."""
 
+REFUSAL_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses with which an upstream refuses a request without running it."""
+
 DEFAULT_MAX_IDLE_S: Final = 2.0
 """Idle time after which an upstream connection is no longer used by default.
 
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -12,6 +12,7 @@
     MAX_RESPONSE_OVERHEAD_BYTES,
     MAX_SKIPPED_RESPONSES,
     READ_HIGH_WATER_BYTES,
+    REFUSAL_STATUSES,
     TCP_USER_TIMEOUT_MS,
 )
 from banyanswitch.components.http1.models import (
@@ -38,7 +39,8 @@
 
     Responses to other requests are skipped while they are parsed, since the own
     response may follow in the same read. The connection then carries no further
-    request.
+    request. Neither does it after a refusal, since a second copy of the refusal could
+    not be told from the response to a second send of the same request.
     """
 
     def __init__(self) -> None:
@@ -248,7 +250,11 @@
         if ownership is Ownership.OTHER:
             self._skip_response()
             return
-        self.keeps_alive = self.keeps_alive and self._parser.should_keep_alive()
+        self.keeps_alive = (
+            self.keeps_alive
+            and self._parser.should_keep_alive()
+            and status not in REFUSAL_STATUSES
+        )
         self._heads.append(head)
         self._wake_reader()
         if self._is_head_only:
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -54,6 +54,7 @@
 RESUMES = b"resumes"
 SHARED_PARTS = b"shared-parts"
 LIMIT = b"limit"
+NOT_RUN = b"not-run"
 EVENTS = 2
 """Number of events in a stream."""
 
@@ -199,7 +200,7 @@
         return ResponseMetadata(
             attempt=header_value(head.headers, ATTEMPT),
             is_signed=True,
-            is_not_run=False,
+            is_not_run=header_value(head.headers, NOT_RUN) is not None,
             is_misdirected=False,
             answered_by=None,
             load=None,
--- a/tests/components/http1/test_client.py
+++ b/tests/components/http1/test_client.py
@@ -111,3 +111,39 @@
         (idle,) = pool._idle["h:1"]
         idle.data_received(second[:cut])
         assert (await async_call(pool)).body == b"body 2"
+
+
+class RefusingPool(ConnectionPool):
+    """Pool whose connections refuse their first call, and the next one once more."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__()
+        self._status = status
+
+    async def async_open(self, address: str) -> UpstreamConnection:
+        self.opened_count += 1
+        self._change_open_count(address, 1)
+        refusal = encode_response(self._status)
+        connection = UpstreamConnection()
+        responses = [refusal, refusal + encode_response(200)]
+        pool = FakePool(lambda _request: responses.pop(0))
+        connection.connection_made(FakeTransport(pool, connection))
+        return connection
+
+
+# Guards against a call that takes a second copy of an earlier refusal for its response.
+@pytest.mark.parametrize("status", [400, 404, 408, 409, 421, 429, 500, 503])
+async def test_connection_of_a_refused_call_is_not_reused(status: int) -> None:
+    pool = RefusingPool(status)
+    for number in range(1, 4):
+        assert (await async_call(pool)).status == status
+        assert pool.opened_count == number
+        assert pool.open_count("h:1") == 0
+
+
+# Guards against a connection for each call.
+async def test_connection_of_a_call_without_an_error_is_reused() -> None:
+    pool = RefusingPool(200)
+    for _ in range(2):
+        assert (await async_call(pool)).status == 200
+    assert pool.opened_count == 1
