End the fetches of short prompts in time for their latency objective

Of those that fetched all shared parts, 20 % missed their objective (p90 0.57 s), of those that fetched none 3.5 % (p90 0.11 s). Their fetches queue behind transfers of 4 GB, at links whose queue no instance sees. Ruled out: slow upstreams (9 % of the responses), queued prefill (late as well with none queued), waiting at the instance (p50 10 ms).

Change: a fetch of a prompt with a small prefill ends at 0.3 of the time to its objective; the upstream then computes the parts. Large prompts and late ones wait as before.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -489,6 +489,9 @@
             ),
             is_wait_over=is_wait_over,
             is_passed_on=context.earlier_attempts is not None,
+            objective_left_s=(
+                context.request.received_at_s + context.route.target_latency_s - now_s
+            ),
         )
 
     def _withheld_parts(self, context: RequestContext) -> Combination | None:
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -25,6 +25,7 @@
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
 from banyanswitch.decisions.cold_upstreams import warm_among, without_cold
+from banyanswitch.decisions.fetch_limit import objective_limit_s
 from banyanswitch.decisions.prefix import versioned_cache_salt
 from banyanswitch.decisions.upstream_choice import (
     UpstreamChoicePolicy,
@@ -69,6 +70,8 @@
         this one reaches may be used.
     sample : UpstreamSample or None
         Upstreams among which it is placed; ``None`` for all that can take it.
+    objective_left_s : float
+        Time until its latency objective, in seconds; negative if it has passed.
     """
 
     metadata: RequestMetadata
@@ -82,6 +85,7 @@
     is_wait_over: bool = False
     is_passed_on: bool = False
     sample: UpstreamSample | None = None
+    objective_left_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -442,7 +446,12 @@
         is_model = model is not None
         salt = self._salt(request, model, version) if model is not None else None
         clock_ms = self._tier.clock_ms()
-        lifetime_ms = int(parts.fetch_limit_s * MILLISECONDS_PER_S)
+        limit_s = objective_limit_s(
+            parts.fetch_limit_s,
+            request.objective_left_s,
+            is_small=request.metadata.prompt_tokens < self._policy.large_prefill_tokens,
+        )
+        lifetime_ms = int(limit_s * MILLISECONDS_PER_S)
         return UpstreamRequestPlan(
             upstream=record.name,
             workspace=workspace.name if workspace else None,
--- a/src/banyanswitch/components/upstream_limits/cold_upstreams.py
+++ b/src/banyanswitch/components/upstream_limits/cold_upstreams.py
@@ -53,7 +53,7 @@
 
     @callback
     def assume_cold(self, record: UpstreamRecord, now_s: float) -> None:
-        """Take an upstream for cold until its next entry, for the usual time at most."""
+        """Take an upstream for cold until its next entry, for `cold_s` at most."""
         service = self._service_of(record.service)
         if service is not None and service.cold_s > 0.0:
             self._note(record, now_s + service.cold_s, now_s)
--- a/src/banyanswitch/decisions/fetch_limit.py
+++ b/src/banyanswitch/decisions/fetch_limit.py
@@ -13,6 +13,15 @@
 MIN_FETCH_TIMEOUT_S: Final = 0.4
 """Time limit below which no fetch is planned."""
 
+OBJECTIVE_SHARE: Final = 0.3
+"""Share of the time to the latency objective that the fetches of a small prompt may
+take. The rest is for its prefill, which then starts without the parts, and for the
+queue of the upstream."""
+
+MIN_OBJECTIVE_LIMIT_S: Final = 0.05
+"""Lower bound of that limit; a fetch without a queue takes a few ms, and the clocks of
+the upstreams are known to some ms."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FetchEvidence:
@@ -59,3 +68,30 @@
         limits_s.append(FETCH_TIMEOUT_S)
     limit_s = min(NEWEST_FETCH_TIMEOUT_S, max(limits_s))
     return limit_s if limit_s >= MIN_FETCH_TIMEOUT_S else 0.0
+
+
+def objective_limit_s(limit_s: float, left_s: float, *, is_small: bool) -> float:
+    """Return how long the fetches of a prompt may take to reach its objective.
+
+    Transfers queue at the links of the store and of the upstream, where neither is seen
+    by the instances. A small prompt can be computed instead; behind the transfers of
+    large ones it would wait many times as long. A large prompt, or one that is late
+    already, waits: its prefill costs the upstream more than the transfer.
+
+    Parameters
+    ----------
+    limit_s : float
+        Time limit of the fetches without an objective, in seconds.
+    left_s : float
+        Time until the latency objective of the request, in seconds.
+    is_small : bool
+        Whether the prefill of the whole prompt is short.
+
+    Returns
+    -------
+    limit : float
+        Seconds; at most ``limit_s``.
+    """
+    if not is_small or left_s <= 0.0:
+        return limit_s
+    return min(limit_s, max(MIN_OBJECTIVE_LIMIT_S, OBJECTIVE_SHARE * left_s))
--- a/tests/components/forwarding/test_cold_upstreams.py
+++ b/tests/components/forwarding/test_cold_upstreams.py
@@ -42,7 +42,8 @@
     await task
     assert reply.status == 200
     assert (len(cold.exchanges), len(warm.exchanges)) == (0, 1)
-    assert 'banyanswitch_placements_avoiding_cold_total{service="llm"} 1.0' in instance.metrics_text()
+    counter = 'banyanswitch_placements_avoiding_cold_total{service="llm"} 1.0'
+    assert counter in instance.metrics_text()
 
 
 async def test_large_prefill_goes_to_a_cold_upstream_if_there_is_no_other() -> None:
