Send what answered callers have not read before a stopping process exits

Cause: a connection counted as idle once its handler had returned, though its write buffer was not sent. A close with unread pipelined bytes would also reset what is left in the kernel's queue.

Change: while the instance is stopping, a connection is closed only when its write buffer and the kernel's send queue (SIOCOUTQ) are empty. The shutdown waits for such connections until 0.94 of the grace period, for requests in progress until 0.9 as before. What is cut is logged with the request and the bytes left (response_cut).

--- a/src/banyanswitch/components/discovery/const.py
+++ b/src/banyanswitch/components/discovery/const.py
@@ -17,5 +17,10 @@
 """Share of the grace period after which a stopping instance aborts the remaining
 requests."""
 
+SEND_SHARE: Final = 0.94
+"""Share of the grace period after which a stopping instance aborts the connections of
+callers that have not read their whole response. The rest is for the exit: 0.48 s of
+8 s."""
+
 DRAIN_POLL_INTERVAL_S: Final = 0.1
 """Interval at which a stopping instance checks for remaining requests."""
--- a/src/banyanswitch/components/discovery/graceful_shutdown.py
+++ b/src/banyanswitch/components/discovery/graceful_shutdown.py
@@ -9,6 +9,7 @@
     ACCEPT_SHARE,
     DRAIN_POLL_INTERVAL_S,
     DRAIN_SHARE,
+    SEND_SHARE,
 )
 from banyanswitch.components.http1.caller_server import CallerServer
 from banyanswitch.core import callback
@@ -66,6 +67,7 @@
     async def async_wait_stopped(self) -> None:
         """Wait for the stop request, drain the requests, and abort those that remain.
 
+        A response is drained when its caller has acknowledged all of it or has left.
         The process may exit afterwards.
         """
         await self.requested.wait()
@@ -76,18 +78,36 @@
         for server in self._servers:
             server.stop_listening()
             server.close_idle()
-        ends_at_s = began_at_s + DRAIN_SHARE * self.grace_s
-        while True:
-            if not self._busy_count() or loop.time() >= ends_at_s:
-                break
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await _async_wait_zero(
+            lambda: self._busy_count() + self._unsent_count(),
+            began_at_s + DRAIN_SHARE * self.grace_s,
+        )
+        unfinished = self._busy_count()
+        for server in self._servers:
+            server.abort_busy()
+        await _async_wait_zero(
+            self._unsent_count, began_at_s + SEND_SHARE * self.grace_s
+        )
         LOGGER.info(
             "stopped",
             after_s=round(loop.time() - began_at_s, 3),
-            unfinished=self._busy_count(),
+            unfinished=unfinished,
+            unsent=self._unsent_count(),
         )
         for server in self._servers:
             server.abort_all()
 
     def _busy_count(self) -> int:
         return sum(server.busy_count for server in self._servers)
+
+    def _unsent_count(self) -> int:
+        return sum(server.unsent_count for server in self._servers)
+
+
+async def _async_wait_zero(count: Callable[[], int], ends_at_s: float) -> None:
+    """Wait until a count is zero, at most until a loop time."""
+    loop = asyncio.get_running_loop()
+    while True:
+        if not count() or loop.time() >= ends_at_s:
+            return
+        await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -199,6 +199,7 @@
             sent it here.
         """
         metadata = self._translator.read_request_metadata(request)
+        reply.request_id = metadata.attempt.decode("latin-1")
         found = self._admit(request, metadata, reply)
         if isinstance(found, Refusal):
             self._refuse(request, metadata, reply, found)
--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.http1.const import (
     IDLE_GRACE_S,
     MAX_PIPELINED_REQUESTS,
+    UNSENT_POLL_INTERVAL_S,
     WRITE_HIGH_WATER_BYTES,
 )
 from banyanswitch.components.http1.models import (
@@ -23,6 +24,7 @@
 from banyanswitch.components.http1.request_parser import ParsedHead, RequestParser
 from banyanswitch.core import callback
 from banyanswitch.exceptions import RequestSyntaxError
+from banyanswitch.helpers.send_queue import unsent_bytes
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -49,6 +51,8 @@
     refusal_headers : callable
         Returns headers that a refusal has beside its own, given whether the request
         was declined.
+    request_id : str
+        Identifier of the request for the log, if the handler has set it.
     """
 
     def __init__(
@@ -61,6 +65,7 @@
         self.has_started = False
         self.is_complete = False
         self.refusal_headers: Callable[[bool], Iterable[Header]] = lambda _: ()
+        self.request_id = ""
 
     @callback
     def refuse(
@@ -180,6 +185,7 @@
         self._transport: asyncio.Transport | None = None
         self._pending: deque[tuple[ParsedHead, Request]] = deque()
         self._task: asyncio.Task[None] | None = None
+        self._reply: Reply | None = None
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._state_changed_at_s = self._loop.time()
@@ -192,7 +198,19 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being received, is queued or is being handled."""
-        return self._task is not None or bool(self._pending) or self._parser.has_started
+        if self._task is not None or self._is_closed:
+            return self._task is not None
+        return bool(self._pending) or self._parser.has_started
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the caller has not acknowledged."""
+        return 0 if self._transport is None else unsent_bytes(self._transport)
+
+    @property
+    def request_id(self) -> str:
+        """Identifier of the last request that was handled; empty if there is none."""
+        return "" if self._reply is None else self._reply.request_id
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the limit of its write buffer."""
@@ -249,9 +267,28 @@
 
     @callback
     def close(self) -> None:
-        """Close the connection after the write buffer has been sent."""
+        """Close the connection after the write buffer has been sent.
+
+        While the instance is stopping, or if bytes are left in the buffer, the caller
+        acknowledges all of them first, since the process may exit afterwards.
+        """
+        if self._is_closed:
+            return
         self._is_closed = True
-        if self._transport is not None:
+        self._pending.clear()
+        if self._transport is None:
+            return
+        if self.closes_after_response or self._transport.get_write_buffer_size():
+            self._close_when_sent()
+        else:
+            self._transport.close()
+
+    def _close_when_sent(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self.unsent_bytes:
+            self._loop.call_later(UNSENT_POLL_INTERVAL_S, self._close_when_sent)
+        else:
             self._transport.close()
 
     @callback
@@ -272,7 +309,7 @@
     def sweep(self, now_s: float) -> None:
         """Close the connection if it exceeds the idle or the request head timeout."""
         limits = self._limits()
-        if self._task is not None:
+        if self._task is not None or self._is_closed:
             return
         elapsed_s = now_s - self._state_changed_at_s
         if not self.is_busy and elapsed_s > limits.idle_timeout_s + IDLE_GRACE_S:
@@ -303,6 +340,7 @@
             is_head_only=head.method == b"HEAD",
             keeps_alive=head.keeps_alive,
         )
+        self._reply = reply
         self._task = self._loop.create_task(self._async_run_handler(request, reply))
         self._task.add_done_callback(self._on_handler_done)
 
@@ -322,6 +360,8 @@
         if self._is_reading_paused:
             self._is_reading_paused = False
             self._transport.resume_reading()
+        if self._is_closed:
+            return
         self._start_next()
         if self._has_invalid_input and self._task is None:
             self.close()
--- a/src/banyanswitch/components/http1/caller_server.py
+++ b/src/banyanswitch/components/http1/caller_server.py
@@ -1,7 +1,9 @@
 """Server of callers' connections."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+import structlog
 
 from banyanswitch.components.http1.caller_connection import (
     CallerConnection,
@@ -11,6 +13,8 @@
 from banyanswitch.components.http1.models import ConnectionLimits
 from banyanswitch.core import callback
 
+LOGGER = structlog.get_logger(__name__)
+
 
 class CallerServer:
     """Accept connections and close them gracefully.
@@ -44,6 +48,11 @@
         """Number of connections with a request in progress."""
         return sum(connection.is_busy for connection in self._connections)
 
+    @property
+    def unsent_count(self) -> int:
+        """Number of connections whose callers have not acknowledged all bytes."""
+        return sum(connection.unsent_bytes > 0 for connection in self._connections)
+
     @property
     def port(self) -> int:
         """Port that the server listens on; 0 while it doesn't listen."""
@@ -89,10 +98,26 @@
         for connection in tuple(self._connections):
             connection.close_when_idle()
 
+    @callback
+    def abort_busy(self) -> None:
+        """Abort the connections with a request in progress."""
+        self._abort([found for found in self._connections if found.is_busy])
+
     @callback
     def abort_all(self) -> None:
         """Abort the remaining connections."""
-        for connection in tuple(self._connections):
+        self._abort(list(self._connections))
+
+    def _abort(self, connections: Iterable[CallerConnection]) -> None:
+        for connection in connections:
+            is_busy, left_bytes = connection.is_busy, connection.unsent_bytes
+            if is_busy or left_bytes:
+                LOGGER.warning(
+                    "response_cut",
+                    request=connection.request_id,
+                    unsent_bytes=left_bytes,
+                    is_answered=not is_busy,
+                )
             connection.abort()
 
     def _make_connection(self) -> CallerConnection:
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -63,6 +63,10 @@
 WRITE_HIGH_WATER_BYTES: Final = 128 * 1024
 """Unsent response bytes above which a caller's connection pauses its writer."""
 
+UNSENT_POLL_INTERVAL_S: Final = 0.05
+"""Interval at which a connection that is to be closed checks for bytes that its caller
+has not acknowledged; an acknowledgement may be delayed by 40 ms."""
+
 MAX_PIPELINED_REQUESTS: Final = 8
 """Number of queued pipelined requests at which a connection pauses reading."""
 
--- a/tests/components/http1/test_caller_connection.py
+++ b/tests/components/http1/test_caller_connection.py
@@ -1,9 +1,11 @@
 """Tests of callers' connections over real sockets."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 
 import pytest
+import structlog
 
 from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.caller_server import CallerServer
@@ -14,6 +16,9 @@
 )
 
 HOST = "127.0.0.1"
+LONG_BYTES = 8_000_000
+"""Size of a response that the kernel doesn't take at once."""
+
 GET = b"GET /a/b?c=%20d HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -178,6 +183,83 @@
     writer.close()
 
 
+async def async_slow_reader(
+    server: CallerServer,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect with a window that is much smaller than a long response."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, (HOST, server.port))
+    return await asyncio.open_connection(sock=connection, limit=4096)
+
+
+@pytest.fixture
+async def long_server() -> AsyncIterator[CallerServer]:
+    async def async_respond(request: Request, reply: Reply) -> None:
+        reply.request_id = request.target.decode()
+        reply.send(200, [], b"x" * LONG_BYTES)
+
+    server = CallerServer(async_respond)
+    await server.async_start(HOST, 0)
+    yield server
+    server.stop_listening()
+    server.abort_all()
+
+
+# Guards against a stopping process that takes an answered caller for done although the
+# write buffer or the kernel's queue holds a part of its response.
+async def test_connection_counts_as_unsent_until_its_caller_has_all(
+    long_server: CallerServer,
+) -> None:
+    reader, writer = await async_slow_reader(long_server)
+    long_server.announce_close()
+    # Pipelined bytes that nobody reads would reset the connection when it is closed.
+    writer.write(GET * 3)
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert b"Connection: close" in head
+    long_server.close_idle()
+    assert (long_server.busy_count, long_server.unsent_count) == (0, 1)
+    assert await asyncio.wait_for(reader.read(), 10.0) == b"x" * LONG_BYTES
+    await _async_wait_until(lambda: long_server.connection_count == 0)
+    assert long_server.unsent_count == 0
+    writer.close()
+
+
+# Guards against a wait for a caller that has left.
+async def test_connection_of_a_caller_that_left_has_nothing_unsent(
+    long_server: CallerServer,
+) -> None:
+    reader, writer = await async_slow_reader(long_server)
+    long_server.announce_close()
+    writer.write(GET)
+    await reader.readuntil(b"\r\n\r\n")
+    assert long_server.unsent_count == 1
+    writer.transport.abort()
+    await _async_wait_until(lambda: long_server.connection_count == 0)
+    assert long_server.unsent_count == 0
+
+
+# Guards against responses that are cut without a trace, and against the cut of one that
+# only waits for its reader when requests in progress are aborted.
+async def test_cut_response_is_logged(long_server: CallerServer) -> None:
+    reader, writer = await async_slow_reader(long_server)
+    long_server.announce_close()
+    writer.write(GET)
+    await reader.readuntil(b"\r\n\r\n")
+    with structlog.testing.capture_logs() as logs:
+        long_server.abort_busy()
+        assert (long_server.unsent_count, logs) == (1, [])
+        long_server.abort_all()
+    (line,) = logs
+    assert line["event"] == "response_cut"
+    assert line["request"] == "/a/b?c=%20d"
+    assert 0 < line["unsent_bytes"] <= LONG_BYTES
+    assert line["is_answered"]
+    writer.close()
+
+
 async def test_handler_is_cancelled_when_caller_disconnects(
     server: CallerServer, handler: Handler
 ) -> None:
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -98,6 +98,8 @@
         Whether each process has links of its own to the upstreams, which can be cut.
     has_store_link : bool
         Whether these links include the store's address.
+    grace_s : float
+        Grace period of the processes, in seconds.
 
     Attributes
     ----------
@@ -112,8 +114,10 @@
         version_propagation_ms: int | None = None,
         has_links: bool = False,
         has_store_link: bool = False,
+        grace_s: float = GRACE_S,
     ) -> None:
         self.folder = folder
+        self._grace_s = grace_s
         self._has_links = has_links
         self._has_store_link = has_store_link
         self.store_address = ""
@@ -323,7 +327,7 @@
 readyAddr = "{host}:{self.ports["ready"]}"
 directory = "{host}:{self.ports["directory"]}"
 [bounds]
-gracePeriodS = {GRACE_S}
+gracePeriodS = {self._grace_s}
 leaseMs = 1000
 {propagation}
 [platform]
