Read the fourth figure of an upstream's load

Some services report a fourth figure: how long work takes at this moment, 100 being as usual. The parser dropped the whole header in that case, so also the other three were lost. It now returns the slowness beside the load; an unreadable fourth figure is left out and the others are kept.

Measured: tests/platform/test_headers.py passes; its new cases with a readable fourth figure returned no load before.

--- a/src/banyanswitch/components/forwarding/models.py
+++ b/src/banyanswitch/components/forwarding/models.py
@@ -273,6 +273,9 @@
         Number of running requests, of waiting requests and of slots.
     is_leaving : bool
         Whether the upstream says that it is about to leave.
+    slowness : float or None
+        Duration of work at the upstream relative to the usual one; ``None`` if it
+        doesn't report it.
     limit_per_s : float or None
         Requests per second that the upstream takes from all instances together;
         ``None`` if it names no limit.
@@ -288,3 +291,4 @@
     weight_version: int | None
     retry_after_s: float | None
     is_leaving: bool = False
+    slowness: float | None = None
--- a/src/banyanswitch/platform/headers.py
+++ b/src/banyanswitch/platform/headers.py
@@ -51,6 +51,7 @@
 
 STATUS_MISDIRECTED = 421
 LOAD_FIELDS = 3
+USUAL_SLOWNESS_PERCENT = 100.0
 TOKEN_FIELDS = 2
 
 
@@ -118,6 +119,7 @@
         """Parse the headers of an upstream's response."""
         values = _values_by_name(head.headers)
         retry_after = _header_text(values, HEADER_RETRY_AFTER)
+        load, slowness = _parse_load(_header_text(values, HEADER_LOAD))
         return ResponseMetadata(
             attempt=values.get(HEADER_ATTEMPT.lower()),
             is_signed=HEADER_SIGNATURE.lower() in values,
@@ -125,11 +127,12 @@
             or head.status == STATUS_MISDIRECTED,
             is_misdirected=head.status == STATUS_MISDIRECTED,
             answered_by=_header_text(values, HEADER_UPSTREAM),
-            load=_parse_load(_header_text(values, HEADER_LOAD)),
+            load=load,
             limit_per_s=_parse_number(_header_text(values, HEADER_LIMIT)),
             weight_version=_parse_integer(_header_text(values, HEADER_WEIGHTS)),
             retry_after_s=_parse_number(retry_after),
             is_leaving=_header_text(values, HEADER_LEAVING) == LEAVING,
+            slowness=slowness,
         )
 
     def read_notice(self, status: int, headers: Headers) -> ResponseNotice:
@@ -259,11 +262,22 @@
     return tuple(parts)
 
 
-def _parse_load(value: str | None) -> tuple[int, int, int] | None:
-    numbers = [_parse_integer(part.strip()) for part in (value or "").split(",")]
-    if len(numbers) != LOAD_FIELDS:
-        return None
-    running, waiting, slots = numbers
+def _parse_load(
+    value: str | None,
+) -> tuple[tuple[int, int, int] | None, float | None]:
+    """Return the load and, if the upstream reports it, its slowness.
+
+    An unreadable fourth figure doesn't invalidate the others, and figures after the
+    fourth are ignored.
+    """
+    figures = [part.strip() for part in (value or "").split(",")]
+    if len(figures) < LOAD_FIELDS:
+        return None, None
+    running, waiting, slots = map(_parse_integer, figures[:LOAD_FIELDS])
     if running is None or waiting is None or slots is None:
-        return None
-    return running, waiting, slots
+        return None, None
+    percent = (
+        _parse_number(figures[LOAD_FIELDS]) if len(figures) > LOAD_FIELDS else None
+    )
+    slowness = percent / USUAL_SLOWNESS_PERCENT if percent else None
+    return (running, waiting, slots), slowness
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -135,6 +135,33 @@
     assert metadata.retry_after_s == 0.25
 
 
+# Guards against a parser that drops the load of services that report a fourth figure,
+# or all figures when that one is unreadable.
+@pytest.mark.parametrize(
+    ("value", "load", "slowness"),
+    [
+        (b"3,0,8", (3, 0, 8), None),
+        (b"3,1,8,100", (3, 1, 8), 1.0),
+        (b"3, 0, 8, 400", (3, 0, 8), 4.0),
+        (b"3,0,8,37.5", (3, 0, 8), 0.375),
+        (b"3,0,8,400,9", (3, 0, 8), 4.0),
+        (b"3,0,8,", (3, 0, 8), None),
+        (b"3,0,8,0", (3, 0, 8), None),
+        (b"3,0,8,-400", (3, 0, 8), None),
+        (b"3,0,8,nan", (3, 0, 8), None),
+        (b"3,0,8,inf", (3, 0, 8), None),
+        (b"3,0", None, None),
+        (b"3,x,8,400", None, None),
+    ],
+)
+def test_load_has_an_optional_fourth_figure(
+    value: bytes, load: tuple[int, int, int] | None, slowness: float | None
+) -> None:
+    head = ResponseHead(200, b"", ((b"Server-Load", value),), BodyFraming.LENGTH)
+    metadata = TRANSLATOR.read_response_metadata(head)
+    assert (metadata.load, metadata.slowness) == (load, slowness)
+
+
 def test_misdirected_request_is_reported_as_not_run() -> None:
     metadata = TRANSLATOR.read_response_metadata(
         ResponseHead(421, b"", (), BodyFraming.LENGTH)
