Keep the slowness that upstreams report, and pass it on

An upstream's report was read by nobody, and one instance of a hundred sees a response of an upstream only every 8 s. Share reports and answers of the load homes carry it in a large fleet, the instances' reports in a small one, in appended fields. Each observation is passed on once, and reports as usual only where another speed was known, so messages do not grow while nothing is slow.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -185,8 +185,12 @@
         self, connection: UpstreamConnection, placed: PlacementResult
     ) -> tuple[ResponseHead, ResponseMetadata]:
         head = await connection.async_head()
-        self._registry.note_received(placed.record.name, self._loop.time())
+        name, now_s = placed.record.name, self._loop.time()
+        self._registry.note_received(name, now_s)
         response = self._translator.read_response_metadata(head)
+        self._registry.slowness.note_response(
+            name, response.slowness, now_s, answered_by=response.answered_by
+        )
         self._registry.limits.note_response(
             placed.record, response.limit_per_s, self.sent_at_s
         )
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -21,6 +21,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.components.upstream_notices.coordinator import UpstreamNotices
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import Ejector
 from banyanswitch.decisions.upstream_notices import ResponseNotice
@@ -102,6 +103,8 @@
         Limits that upstreams name.
     notices : UpstreamNotices
         Rests and departures that upstreams announce.
+    slowness : UpstreamSlowness
+        Slowness that upstreams report.
 
     Attributes
     ----------
@@ -118,6 +121,7 @@
         limits: UpstreamLimits,
         *,
         notices: UpstreamNotices,
+        slowness: UpstreamSlowness,
     ) -> None:
         self._mirror = mirror
         self._decoder = decoder
@@ -125,6 +129,7 @@
         self.ejector = ejector
         self.limits = limits
         self.notices = notices
+        self.slowness = slowness
         self._states: dict[UpstreamId, UpstreamState] = {}
         self._by_service: dict[ServiceName, list[UpstreamId]] = {}
         self._dropped: dict[UpstreamId, _Dropped] = {}
--- a/src/banyanswitch/components/load_homes/keeper.py
+++ b/src/banyanswitch/components/load_homes/keeper.py
@@ -14,6 +14,7 @@
     ShareReport,
 )
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.core import callback
 from banyanswitch.decisions.load_shares import Load, LoadShares
 from banyanswitch.exceptions import PeerError
@@ -32,10 +33,15 @@
     ----------
     transport : DatagramPeerTransport
         Carries the messages.
+    slowness : UpstreamSlowness
+        Slowness of the upstreams, as all instances observed it.
     """
 
-    def __init__(self, transport: DatagramPeerTransport) -> None:
+    def __init__(
+        self, transport: DatagramPeerTransport, slowness: UpstreamSlowness
+    ) -> None:
         self._transport = transport
+        self._slowness = slowness
         self._shares = LoadShares(SHARE_LIFETIME_S)
         transport.subscribe(ShareReport, self.apply)
         transport.subscribe(LoadQuestion, self._on_question)
@@ -43,14 +49,16 @@
     @callback
     def apply(self, report: ShareReport) -> None:
         """Record the shares of an instance."""
-        if len(report.loads) > MAX_UPSTREAMS_PER_MESSAGE:
+        if max(len(report.loads), len(report.slowness)) > MAX_UPSTREAMS_PER_MESSAGE:
             LOGGER.warning(
                 "share_report_dropped",
                 instance=report.instance,
                 upstreams=len(report.loads),
             )
             return
-        self._shares.note(report.instance, report.loads, _now_s())
+        now_s = _now_s()
+        self._shares.note(report.instance, report.loads, now_s)
+        self._slowness.note_reports(report.slowness, now_s)
 
     @callback
     def of_others(self, upstream: UpstreamId, instance: str) -> Load:
@@ -68,7 +76,8 @@
             name: self._shares.of_others(name, question.instance, now_s)
             for name in question.upstreams[:MAX_UPSTREAMS_PER_MESSAGE]
         }
-        answer = LoadAnswer(question.number, self._transport.address, loads)
+        slowness = self._slowness.known_reports(loads, now_s)
+        answer = LoadAnswer(question.number, self._transport.address, loads, slowness)
         try:
             self._transport.send(question.peer_address, answer)
         except (PeerError, ValueError) as error:
--- a/src/banyanswitch/components/load_homes/lookup.py
+++ b/src/banyanswitch/components/load_homes/lookup.py
@@ -13,6 +13,7 @@
 from banyanswitch.components.load_homes.keeper import LoadKeeper
 from banyanswitch.components.load_homes.models import LoadAnswer, LoadQuestion
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.core import callback
 from banyanswitch.exceptions import PeerError
 from banyanswitch.identifiers import UpstreamId
@@ -48,6 +49,8 @@
         Loads of the upstreams whose home is this instance.
     loads : LoadTracker
         Takes the loads of the other instances.
+    slowness : UpstreamSlowness
+        Takes the slowness that the other instances observed.
     """
 
     def __init__(
@@ -58,12 +61,14 @@
         homes: LoadHomes,
         keeper: LoadKeeper,
         loads: LoadTracker,
+        slowness: UpstreamSlowness,
     ) -> None:
         self._transport = transport
         self._peers = peers
         self._homes = homes
         self._keeper = keeper
         self._loads = loads
+        self._slowness = slowness
         self._next_number = 0
         self._lookups: dict[int, _Lookup] = {}
         self._avoided_until_s: dict[str, float] = {}
@@ -151,6 +156,7 @@
         for name, load in answer.loads.items():
             self._loads.note_others(UpstreamId(name), load, now_s)
             lookup.known.add(UpstreamId(name))
+        self._slowness.note_reports(answer.slowness, now_s)
         lookup.unanswered.discard(answer.peer_address)
         if not lookup.unanswered and not lookup.is_done.done():
             lookup.is_done.set_result(None)
--- a/src/banyanswitch/components/load_homes/models.py
+++ b/src/banyanswitch/components/load_homes/models.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from banyanswitch.decisions.load_shares import Load
+from banyanswitch.decisions.slowness import SlownessReport
 
 
 class ShareReport(msgspec.Struct, frozen=True, array_like=True):
@@ -12,10 +13,13 @@
     ----------
     loads : dict of str to Load
         Load by upstream; an empty load ends the sender's share.
+    slowness : dict of str to SlownessReport
+        Slowness that the sender has just observed at these upstreams.
     """
 
     instance: str
     loads: dict[str, Load]
+    slowness: dict[str, SlownessReport] = {}
 
 
 class LoadQuestion(msgspec.Struct, frozen=True, array_like=True):
@@ -42,8 +46,11 @@
     ----------
     loads : dict of str to Load
         Load of all instances but the one that asked, by upstream.
+    slowness : dict of str to SlownessReport
+        Newest slowness that any instance reported of these upstreams.
     """
 
     number: int
     peer_address: str
     loads: dict[str, Load]
+    slowness: dict[str, SlownessReport] = {}
--- a/src/banyanswitch/components/load_homes/share_reporter.py
+++ b/src/banyanswitch/components/load_homes/share_reporter.py
@@ -15,6 +15,7 @@
 from banyanswitch.components.load_homes.keeper import LoadKeeper
 from banyanswitch.components.load_homes.models import ShareReport
 from banyanswitch.components.peers.datagram_transport import DatagramPeerTransport
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.core import callback
 from banyanswitch.decisions.load_shares import NO_LOAD, Load
 from banyanswitch.exceptions import PeerError
@@ -42,6 +43,8 @@
         Keeps the shares at upstreams whose home is this instance.
     loads : LoadTracker
         This instance's work in flight.
+    slowness : UpstreamSlowness
+        Slowness that this instance observed.
     """
 
     def __init__(
@@ -52,12 +55,14 @@
         homes: LoadHomes,
         keeper: LoadKeeper,
         loads: LoadTracker,
+        slowness: UpstreamSlowness,
     ) -> None:
         self._transport = transport
         self._peers = peers
         self._homes = homes
         self._keeper = keeper
         self._loads = loads
+        self._slowness = slowness
         self._changed: set[UpstreamId] = set()
         self._reported_to: dict[UpstreamId, str] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -78,7 +83,7 @@
         known_peers: tuple[Peer, ...] = ()
         due_at_s = float("-inf")
         while True:
-            now_s = asyncio.get_running_loop().time()
+            now_s = _now_s()
             peers = self._peers.peers()
             if now_s >= due_at_s or peers is not known_peers:
                 due_at_s = now_s + SHARE_INTERVAL_S
@@ -119,7 +124,10 @@
         names = list(loads)
         for start in range(0, len(names), MAX_UPSTREAMS_PER_MESSAGE):
             part = names[start : start + MAX_UPSTREAMS_PER_MESSAGE]
-            report = ShareReport(own.instance, {name: loads[name] for name in part})
+            slowness = self._slowness.take_unreported(_now_s(), part)
+            report = ShareReport(
+                own.instance, {name: loads[name] for name in part}, slowness
+            )
             if home.instance == own.instance:
                 self._keeper.apply(report)
                 continue
@@ -127,3 +135,7 @@
                 self._transport.send(home.peer_address, report)
             except PeerError as error:
                 LOGGER.info("share_not_sent", home=home.instance, reason=str(error))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -268,6 +268,9 @@
             request_address=self._request_address,
             unreached=list(self._links.report()),
             permit=self._reported_permit(now_s, delay_s),
+            slowness={}
+            if self._homes.are_used()
+            else self._registry.slowness.take_unreported(now_s),
         )
 
     def _reported_permit(self, now_s: float, delay_s: float) -> PermitReport | None:
@@ -386,6 +389,7 @@
             self._tier.permit.note(report.permit, now_s)
         self._quarantine.apply(report.quarantine)
         self._registry.limits.apply(report.limits)
+        self._registry.slowness.note_reports(report.slowness, now_s)
         self._links.peers.note_report(
             report.instance, report.request_address, report.unreached
         )
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.upstream_limits.models import LimitReport
 from banyanswitch.decisions.fetch_floor import FetchFloor
 from banyanswitch.decisions.load_shares import Load
+from banyanswitch.decisions.slowness import SlownessReport
 
 
 class InstanceReport(msgspec.Struct, frozen=True, array_like=True):
@@ -52,6 +53,9 @@
     permit : PermitReport or None
         Newest permit to fetch parts of older weights; ``None`` if it has ended. The
         sender knows the floors that the holder had raised when it issued the permit.
+    slowness : dict of str to SlownessReport
+        Slowness that the sender observed since its last report; empty in a large
+        fleet, where the upstreams' homes keep it.
     """
 
     instance: str
@@ -69,3 +73,4 @@
     request_address: str = ""
     unreached: list[str] = []
     permit: PermitReport | None = None
+    slowness: dict[str, SlownessReport] = {}
--- /dev/null
+++ b/src/banyanswitch/components/upstream_slowness/__init__.py
@@ -0,0 +1,1 @@
+"""Slowness of the upstreams, as they report it to any instance."""
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -63,6 +63,7 @@
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
 from banyanswitch.components.upstream_notices.coordinator import UpstreamNotices
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.components.weight_rollout.const import (
     DUTY,
     LEASE_S,
@@ -248,6 +249,7 @@
             self._mirrors[TABLE_OPERATOR], decoder, KEY_CONFIGURATION
         )
         self._loads = LoadTracker()
+        self._slowness = UpstreamSlowness()
         self._registry = UpstreamRegistry(
             self._mirrors[TABLE_UPSTREAMS],
             decoder,
@@ -255,6 +257,7 @@
             Ejector(EJECTION, self._random),
             UpstreamLimits(self._membership, self._readers),
             notices=UpstreamNotices(),
+            slowness=self._slowness,
         )
         self._engines.on_notice = self._registry.note_notice_at
         self._watch = SuspensionWatch(SystemSuspensionClock())
@@ -302,13 +305,14 @@
 
     def _make_load_homes(self) -> None:
         self._homes = LoadHomes(self._membership, self._readers)
-        keeper = LoadKeeper(self._transport)
+        keeper = LoadKeeper(self._transport, self._slowness)
         self._share_reporter = ShareReporter(
             transport=self._transport,
             peers=self._membership,
             homes=self._homes,
             keeper=keeper,
             loads=self._loads,
+            slowness=self._slowness,
         )
         self._load_lookup = LoadLookup(
             transport=self._transport,
@@ -316,6 +320,7 @@
             homes=self._homes,
             keeper=keeper,
             loads=self._loads,
+            slowness=self._slowness,
         )
 
     def _make_exchange(self) -> None:
@@ -527,6 +532,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._registry.remove_expired(loop.time())
             self._loads.forget_expired(loop.time())
+            self._slowness.forget_expired(loop.time())
             for client in clients:
                 client.sweep(loop.time())
             configuration = self._routing.configuration
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -36,6 +36,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.components.upstream_notices.coordinator import UpstreamNotices
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
 from banyanswitch.helpers.store_version import make_version
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
@@ -54,6 +55,7 @@
 RESUMES = b"resumes"
 SHARED_PARTS = b"shared-parts"
 LIMIT = b"limit"
+SLOWNESS = b"slowness"
 EVENTS = 2
 """Number of events in a stream."""
 
@@ -128,6 +130,7 @@
             ejector,
             limits,
             notices=UpstreamNotices(),
+            slowness=UpstreamSlowness(),
         )
         self._version = 0
 
@@ -206,6 +209,7 @@
             limit_per_s=_limit_per_s(head),
             weight_version=None,
             retry_after_s=None,
+            slowness=_slowness(head),
         )
 
     def caller_headers(self, head: ResponseHead) -> Headers:
@@ -217,6 +221,11 @@
         return [] if retry_after_s is None else [(RETRY_AFTER, b"%f" % retry_after_s)]
 
 
+def _slowness(head: ResponseHead) -> float | None:
+    value = header_value(head.headers, SLOWNESS)
+    return None if value is None else float(value)
+
+
 def _limit_per_s(head: ResponseHead) -> float | None:
     value = header_value(head.headers, LIMIT)
     return None if value is None else float(value)
@@ -305,6 +314,8 @@
         Whether streams end inside their last event, as if they were complete.
     crashes : bool
         Whether it closes the connection when it begins a request.
+    slowness : float or None
+        Slowness that its responses report.
     """
 
     name: str
@@ -314,6 +325,7 @@
     breaks_off: bool = False
     sends_head_first: bool = False
     crashes: bool = False
+    slowness: float | None = None
     exchanges: list["FakeExchange"] = field(default_factory=list)
 
 
@@ -379,6 +391,9 @@
 
     def _send_head(self) -> None:
         head = UNFRAMED_HEAD if self._upstream.is_unframed else HEAD
+        if self._upstream.slowness is not None:
+            line = SLOWNESS + b": %f" % self._upstream.slowness
+            head = head.replace(b"\r\n", b"\r\n" + line + b"\r\n", 1)
         self._connection.data_received(head)
 
     def _event(self, number: int) -> bytes:
--- /dev/null
+++ b/tests/components/forwarding/test_reported_slowness.py
@@ -0,0 +1,23 @@
+"""Slowness that upstreams report in their responses, on the request path."""
+
+import asyncio
+
+import pytest
+
+from banyanswitch.components.forwarding.models import Repeatability
+from banyanswitch.identifiers import UpstreamId
+from tests.components.forwarding.instance import Instance, now_s
+
+pytestmark = pytest.mark.looptime
+
+
+# Guards against reported figures that no part of the request path reads.
+async def test_slowness_in_a_response_is_known_afterwards() -> None:
+    instance = Instance()
+    instance.name_target(1)
+    upstream = instance.add("u", 1)
+    upstream.slowness = 4.0
+    _, handling = instance.send(Repeatability.REPEATABLE)
+    await asyncio.wait_for(handling, 1.0)
+    known = instance.upstreams.registry.slowness
+    assert known.slowness(UpstreamId("u"), now_s()) == 4.0
--- a/tests/components/load_homes/test_load_homes.py
+++ b/tests/components/load_homes/test_load_homes.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from banyanswitch.components.forwarding.loads import InFlight, LoadTracker
@@ -20,7 +21,9 @@
 from banyanswitch.components.load_homes.models import LoadAnswer, ShareReport
 from banyanswitch.components.load_homes.share_reporter import ShareReporter
 from banyanswitch.components.peers.reader_assignment import ReaderAssignment
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.decisions.load_shares import NO_LOAD, Load
+from banyanswitch.decisions.slowness import SlownessReport
 from banyanswitch.identifiers import FailureDomainId, InstanceId, UpstreamId
 from banyanswitch.interfaces import Peer
 from tests.components.peers.in_memory_transport import InMemoryTransport
@@ -74,14 +77,16 @@
         self.transport = InMemoryTransport(peer.instance, fleet.transports)
         fleet.transports[peer.peer_address] = self.transport
         self.loads = LoadTracker()
+        self.slowness = UpstreamSlowness()
         self.homes = LoadHomes(self, ReaderAssignment(self))
-        self.keeper = LoadKeeper(self.transport)
+        self.keeper = LoadKeeper(self.transport, self.slowness)
         self.reporter = ShareReporter(
             transport=self.transport,
             peers=self,
             homes=self.homes,
             keeper=self.keeper,
             loads=self.loads,
+            slowness=self.slowness,
         )
         self.lookup = LoadLookup(
             transport=self.transport,
@@ -89,6 +94,7 @@
             homes=self.homes,
             keeper=self.keeper,
             loads=self.loads,
+            slowness=self.slowness,
         )
         self._task = asyncio.create_task(self.reporter.async_run())
 
@@ -304,3 +310,51 @@
     home.transport.deliver(frame)
     assert await asking.async_total(UPSTREAM) == NO_LOAD
     assert home.transport.dropped_frames == 3
+
+
+# Guards against an instance of many that sees an upstream's response every few seconds
+# and doesn't learn what the upstream reported to the others.
+async def test_reported_slowness_reaches_those_who_ask_the_home() -> None:
+    fleet = Fleet(100)
+    home = fleet.home_of(UPSTREAM)
+    node, asking = fleet.not_home_of(UPSTREAM)[:2]
+    number = node.begin(UPSTREAM)
+    node.slowness.note_response(UPSTREAM, 4.0, now_s())
+    node.loads.note_answered(number)
+    assert home.slowness.slowness(UPSTREAM, now_s()) == 4.0
+    await asyncio.sleep(0.1)
+    assert asking.slowness.slowness(UPSTREAM, now_s()) == 1.0
+    await asking.lookup.async_refresh([UPSTREAM])
+    assert asking.slowness.age_s(UPSTREAM, now_s()) == pytest.approx(0.1, abs=0.002)
+    assert asking.slowness.slowness(UPSTREAM, now_s()) > 3.0
+
+
+class EarlierAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The answer as version 219cf6e sends and reads it."""
+
+    number: int
+    peer_address: str
+    loads: dict[str, Load]
+
+
+class EarlierShareReport(msgspec.Struct, frozen=True, array_like=True):
+    """The report as version 219cf6e sends and reads it."""
+
+    instance: str
+    loads: dict[str, Load]
+
+
+# Guards against loads that are dropped between two versions during a release.
+def test_messages_of_two_versions_are_read_by_each_other() -> None:
+    slowness = {UPSTREAM: SlownessReport(400, 10)}
+    loads = {str(UPSTREAM): Load(1, 2, 3)}
+    pairs = (
+        (LoadAnswer(1, "a:1", loads, slowness), EarlierAnswer(1, "a:1", loads)),
+        (ShareReport("a", loads, slowness), EarlierShareReport("a", loads)),
+    )
+    for present, earlier in pairs:
+        encoded = msgspec.msgpack.encode(present)
+        assert msgspec.msgpack.decode(encoded, type=type(earlier)) == earlier
+        encoded = msgspec.msgpack.encode(earlier)
+        read = msgspec.msgpack.decode(encoded, type=type(present))
+        assert read == msgspec.structs.replace(present, slowness={})
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -246,3 +246,18 @@
         first_recipients.add(nodes[0].transport.recipients[0])
         await asyncio.sleep(1.0)
     assert len(first_recipients) >= 10
+
+
+# Guards against a small fleet whose instances learn only from their own responses.
+async def test_reported_slowness_is_exchanged_with_its_age() -> None:
+    first, second = make_nodes(2)
+    name = UpstreamId("u")
+    first.upstreams.registry.slowness.note_response(name, 4.0, now_s())
+    await asyncio.sleep(0.1)
+    first.exchange.report_now()
+    known = second.upstreams.registry.slowness
+    assert known.age_s(name, now_s()) == pytest.approx(0.1, abs=0.002)
+    assert known.slowness(name, now_s()) > 3.0
+    await asyncio.sleep(0.2)
+    first.exchange.report_now()
+    assert known.age_s(name, now_s()) == pytest.approx(0.3, abs=0.002)
--- a/tests/components/state_exchange/test_earlier_version.py
+++ b/tests/components/state_exchange/test_earlier_version.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.upstream_limits.models import LimitReport
 from banyanswitch.decisions.fetch_floor import FetchFloor
 from banyanswitch.decisions.load_shares import Load
+from banyanswitch.decisions.slowness import SlownessReport
 
 
 class EarlierReport(msgspec.Struct, frozen=True, array_like=True):
@@ -50,6 +51,7 @@
         **FIELDS,  # type: ignore[arg-type]
         request_address="a:2",
         unreached=["u"],
+        slowness={"u": SlownessReport(400, 10)},
     )
     read = msgspec.msgpack.decode(msgspec.msgpack.encode(report), type=EarlierReport)
     assert read == EarlierReport(**FIELDS)  # type: ignore[arg-type]
@@ -61,3 +63,4 @@
     read = msgspec.msgpack.decode(msgspec.msgpack.encode(report), type=InstanceReport)
     assert read == InstanceReport(**FIELDS)  # type: ignore[arg-type]
     assert (read.request_address, read.unreached) == ("", [])
+    assert read.slowness == {}
