Choose the upstream by the slowness that it reports

An upstream at a quarter of its speed got as many requests as the others, since the choice compared tokens and requests at the usual speed. The work ahead at an upstream and the request's own work are now multiplied by the slowness; penalties that are not work (memory, old weights, paths between failure domains) are not. Without a reported slowness the cost is the same to the last bit.

--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -98,6 +98,8 @@
         Whether the upstream can't start the request in useful time.
     load_age_s : float or None
         Age of what is known of the other instances' load at the upstream, in seconds.
+    slowness : float
+        Slowness that was expected of the upstream; 1.0 is as usual.
     """
 
     record: UpstreamRecord
@@ -118,6 +120,7 @@
     is_large_prefill: bool = False
     is_direct: bool = True
     load_age_s: float | None = None
+    slowness: float = 1.0
 
 
 class Placement:
@@ -240,6 +243,7 @@
             is_large_prefill=is_large_prefill,
             is_direct=self._links.is_direct(state.record),
             load_age_s=self._registry.loads.age_s(name, now_s),
+            slowness=view.slowness,
         )
 
     def _eligible(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
@@ -377,6 +381,7 @@
             health=max(MIN_HEALTH, self._registry.health(state, now_s)),
             stored_tokens=plans[weight_version].stored_tokens,
             has_newest_weights=weight_version == newest_version,
+            slowness=self._registry.slowness.slowness(record.name, now_s),
         )
 
     def _part_plan(
--- a/src/banyanswitch/decisions/upstream_choice.py
+++ b/src/banyanswitch/decisions/upstream_choice.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from banyanswitch.decisions.slowness import USUAL
 from banyanswitch.identifiers import FailureDomainId, UpstreamId
 
 
@@ -71,6 +72,8 @@
         Shared tokens of the request that a store holds for its weight version.
     health : float
         Share of its normal load that it may receive, above 0 and at most 1.
+    slowness : float
+        Duration of work there relative to the usual one; 1.0 is as usual.
     """
 
     name: UpstreamId
@@ -83,6 +86,7 @@
     health: float = 1.0
     stored_tokens: int = 0
     has_newest_weights: bool = True
+    slowness: float = 1.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -204,13 +208,12 @@
     *,
     is_home: bool,
 ) -> float:
-    cost = float(view.prefill_tokens)
-    cost += prefill_cost_tokens(view, request, policy, is_home=is_home)
-    # Requests of plain services have no tokens. Their cost comes from the running
-    # requests and the slots.
-    cost += policy.running_request_cost_tokens * view.running_requests
-    waiting = max(0, view.running_requests + 1 - view.slots)
-    cost += policy.overload_penalty_tokens * waiting / max(1, view.slots)
+    cost = _work_tokens(view, request, policy, is_home=is_home)
+    if view.slowness != USUAL:
+        # Without its own cost, a request at an idle upstream would cost nothing however
+        # slow the upstream is. A fast upstream is not cheaper than an idle usual one.
+        own_tokens = policy.running_request_cost_tokens
+        cost = max(0.0, cost + (view.slowness - USUAL) * (cost + own_tokens))
     needed = view.memory_tokens + _memory_tokens(request)
     if view.capacity_tokens and needed > view.capacity_tokens:
         cost += policy.overload_penalty_tokens
@@ -221,6 +224,24 @@
     return cost / view.health
 
 
+def _work_tokens(
+    view: UpstreamView,
+    request: UpstreamChoiceRequest,
+    policy: UpstreamChoicePolicy,
+    *,
+    is_home: bool,
+) -> float:
+    """Return the work before the first token at an upstream's usual speed."""
+    cost = float(view.prefill_tokens)
+    cost += prefill_cost_tokens(view, request, policy, is_home=is_home)
+    # Requests of plain services have no tokens. Their cost comes from the running
+    # requests and the slots.
+    cost += policy.running_request_cost_tokens * view.running_requests
+    waiting = max(0, view.running_requests + 1 - view.slots)
+    cost += policy.overload_penalty_tokens * waiting / max(1, view.slots)
+    return cost
+
+
 def _memory_tokens(request: UpstreamChoiceRequest) -> int:
     return request.own_tokens + request.shared_tokens + request.output_tokens
 
--- a/tests/components/forwarding/test_reported_slowness.py
+++ b/tests/components/forwarding/test_reported_slowness.py
@@ -21,3 +21,20 @@
     await asyncio.wait_for(handling, 1.0)
     known = instance.upstreams.registry.slowness
     assert known.slowness(UpstreamId("u"), now_s()) == 4.0
+
+
+# Guards against a reported slowness that the choice of an upstream does not get.
+async def test_next_request_avoids_the_slow_upstream() -> None:
+    instance = Instance()
+    instance.name_target(1)
+    upstreams = [instance.add(name, 1) for name in ("u", "v")]
+    for upstream in upstreams:
+        upstream.slowness = 4.0
+    _, handling = instance.send(Repeatability.REPEATABLE)
+    await asyncio.wait_for(handling, 1.0)
+    slow, other = sorted(upstreams, key=lambda u: len(u.exchanges), reverse=True)
+    other.slowness = 1.0
+    for _ in range(5):
+        _, handling = instance.send(Repeatability.REPEATABLE)
+        await asyncio.wait_for(handling, 1.0)
+    assert (len(slow.exchanges), len(other.exchanges)) == (1, 5)
