Rank upstreams by hash only where their costs are equal

Each choice hashed the key with the name of every upstream, though the hash decides only between equal costs.

--- a/src/banyanswitch/decisions/upstream_choice.py
+++ b/src/banyanswitch/decisions/upstream_choice.py
@@ -154,14 +154,14 @@
         return None
     if home is None:
         home = home_of(request.home_key, views)
-    best = min(
-        views,
-        key=lambda view: (
-            _cost(view, request, policy, is_home=view.name == home),
-            _hash_rank(request.home_key, view.name),
-        ),
-    )
-    return best.name
+    costs = [_cost(view, request, policy, is_home=view.name == home) for view in views]
+    lowest = min(costs)
+    names = [
+        view.name for view, cost in zip(views, costs, strict=True) if cost == lowest
+    ]
+    if len(names) == 1:
+        return names[0]
+    return min(names, key=lambda name: _hash_rank(request.home_key, name))
 
 
 def must_wait(
@@ -270,7 +270,8 @@
         ahead_s /= max(1, view.slots)
         # An upstream may have worked for the whole age of the figures since. Without a
         # draw, all instances would send to the same upstreams until new figures come.
-        ahead_s += request.figures_age_s * _draw(request.draw_key, view.name)
+        if request.figures_age_s > 0.0:
+            ahead_s += request.figures_age_s * _draw(request.draw_key, view.name)
         return cost + ahead_s * request.tokens_per_s
     cost += policy.running_request_cost_tokens * view.running_requests
     cost += policy.overload_penalty_tokens * waiting / max(1, view.slots)
