Count requests whose work is unknown like the one to be placed

During a release, instances of the earlier version report requests without work, and an upstream full of them looked idle to a request of a learned route.

Measured: the new test failed before (chose the full upstream) and passes now.

--- a/src/banyanswitch/decisions/upstream_choice.py
+++ b/src/banyanswitch/decisions/upstream_choice.py
@@ -265,8 +265,10 @@
     # requests and the slots, or from their predicted work once it is learned.
     waiting = max(0, view.running_requests + 1 - view.slots)
     if request.work_s > 0.0 and not view.capacity_tokens:
-        mean_s = view.work_s / max(1, view.running_requests)
-        ahead_s = policy.running_work_share * view.work_s + waiting * mean_s
+        # Earlier versions report requests without their work.
+        work_s = view.work_s or view.running_requests * request.work_s
+        mean_s = work_s / max(1, view.running_requests)
+        ahead_s = policy.running_work_share * work_s + waiting * mean_s
         ahead_s /= max(1, view.slots)
         # An upstream may have worked for the whole age of the figures since. Without a
         # draw, all instances would send to the same upstreams until new figures come.
--- a/tests/decisions/test_choice_by_slowness.py
+++ b/tests/decisions/test_choice_by_slowness.py
@@ -174,3 +174,12 @@
     }
     assert chosen[0.0] == {"u0"}
     assert len(chosen[1.0]) == len(views)
+
+
+# Guards against upstreams that look idle because earlier versions report no work.
+def test_requests_of_unknown_work_count_like_the_one_to_be_placed() -> None:
+    views = [
+        usual("full", running_requests=9),
+        usual("u", running_requests=2, work_s=0.2),
+    ]
+    assert choose_upstream(views, LEARNED, POLICY) == "u"
