Log and count the inputs of the choice by work and slowness

The line request_placed names the predicted work of the request, the work ahead at the upstream, its slowness and the age of that report. Histograms show the observed time relative to the predicted one and the slowness by service, and the age of reports.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -323,6 +323,7 @@
             self._placement.commit(placed)
             self._log.placed(context, placed)
             self._metrics.observe_load_age(placed.load_age_s)
+            self._costs.note_placed(placed.cost)
             self._count_request(context)
             attempt = Attempt(
                 request=context.request,
--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -11,6 +11,15 @@
 LOAD_AGE_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.3, 0.5, 1.0, 1.5)
 """Bucket bounds up to the age at which a load is no longer used."""
 
+WORK_RATIO_BUCKETS = (0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0)
+"""Bucket bounds around a prediction that is right."""
+
+SLOWNESS_BUCKETS = (0.5, 0.8, 1.25, 2.0, 4.0, 8.0, 20.0)
+"""Bucket bounds around the usual speed, up to the highest slowness that counts."""
+
+SLOWNESS_AGE_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0)
+"""Bucket bounds around the age at which half of a report counts, up to its end."""
+
 
 class ForwardingMetrics:
     """Metrics of one process."""
@@ -68,6 +77,41 @@
             registry=self._registry,
         )
 
+        self._work_ratio = Histogram(
+            "banyanswitch_work_ratio",
+            "Observed time of a request relative to the predicted one, by service",
+            ("service",),
+            buckets=WORK_RATIO_BUCKETS,
+            registry=self._registry,
+        )
+        self._slowness = Histogram(
+            "banyanswitch_upstream_slowness",
+            "Slowness expected of the upstream of a placed request, by service",
+            ("service",),
+            buckets=SLOWNESS_BUCKETS,
+            registry=self._registry,
+        )
+        self._slowness_age = Histogram(
+            "banyanswitch_upstream_slowness_age_seconds",
+            "Age of the slowness that the upstream of a placed request reported",
+            buckets=SLOWNESS_AGE_BUCKETS_S,
+            registry=self._registry,
+        )
+
+    @callback
+    def observe_slowness(
+        self, service: str, slowness: float, age_s: float | None
+    ) -> None:
+        """Record the slowness by which a request was placed, if one was reported."""
+        if age_s is not None:
+            self._slowness.labels(service).observe(slowness)
+            self._slowness_age.observe(age_s)
+
+    @callback
+    def observe_work_ratio(self, service: str, ratio: float) -> None:
+        """Record the observed time of a request relative to the predicted one."""
+        self._work_ratio.labels(service).observe(ratio)
+
     @callback
     def observe_load_age(self, age_s: float | None) -> None:
         """Record the age of the load by which a request was placed, if known."""
--- a/src/banyanswitch/components/forwarding/request_costs.py
+++ b/src/banyanswitch/components/forwarding/request_costs.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 
+from banyanswitch.components.forwarding.metrics import ForwardingMetrics
 from banyanswitch.components.forwarding.models import (
     ForwardedService,
     ForwardedWorkspace,
@@ -60,11 +61,16 @@
         Predicts and learns.
     slowness : UpstreamSlowness
         Slowness of the upstreams, by which times are corrected.
+    metrics : ForwardingMetrics
+        Takes what was expected and how far it was right.
     """
 
-    def __init__(self, model: CostModel, slowness: UpstreamSlowness) -> None:
+    def __init__(
+        self, model: CostModel, slowness: UpstreamSlowness, metrics: ForwardingMetrics
+    ) -> None:
         self._model = model
         self._slowness = slowness
+        self._metrics = metrics
 
     @callback
     def shape(
@@ -91,6 +97,13 @@
         """Return the predicted work of a request."""
         return self._model.predict(shape, now_s)
 
+    @callback
+    def note_placed(self, cost: PlacedCost) -> None:
+        """Record by which slowness a request is sent."""
+        self._metrics.observe_slowness(
+            cost.shape.service, cost.slowness, cost.slowness_age_s
+        )
+
     @callback
     def note_served(
         self,
@@ -100,22 +113,16 @@
         sent_at_s: float,
         began_at_s: float,
         now_s: float,
-    ) -> float | None:
+    ) -> None:
         """Learn from a request that has just been served.
 
         Parameters
         ----------
         sent_at_s, began_at_s : float
             Loop times at which it was sent and at which the body of its response began.
-
-        Returns
-        -------
-        ratio : float or None
-            Observed time relative to the predicted one, both without slowness; ``None``
-            for the rest of a stream.
         """
         if not cost.is_whole:
-            return None
+            return
         # The upstream's speed changes within the request; the response has just
         # reported it.
         slowness = (cost.slowness + self._slowness.slowness(record.name, now_s)) / 2.0
@@ -132,7 +139,8 @@
         expected_s = cost.estimate.work_s(cost.prefill_tokens)
         if not cost.shape.is_model:
             expected_s *= waiting_ratio
-        return total_s / (slowness * expected_s)
+        ratio = total_s / (slowness * expected_s)
+        self._metrics.observe_work_ratio(cost.shape.service, ratio)
 
 
 def with_work(
--- a/src/banyanswitch/components/forwarding/request_log.py
+++ b/src/banyanswitch/components/forwarding/request_log.py
@@ -24,6 +24,7 @@
     @callback
     def placed(self, context: RequestContext, placed: PlacementResult) -> None:
         """Log the placement of a request."""
+        cost = placed.cost
         superseded_for_s = placed.superseded_for_s
         if superseded_for_s is not None:
             superseded_for_s = round(superseded_for_s, 3)
@@ -47,6 +48,11 @@
             software_version=placed.record.software_version,
             resumes=_text(context.metadata.resumes),
             load_age_s=_rounded(placed.load_age_s),
+            work_s=_rounded(cost.work_s),
+            is_work_learned=cost.estimate.is_learned,
+            work_ahead_s=_rounded(cost.work_ahead_s),
+            slowness=round(cost.slowness, 2),
+            slowness_age_s=_rounded(cost.slowness_age_s),
         )
 
     @callback
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -388,7 +388,7 @@
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
         )
-        costs = RequestCosts(CostModel(), self._slowness)
+        costs = RequestCosts(CostModel(), self._slowness, self._metrics)
         placement = Placement(
             routing=self._routing,
             registry=self._registry,
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -112,7 +112,8 @@
     )
     policy = WeightAgePolicy(deadline_s=WEIGHTS_DEADLINE_S)
     start_limits = StartLimits(routing, policy)
-    costs = RequestCosts(CostModel(), upstreams.registry.slowness)
+    metrics = ForwardingMetrics()
+    costs = RequestCosts(CostModel(), upstreams.registry.slowness, metrics)
     placement = Placement(
         routing=routing,
         registry=upstreams.registry,
@@ -135,7 +136,7 @@
         registry=upstreams.registry,
         start_limits=start_limits,
         pool=pool,
-        metrics=ForwardingMetrics(),
+        metrics=metrics,
         retry_budget=RetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
         instance_count=lambda: 1,
         is_refusing=lambda: False,
