--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -14,6 +14,11 @@
     UpstreamRecord,
     UpstreamRequestPlan,
 )
+from banyanswitch.components.forwarding.request_costs import (
+    PlacedCost,
+    RequestCosts,
+    with_work,
+)
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import (
@@ -25,6 +30,7 @@
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.core import callback
 from banyanswitch.decisions.cold_upstreams import warm_among, without_cold
+from banyanswitch.decisions.cost_model import RequestShape, WorkEstimate
 from banyanswitch.decisions.fetch_limit import objective_limit_s
 from banyanswitch.decisions.prefix import versioned_cache_salt
 from banyanswitch.decisions.upstream_choice import (
@@ -86,6 +92,7 @@
     is_passed_on: bool = False
     sample: UpstreamSample | None = None
     objective_left_s: float = 0.0
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +101,8 @@
 
     Parameters
     ----------
+    cost : PlacedCost
+        Predicted work of the request.
     superseded_for_s : float or None
         Time since a newer weight version than the upstream's became the target;
         ``None`` if there is none.
@@ -110,6 +119,7 @@
     record: UpstreamRecord
     plan: UpstreamRequestPlan
     in_flight: InFlight
+    cost: PlacedCost
     candidates: int
     home_key: str = ""
     stored_tokens: int = 0
@@ -148,6 +158,7 @@
         start_limits: StartLimits,
         instance_count: Callable[[], int],
         links: UpstreamLinks,
+        costs: RequestCosts,
         generator: random.Random,
         policy: UpstreamChoicePolicy | None = None,
     ) -> None:
@@ -159,6 +170,7 @@
         self._start_limits = start_limits
         self._instance_count = instance_count
         self._links = links
+        self._costs = costs
         self._random = generator
         self._policy = policy or UpstreamChoicePolicy()
 
@@ -199,7 +211,12 @@
         views = [
             self._view(state, request, newest_version, plans, now_s) for state in states
         ]
+        shape, estimate = self._predicted(request, now_s)
         choice = self._choice_request(request)
+        # Where no upstream reports its speed, all are taken for equal as before.
+        if estimate.is_learned and self._registry.slowness.is_reported:
+            age_s = self._registry.loads.age_s(states[0].record.name, now_s)
+            choice = with_work(choice, estimate, age_s, request.metadata.attempt)
         if request.is_wait_over:
             views = self._startable(views, states, request, choice, now_s)
         known = len(views)
@@ -232,6 +249,8 @@
             now_s,
             is_large_prefill=is_large_prefill,
             fetches=fetches,
+            work_s=estimate.work_s(prefill),
+            run_s=estimate.run_s,
         )
         plan = self._request_plan(request, state.record, model, weight_version, parts)
         return PlacementResult(
@@ -254,6 +273,17 @@
             is_large_prefill=is_large_prefill,
             is_direct=self._links.is_direct(state.record),
             load_age_s=self._registry.loads.age_s(name, now_s),
+            cost=PlacedCost(
+                shape=shape,
+                estimate=estimate,
+                work_s=in_flight.work_s,
+                work_ahead_s=view.work_s,
+                prefill_tokens=view.prefill_tokens + prefill,
+                slowness=view.slowness,
+                slowness_age_s=self._registry.slowness.age_s(name, now_s),
+                running_requests=view.running_requests,
+                is_whole=request.resume_after is None,
+            ),
         )
 
     def _eligible(self, request: PlacementRequest, now_s: float) -> list[UpstreamState]:
@@ -404,6 +434,8 @@
             health=max(MIN_HEALTH, self._registry.health(state, now_s)),
             stored_tokens=plans[weight_version].stored_tokens,
             has_newest_weights=weight_version == newest_version,
+            slowness=self._registry.slowness.slowness(record.name, now_s),
+            work_s=load.work_ms / MILLISECONDS_PER_S,
         )
 
     def _part_plan(
@@ -421,6 +453,18 @@
         scope = self._routing.cache_scope(request.workspace)
         return versioned_cache_salt(model, version or 0, scope)
 
+    def _predicted(
+        self, request: PlacementRequest, now_s: float
+    ) -> tuple[RequestShape, WorkEstimate]:
+        shape = self._costs.shape(
+            request.metadata,
+            request.route,
+            request.workspace,
+            request.service,
+            request.body_bytes,
+        )
+        return shape, self._costs.estimate(shape, now_s)
+
     def _choice_request(self, request: PlacementRequest) -> UpstreamChoiceRequest:
         metadata = request.metadata
         shared = metadata.parts[:-1]
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -16,6 +16,7 @@
 from banyanswitch.components.forwarding.loads import LoadTracker
 from banyanswitch.components.forwarding.metrics import ForwardingMetrics
 from banyanswitch.components.forwarding.placement import Placement
+from banyanswitch.components.forwarding.request_costs import RequestCosts
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.settings import (
     ForwardingSettings,
@@ -67,6 +68,7 @@
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
 from banyanswitch.components.upstream_notices.coordinator import UpstreamNotices
+from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.components.weight_rollout.const import (
     DUTY,
     LEASE_S,
@@ -76,6 +78,7 @@
 from banyanswitch.components.weight_rollout.order_lease import OrderLease
 from banyanswitch.components.weight_rollout.target_time_store import TargetTimeStore
 from banyanswitch.core import callback
+from banyanswitch.decisions.cost_model import CostModel
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
 from banyanswitch.decisions.upstream_limits import ColdPolicy
 from banyanswitch.decisions.weight_age import WeightAgePolicy
@@ -253,6 +256,7 @@
             self._mirrors[TABLE_OPERATOR], decoder, KEY_CONFIGURATION
         )
         self._loads = LoadTracker()
+        self._slowness = UpstreamSlowness()
         self._registry = UpstreamRegistry(
             self._mirrors[TABLE_UPSTREAMS],
             decoder,
@@ -268,6 +272,7 @@
                 named_instances=lambda: self._membership.seeds,
             ),
             notices=UpstreamNotices(),
+            slowness=self._slowness,
         )
         self._engines.on_notice = self._registry.note_notice_at
         self._routing.on_returned = self._registry.note_returned
@@ -317,13 +322,14 @@
 
     def _make_load_homes(self) -> None:
         self._homes = LoadHomes(self._membership, self._readers)
-        keeper = LoadKeeper(self._transport)
+        keeper = LoadKeeper(self._transport, self._slowness)
         self._share_reporter = ShareReporter(
             transport=self._transport,
             peers=self._membership,
             homes=self._homes,
             keeper=keeper,
             loads=self._loads,
+            slowness=self._slowness,
         )
         self._load_lookup = LoadLookup(
             transport=self._transport,
@@ -331,6 +337,7 @@
             homes=self._homes,
             keeper=keeper,
             loads=self._loads,
+            slowness=self._slowness,
         )
 
     def _make_exchange(self) -> None:
@@ -413,6 +420,7 @@
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
         )
+        costs = RequestCosts(CostModel(), self._slowness, self._metrics)
         placement = Placement(
             routing=self._routing,
             registry=self._registry,
@@ -422,6 +430,7 @@
             start_limits=start_limits,
             instance_count=self._instance_count,
             links=self._links,
+            costs=costs,
             generator=self._random,
         )
         translator = HeaderTranslator()
@@ -452,6 +461,7 @@
             versions=versions,
             parts=self._quarantine,
             links=self._links,
+            costs=costs,
             peer_forwarder=PeerForwarder(
                 instance=InstanceId(settings.instance),
                 translator=translator,
@@ -559,6 +569,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._registry.remove_expired(loop.time())
             self._loads.forget_expired(loop.time())
+            self._slowness.forget_expired(loop.time())
             for client in clients:
                 client.sweep(loop.time())
             configuration = self._routing.configuration
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -18,6 +18,7 @@
 )
 from banyanswitch.components.forwarding.placement import Placement
 from banyanswitch.components.forwarding.protocols import StreamOrigins
+from banyanswitch.components.forwarding.request_costs import RequestCosts
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
@@ -32,6 +33,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
+from banyanswitch.decisions.cost_model import CostModel
 from banyanswitch.decisions.load_shares import Load
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.signing import SigningKeys
@@ -112,6 +114,8 @@
     )
     policy = WeightAgePolicy(deadline_s=WEIGHTS_DEADLINE_S)
     start_limits = StartLimits(routing, policy)
+    metrics = ForwardingMetrics()
+    costs = RequestCosts(CostModel(), upstreams.registry.slowness, metrics)
     placement = Placement(
         routing=routing,
         registry=upstreams.registry,
@@ -121,6 +125,7 @@
         start_limits=start_limits,
         instance_count=lambda: 1,
         links=links,
+        costs=costs,
         generator=generator,
     )
     wait_queue = WaitQueue()
@@ -133,7 +138,7 @@
         registry=upstreams.registry,
         start_limits=start_limits,
         pool=pool,
-        metrics=ForwardingMetrics(),
+        metrics=metrics,
         retry_budget=RetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
         instance_count=lambda: 1,
         is_refusing=lambda: False,
@@ -145,6 +150,7 @@
         ),
         parts=quarantine,
         links=links,
+        costs=costs,
         peer_forwarder=PeerForwarder(
             instance=InstanceId("a"),
             translator=translator,
