Save at once from a started instance to a KV store with parts

Cause: an instance that had just started took each store for a restarted one and saved nothing for 4.5 s.

Change: for an instance that knows no earlier epoch, complete parts show that the others have waited already. Also restores the metrics that a merge had moved into another method.

--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -77,7 +77,6 @@
             buckets=FIRST_BYTE_BUCKETS_S,
             registry=self._registry,
         )
-
         self._load_age = Histogram(
             "banyanswitch_load_age_seconds",
             "Age of the other instances' load at the upstream of a placed request",
@@ -91,16 +90,6 @@
             registry=self._registry,
         )
 
-    @callback
-    def show_gauge(self, name: str, text: str, value: Callable[[], int]) -> None:
-        """Add a gauge whose value is read when the metrics are rendered."""
-        Gauge(name, text, registry=self._registry).set_function(value)
-
-    @callback
-    def count_avoided_cold(self, service: ServiceName) -> None:
-        """Count a request with a large prefill that was placed past cold upstreams."""
-        self._avoided_cold.labels(service).inc()
-
         self._work_ratio = Histogram(
             "banyanswitch_work_ratio",
             "Observed time of a request relative to the predicted one, by service",
@@ -122,6 +111,16 @@
             registry=self._registry,
         )
 
+    @callback
+    def show_gauge(self, name: str, text: str, value: Callable[[], int]) -> None:
+        """Add a gauge whose value is read when the metrics are rendered."""
+        Gauge(name, text, registry=self._registry).set_function(value)
+
+    @callback
+    def count_avoided_cold(self, service: ServiceName) -> None:
+        """Count a request with a large prefill that was placed past cold upstreams."""
+        self._avoided_cold.labels(service).inc()
+
     @callback
     def observe_slowness(
         self, service: str, slowness: float, age_s: float | None
--- a/src/banyanswitch/components/kv_tier/store_follower.py
+++ b/src/banyanswitch/components/kv_tier/store_follower.py
@@ -216,7 +216,7 @@
         address = self.node.address
         if self.epoch is None:
             answer = await self._client.async_list(address)
-            self._epochs.begin(answer.epoch, _now_s())
+            self._epochs.begin(answer.epoch, _now_s(), has_parts=bool(answer.events))
             self._restart(answer.epoch, answer.next_event, answer.events)
             self._note_update()
             self._report_clock(answer)
--- a/src/banyanswitch/decisions/store_epochs.py
+++ b/src/banyanswitch/decisions/store_epochs.py
@@ -26,7 +26,7 @@
     saved again at once. Nothing is saved until no instance can still know the earlier
     contents.
 
-    Parameters
+    Attributes
     ----------
     current : int or None
         Number of the current epoch, if it is known.
@@ -35,17 +35,29 @@
     def __init__(self) -> None:
         self.current: int | None = None
         self._since_s = float("inf")
+        self._is_established = False
         self._past: deque[int] = deque(maxlen=MAX_PAST_EPOCHS)
 
-    def begin(self, epoch: int, now_s: float, age_s: float = 0.0) -> None:
+    def begin(
+        self,
+        epoch: int,
+        now_s: float,
+        age_s: float = 0.0,
+        *,
+        has_parts: bool = False,
+    ) -> None:
         """Record the epoch whose contents are known from now on.
 
         Parameters
         ----------
         age_s : float
             Time for which another instance has known it, in seconds.
+        has_parts : bool
+            Whether the store has complete parts. All instances wait after a restart, so
+            for one that knows no earlier epoch, parts show that the wait is over.
         """
         if epoch != self.current:
+            self._is_established = has_parts and self.current is None
             if self.current is not None:
                 self._past.append(self.current)
             self.current = epoch
@@ -82,4 +94,6 @@
 
     def may_save(self, now_s: float, delay_s: float) -> bool:
         """Return whether the epoch has been known for the delay, in seconds."""
-        return self.current is not None and self.age_s(now_s) >= delay_s
+        if self.current is None:
+            return False
+        return self._is_established or self.age_s(now_s) >= delay_s
--- a/tests/components/kv_tier/test_store_restarts.py
+++ b/tests/components/kv_tier/test_store_restarts.py
@@ -94,6 +94,20 @@
     await async_assert_no_fetch_during_saves(fleet)
 
 
+# Guards against parts that are read again as processes restart in turn.
+@RELAYED_AND_DIRECT
+async def test_an_instance_that_starts_saves_at_once_to_a_store_with_parts(
+    count: int,
+) -> None:
+    fleet = await async_fleet(count)
+    late = Node("late", fleet)
+    fleet.nodes["late"] = late
+    await asyncio.sleep(2.0)
+    other = (PromptPart("other", 64), PromptPart("own", 100))
+    late.tier.targets_confirmed_at_s = now_s
+    assert any(late.tier.plan(other, SALT, MODEL, 1, 18_432).saves)
+
+
 async def test_list_of_an_instance_with_old_contents_is_not_applied() -> None:
     fleet = Fleet(12)
     fleet.append_event("old")
