Forget the cold state of upstreams that have ended

Cause: an upstream that left or started anew was counted as cold until the time of its last entry, and a warm service paid for the look-ups of cold state. Change: the registry drops the state with the upstream; without any cold upstream or evacuated failure domain, placement looks nothing up. Result: the added lines of test_entry_of_the_table_makes_an_upstream_cold fail without the change (2 == 1) and pass with it.

--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -322,15 +322,16 @@
         return states
 
     def _accepting(self, service: ServiceName, now_s: float) -> list[UpstreamState]:
+        accepting = self._registry.accepting(service, now_s)
         evacuated = self._routing.evacuated
-        return [
-            state
-            for state in self._registry.accepting(service, now_s)
-            if state.record.failure_domain not in evacuated
-        ]
+        if not evacuated:
+            return accepting
+        return [s for s in accepting if s.record.failure_domain not in evacuated]
 
     def _cold(self, states: list[UpstreamState], now_s: float) -> set[UpstreamId]:
         cold = self._registry.limits.cold
+        if not cold.has_any:
+            return set()
         records = [state.record for state in states]
         return {r.name for r in records if cold.limit(r, now_s) is not None}
 
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -335,6 +335,8 @@
             self._note_version_left(known.record, now_s)
         if known is None or record.started_at_ms > known.record.started_at_ms:
             self.ejector.forget(record.name)
+            if known is not None:
+                self.limits.cold.forget(known.record)
             versions = dict(record.weight_versions)
             state = UpstreamState(record, versions, now_s, now_s)
             if self._may_have_left(record, item.revision):
@@ -392,6 +394,7 @@
         if state is not None:
             now_s = asyncio.get_running_loop().time()
             self._note_version_left(state.record, now_s)
+            self.limits.cold.forget(state.record)
             self._dropped.pop(name, None)
             self._dropped[name] = _Dropped(
                 _order(state.record), self._mirror.content_version
--- a/src/banyanswitch/components/upstream_limits/cold_upstreams.py
+++ b/src/banyanswitch/components/upstream_limits/cold_upstreams.py
@@ -58,6 +58,16 @@
         if service is not None and service.cold_s > 0.0:
             self._note(record, now_s + service.cold_s, now_s)
 
+    @property
+    def has_any(self) -> bool:
+        """Whether an upstream may be cold."""
+        return bool(self._cold)
+
+    @callback
+    def forget(self, record: UpstreamRecord) -> None:
+        """Drop a start of an upstream that has ended."""
+        self._cold.pop((record.name, record.started_at_ms), None)
+
     @callback
     def limit(self, record: UpstreamRecord, now_s: float) -> ColdLimit | None:
         """Return the limit of an upstream while it is cold, ``None`` if it is warm."""
--- a/src/banyanswitch/components/upstream_limits/coordinator.py
+++ b/src/banyanswitch/components/upstream_limits/coordinator.py
@@ -118,6 +118,9 @@
 
         It is infinite while others send to the upstream.
         """
+        if not self._known and not self.cold.has_any:
+            self._buckets.clear()
+            return 0.0
         cold = self.cold.limit(record, now_s)
         start = (record.name, record.started_at_ms)
         known = self._known.get(start) if self._known else None
--- a/tests/components/upstream_limits/test_cold_upstreams.py
+++ b/tests/components/upstream_limits/test_cold_upstreams.py
@@ -125,5 +125,11 @@
     restarted = record("u", started_at_ms=2, cold_remaining_s=1.0)
     upstreams.put(restarted)
     assert upstreams.registry.limits.cold.limit(restarted, now_s()) is not None
+    assert upstreams.registry.limits.cold.count(now_s()) == 1
     upstreams.put(record("u", started_at_ms=2, sequence=1))
     assert upstreams.registry.limits.cold.limit(restarted, now_s()) is None
+    upstreams.put(record("u", started_at_ms=3, cold_remaining_s=1.0))
+    upstreams.remove("u")
+    await asyncio.sleep(0.1)
+    upstreams.registry.remove_expired(now_s() + 60.0)
+    assert upstreams.registry.limits.cold.count(now_s()) == 0
