Compute the shares of a cold upstream's limit once

Cause: each placement computed the bound and the shares anew for each cold upstream. Change: limit_shares remembers its results, and ColdUpstreams its last limit. Result: one placement with 20 of 60 upstreams cold takes 663, 679 and 805 us (735, 749 and 890 us before; 574 to 599 us with all warm), beside a load of about 25 on seven cores.

--- a/src/banyanswitch/components/upstream_limits/cold_upstreams.py
+++ b/src/banyanswitch/components/upstream_limits/cold_upstreams.py
@@ -41,6 +41,8 @@
         self._policy = policy
         self._service_of = service_of
         self._cold: dict[Start, _Cold] = {}
+        # The last limit that was computed, which all upstreams of a service share.
+        self._limit: ColdLimit | None = None
 
     @callback
     def note_entry(self, record: UpstreamRecord, now_s: float) -> None:
@@ -79,7 +81,9 @@
         rate_per_s = self._rate_per_s(record.service)
         if rate_per_s <= 0.0:
             return None
-        return ColdLimit(rate_per_s, self._policy.bound(rate_per_s))
+        if self._limit is None or self._limit.rate_per_s != rate_per_s:
+            self._limit = ColdLimit(rate_per_s, self._policy.bound(rate_per_s))
+        return self._limit
 
     @callback
     def is_known(self, start: Start) -> bool:
--- a/src/banyanswitch/decisions/upstream_limits.py
+++ b/src/banyanswitch/decisions/upstream_limits.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Final
 
 MIN_RATE_PER_S: Final = 0.2
@@ -82,6 +83,7 @@
     bound: float | None
 
 
+@lru_cache(maxsize=256)
 def limit_shares(
     limit_per_s: float, instances: int, bound: float | None = None
 ) -> LimitShares:
