--- a/tests/components/upstream_links/test_coordinator.py
+++ b/tests/components/upstream_links/test_coordinator.py
@@ -88,6 +88,21 @@
     assert len(fixture.pool.opened) == opened
 
 
+# Guards against connections to a failure domain to which nothing may be sent.
+async def test_links_to_an_evacuated_failure_domain_are_not_checked(
+    fixture: Fixture,
+) -> None:
+    evacuated = {record("a").failure_domain}
+    fixture.links.is_evacuated = lambda domain: domain in evacuated
+    fixture.fail("a")
+    await asyncio.sleep(3.0)
+    assert fixture.pool.opened == []
+    evacuated.clear()
+    fixture.pool.cut.clear()
+    await asyncio.sleep(1.2)
+    assert fixture.usable() == list(NAMES)
+
+
 async def test_all_links_are_checked_after_the_second_lost_one(
     fixture: Fixture,
 ) -> None:
