Compare times within half a step in the simulated loads

Sums of steps are not exact, so a decider's own request at the edge of its figures' age was counted twice or not at all.

The tests of the named loads and of the documentation pass.

--- a/tests/decisions/load_simulation.py
+++ b/tests/decisions/load_simulation.py
@@ -174,7 +174,8 @@
 
     def _view(self, number: int, decider: int, now_s: float) -> UpstreamView:
         running, work_s = self._history[0][number] if self._history else (0, 0.0)
-        known_at_s = now_s - self.figures_age_s
+        # Half a step later, since sums of steps are not exact.
+        known_at_s = now_s - self.figures_age_s + STEP_S / 2
         for job in self._own[decider]:
             if job.upstream != number:
                 continue
--- a/tests/decisions/test_uneven_loads.py
+++ b/tests/decisions/test_uneven_loads.py
@@ -54,7 +54,7 @@
 
 
 # Capacity 20 x 4 slots at a mean of 0.625 of their speed, or 1,000 requests per second.
-# The choice by the number of requests alone served 0.925 in a trial.
+# The choice by the number of requests alone served 0.92 to 0.94 in a trial.
 def test_half_of_the_upstreams_at_a_quarter_of_their_speed() -> None:
     load = Simulation(
         slowness=half_at_a_quarter, arrival=short_request, arrivals_per_s=850.0
@@ -82,7 +82,7 @@
 
 
 # Capacity 60 x 4 slots at 0.25 s per request, or 960 per second. The choice by the
-# number of requests alone served 0.777 in a trial: all sent to the same upstreams.
+# number of requests alone served 0.78 in a trial: all sent to the same upstreams.
 def test_110_deciders_with_figures_1_s_old() -> None:
     load = Simulation(
         slowness=as_usual,
