--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -56,6 +56,8 @@
         Whether each event names the software version.
     echoes_body : bool
         Whether answers and each event contain the body of the request.
+    answer_bytes : int
+        Number of bytes added to each answer and to each event.
     second_answers : SecondAnswers or None
         Sends second answers to some requests.
     aborts_after : int or None
@@ -113,6 +115,7 @@
     events: int = 3
     names_version: bool = False
     echoes_body: bool = False
+    answer_bytes: int = 0
     second_answers: SecondAnswers | None = None
     aborts_after: int | None = None
     is_unframed: bool = False
@@ -232,7 +235,8 @@
         return await self.second_answers.async_answer(request, status, headers, body)
 
     def _echo(self, body: bytes) -> str:
-        return f" to {body.decode()}" if self.echoes_body else ""
+        echo = f" to {body.decode()}" if self.echoes_body else ""
+        return echo + "a" * self.answer_bytes
 
     async def _async_crash(self, request: web.Request) -> web.Response:
         await asyncio.sleep(CRASH_AFTER_S)
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -96,6 +96,8 @@
         Bound in the settings of the processes; ``None`` means their default.
     has_links : bool
         Whether each process has links of its own to the upstreams, which can be cut.
+    limits : str
+        Lines of the section ``[limits]`` in the settings of the processes.
 
     Attributes
     ----------
@@ -109,8 +111,10 @@
         *,
         version_propagation_ms: int | None = None,
         has_links: bool = False,
+        limits: str = "",
     ) -> None:
         self.folder = folder
+        self._limits = limits
         self._has_links = has_links
         self.links: dict[str, InstanceLinks] = {}
         self._version_propagation_ms = version_propagation_ms
@@ -270,6 +274,10 @@
             while not await condition():
                 await asyncio.sleep(0.05)
 
+    def address_of(self, name: str) -> str:
+        """Return the address of an upstream."""
+        return self._addresses[name]
+
     def all_upstreams(self) -> list[PlatformUpstream]:
         """Return the present upstreams and those that have crashed."""
         return [*self.upstreams.values(), *self.crashed]
@@ -318,6 +326,8 @@
 gracePeriodS = {GRACE_S}
 leaseMs = 1000
 {propagation}
+[limits]
+{self._limits}
 [platform]
 address = "{self._store_address}"
 """
