Limit trailers and chunk extensions by the size limit of heads

Cause: bytes behind a body were not counted, so one trailer line was kept without a limit. In the other direction, the rest of a read behind a pipelined request counted whole towards the next head, which was refused with 431. Change: bytes received without progress of the message count against the limit of the head, from the read after the last progress on.

--- a/src/banyanswitch/components/http1/request_parser.py
+++ b/src/banyanswitch/components/http1/request_parser.py
@@ -62,6 +62,7 @@
         self._error: RequestSyntaxError | None = None
         self._head: ParsedHead | None = None
         self._target = b""
+        self._has_progressed = False
         self._reset()
 
     @property
@@ -82,6 +83,7 @@
         RequestSyntaxError
             If the bytes are not a request that can be served.
         """
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -93,10 +95,13 @@
             if self._error is not None:
                 raise self._error from error
             raise RequestSyntaxError(STATUS_BAD_REQUEST, str(error)) from error
-        # A header is reported only when it is complete, so the size of an incomplete
-        # head is limited by its received bytes, too.
-        if self.is_in_head:
-            self._received_head_bytes += len(data)
+        # A header or trailer is reported only when it is complete, a chunk extension
+        # never, so their size is limited by the received bytes, too. In a read that
+        # ends another part of a message, it is unknown how many bytes belong to them.
+        if self._has_progressed:
+            self._unreported_bytes = 0
+        elif self._has_started:
+            self._unreported_bytes += len(data)
             self._check_head_size()
 
     def on_message_begin(self) -> None:
@@ -122,6 +127,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the head and report it to the callback."""
+        self._has_progressed = True
         headers = tuple(self._headers)
         self._check_head(headers)
         self._head = ParsedHead(
@@ -134,6 +140,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._has_progressed = True
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().max_body_bytes:
             self._fail(STATUS_BODY_TOO_LARGE, "request body exceeds the size limit")
@@ -141,6 +148,7 @@
 
     def on_message_complete(self) -> None:
         """Report the complete request to the callback."""
+        self._has_progressed = True
         if self._head is None:
             self._fail(STATUS_BAD_REQUEST, "request has no head")
             return
@@ -156,7 +164,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
-        self._received_head_bytes = 0
+        self._unreported_bytes = 0
 
     def _check_head(self, headers: Headers) -> None:
         if self._parser.get_http_version() not in SUPPORTED_VERSIONS:
@@ -184,8 +192,11 @@
 
     def _check_head_size(self) -> None:
         limit = self._limits().max_header_bytes
-        if max(self._head_bytes, self._received_head_bytes) > limit:
-            self._fail(STATUS_HEAD_TOO_LARGE, "request head exceeds the size limit")
+        if max(self._head_bytes, self._unreported_bytes) <= limit:
+            return
+        self._fail(
+            STATUS_HEAD_TOO_LARGE, "request head or trailers exceed the size limit"
+        )
 
     def _fail(self, status: int, reason: str) -> None:
         self._error = RequestSyntaxError(status, reason)
