Keep a body in parts as one bytearray

Cause: each chunk of a body cost a list entry and an object. Change: from the second part on, parts are appended to one bytearray.

--- a/src/banyanswitch/components/http1/request_parser.py
+++ b/src/banyanswitch/components/http1/request_parser.py
@@ -63,6 +63,9 @@
         self._head: ParsedHead | None = None
         self._target = b""
         self._has_progressed = False
+        # A bytearray from the second part on, without one object for each part.
+        self._body: bytes | bytearray = b""
+        self._body_bytes = 0
         self._reset()
 
     @property
@@ -144,7 +147,12 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().max_body_bytes:
             self._fail(STATUS_BODY_TOO_LARGE, "request body exceeds the size limit")
-        self._body.append(body)
+        if not self._body:
+            self._body = body
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Report the complete request to the callback."""
@@ -152,7 +160,7 @@
         if self._head is None:
             self._fail(STATUS_BAD_REQUEST, "request has no head")
             return
-        head, body = self._head, b"".join(self._body)
+        head, body = self._head, bytes(self._body)
         self._reset()
         self._on_request(head, body)
 
@@ -161,7 +169,7 @@
         self._head = None
         self._target = b""
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body = b""
         self._body_bytes = 0
         self._head_bytes = 0
         self._unreported_bytes = 0
--- a/tests/components/http1/test_request_parser.py
+++ b/tests/components/http1/test_request_parser.py
@@ -1,5 +1,7 @@
 """Tests of the parser of callers' requests."""
 
+import tracemalloc
+
 import pytest
 
 from banyanswitch.components.http1.models import ConnectionLimits
@@ -57,3 +59,17 @@
     recorder.parser.feed(data[:4009])
     recorder.parser.feed(data[4009:])
     assert len(recorder.bodies) == 201
+
+
+# Guards against chunks that each cost an object and an entry in a list.
+def test_tiny_chunks_cost_little_more_than_their_bytes() -> None:
+    recorder = Recorder()
+    recorder.parser.feed(CHUNKED)
+    tracemalloc.start()
+    for _ in range(2400):
+        recorder.parser.feed(b"2\r\nab\r\n")
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held_bytes < 15_000
+    recorder.parser.feed(b"0\r\n\r\n")
+    assert recorder.bodies == [b"ab" * 2400]
