Cap the connections of each listener by the descriptors of the process

Cause: nothing bounded connections relative to the descriptors, and idle connections of the directory, readiness and internal listeners were never closed. Change: each listener may use a share of the descriptors. When it is full, the longest idle connection gives way, or one that has stalled; without one, the new connection is closed. All listeners are swept.

--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -179,6 +179,11 @@
         Called once with this connection after it has been closed.
     guard : MemoryGuard
         Told of the bytes that the connection holds.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether the connection is closed as soon as it is made.
     """
 
     def __init__(
@@ -208,6 +213,17 @@
         self._is_closed = False
         self._has_invalid_input = False
         self.closes_after_response = False
+        self.is_refused = False
+
+    @property
+    def idle_since_s(self) -> float:
+        """Loop time of the last begin or end of a request."""
+        return self._state_changed_at_s
+
+    @property
+    def stalled_since_s(self) -> float:
+        """Loop time since which the client has made too little progress."""
+        return self._memory.stalled_since_s
 
     @property
     def is_busy(self) -> bool:
@@ -218,6 +234,8 @@
         """Store the transport and set the limit of its write buffer."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        if self.is_refused:
+            self.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes received from the caller."""
@@ -385,7 +403,7 @@
         """Refuse a body that has become large since ``earlier_bytes`` of it."""
         accepts = self._guard.account.accepts_body
         if accepts(earlier_bytes) and not accepts(self._parser.body_bytes):
-            self._guard.count_refused_body()
+            self._guard.count_closed("large_body")
             reason = "too much memory is in use for a large body"
             self._reject_input(RequestSyntaxError(STATUS_UNAVAILABLE, reason))
 
@@ -397,7 +415,7 @@
     def _on_head(self, head: ParsedHead) -> None:
         self._head_at_s = self._loop.time()
         if not self._guard.account.accepts_body(head.declared_bytes):
-            self._guard.count_refused_body()
+            self._guard.count_closed("large_body")
             reason = "too much memory is in use for a large body"
             self._parser.reject(STATUS_UNAVAILABLE, reason)
         if head.expects_continue and self._task is None and not self._pending:
--- a/src/banyanswitch/components/http1/caller_server.py
+++ b/src/banyanswitch/components/http1/caller_server.py
@@ -3,12 +3,16 @@
 import asyncio
 from collections.abc import Callable
 
+import structlog
+
 from banyanswitch.components.http1.caller_connection import (
     CallerConnection,
     RequestHandler,
 )
+from banyanswitch.components.http1.connection_cap import to_give_way
 from banyanswitch.components.http1.const import (
     DEFAULT_MAX_HELD_BYTES,
+    FULL_LOG_INTERVAL_S,
     LISTEN_BACKLOG,
     SWEEP_INTERVAL_S,
 )
@@ -17,6 +21,8 @@
 from banyanswitch.core import callback
 from banyanswitch.decisions.memory_account import MemoryPolicy
 
+LOGGER = structlog.get_logger(__name__)
+
 
 class CallerServer:
     """Accept connections and close them gracefully.
@@ -30,6 +36,8 @@
     guard : MemoryGuard, optional
         Keeps the bytes of all connections of the process within a limit; by default,
         the server has one of its own.
+    max_connections : int, optional
+        Number of connections from which on idle ones give way to new ones.
     """
 
     def __init__(
@@ -37,15 +45,18 @@
         handler: RequestHandler,
         limits: Callable[[], ConnectionLimits] = ConnectionLimits,
         guard: MemoryGuard | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._guard = guard or MemoryGuard(
             MemoryPolicy(limit_bytes=DEFAULT_MAX_HELD_BYTES)
         )
+        self._max_connections = max_connections
         self._connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_draining = False
+        self._logged_full_at_s = float("-inf")
 
     @property
     def connection_count(self) -> int:
@@ -113,5 +124,32 @@
             self._handler, self._limits, self._connections.discard, self._guard
         )
         connection.closes_after_response = self._is_draining
+        limit = self._max_connections
+        if limit is not None and len(self._connections) >= limit:
+            connection.is_refused = not self._make_room()
         self._connections.add(connection)
         return connection
+
+    def _make_room(self) -> bool:
+        """Close connections for a new one; return whether any could be closed."""
+        now_s = asyncio.get_running_loop().time()
+        idle, stalled = to_give_way(self._connections, now_s)
+        for connection in idle:
+            connection.close()
+        for connection in stalled:
+            connection.close_under_pressure()
+        # They are discarded now, since each closes only after this call.
+        self._connections.difference_update(idle, stalled)
+        has_room = bool(idle or stalled)
+        for _ in (*idle, *stalled):
+            self._guard.count_closed("descriptors")
+        if not has_room:
+            self._guard.count_closed("descriptors_refused")
+        self._log_full(now_s)
+        return has_room
+
+    def _log_full(self, now_s: float) -> None:
+        if now_s - self._logged_full_at_s < FULL_LOG_INTERVAL_S:
+            return
+        self._logged_full_at_s = now_s
+        LOGGER.warning("connections_full", limit=self._max_connections, port=self.port)
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -79,6 +79,9 @@
 DEFAULT_MAX_HELD_BYTES: Final = 64 * 1024 * 1024
 """Limit of the memory account of a server that is given none."""
 
+FULL_LOG_INTERVAL_S: Final = 5.0
+"""Minimum time between two log lines of a server without room for connections."""
+
 MAX_HEADERS: Final = 128
 """Maximum number of headers of one request; common clients send fewer than 20."""
 
--- a/src/banyanswitch/components/http1/memory_guard.py
+++ b/src/banyanswitch/components/http1/memory_guard.py
@@ -96,7 +96,7 @@
                 stalled_s=round(now_s - holder.stalled_since_s, 1),
                 total_bytes=self.account.held_bytes,
             )
-            self._count_closed("memory")
+            self.count_closed("memory")
             closed = self._connections.get(holder)
             self.remove(holder)
             if closed is not None:
@@ -105,11 +105,8 @@
             self._metrics.observe_memory(self.account.held_bytes, policy.limit_bytes)
 
     @callback
-    def count_refused_body(self) -> None:
-        """Count a large body that was refused."""
-        self._count_closed("large_body")
-
-    def _count_closed(self, reason: str) -> None:
+    def count_closed(self, reason: str) -> None:
+        """Count a connection that was closed or refused, by reason."""
         if self._metrics is not None:
             self._metrics.count_closed_connection(reason)
 
@@ -158,6 +155,11 @@
         self.collected_bytes = 0
         self.unsent_bytes = 0
 
+    @property
+    def stalled_since_s(self) -> float:
+        """Loop time since which the client has made too little progress."""
+        return self._holder.stalled_since_s
+
     @callback
     def set_unsent(self, unsent_bytes: int, written_bytes: int = 0) -> None:
         """Record the write buffer; what is no longer in it was taken by the client."""
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -118,6 +118,18 @@
 PRESSURE_RETRY_AFTER_S: Final = 1.0
 """Retry time of requests refused under memory pressure: two checks of the guard."""
 
+RESERVED_DESCRIPTORS: Final = 200
+"""Descriptors that the platform reserves for files."""
+
+CALLER_SHARE: Final = 1 / 2
+PEER_REQUEST_SHARE: Final = 1 / 8
+OTHER_LISTENER_SHARE: Final = 1 / 16
+"""Shares of the other descriptors that callers, instances that pass on requests, and
+each of the three other listeners may use. The rest, 3/16, is for connections to
+upstreams, the store and other instances: 250 on the smallest machine."""
+
+MIN_CONNECTIONS: Final = 8
+
 METRICS_PATH: Final = b"/metrics"
 MILLISECONDS_PER_S: Final = 1000.0
 
@@ -212,6 +224,10 @@
             "cleaner": self._cleaner.async_run(),
             "housekeeping": self._async_housekeep(),
             "sweep": self._server.async_sweep(),
+            "sweep_requests": self._request_server.async_sweep(),
+            "sweep_directory": self._directory.async_sweep(),
+            "sweep_readiness": self._readiness.async_sweep(),
+            "sweep_internal": self._internal.async_sweep(),
         }
         tasks = tuple(
             _start_task(name, coroutine) for name, coroutine in coroutines.items()
@@ -446,12 +462,16 @@
             on_replaced=self._exchange.announce_replaced,
         )
         self._server = CallerServer(
-            forwarder.async_handle, lambda: self._routing.limits, self._guard
+            forwarder.async_handle,
+            lambda: self._routing.limits,
+            self._guard,
+            self._connection_limit(CALLER_SHARE),
         )
         self._request_server = CallerServer(
             PeerRequestEndpoint(forwarder, keys).async_handle,
             self._peer_request_limits,
             self._guard,
+            self._connection_limit(PEER_REQUEST_SHARE),
         )
         self._shutdown = GracefulShutdown(
             (self._server, self._request_server),
@@ -464,9 +484,18 @@
             is_ready=lambda: not self._membership.this_instance().is_leaving,
             ttl_s=min(ADDRESS_TTL_S, settings.address_ttl_s),
         )
-        self._directory = CallerServer(discovery.async_handle, guard=self._guard)
-        self._readiness = CallerServer(discovery.async_handle, guard=self._guard)
-        self._internal = CallerServer(self._async_answer_internal, guard=self._guard)
+        self._directory, self._readiness, self._internal = (
+            CallerServer(
+                handler,
+                guard=self._guard,
+                max_connections=self._connection_limit(OTHER_LISTENER_SHARE),
+            )
+            for handler in (
+                discovery.async_handle,
+                discovery.async_handle,
+                self._async_answer_internal,
+            )
+        )
 
     def _make_duties(self) -> None:
         settings = self._settings
@@ -526,6 +555,11 @@
         size_bytes = limits.max_header_bytes + MAX_EXTRA_HEADER_BYTES
         return replace(limits, max_header_bytes=size_bytes)
 
+    @callback
+    def _connection_limit(self, share: float) -> int:
+        usable = self._settings.max_descriptors - RESERVED_DESCRIPTORS
+        return max(MIN_CONNECTIONS, int(usable * share))
+
     @callback
     def _instance_count(self) -> int:
         return max(1, len(self._membership.peers()))
--- a/tests/components/http1/test_caller_connection.py
+++ b/tests/components/http1/test_caller_connection.py
@@ -1,6 +1,7 @@
 """Tests of callers' connections over real sockets."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -234,7 +235,46 @@
     writer.close()
 
 
+async def _async_close(*writers: asyncio.StreamWriter) -> None:
+    for writer in writers:
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+
 async def _async_wait_until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(2.0):
         while not condition():
             await asyncio.sleep(0.01)
+
+
+# Guards against silent connections that keep all others out.
+async def test_longest_idle_connection_gives_way_to_a_new_one(handler: Handler) -> None:
+    server = CallerServer(handler, max_connections=2)
+    await server.async_start(HOST, 0)
+    connections = [await asyncio.open_connection(HOST, server.port) for _ in range(3)]
+    assert await asyncio.wait_for(connections[0][0].read(), 1.0) == b""
+    for reader, writer in connections[1:]:
+        writer.write(GET)
+        assert b"200 OK" in await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+    server.stop_listening()
+    await _async_close(*(writer for _, writer in connections))
+
+
+# Guards against requests in progress that are interrupted for new connections.
+async def test_new_connection_is_closed_if_all_others_are_busy(
+    handler: Handler,
+) -> None:
+    handler.may_respond.clear()
+    server = CallerServer(handler, max_connections=1)
+    await server.async_start(HOST, 0)
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.write(GET)
+    await _async_wait_until(lambda: len(handler.requests) == 1)
+    other_reader, other_writer = await asyncio.open_connection(HOST, server.port)
+    with contextlib.suppress(ConnectionError):
+        assert await asyncio.wait_for(other_reader.read(), 1.0) == b""
+    handler.may_respond.set()
+    assert b"200 OK" in await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+    server.stop_listening()
+    await _async_close(writer, other_writer)
