--- a/src/banyanswitch/components/http1/request_parser.py
+++ b/src/banyanswitch/components/http1/request_parser.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from typing import NoReturn
 
 import httptools
 
@@ -19,17 +20,37 @@
 
 
 class ParsedHead:
-    """Head of a request whose body may not be complete yet."""
+    """Head of a request whose body may not be complete yet.
 
-    __slots__ = ("expects_continue", "headers", "keeps_alive", "method", "target")
+    Attributes
+    ----------
+    declared_bytes : int
+        Size of the body, 0 if it is not declared.
+    """
+
+    __slots__ = (
+        "declared_bytes",
+        "expects_continue",
+        "headers",
+        "keeps_alive",
+        "method",
+        "target",
+    )
 
     def __init__(
-        self, method: bytes, target: bytes, headers: Headers, *, keeps_alive: bool
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        *,
+        keeps_alive: bool,
+        declared_bytes: int,
     ) -> None:
         self.method = method
         self.target = target
         self.headers = headers
         self.keeps_alive = keeps_alive
+        self.declared_bytes = declared_bytes
         self.expects_continue = any(
             key.lower() == b"expect" and value.lower() == b"100-continue"
             for key, value in headers
@@ -62,6 +83,10 @@
         self._error: RequestSyntaxError | None = None
         self._head: ParsedHead | None = None
         self._target = b""
+        self._has_progressed = False
+        # A bytearray from the second part on, without one object for each part.
+        self._body: bytes | bytearray = b""
+        self._body_bytes = 0
         self._reset()
 
     @property
@@ -69,6 +94,21 @@
         """Whether a part of a request has been received."""
         return self._has_started
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of the part of the body that was received."""
+        return self._body_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of the part of a request that was received."""
+        return self._body_bytes + self._head_bytes + self._unreported_bytes
+
+    @property
+    def headers(self) -> Headers:
+        """Headers of the request whose body is being received."""
+        return () if self._head is None else self._head.headers
+
     @property
     def is_in_head(self) -> bool:
         """Whether a request head has started and is not complete."""
@@ -82,6 +122,7 @@
         RequestSyntaxError
             If the bytes are not a request that can be served.
         """
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -93,12 +134,23 @@
             if self._error is not None:
                 raise self._error from error
             raise RequestSyntaxError(STATUS_BAD_REQUEST, str(error)) from error
-        # A header is reported only when it is complete, so the size of an incomplete
-        # head is limited by its received bytes, too.
-        if self.is_in_head:
-            self._received_head_bytes += len(data)
+        # A header or trailer is reported only when it is complete, a chunk extension
+        # never, so their size is limited by the received bytes, too. In a read that
+        # ends another part of a message, it is unknown how many bytes belong to them.
+        if self._has_progressed:
+            self._unreported_bytes = 0
+        elif self._has_started:
+            self._unreported_bytes += len(data)
             self._check_head_size()
 
+    def discard(self) -> None:
+        """Drop the part of a request that was received; nothing may be fed then."""
+        self._reset()
+
+    def reject(self, status: int, reason: str) -> NoReturn:
+        """Reject the request from within one of the callbacks."""
+        self._fail(status, reason)
+
     def on_message_begin(self) -> None:
         """Handle the start of a request."""
         self._reset()
@@ -122,29 +174,38 @@
 
     def on_headers_complete(self) -> None:
         """Check the head and report it to the callback."""
+        self._has_progressed = True
         headers = tuple(self._headers)
-        self._check_head(headers)
+        declared_bytes = self._check_head(headers)
         self._head = ParsedHead(
             self._parser.get_method(),
             self._target,
             headers,
             keeps_alive=self._parser.should_keep_alive(),
+            declared_bytes=declared_bytes,
         )
         self._on_head(self._head)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._has_progressed = True
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().max_body_bytes:
             self._fail(STATUS_BODY_TOO_LARGE, "request body exceeds the size limit")
-        self._body.append(body)
+        if not self._body:
+            self._body = body
+            return
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Report the complete request to the callback."""
+        self._has_progressed = True
         if self._head is None:
             self._fail(STATUS_BAD_REQUEST, "request has no head")
             return
-        head, body = self._head, b"".join(self._body)
+        head, body = self._head, bytes(self._body)
         self._reset()
         self._on_request(head, body)
 
@@ -153,12 +214,13 @@
         self._head = None
         self._target = b""
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body = b""
         self._body_bytes = 0
         self._head_bytes = 0
-        self._received_head_bytes = 0
+        self._unreported_bytes = 0
 
-    def _check_head(self, headers: Headers) -> None:
+    def _check_head(self, headers: Headers) -> int:
+        """Check the head and return the declared size of the body."""
         if self._parser.get_http_version() not in SUPPORTED_VERSIONS:
             self._fail(STATUS_BAD_REQUEST, "HTTP version is not supported")
         if not self._target.startswith(b"/"):
@@ -179,14 +241,19 @@
             )
         if len(lengths) > 1 or not all(value.isdigit() for value in lengths):
             self._fail(STATUS_BAD_REQUEST, "Content-Length is repeated or invalid")
-        if lengths and int(lengths[0]) > self._limits().max_body_bytes:
+        declared_bytes = int(lengths[0]) if lengths else 0
+        if declared_bytes > self._limits().max_body_bytes:
             self._fail(STATUS_BODY_TOO_LARGE, "request body exceeds the size limit")
+        return declared_bytes
 
     def _check_head_size(self) -> None:
         limit = self._limits().max_header_bytes
-        if max(self._head_bytes, self._received_head_bytes) > limit:
-            self._fail(STATUS_HEAD_TOO_LARGE, "request head exceeds the size limit")
+        if max(self._head_bytes, self._unreported_bytes) <= limit:
+            return
+        self._fail(
+            STATUS_HEAD_TOO_LARGE, "request head or trailers exceed the size limit"
+        )
 
-    def _fail(self, status: int, reason: str) -> None:
+    def _fail(self, status: int, reason: str) -> NoReturn:
         self._error = RequestSyntaxError(status, reason)
         raise self._error
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -33,7 +33,13 @@
     MAX_TABLE_BODY_BYTES,
     SWEEP_INTERVAL_S,
 )
-from banyanswitch.components.http1.models import ConnectionLimits, Request
+from banyanswitch.components.http1.memory_guard import MemoryGuard
+from banyanswitch.components.http1.models import (
+    ConnectionLimits,
+    Header,
+    Headers,
+    Request,
+)
 from banyanswitch.components.kv_tier.cleaner import StoreCleaner
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.event_relay import EventRelay
@@ -80,6 +86,7 @@
 from banyanswitch.core import callback
 from banyanswitch.decisions.cost_model import CostModel
 from banyanswitch.decisions.ejection import EjectionPolicy, Ejector
+from banyanswitch.decisions.memory_account import MemoryPolicy
 from banyanswitch.decisions.upstream_limits import ColdPolicy
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.signing import SigningKeys
@@ -116,6 +123,21 @@
 EJECTION: Final = EjectionPolicy(failures=3, base_s=1.0, max_s=8.0, ramp_s=2.0)
 """Ejections are short, since the platform replaces an upstream within seconds."""
 
+PRESSURE_RETRY_AFTER_S: Final = 1.0
+"""Retry time of requests refused under memory pressure: two checks of the guard."""
+
+RESERVED_DESCRIPTORS: Final = 200
+"""Descriptors that the platform reserves for files."""
+
+CALLER_SHARE: Final = 1 / 2
+PEER_REQUEST_SHARE: Final = 1 / 8
+OTHER_LISTENER_SHARE: Final = 1 / 16
+"""Shares of the other descriptors that callers, instances that pass on requests, and
+each of the three other listeners may use. The rest, 3/16, is for connections to
+upstreams, the store and other instances: 250 on the smallest machine."""
+
+MIN_CONNECTIONS: Final = 8
+
 METRICS_PATH: Final = b"/metrics"
 MILLISECONDS_PER_S: Final = 1000.0
 
@@ -210,6 +232,10 @@
             "cleaner": self._cleaner.async_run(),
             "housekeeping": self._async_housekeep(),
             "sweep": self._server.async_sweep(),
+            "sweep_requests": self._request_server.async_sweep(),
+            "sweep_directory": self._directory.async_sweep(),
+            "sweep_readiness": self._readiness.async_sweep(),
+            "sweep_internal": self._internal.async_sweep(),
         }
         tasks = tuple(
             _start_task(name, coroutine) for name, coroutine in coroutines.items()
@@ -417,6 +443,11 @@
             "Failure domains to whose upstreams nothing is sent",
             lambda: len(self._routing.evacuated),
         )
+        self._guard = MemoryGuard(
+            MemoryPolicy(limit_bytes=settings.client_memory_bytes),
+            _refusal_headers,
+            self._metrics,
+        )
         start_limits = StartLimits(
             self._routing, WeightAgePolicy(deadline_s=settings.weights_deadline_s)
         )
@@ -473,10 +504,16 @@
             on_replaced=self._exchange.announce_replaced,
         )
         self._server = CallerServer(
-            forwarder.async_handle, lambda: self._routing.limits
+            forwarder.async_handle,
+            lambda: self._routing.limits,
+            self._guard,
+            self._connection_limit(CALLER_SHARE),
         )
         self._request_server = CallerServer(
-            PeerRequestEndpoint(forwarder, keys).async_handle, self._peer_request_limits
+            PeerRequestEndpoint(forwarder, keys).async_handle,
+            self._peer_request_limits,
+            self._guard,
+            self._connection_limit(PEER_REQUEST_SHARE),
         )
         self._shutdown = GracefulShutdown(
             (self._server, self._request_server),
@@ -489,9 +526,18 @@
             is_ready=lambda: not self._membership.this_instance().is_leaving,
             ttl_s=min(ADDRESS_TTL_S, settings.address_ttl_s),
         )
-        self._directory = CallerServer(discovery.async_handle)
-        self._readiness = CallerServer(discovery.async_handle)
-        self._internal = CallerServer(self._async_answer_internal)
+        self._directory, self._readiness, self._internal = (
+            CallerServer(
+                handler,
+                guard=self._guard,
+                max_connections=self._connection_limit(OTHER_LISTENER_SHARE),
+            )
+            for handler in (
+                discovery.async_handle,
+                discovery.async_handle,
+                self._async_answer_internal,
+            )
+        )
 
     def _make_duties(self) -> None:
         settings = self._settings
@@ -551,6 +597,11 @@
         size_bytes = limits.max_header_bytes + MAX_EXTRA_HEADER_BYTES
         return replace(limits, max_header_bytes=size_bytes)
 
+    @callback
+    def _connection_limit(self, share: float) -> int:
+        usable = self._settings.max_descriptors - RESERVED_DESCRIPTORS
+        return max(MIN_CONNECTIONS, int(usable * share))
+
     @callback
     def _instance_count(self) -> int:
         return max(1, len(self._membership.peers()))
@@ -570,6 +621,7 @@
             self._registry.remove_expired(loop.time())
             self._loads.forget_expired(loop.time())
             self._slowness.forget_expired(loop.time())
+            self._guard.check()
             for client in clients:
                 client.sweep(loop.time())
             configuration = self._routing.configuration
@@ -600,6 +652,14 @@
         LOGGER.error("task_failed", task=task.get_name(), exc_info=task.exception())
 
 
+def _refusal_headers(headers: Headers) -> list[Header]:
+    """Return the headers of a refusal under pressure, given those of the request."""
+    translator = HeaderTranslator()
+    request = Request(b"", b"", headers, b"", 0.0)
+    metadata = translator.read_request_metadata(request)
+    return translator.generated_headers(metadata, PRESSURE_RETRY_AFTER_S)
+
+
 def _target_version(routing: RoutingState, model: str) -> int | None:
     target = routing.targets.get(model)
     return target.version if target is not None else None
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -307,6 +307,9 @@
     async def async_drain(self) -> None:
         return
 
+    def note_collected(self, size_bytes: int) -> None:
+        return
+
 
 @dataclass
 class FakeUpstream:
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -100,6 +100,8 @@
         Whether these links include the store's address.
     grace_s : float
         Grace period of the processes, in seconds.
+    limits : str
+        Lines of the section ``[limits]`` in the settings of the processes.
 
     Attributes
     ----------
@@ -115,9 +117,11 @@
         has_links: bool = False,
         has_store_link: bool = False,
         grace_s: float = GRACE_S,
+        limits: str = "",
     ) -> None:
         self.folder = folder
         self._grace_s = grace_s
+        self._limits = limits
         self._has_links = has_links
         self._has_store_link = has_store_link
         self.store_address = ""
@@ -282,6 +286,10 @@
             while not await condition():
                 await asyncio.sleep(0.05)
 
+    def address_of(self, name: str) -> str:
+        """Return the address of an upstream."""
+        return self._addresses[name]
+
     def all_upstreams(self) -> list[PlatformUpstream]:
         """Return the present upstreams and those that have crashed."""
         return [*self.upstreams.values(), *self.crashed]
@@ -330,6 +338,8 @@
 gracePeriodS = {self._grace_s}
 leaseMs = 1000
 {propagation}
+[limits]
+{self._limits}
 [platform]
 address = "{self.store_address}"
 """
