Count the copies of whole responses, and make fewer

Cause: a response that is collected was counted once, but is copied, and the upstream's connection holds a read buffer beside it. A closed connection kept its parts until the garbage collection. Change: collected responses count twice plus the read buffer, a large body is written behind its head without a copy, and a closed connection drops its parts.

--- a/src/banyanswitch/components/forwarding/response_relay.py
+++ b/src/banyanswitch/components/forwarding/response_relay.py
@@ -8,7 +8,10 @@
 from banyanswitch.components.forwarding.protocols import RequestTranslator
 from banyanswitch.components.http1.body import async_read_body
 from banyanswitch.components.http1.caller_connection import Reply
-from banyanswitch.components.http1.const import MAX_BUFFERED_BODY_BYTES
+from banyanswitch.components.http1.const import (
+    MAX_BUFFERED_BODY_BYTES,
+    READ_HIGH_WATER_BYTES,
+)
 from banyanswitch.components.http1.models import BodyFraming, ResponseHead
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.exceptions import UpstreamBrokenError, UpstreamFailureError
@@ -104,11 +107,15 @@
             self._progress.first_byte_at_s = self._loop.time()
             await self._async_relay_events(body)
             return
-        content = await body.async_read_all(self._reply.note_collected)
+        content = await body.async_read_all(self._note_collected)
         headers = self._translator.caller_headers(head)
         self._progress.first_byte_at_s = self._loop.time()
         self._reply.send(head.status, headers, content, reason=head.reason)
 
+    def _note_collected(self, size_bytes: int) -> None:
+        """Report a whole response, which is copied once, and the upstream's buffer."""
+        self._reply.note_collected(2 * size_bytes + READ_HIGH_WATER_BYTES)
+
     async def _async_relay_events(self, body: "ResponseBody") -> None:
         splitter = self._progress.splitter
         has_events = False
--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -9,6 +9,7 @@
 
 from banyanswitch.components.http1.const import (
     IDLE_GRACE_S,
+    MAX_JOINED_BYTES,
     MAX_PIPELINED_BYTES,
     MAX_PIPELINED_REQUESTS,
     PARSE_BYTES,
@@ -93,7 +94,12 @@
             all_headers.append((b"Content-Length", b"%d" % len(body)))
         head = self._head(status, reason, all_headers)
         self._connection.note_collected(0)
-        self._connection.write(head if self._is_head_only else head + body)
+        if self._is_head_only or len(body) > MAX_JOINED_BYTES:
+            self._connection.write(head)
+        if not self._is_head_only:
+            self._connection.write(
+                body if len(body) > MAX_JOINED_BYTES else head + body
+            )
         self._finish()
 
     @callback
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -63,6 +63,9 @@
 WRITE_HIGH_WATER_BYTES: Final = 128 * 1024
 """Unsent response bytes above which a caller's connection pauses its writer."""
 
+MAX_JOINED_BYTES: Final = 64 * 1024
+"""Size up to which a body is copied behind its head, to send both in one write."""
+
 MAX_PIPELINED_REQUESTS: Final = 8
 """Number of queued pipelined requests at which a connection pauses reading."""
 
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -208,6 +208,8 @@
     def close(self) -> None:
         """Close the connection at once, so that the upstream stops its request."""
         self.keeps_alive = False
+        # The connection and its parser refer to each other and are freed late.
+        self._parts.clear()
         if self._transport is not None:
             self._transport.abort()
 
