Copy only small parts of a body, and parse long bodies whole

Cause: one bytearray for all parts copied each large body as it grew, and reads of a body were parsed in parts of 16 KB although no request can follow in them. Change: parts from 4 KB on are kept as they are, smaller ones share a bytearray; reads within a declared length are parsed whole.

--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -378,7 +378,7 @@
         parser = self._parser
         body_bytes = parser.body_bytes
         try:
-            if len(data) <= PARSE_BYTES:
+            if len(data) <= PARSE_BYTES or len(data) <= parser.missing_bytes:
                 parser.feed(data)
             else:
                 self._parse_in_parts(data)
--- a/src/banyanswitch/components/http1/request_parser.py
+++ b/src/banyanswitch/components/http1/request_parser.py
@@ -16,6 +16,8 @@
 STATUS_BODY_TOO_LARGE = 413
 STATUS_HEAD_TOO_LARGE = 431
 HEADER_LINE_OVERHEAD_BYTES = 4
+MIN_PART_BYTES = 4096
+"""Size below which a part of a body is copied to the parts before it."""
 SUPPORTED_VERSIONS = frozenset({"1.0", "1.1"})
 
 
@@ -84,8 +86,9 @@
         self._head: ParsedHead | None = None
         self._target = b""
         self._has_progressed = False
-        # A bytearray from the second part on, without one object for each part.
-        self._body: bytes | bytearray = b""
+        # Small parts in sequence share one bytearray, without an object for each.
+        self._body: list[bytes | bytearray] = []
+        self._small_parts: bytearray | None = None
         self._body_bytes = 0
         self._reset()
 
@@ -99,6 +102,13 @@
         """Size of the part of the body that was received."""
         return self._body_bytes
 
+    @property
+    def missing_bytes(self) -> int:
+        """Size of the missing part of a body whose size is declared, otherwise 0."""
+        if self._head is None:
+            return 0
+        return max(0, self._head.declared_bytes - self._body_bytes)
+
     @property
     def held_bytes(self) -> int:
         """Size of the part of a request that was received."""
@@ -192,12 +202,14 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits().max_body_bytes:
             self._fail(STATUS_BODY_TOO_LARGE, "request body exceeds the size limit")
-        if not self._body:
-            self._body = body
+        if len(body) >= MIN_PART_BYTES or not self._body:
+            self._body.append(body)
+            self._small_parts = None
             return
-        if isinstance(self._body, bytes):
-            self._body = bytearray(self._body)
-        self._body += body
+        if self._small_parts is None:
+            self._small_parts = bytearray()
+            self._body.append(self._small_parts)
+        self._small_parts += body
 
     def on_message_complete(self) -> None:
         """Report the complete request to the callback."""
@@ -205,7 +217,7 @@
         if self._head is None:
             self._fail(STATUS_BAD_REQUEST, "request has no head")
             return
-        head, body = self._head, bytes(self._body)
+        head, body = self._head, b"".join(self._body)
         self._reset()
         self._on_request(head, body)
 
@@ -214,7 +226,8 @@
         self._head = None
         self._target = b""
         self._headers: list[Header] = []
-        self._body = b""
+        self._body = []
+        self._small_parts = None
         self._body_bytes = 0
         self._head_bytes = 0
         self._unreported_bytes = 0
