--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -240,7 +240,7 @@
         """Store the transport and set the limit of its write buffer."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        if self.is_refused:
+        if self.is_refused or self._is_closed:
             self.abort()
 
     def data_received(self, data: bytes) -> None:
