--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -201,6 +201,66 @@
     return entry["table"], entry.get("part", ""), entry["key"]
 
 
+class KvStore(Store):
+    """A managed store of KV cache; it reports parts when they are complete."""
+
+    def __init__(self, capacity_tokens, bandwidth_mbps, first_ms):
+        super().__init__()
+        self.capacity_tokens = capacity_tokens
+        self.bandwidth_mbps = bandwidth_mbps
+        self.first_ms = first_ms
+        self.epoch = 77120
+        self.held = {}
+        self.events = []
+
+    def save(self, salt, part, tokens):
+        """Keep a part, unless there is no room for it; it is lost then."""
+        if (salt, part) in self.held:
+            return
+        if sum(self.held.values()) + tokens > self.capacity_tokens:
+            return
+        self.held[salt, part] = tokens
+        self.events.append([len(self.events) + 1, "+", salt, part, tokens, MODEL])
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def service(self, name):
+        """Return the store's entry among the services of a configuration."""
+        return {
+            "name": name,
+            "kvStoreAddress": self.address,
+            "zone": "z1",
+            "kvCapacityTokens": self.capacity_tokens,
+            "bandwidthMbps": self.bandwidth_mbps,
+            "first_ms": self.first_ms,
+            "maxConcurrency": 32,
+            "managed": True,
+            "maxConnections": 96,
+        }
+
+    async def _async_answer(self, method, target, body):
+        path, _, query = target.partition("?")
+        common = {"bootEpoch": self.epoch, "next": len(self.events)}
+        if path == "/-/kv-list":
+            held = [[salt, part, n, MODEL] for (salt, part), n in self.held.items()]
+            return 200, {**common, "held": held}
+        if path != "/-/kv-events":
+            return 404, {}
+        since = int(query.partition("since=")[2])
+        if len(self.events) <= since:
+            try:
+                await asyncio.wait_for(self._changed.wait(), 0.9)
+            except TimeoutError:
+                pass
+        return 200, {
+            "bootEpoch": self.epoch,
+            "next": len(self.events),
+            "lost": False,
+            "events": self.events[since:],
+            "clock_ms": self._now_ms(),
+        }
+
+
 class Runner:
     """A runner of the transaction service; it works on a request for ``work_s``."""
 
@@ -297,6 +357,7 @@
         self.cached = {}
         self.uses = []
         self.runners = {}
+        self.stores = {}
         self.orders = []
         self.load_s = 1.1
         self.is_busy = False
@@ -380,6 +441,7 @@
         async with self._prefill:
             missing = self._read_prompt(attempt, tenant, salt, headers)
             await asyncio.sleep(missing / self.tokens_per_ms / 1000.0)
+        self._save(salt, headers)
         answer = {
             **own,
             "Server-Stamp": f"stamp-{self.name}",
@@ -399,6 +461,13 @@
         self.finished.append(attempt)
         return True
 
+    def _save(self, salt, headers):
+        parts = [item.split(":") for item in headers["prompt-prefix"].split(",")]
+        targets = headers.get("kv-save", "").split(",")
+        for (part, tokens), target in zip(parts, targets, strict=False):
+            if target in self.stores:
+                self.stores[target].save(salt, part, int(tokens))
+
     def _read_prompt(self, attempt, tenant, salt, headers):
         """Cache the parts of a prompt; return the tokens that have to be prefilled."""
         parts = [item.split(":") for item in headers["prompt-prefix"].split(",")]
@@ -411,6 +480,8 @@
             maker = self.cached.get(key) if is_kept else None
             if maker is None and is_kept and source in self.runners:
                 maker = self.runners[source].cached.get(key)
+            if maker is None and is_kept and source in self.stores:
+                maker = ("-", "-") if key in self.stores[source].held else None
             is_kept = maker is not None
             if is_kept:
                 self.uses.append((attempt, tenant, part, maker))
