--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -15,6 +15,7 @@
 import time
 import tomllib
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "h.example"
@@ -117,8 +118,6 @@
             writer.close()
 
     async def _async_answer(self, method, target, body):
-        from urllib.parse import parse_qs, urlsplit
-
         parts = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(parts.query).items()}
         await asyncio.sleep(0.004)
@@ -274,6 +273,10 @@
         self.cut = []
         self.address = ""
 
+    def work_of(self, attempt):
+        """Return the time that the runner works on a request, in seconds."""
+        return self.work_s
+
     async def async_start(self):
         server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
@@ -323,7 +326,7 @@
         self.record.line(
             f"{self.name} runs {attempt}, deadline {headers.get('deadline-ms')} ms"
         )
-        work = asyncio.create_task(asyncio.sleep(self.work_s))
+        work = asyncio.create_task(asyncio.sleep(self.work_of(attempt)))
         gone = asyncio.create_task(reader.read(1))
         await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
         if not work.done():
@@ -420,7 +423,7 @@
         self.orders.append(order)
         self.is_busy = True
         self.record.line(
-            f"{self.name} takes the order of {order['holder']} to load {order['version']}"
+            f"{self.name} takes an order of {order['holder']}: load {order['version']}"
         )
         self._load = asyncio.create_task(self._async_load(order["version"]))
         return 202
