--- a/review/8/run.py
+++ b/review/10/run.py
@@ -97,7 +97,9 @@
         if got == "cut" and attempt in passed_on and sent_s > EXCUSED_S
     ]
     for attempt, sent_s in lost:
-        record.line(f"LOST broken: {attempt}, sent {sent_s:.4f} s after SIGTERM, was cut")
+        record.line(
+            f"LOST broken: {attempt}, sent {sent_s:.4f} s after SIGTERM, was cut"
+        )
     record.line("broken" if lost else "held")
     return 1 if lost else 0
 
