Answer or refuse what a stopping instance can't serve in time

Calls that must not run twice were accepted although they could outlast the instance.

Cause: new requests were accepted for 0.38 of the grace period whatever their time limit, and what was left at 0.9 of it was ended by closing connections.

Change: decisions/stop_admission.py accepts requests for 2.8 s at most, and a call that must not run twice only if its time limit ends before the drain does. At the end of the drain the handlers are cancelled and the forwarder answers 503 if nothing was sent, 502 if the outcome is unknown, and breaks off a response that has begun. It no longer logs caller_left for them.

abort_busy() is now end_requests(); the test of it checks the same.

--- a/src/banyanswitch/components/discovery/const.py
+++ b/src/banyanswitch/components/discovery/const.py
@@ -13,8 +13,13 @@
 """Share of the grace period in which a stopping instance still accepts new requests;
 some callers cache addresses for three times the TTL."""
 
+MAX_ACCEPT_S: Final = 2.8
+"""Maximum time in which a stopping instance still accepts new requests, by which nearly
+all callers have new addresses. The platform excuses a request that is cut off only if
+it was sent within 3 s of the stop; the difference covers the delay of the signal."""
+
 DRAIN_SHARE: Final = 0.9
-"""Share of the grace period after which a stopping instance aborts the remaining
+"""Share of the grace period after which a stopping instance ends the remaining
 requests."""
 
 SEND_SHARE: Final = 0.94
--- a/src/banyanswitch/components/discovery/graceful_shutdown.py
+++ b/src/banyanswitch/components/discovery/graceful_shutdown.py
@@ -9,10 +9,12 @@
     ACCEPT_SHARE,
     DRAIN_POLL_INTERVAL_S,
     DRAIN_SHARE,
+    MAX_ACCEPT_S,
     SEND_SHARE,
 )
 from banyanswitch.components.http1.caller_server import CallerServer
 from banyanswitch.core import callback
+from banyanswitch.decisions.stop_admission import StopPolicy, accepts_request
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -22,10 +24,9 @@
 
     Parameters
     ----------
-    servers : sequence of CallerServer
-        Servers of the connections of callers, and of instances that pass on requests.
     grace_s : float
-        Time until the process is killed, in seconds.
+        Time until the process is killed, in seconds; may be changed until a stop is
+        requested.
     on_leaving : sequence of callable
         Handlers that are each called once when the stop is requested.
 
@@ -35,28 +36,31 @@
         Set when the stop is requested.
     is_leaving : bool
         Whether the stop has been requested.
-    is_refusing : bool
-        Whether new requests are refused, after `ACCEPT_SHARE` of the grace period.
     """
 
     def __init__(
-        self,
-        servers: Sequence[CallerServer],
-        grace_s: float,
-        on_leaving: Sequence[Callable[[], None]],
+        self, grace_s: float, on_leaving: Sequence[Callable[[], None]]
     ) -> None:
-        self._servers = tuple(servers)
+        self._servers: list[CallerServer] = []
         self.grace_s = grace_s
+        self._policy = _stop_policy(grace_s)
         self._on_leaving = tuple(on_leaving)
+        self._requested_at_s = 0.0
         self.requested = asyncio.Event()
         self.is_leaving = False
-        self.is_refusing = False
+
+    @callback
+    def add_server(self, server: CallerServer) -> None:
+        """Add a server of callers, or of instances that pass on requests."""
+        self._servers.append(server)
 
     @callback
     def request(self) -> None:
         """Begin the shutdown; further calls have no effect."""
         if not self.is_leaving:
             self.is_leaving = True
+            self._policy = _stop_policy(self.grace_s)
+            self._requested_at_s = asyncio.get_running_loop().time()
             LOGGER.info("stop_requested", grace_s=self.grace_s)
             for handler in self._on_leaving:
                 handler()
@@ -64,30 +68,46 @@
                 server.announce_close()
         self.requested.set()
 
+    @callback
+    def accepts(self, limit_s: float, *, is_call_once: bool) -> bool:
+        """Return whether a request is accepted.
+
+        Parameters
+        ----------
+        limit_s : float
+            Time in which the request must be answered, in seconds.
+        is_call_once : bool
+            Whether the request is a call, not a stream, that must not run twice.
+        """
+        if not self.is_leaving:
+            return True
+        elapsed_s = asyncio.get_running_loop().time() - self._requested_at_s
+        return accepts_request(
+            self._policy,
+            elapsed_s=elapsed_s,
+            limit_s=limit_s,
+            is_call_once=is_call_once,
+        )
+
     async def async_wait_stopped(self) -> None:
-        """Wait for the stop request, drain the requests, and abort those that remain.
+        """Wait for the stop request, drain the requests, and end those that remain.
 
         A response is drained when its caller has acknowledged all of it or has left.
-        The process may exit afterwards.
+        Requests that remain are answered with an error, unless a part of their response
+        was sent. The process may exit afterwards.
         """
         await self.requested.wait()
         loop = asyncio.get_running_loop()
-        began_at_s = loop.time()
-        await asyncio.sleep(ACCEPT_SHARE * self.grace_s)
-        self.is_refusing = True
+        policy, began_at_s = self._policy, self._requested_at_s
+        await asyncio.sleep(policy.accept_until_s)
         for server in self._servers:
             server.stop_listening()
             server.close_idle()
-        await _async_wait_zero(
-            lambda: self._busy_count() + self._unsent_count(),
-            began_at_s + DRAIN_SHARE * self.grace_s,
-        )
+        await _async_wait_zero(self._open_count, began_at_s + policy.end_requests_at_s)
         unfinished = self._busy_count()
         for server in self._servers:
-            server.abort_busy()
-        await _async_wait_zero(
-            self._unsent_count, began_at_s + SEND_SHARE * self.grace_s
-        )
+            server.end_requests()
+        await _async_wait_zero(self._open_count, began_at_s + policy.exit_by_s)
         LOGGER.info(
             "stopped",
             after_s=round(loop.time() - began_at_s, 3),
@@ -97,6 +117,9 @@
         for server in self._servers:
             server.abort_all()
 
+    def _open_count(self) -> int:
+        return self._busy_count() + self._unsent_count()
+
     def _busy_count(self) -> int:
         return sum(server.busy_count for server in self._servers)
 
@@ -104,6 +127,14 @@
         return sum(server.unsent_count for server in self._servers)
 
 
+def _stop_policy(grace_s: float) -> StopPolicy:
+    return StopPolicy(
+        accept_until_s=min(ACCEPT_SHARE * grace_s, MAX_ACCEPT_S),
+        end_requests_at_s=DRAIN_SHARE * grace_s,
+        exit_by_s=SEND_SHARE * grace_s,
+    )
+
+
 async def _async_wait_zero(count: Callable[[], int], ends_at_s: float) -> None:
     """Wait until a count is zero, at most until a loop time."""
     loop = asyncio.get_running_loop()
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -42,6 +42,7 @@
 from banyanswitch.components.forwarding.protocols import (
     LoadSource,
     PartGuard,
+    RequestAdmission,
     RequestTranslator,
     ServiceVersions,
     StreamOrigins,
@@ -125,8 +126,8 @@
     ----------
     instance_count : callable
         Returns the number of instances that share the retry budget.
-    is_refusing : callable
-        Returns whether this instance refuses new requests.
+    admission : RequestAdmission
+        Tells which requests this instance still accepts while it is stopping.
     origins : StreamOrigins
         Origins of the streams that callers take up again.
     versions : ServiceVersions
@@ -157,7 +158,7 @@
         metrics: ForwardingMetrics,
         retry_budget: RetryBudget,
         instance_count: Callable[[], int],
-        is_refusing: Callable[[], bool],
+        admission: RequestAdmission,
         generator: random.Random,
         wait_queue: WaitQueue,
         origins: StreamOrigins,
@@ -178,7 +179,7 @@
         self._metrics = metrics
         self._retry_budget = retry_budget
         self._instance_count = instance_count
-        self._is_refusing = is_refusing
+        self._admission = admission
         self._random = generator
         self._retriers: dict[ServiceName, tuple[int, Retrier]] = {}
         self._wait_queue = wait_queue
@@ -223,8 +224,11 @@
         except TimeoutError:
             self._end_timed_out(found)
         except asyncio.CancelledError:
-            self._log.event(found, "caller_left")
-            self._metrics.count_request(found.route.name, "caller_left")
+            if reply.is_awaited:
+                self._end_stopped(found)
+            else:
+                self._log.event(found, "caller_left")
+                self._metrics.count_request(found.route.name, "caller_left")
             raise
 
     def _admit(
@@ -233,8 +237,6 @@
         if self._routing.configuration is None:
             wait_s = UNCONFIGURED_RETRY_AFTER_S
             return Refusal(STATUS_UNAVAILABLE, RefusalReason.UNCONFIGURED, wait_s)
-        if self._is_refusing():
-            return Refusal(STATUS_UNAVAILABLE, RefusalReason.LEAVING, 0.0)
         route = self._routing.route(metadata.host, request.path.decode("latin-1"))
         if route is None:
             return Refusal(STATUS_NOT_FOUND, RefusalReason.NO_ROUTE)
@@ -248,6 +250,11 @@
         limit_s = route.timeout_s
         if metadata.time_left_s is not None:
             limit_s = min(limit_s, metadata.time_left_s)
+        ends_at_s = request.received_at_s + limit_s
+        if not self._admission.accepts(
+            ends_at_s - self._loop.time(), is_call_once=route.is_call_once
+        ):
+            return Refusal(STATUS_UNAVAILABLE, RefusalReason.LEAVING, 0.0)
         return RequestContext(
             request=request,
             metadata=metadata,
@@ -258,7 +265,7 @@
             route=route,
             workspace=workspace,
             service=service,
-            ends_at_s=request.received_at_s + limit_s,
+            ends_at_s=ends_at_s,
             progress=ResponseProgress(EventSplitter(_resumed_after(metadata, route))),
         )
 
@@ -651,9 +658,7 @@
 
     def _give_up(self, context: RequestContext, error: UpstreamError) -> None:
         if context.progress.has_started:
-            self._log.event(context, "answer_broken", reason=str(error))
-            self._metrics.count_request(context.route.name, "broken")
-            context.reply.abort()
+            self._break_off(context, str(error))
             return
         if context.may_have_run:
             reason = RefusalReason.BROKEN
@@ -706,11 +711,25 @@
         wait_s = self._placement.limit_wait_s(context.service.name, now_s)
         return None if wait_s is None else min(wait_s, MAX_LIMIT_RETRY_AFTER_S)
 
+    def _end_stopped(self, context: RequestContext) -> None:
+        """End a request whose response did not come before this instance stops."""
+        if context.progress.has_started:
+            self._break_off(context, RefusalReason.LEAVING.value)
+            return
+        refusal = Refusal(STATUS_BAD_GATEWAY, RefusalReason.LEAVING)
+        if context.sent == 0:
+            refusal = Refusal(STATUS_UNAVAILABLE, RefusalReason.LEAVING, 0.0)
+        self._refuse(context.request, context.metadata, context.reply, refusal, context)
+
+    def _break_off(self, context: RequestContext, reason: str) -> None:
+        """Abort a response of which a part was sent."""
+        self._log.event(context, "answer_broken", reason=reason)
+        self._metrics.count_request(context.route.name, "broken")
+        context.reply.abort()
+
     def _end_timed_out(self, context: RequestContext) -> None:
         if context.progress.has_started:
-            self._log.event(context, "answer_broken", reason="timeout")
-            self._metrics.count_request(context.route.name, "broken")
-            context.reply.abort()
+            self._break_off(context, "timeout")
             return
         refusal = Refusal(STATUS_TIMEOUT, RefusalReason.TIMEOUT)
         if context.sent == 0:
--- a/src/banyanswitch/components/forwarding/models.py
+++ b/src/banyanswitch/components/forwarding/models.py
@@ -58,6 +58,11 @@
     is_public: bool = False
     is_streaming: bool = False
 
+    @property
+    def is_call_once(self) -> bool:
+        """Whether the requests are calls, not streams, that must not run twice."""
+        return self.repeatability is Repeatability.ONCE and not self.is_streaming
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineProfile:
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -18,6 +18,21 @@
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
 
 
+class RequestAdmission(Protocol):
+    """Decision on which new requests this instance accepts."""
+
+    def accepts(self, limit_s: float, *, is_call_once: bool) -> bool:
+        """Return whether a request is accepted.
+
+        Parameters
+        ----------
+        limit_s : float
+            Time in which the request must be answered, in seconds.
+        is_call_once : bool
+            Whether the request is a call, not a stream, that must not run twice.
+        """
+
+
 class PartGuard(Protocol):
     """Knowledge of prompt parts and requests that must not be sent to upstreams."""
 
--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -150,6 +150,11 @@
             self._connection.write(b"0\r\n\r\n")
         self._finish()
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the caller is connected and has no complete response."""
+        return self._connection.is_connected and not self.is_complete
+
     @callback
     def abort(self) -> None:
         """Abort the connection, so that the response can't appear complete."""
@@ -249,6 +254,11 @@
         """Bytes of responses that the caller has not acknowledged."""
         return 0 if self._transport is None else unsent_bytes(self._transport)
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the caller is connected and the connection isn't being closed."""
+        return self._transport is not None and not self._transport.is_closing()
+
     @property
     def request_id(self) -> str:
         """Identifier of the last request that was handled; empty if there is none."""
@@ -357,6 +367,20 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @callback
+    def cancel_request(self) -> bool:
+        """Cancel the handler of the request in progress, and drop the queued ones.
+
+        Returns
+        -------
+        has_handler : bool
+            Whether a handler was cancelled; it may still respond.
+        """
+        self._pending.clear()
+        if self._task is not None:
+            self._task.cancel()
+        return self._task is not None
+
     @callback
     def close(self) -> None:
         """Close the connection after the write buffer has been sent.
--- a/src/banyanswitch/components/http1/caller_server.py
+++ b/src/banyanswitch/components/http1/caller_server.py
@@ -121,9 +121,14 @@
             connection.close_when_idle()
 
     @callback
-    def abort_busy(self) -> None:
-        """Abort the connections with a request in progress."""
-        self._abort([found for found in self._connections if found.is_busy])
+    def end_requests(self) -> None:
+        """Cancel the requests in progress; abort those that are still being received.
+
+        A handler that is cancelled while its caller waits responds with an error, or
+        aborts the connection if a part of the response was sent.
+        """
+        busy = [found for found in self._connections if found.is_busy]
+        self._abort([found for found in busy if not found.cancel_request()])
 
     @callback
     def abort_all(self) -> None:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -466,6 +466,9 @@
         )
         translator = HeaderTranslator()
         keys = SigningKeys(INTERNAL_KEY, None)
+        self._shutdown = GracefulShutdown(
+            settings.grace_s, [self._membership.begin_leaving]
+        )
         forwarder = Forwarder(
             translator=translator,
             routing=self._routing,
@@ -480,7 +483,7 @@
                 window_s=settings.retry_window_s,
             ),
             instance_count=self._instance_count,
-            is_refusing=lambda: self._shutdown.is_refusing,
+            admission=self._shutdown,
             generator=self._random,
             wait_queue=self._wait_queue,
             origins=OriginExchange(
@@ -515,11 +518,8 @@
             self._guard,
             self._connection_limit(PEER_REQUEST_SHARE),
         )
-        self._shutdown = GracefulShutdown(
-            (self._server, self._request_server),
-            settings.grace_s,
-            [self._membership.begin_leaving],
-        )
+        for server in (self._server, self._request_server):
+            self._shutdown.add_server(server)
         discovery = DiscoveryEndpoint(
             codec=PlatformDiscoveryCodec(),
             peers=self._membership,
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -269,6 +269,7 @@
     body: bytes = b""
     is_aborted: bool = False
     is_declined: bool = False
+    is_awaited: bool = False
     ended_at_s: float | None = None
 
     def send(
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -141,7 +141,7 @@
         metrics=metrics,
         retry_budget=RetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
         instance_count=lambda: 1,
-        is_refusing=lambda: False,
+        admission=AcceptAll(),
         generator=generator,
         wait_queue=wait_queue,
         origins=origins,
@@ -163,6 +163,13 @@
     )
 
 
+class AcceptAll:
+    """Implements ``RequestAdmission`` for an instance that is not stopping."""
+
+    def accepts(self, limit_s: float, *, is_call_once: bool) -> bool:
+        return True
+
+
 class NoLoadSource:
     """Implements ``LoadSource`` for a small fleet."""
 
--- a/tests/components/http1/test_caller_connection.py
+++ b/tests/components/http1/test_caller_connection.py
@@ -243,14 +243,14 @@
 
 
 # Guards against responses that are cut without a trace, and against the cut of one that
-# only waits for its reader when requests in progress are aborted.
+# only waits for its reader when requests in progress are ended.
 async def test_cut_response_is_logged(long_server: CallerServer) -> None:
     reader, writer = await async_slow_reader(long_server)
     long_server.announce_close()
     writer.write(GET)
     await reader.readuntil(b"\r\n\r\n")
     with structlog.testing.capture_logs() as logs:
-        long_server.abort_busy()
+        long_server.end_requests()
         assert (long_server.unsent_count, logs) == (1, [])
         long_server.abort_all()
     (line,) = logs
