Take a response with an unknown status for none

Callers could see: the body of a response with status 000 in front of their answer, a wait until the deadline, or (600 to 999, and on the own interface any) the status itself.

Cause: the parsers take any three digits for a status. UpstreamConnection took every number below 200 for an interim response, but queued its body for the next one; the HTTP library relays it. Ruled out: the parser's own checks, which refuse only two and four digits.

Change: statuses outside 100 to 599, and 101, fail the connection, in one place for each of the two clients. So they do for calls to the store, to upstreams and to other instances.

--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -36,6 +36,13 @@
 SWEEP_INTERVAL_S: Final = 0.5
 """Interval of the checks for idle and slow connections."""
 
+INTERIM_STATUSES: Final = frozenset({100, *range(102, 200)})
+"""Statuses of responses that another one follows. 101 (Switching Protocols) is none:
+no request asks for another protocol."""
+
+FINAL_STATUSES: Final = range(200, 600)
+"""Statuses of the response to a request (RFC 9110, section 15)."""
+
 MAX_RESPONSE_OVERHEAD_BYTES: Final = 64 * 1024
 """Bytes of a response that may arrive in sequence without a part of its body: its head,
 interim responses, chunk extensions and trailers."""
--- a/src/banyanswitch/components/http1/library_limits.py
+++ b/src/banyanswitch/components/http1/library_limits.py
@@ -9,6 +9,8 @@
 from aiohttp.client_proto import ResponseHandler
 
 from banyanswitch.components.http1.const import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
     MAX_BUFFERED_BODY_BYTES,
     MAX_RESPONSE_OVERHEAD_BYTES,
 )
@@ -20,7 +22,7 @@
     """Protocol of the HTTP library with a limit on bytes that are no body.
 
     The library limits single headers and their number, but neither interim responses
-    nor chunk extensions.
+    nor chunk extensions. It takes any number of three digits for a status.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -34,6 +36,14 @@
         self._overhead_bytes = 0
         super().set_response_params(**options)
 
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue the head of a response; fail if its status doesn't exist."""
+        status = data[0].code
+        if status in FINAL_STATUSES or status in INTERIM_STATUSES:
+            super().feed_data(data, size)
+            return
+        self._fail(aiohttp.ClientPayloadError(f"received status {status:03}"))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if too many are no body."""
         super().data_received(data)
@@ -56,6 +66,9 @@
         error = aiohttp.ClientPayloadError(reason)
         if body is not None:
             body.set_exception(error)
+        self._fail(error)
+
+    def _fail(self, error: aiohttp.ClientError) -> None:
         # Closing removes an error that was set before.
         self.close()
         self.set_exception(error)
--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -8,6 +8,8 @@
 import httptools
 
 from banyanswitch.components.http1.const import (
+    FINAL_STATUSES,
+    INTERIM_STATUSES,
     MAX_BUFFERED_BODY_BYTES,
     MAX_RESPONSE_OVERHEAD_BYTES,
     MAX_SKIPPED_RESPONSES,
@@ -27,7 +29,6 @@
 from banyanswitch.decisions.response_ownership import Ownership
 from banyanswitch.exceptions import UpstreamBrokenError
 
-FIRST_FINAL_STATUS = 200
 INSIDE_ANOTHER_RESPONSE = "the body may end inside the head of another response"
 
 
@@ -107,7 +108,7 @@
         self._may_end_inside_head = False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._may_end_inside_head:
                 # The bytes behind the body are the rest of that head.
                 self._is_complete = False
@@ -236,10 +237,13 @@
     def on_headers_complete(self) -> None:
         """Queue the response head for `async_head`; skip interim responses."""
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
-            return
         if self._is_complete or self._error is not None:
             return
+        if status in INTERIM_STATUSES:
+            return
+        if status not in FINAL_STATUSES:
+            self._fail(f"received a response with status {status:03}")
+            return
         headers = tuple(self._headers)
         self._framing = self._body_framing(headers)
         head = ResponseHead(status, self._reason, headers, self._framing)
@@ -279,7 +283,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the response; skip interim responses."""
-        if self._parser.get_status_code() < FIRST_FINAL_STATUS:
+        if self._parser.get_status_code() in INTERIM_STATUSES:
             return
         if self._is_complete or self._error is not None:
             return
--- a/tests/components/routing/test_response_end.py
+++ b/tests/components/routing/test_response_end.py
@@ -30,7 +30,7 @@
 UPSTREAM = UpstreamId("u")
 WORKSPACE = WorkspaceId("w")
 SERVICE = ServiceName("counter")
-Call = Callable[[bytes, bytes], Awaitable[CompleteResponse]]
+Call = Callable[..., Awaitable[CompleteResponse]]
 
 
 def make_attempt(url: str) -> Attempt:
@@ -54,12 +54,14 @@
     client = UpstreamClient()
     servers = []
 
-    async def async_respond(headers: bytes, body: bytes) -> CompleteResponse:
+    async def async_respond(
+        headers: bytes, body: bytes, status: bytes = b"200 OK"
+    ) -> CompleteResponse:
         async def async_script(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             await reader.readuntil(b"\r\n\r\n")
-            head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            head = b"HTTP/1.1 " + status + b"\r\nConnection: close\r\n"
             identity = f"{HEADER_RUN_ID}: {RUN}\r\n{HEADER_WORKSPACE}: {WORKSPACE}\r\n"
             writer.write(head + identity.encode() + headers + b"\r\n" + body)
             writer.close()
@@ -114,3 +116,12 @@
     async_call: Call, headers: bytes, body: bytes, expected: bytes
 ) -> None:
     assert (await async_call(headers, body)).body == expected
+
+
+# Guards against an answer to a caller with a status that is none of HTTP.
+@pytest.mark.parametrize("status", [b"000 X", b"099 X", b"101 X", b"600 X", b"999 X"])
+async def test_response_with_an_unknown_status_is_broken(
+    async_call: Call, status: bytes
+) -> None:
+    with pytest.raises(UpstreamBrokenError, match=status[:3].decode()):
+        await async_call(b"Content-Length: 4\r\n", b"text", status)
