Take no body for whole that ends before its request was received

Callers could get a part of a body as a complete answer: the upstream answered a long upload without a length, ended the stream, and reset the connection for the rest of the upload.

Cause: the end of the connection counted as the end of the body unless the socket had a pending error. The end comes before the reset, and a failed write clears the error.

Change: bytes of the request that are not acknowledged at the end make the response broken.

--- a/src/banyanswitch/components/http1/upstream_connection.py
+++ b/src/banyanswitch/components/http1/upstream_connection.py
@@ -28,6 +28,7 @@
 from banyanswitch.core import callback
 from banyanswitch.decisions.response_ownership import Ownership
 from banyanswitch.exceptions import UpstreamBrokenError
+from banyanswitch.helpers.send_queue import unsent_bytes
 
 INSIDE_ANOTHER_RESPONSE = "the body may end inside the head of another response"
 
@@ -127,12 +128,16 @@
         """Complete a response whose body ends with the connection.
 
         After a short read, libuv also reports the end of the stream for a connection
-        that was reset. The pending error of the socket tells the two cases apart.
+        that was reset. The pending error of the socket tells the two cases apart, until
+        a write has cleared it. An upstream that ends the connection before it has
+        received the whole request resets it for the rest.
         """
         ends_with_connection = self._framing is BodyFraming.CONNECTION_END
         if self._is_awaiting_response and ends_with_connection and self._error is None:
             if self._was_reset():
                 self._fail("connection reset before the end of the response")
+            elif self._transport is not None and unsent_bytes(self._transport):
+                self._fail("connection closed before the end of the request")
             elif self._scanner is not None and self._scanner.may_be_inside:
                 self._fail(INSIDE_ANOTHER_RESPONSE)
             else:
