Limit the answers of the platform's services on the own interface

A table service or a list of instances that answers without end filled the memory of an entry until the call timed out.

Cause: two clients read whole bodies without the limits that the others have; the list's session also had no limit on heads.

An end of the stream in place of an answer is now an unknown outcome of a call to the table service as well.

--- a/src/banyanswitch/components/membership/platform_list.py
+++ b/src/banyanswitch/components/membership/platform_list.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from banyanswitch.components.http1.library_limits import async_read_limited
 from banyanswitch.components.membership.const import LIST_TIMEOUT_S
 from banyanswitch.components.membership.models import ListedInstance
 from banyanswitch.exceptions import PlatformUnavailableError
@@ -62,9 +63,14 @@
         try:
             async with self._session.get(self._url, timeout=self._timeout) as response:
                 response.raise_for_status()
-                body = await response.read()
+                body = await async_read_limited(response)
             answer = msgspec.json.decode(body, type=_ListAnswer)
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+        except (
+            aiohttp.ClientError,
+            aiohttp.EofStream,
+            TimeoutError,
+            msgspec.MsgspecError,
+        ) as error:
             raise PlatformUnavailableError(
                 f"the platform's list of instances can't be read from {self._url}"
             ) from error
--- a/src/banyanswitch/components/membership/setup.py
+++ b/src/banyanswitch/components/membership/setup.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from banyanswitch.components.http1.library_limits import LimitedConnector
 from banyanswitch.components.membership.const import DOMAIN
 from banyanswitch.components.membership.coordinator import MembershipCoordinator
 from banyanswitch.components.membership.list_watcher import ListWatcher
@@ -61,7 +62,9 @@
 def _watch_list(
     kernel: Kernel, settings: EntrySettings, coordinator: MembershipCoordinator
 ) -> None:
-    session = aiohttp.ClientSession(headers={HEADER_CALLER: settings.instance})
+    session = aiohttp.ClientSession(
+        connector=LimitedConnector(), headers={HEADER_CALLER: settings.instance}
+    )
     instance_list = HttpInstanceList(session, settings.instance_list_url)
     watcher = ListWatcher(
         coordinator, instance_list, random.Random(settings.random_seed or None)
--- a/src/banyanswitch/components/table_service/http_client.py
+++ b/src/banyanswitch/components/table_service/http_client.py
@@ -4,7 +4,11 @@
 
 import aiohttp
 
-from banyanswitch.components.http1.library_limits import LimitedConnector
+from banyanswitch.components.http1.const import MAX_TABLE_BODY_BYTES
+from banyanswitch.components.http1.library_limits import (
+    LimitedConnector,
+    async_read_limited,
+)
 from banyanswitch.components.table_service.circuit_breaker import CircuitBreaker
 from banyanswitch.components.table_service.const import (
     DEFAULT_RETRY_AFTER_S,
@@ -101,7 +105,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             breaker.record_failure(loop.time())
             raise PlatformUnavailableError(str(error)) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, aiohttp.EofStream, TimeoutError) as error:
             breaker.record_failure(loop.time())
             reason = f"no answer to {method} {path}: {error!r}"
             raise PlatformOutcomeUnknownError(reason) from error
@@ -127,7 +131,7 @@
             timeout=self._timeout,
             allow_redirects=False,
         ) as response:
-            content = await response.read()
+            content = await async_read_limited(response, MAX_TABLE_BODY_BYTES)
             retry_after_s = _retry_after_s(response.headers.get(HEADER_RETRY_AFTER))
             return PlatformResponse(response.status, content, retry_after_s)
 
