Continue a stream only with a response of the same kind

Callers could find the text of a 206, of a redirection or of a page in the middle of their stream, and the stream ended as if it were complete; so it did after a 204. A first answer of 204 was followed by a last chunk.

Cause: of a response that continues a stream, only statuses of 400 and more were refused. Ruled out: these statuses, half heads, no heads, refusals that say "not run", and heads inside a body (all broken off before), and the way through another instance.

Change: status and content type must be those of the response that began the stream. Only a 2xx with a body is relayed as one.

--- a/src/banyanswitch/components/forwarding/response_relay.py
+++ b/src/banyanswitch/components/forwarding/response_relay.py
@@ -12,20 +12,42 @@
     MAX_BUFFERED_BODY_BYTES,
     READ_HIGH_WATER_BYTES,
 )
-from banyanswitch.components.http1.models import BodyFraming, ResponseHead
+from banyanswitch.components.http1.models import (
+    BodyFraming,
+    ResponseHead,
+    header_value,
+)
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.exceptions import UpstreamBrokenError, UpstreamFailureError
 
+FIRST_SUCCESS_STATUS = 200
+FIRST_REDIRECTION_STATUS = 300
 FIRST_SERVER_ERROR_STATUS = 500
 FIRST_CLIENT_ERROR_STATUS = 400
 
 
 @dataclass(slots=True)
 class ResponseProgress:
-    """Progress of the response to the caller, across all attempts."""
+    """Progress of the response to the caller, across all attempts.
+
+    Attributes
+    ----------
+    head : ResponseHead or None
+        Head of the response, if a part of it was sent to the caller.
+    """
 
     splitter: EventSplitter
     first_byte_at_s: float | None = None
+    head: ResponseHead | None = None
+
+    def begin(self, head: ResponseHead, now_s: float) -> None:
+        """Note that the response with this head is sent to the caller."""
+        self.head = head
+        self.first_byte_at_s = now_s
+
+    def is_continued_by(self, head: ResponseHead) -> bool:
+        """Return whether a response with this head may be the rest of the stream."""
+        return self.head is not None and _kind(head) == _kind(self.head)
 
     @property
     def has_started(self) -> bool:
@@ -39,6 +61,22 @@
         return round(now_s - self.first_byte_at_s, 4)
 
 
+def _has_stream(head: ResponseHead) -> bool:
+    """Return whether a response has a body that may be a stream of events."""
+    is_success = FIRST_SUCCESS_STATUS <= head.status < FIRST_REDIRECTION_STATUS
+    return is_success and head.framing is not BodyFraming.NONE
+
+
+def _kind(head: ResponseHead) -> tuple[int, bytes]:
+    return head.status, _media_type(head)
+
+
+def _media_type(head: ResponseHead) -> bytes:
+    """Return the content type without its parameters; empty if there is none."""
+    value = header_value(head.headers, b"content-type") or b""
+    return value.partition(b";")[0].strip().lower()
+
+
 class ResponseRelay:
     """Relay the response of one attempt to the caller.
 
@@ -89,27 +127,28 @@
         """
         is_failure = head.status >= FIRST_SERVER_ERROR_STATUS
         if self._progress.has_started:
-            if head.status >= FIRST_CLIENT_ERROR_STATUS:
+            if not self._progress.is_continued_by(head):
                 raise UpstreamBrokenError(
-                    f"resuming the stream failed with status {head.status}"
+                    f"resuming the stream failed with status {head.status} and "
+                    f"content type {_media_type(head)!r}"
                 )
             await self._async_relay_events(body)
             return
         if is_failure and not is_last:
             await body.async_read_all()
             raise UpstreamFailureError(f"upstream responded with status {head.status}")
-        if self._is_streaming and head.status < FIRST_CLIENT_ERROR_STATUS:
+        if self._is_streaming and _has_stream(head):
             headers = self._translator.caller_headers(head)
             # The total length of a stream that may be resumed is unknown.
             self._reply.start(
                 head.status, headers, BodyFraming.CHUNKED, reason=head.reason
             )
-            self._progress.first_byte_at_s = self._loop.time()
+            self._progress.begin(head, self._loop.time())
             await self._async_relay_events(body)
             return
         content = await body.async_read_all(self._note_collected)
         headers = self._translator.caller_headers(head)
-        self._progress.first_byte_at_s = self._loop.time()
+        self._progress.begin(head, self._loop.time())
         self._reply.send(head.status, headers, content, reason=head.reason)
 
     def _note_collected(self, size_bytes: int) -> None:
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -269,6 +269,7 @@
     body: bytes = b""
     is_aborted: bool = False
     is_declined: bool = False
+    framing: BodyFraming = BodyFraming.NONE
     is_awaited: bool = False
     ended_at_s: float | None = None
 
@@ -294,6 +295,7 @@
     ) -> None:
         self.status = status
         self.headers = dict(headers)
+        self.framing = framing
 
     def write(self, data: bytes) -> None:
         self.body += data
@@ -332,6 +334,8 @@
         Whether it closes the connection when it begins a request.
     slowness : float or None
         Slowness that its responses report.
+    raw_response : bytes or None
+        All that it sends in place of a response, before it ends the connection.
     """
 
     name: str
@@ -342,6 +346,7 @@
     sends_head_first: bool = False
     crashes: bool = False
     slowness: float | None = None
+    raw_response: bytes | None = None
     exchanges: list["FakeExchange"] = field(default_factory=list)
 
 
@@ -384,6 +389,12 @@
         if self._upstream.crashes:
             self.abort()
             return
+        if self._upstream.raw_response is not None:
+            self._connection.data_received(self._upstream.raw_response)
+            if not self._is_closed:
+                self._connection.eof_received()
+                self.abort()
+            return
         if not self._upstream.sends_head_first:
             self._send_head()
         if self._next_event < EVENTS:
--- a/tests/process/test_passing_on.py
+++ b/tests/process/test_passing_on.py
@@ -3,8 +3,10 @@
 import asyncio
 import signal
 from collections.abc import AsyncIterator
+from contextlib import nullcontext
 from pathlib import Path
 
+import aiohttp
 import pytest
 
 from tests.process.instance_links import Cut
@@ -169,3 +171,28 @@
     status, _, _ = await platform.async_call("/once/", "late", host=CUT_HOST)
     assert status in (502, 504)
     assert platform.run_count("late") == 1
+
+
+# Guards against the text of an error inside a stream that broke off behind the
+# other instance, and against its end as if it were complete.
+@pytest.mark.parametrize("fails", [False, True], ids=["continued", "failed"])
+async def test_broken_stream_behind_the_other_instance(
+    platform: Platform, fails: bool
+) -> None:
+    await async_cut(platform)
+    for upstream in platform.upstreams.values():
+        upstream.events = 100
+        upstream.aborts_after = 50
+    body = b""
+    with pytest.raises(aiohttp.ClientPayloadError) if fails else nullcontext():
+        async with platform.async_stream(
+            "/stream/", "broken", host=CUT_HOST, headers=PROMPT
+        ) as response:
+            body = await response.content.readuntil(b"id: 3\ndata: event 3\n\n")
+            for upstream in platform.upstreams.values():
+                upstream.fails = fails
+            async for part in response.content.iter_any():
+                body += part
+    events = [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 101)]
+    assert body == b"".join(events[:50] if fails else events)
+    assert platform.run_count("broken") == 2
