Refuse new requests while an entry drains

Callers that keep using open connections had requests cut at the end of a planned stop of banyanswitch-entry (ServerDisconnectedError).

Cause: the entry accepted requests until none happened to be in progress, or until the drain timeout, and then closed its connections. Ruled out: callers that follow the addresses, which leave in time (test_graceful_shutdown_aborts_no_request).

Change: once its addresses have expired, the entry stops listening, answers new requests with 503 "leaving" and closes their connections.

--- a/src/banyanswitch/components/gateway/handlers.py
+++ b/src/banyanswitch/components/gateway/handlers.py
@@ -117,13 +117,13 @@
         return web.Response(status=answer.status, body=answer.body, headers=headers)
 
     async def _async_plain(self, call: PlainCall) -> StoredAnswer | RefusalError:
-        with self._request_tracker.track():
-            try:
+        try:
+            with self._request_tracker.track():
                 async with self._gate.async_admitted(_admission_call(call)) as ticket:
                     admitted = replace(call, ticket=ticket)
                     return await self._plain_calls.async_call(admitted)
-            except RefusalError as refusal:
-                return refusal
+        except RefusalError as refusal:
+            return refusal
 
 
 def _admission_call(call: ModelCall | PlainCall) -> AdmissionCall:
--- a/src/banyanswitch/components/gateway/middleware.py
+++ b/src/banyanswitch/components/gateway/middleware.py
@@ -7,6 +7,7 @@
 from aiohttp.typedefs import Handler, Middleware
 
 from banyanswitch.components.gateway.problems import problem_response
+from banyanswitch.components.gateway.request_tracker import CODE_LEAVING
 from banyanswitch.components.metrics.const import Counter, Timing
 from banyanswitch.components.metrics.recorder import MetricRecorder
 from banyanswitch.components.routing.const import RETRY_AFTER_S
@@ -29,7 +30,10 @@
             return await handler(request)
         except RefusalError as refusal:
             metrics.count(_refusal_counter(refusal))
-            return problem_response(refusal)
+            response = problem_response(refusal)
+            if refusal.code == CODE_LEAVING:
+                response.force_close()
+            return response
         except web.HTTPException as error:
             return problem_response(
                 RefusalError("http_error", error.reason, status=error.status)
--- a/src/banyanswitch/components/gateway/server.py
+++ b/src/banyanswitch/components/gateway/server.py
@@ -33,6 +33,7 @@
         self._kernel = kernel
         self._settings = settings
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
         self.request_tracker = RequestTracker()
         self.port = settings.port
 
@@ -52,6 +53,7 @@
         )
         await site.start()
         self._runner = runner
+        self._site = site
         self.port = runner.addresses[0][1]
 
     async def async_stop(self) -> None:
@@ -59,6 +61,12 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def async_refuse_new(self) -> None:
+        """Stop listening, and refuse requests on the connections that stay open."""
+        self.request_tracker.refuse_new()
+        if self._site is not None:
+            await self._site.stop()
+
     async def async_drain(self, timeout_s: float) -> bool:
         """Wait for the requests in progress to complete.
 
--- a/src/banyanswitch/components/shutdown/coordinator.py
+++ b/src/banyanswitch/components/shutdown/coordinator.py
@@ -47,9 +47,10 @@
 
         Callers may use the addresses that they hold until these expire, and peers that
         have not yet received the leaving state still return them. The instance
-        therefore continues to serve until then. After that, returns when no request is
-        in progress or after ``drain_timeout_s``. The process then ends, and the open
-        connections end with it.
+        therefore continues to serve until then. After that, it refuses new requests,
+        also on open connections, and returns when none is in progress or after
+        ``drain_timeout_s``. The process then ends, and the open connections end with
+        it.
         """
         await self._requested.wait()
         LOGGER.info("stop_requested", in_progress=self._server.request_tracker.count)
@@ -57,6 +58,7 @@
         self._kernel.bus.publish(ShutdownStarted())
         propagation_s = PROPAGATION_HEARTBEATS * self._settings.heartbeat_s
         await asyncio.sleep(self._settings.address_ttl_s + propagation_s)
+        await self._server.async_refuse_new()
         is_idle = await self._server.async_drain(self._settings.drain_timeout_s)
         LOGGER.info(
             "stop_drained",
--- a/tests/process/test_leaving.py
+++ b/tests/process/test_leaving.py
@@ -3,10 +3,11 @@
 import asyncio
 import signal
 
+import aiohttp
 import pytest
-from bench.callers import Caller
+from bench.callers import DONE_DATA, Caller, completion_body
 from bench.demo.load import LoadReport, async_keep_calling
-from bench.fleet import Fleet
+from bench.fleet import MODEL, Fleet
 from bench.processes import ChildProcess, wait_until
 
 pytestmark = pytest.mark.process
@@ -15,6 +16,8 @@
 LEAVING_SETTLE_S = 3.0
 FAR_FUTURE_UNIX_S = 1e12
 HIGH_TOKEN = 1_000_000
+STOPPED_WITHIN_S = 8.0
+"""Time to live of the addresses, three heartbeats, and the requests in progress."""
 
 
 def set_leaving(engine: ChildProcess) -> None:
@@ -113,3 +116,39 @@
             break
         await asyncio.sleep(0.05)
     assert urls == (staying.url,)
+
+
+# Guards against a planned stop that takes requests until its end, since callers keep
+# using their open connections, and against requests that it then cuts.
+async def test_open_connections_do_not_delay_a_graceful_shutdown(
+    fleet: Fleet, caller: Caller
+) -> None:
+    leaving = fleet.entries[0]
+    responses: list[tuple[int, str]] = []
+    ended = asyncio.Event()
+
+    async def async_keep_using() -> None:
+        body = completion_body(MODEL, "text", 8)
+        while not ended.is_set():
+            try:
+                async with caller.session.post(
+                    f"{leaving.url}/v1/chat/completions",
+                    data=body,
+                    headers=caller.headers,
+                ) as response:
+                    text = await response.text()
+                    responses.append((response.status, text))
+            except aiohttp.ClientConnectorError:
+                ended.set()
+            await asyncio.sleep(0.01)
+
+    callers = [asyncio.create_task(async_keep_using()) for _ in range(CALLERS)]
+    await asyncio.sleep(0.5)
+    leaving.signal(signal.SIGTERM)
+    assert await asyncio.to_thread(leaving.wait_ended, STOPPED_WITHIN_S) == 0
+    ended.set()
+    await asyncio.gather(*callers)
+    refused = [text for status, text in responses if status != 200]
+    assert all('"leaving"' in text and '"not_run"' in text for text in refused)
+    assert all(DONE_DATA in text for status, text in responses if status == 200)
+    assert len(responses) > CALLERS
