Isolate waiting requests of a workspace that becomes isolated

Cause: cache_scope() mixed the workspace of the admission with the shared scope of the active configuration.

Change: the shared scope is used only by workspaces that are isolated neither at the admission nor now.

--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -21,7 +21,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.core import callback
 from banyanswitch.decisions.prefix import isolated_scope, shared_scope
-from banyanswitch.identifiers import FailureDomainId, ServiceName
+from banyanswitch.identifiers import FailureDomainId, ServiceName, WorkspaceId
 from banyanswitch.interfaces import Item
 
 LOGGER = structlog.get_logger(__name__)
@@ -77,6 +77,7 @@
         self._configuration_key = configuration_key
         self._routes_by_host: dict[str, list[Route]] = {}
         self._workspaces_by_key: dict[str, ForwardedWorkspace] = {}
+        self._workspaces_by_name: dict[WorkspaceId, ForwardedWorkspace] = {}
         self._targets: dict[str, WeightTarget] = {}
         self._evacuated: set[FailureDomainId] = set()
         self.on_returned: Callable[[FailureDomainId], None] = lambda _domain: None
@@ -155,8 +156,21 @@
 
     @callback
     def cache_scope(self, workspace: ForwardedWorkspace | None) -> str:
-        """Return the scope of the cache salts of a workspace's requests."""
-        if workspace is not None and workspace.is_isolated:
+        """Return the scope of the cache salts of a workspace's requests.
+
+        The shared scope belongs to the active configuration. A request that was
+        admitted under an earlier one may use it only if its workspace is isolated in
+        neither.
+
+        Parameters
+        ----------
+        workspace : ForwardedWorkspace or None
+            Workspace as it was when the request was admitted.
+        """
+        if workspace is None:
+            return self._shared_scope
+        active = self._workspaces_by_name.get(workspace.name)
+        if workspace.is_isolated or active is None or active.is_isolated:
             return isolated_scope(workspace.name)
         return self._shared_scope
 
@@ -189,6 +203,9 @@
             for workspace in configuration.workspaces
             for key in workspace.keys
         }
+        self._workspaces_by_name = {
+            workspace.name: workspace for workspace in configuration.workspaces
+        }
         self._shared_scope = shared_scope(
             workspace.name
             for workspace in configuration.workspaces
--- a/tests/components/forwarding/test_isolation.py
+++ b/tests/components/forwarding/test_isolation.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -47,12 +48,16 @@
         if configuration is not None:
             self.instances[number].apply(configuration)
 
-    def use(self, name: str, number: int) -> set[str]:
+    def admit(self, name: str) -> ForwardedWorkspace | None:
+        """Return what a request keeps of its workspace while it waits."""
+        return self.instances[0].workspace(f"key-{name}")
+
+    def use(
+        self, name: str, number: int, admitted: ForwardedWorkspace | None = None
+    ) -> set[str]:
         """Send a workspace's request; return the workspaces whose parts it finds."""
-        state = self.instances[number]
-        makers = self.makers.setdefault(
-            state.cache_scope(state.workspace(f"key-{name}")), set()
-        )
+        scope = self.instances[number].cache_scope(admitted or self.admit(name))
+        makers = self.makers.setdefault(scope, set())
         found = set(makers)
         makers.add(name)
         return found
@@ -70,10 +75,26 @@
     assert fleet.use("c", 0) == {"b"}
 
 
+@pytest.mark.parametrize("before", [frozenset(), frozenset("a")])
+async def test_request_that_waits_during_a_change_shares_no_parts(
+    before: frozenset[str],
+) -> None:
+    """It was sent in the scope that all others share from the change on."""
+    fleet = Fleet(1)
+    fleet.apply(1, before)
+    admitted = fleet.admit("a")
+    fleet.apply(2, frozenset("a") - before)
+    fleet.use("a", 0, admitted)
+    assert fleet.use("b", 0) == set()
+
+
 STEPS = st.lists(
     st.tuples(
         st.frozensets(st.sampled_from(NAMES)),
-        st.lists(st.tuples(st.sampled_from(NAMES), st.integers(0, 1)), max_size=6),
+        st.lists(
+            st.tuples(st.sampled_from(NAMES), st.integers(0, 1), st.booleans()),
+            max_size=6,
+        ),
         st.integers(0, 1),
     ),
     max_size=8,
@@ -83,13 +104,16 @@
 @given(STEPS)
 @settings(derandomize=True)
 async def test_isolated_workspaces_share_no_parts(
-    steps: list[tuple[frozenset[str], list[tuple[str, int]], int]],
+    steps: list[tuple[frozenset[str], list[tuple[str, int, bool]], int]],
 ) -> None:
+    """Some requests were admitted before the last change of the configuration."""
     fleet = Fleet(2)
     for version, (isolated, uses, restarted) in enumerate(steps, start=1):
+        admitted = {name: fleet.admit(name) for name in NAMES}
         fleet.apply(version, isolated)
         fleet.restart(restarted)
-        for name, number in uses:
-            others = fleet.use(name, number) - {name}
+        for name, number, is_admitted_before in uses:
+            earlier = admitted[name] if is_admitted_before else None
+            others = fleet.use(name, number, earlier) - {name}
             assert not others or name not in isolated
             assert not others & isolated
