Bound the numbers of callers and upstreams where they are read

Cause: the predicted work in ms doesn't fit into a report; the report is made when a request begins, and its error left the request in the loads for good, so that each later report failed. Ruled out: the upstream's answer, a plain 503.

A request larger than an upstream's memory is refused at once. An error in the handling of a load change doesn't end the request.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -114,3 +114,10 @@
 
 MAX_LOGGED_PARTS: Final = 8
 """Number of prompt parts in a log line."""
+
+MAX_TOKENS: Final = 1_000_000_000
+"""Highest number of tokens that is counted for one part of a request, above the memory
+of any upstream. Sums over all requests of an instance fit into 64 bits."""
+
+MAX_REQUESTS: Final = 1_000_000
+"""Highest number of requests at an upstream that is believed."""
--- a/src/banyanswitch/components/forwarding/event_stream.py
+++ b/src/banyanswitch/components/forwarding/event_stream.py
@@ -5,6 +5,7 @@
 from banyanswitch.components.http1.const import MAX_EVENT_BYTES
 from banyanswitch.exceptions import UpstreamBrokenError
 
+MAX_ID_DIGITS = 18
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
 
@@ -79,4 +80,6 @@
 
 
 def _number(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    if value is None or not value.isdigit() or len(value) > MAX_ID_DIGITS:
+        return None
+    return int(value)
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -30,6 +30,7 @@
 from banyanswitch.components.forwarding.event_stream import EventSplitter
 from banyanswitch.components.forwarding.metrics import ForwardingMetrics
 from banyanswitch.components.forwarding.models import (
+    ForwardedService,
     Repeatability,
     RequestMetadata,
     Route,
@@ -243,17 +244,15 @@
         workspace = self._routing.workspace(metadata.key)
         if workspace is None and self._routing.has_workspaces and not route.is_public:
             return Refusal(STATUS_UNAUTHORIZED, RefusalReason.UNKNOWN_KEY)
-        service = self._placement.service_of(pick_service(route, self._random))
-        if service is None:
-            wait_s = UNAVAILABLE_RETRY_AFTER_S
-            return Refusal(STATUS_UNAVAILABLE, RefusalReason.NO_UPSTREAM, wait_s)
+        service = self._service(route, metadata)
+        if isinstance(service, Refusal):
+            return service
         limit_s = route.timeout_s
         if metadata.time_left_s is not None:
             limit_s = min(limit_s, metadata.time_left_s)
         ends_at_s = request.received_at_s + limit_s
-        if not self._admission.accepts(
-            ends_at_s - self._loop.time(), is_call_once=route.is_call_once
-        ):
+        left_s = ends_at_s - self._loop.time()
+        if not self._admission.accepts(left_s, is_call_once=route.is_call_once):
             return Refusal(STATUS_UNAVAILABLE, RefusalReason.LEAVING, 0.0)
         return RequestContext(
             request=request,
@@ -269,6 +268,18 @@
             progress=ResponseProgress(EventSplitter(_resumed_after(metadata, route))),
         )
 
+    def _service(
+        self, route: Route, metadata: RequestMetadata
+    ) -> ForwardedService | Refusal:
+        """Return a service of the route that can serve the request."""
+        service = self._placement.service_of(pick_service(route, self._random))
+        if service is None:
+            wait_s = UNAVAILABLE_RETRY_AFTER_S
+            return Refusal(STATUS_UNAVAILABLE, RefusalReason.NO_UPSTREAM, wait_s)
+        if _exceeds_memory(metadata, service):
+            return Refusal(STATUS_UNAVAILABLE, RefusalReason.TOO_LARGE)
+        return service
+
     async def _async_find_origin(self, context: RequestContext) -> Refusal | None:
         """Bind a stream that its caller takes up again to the version that began it.
 
@@ -801,6 +812,14 @@
         )
 
 
+def _exceeds_memory(metadata: RequestMetadata, service: ForwardedService) -> bool:
+    """Return whether a request is larger than the memory of any upstream."""
+    if service.engine is None or metadata.model is None:
+        return False
+    tokens = metadata.prompt_tokens + metadata.output_tokens
+    return tokens > service.engine.capacity_tokens
+
+
 def _resumed_after(metadata: RequestMetadata, route: Route) -> bytes | None:
     """Return the last event that a caller has of a stream that it takes up again."""
     if route.repeatability is not Repeatability.RESUMABLE_STREAM:
--- a/src/banyanswitch/components/forwarding/loads.py
+++ b/src/banyanswitch/components/forwarding/loads.py
@@ -4,11 +4,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import structlog
+
 from banyanswitch.components.forwarding.const import LOAD_REPORT_TTL_S
 from banyanswitch.core import callback
 from banyanswitch.decisions.load_shares import NO_LOAD, Load
 from banyanswitch.identifiers import UpstreamId
 
+LOGGER = structlog.get_logger(__name__)
 MILLISECONDS_PER_S = 1000.0
 
 
@@ -96,10 +99,14 @@
         self._note_change(request)
 
     def _note_change(self, request: InFlight) -> None:
+        """Call the handlers; the request goes on if one of them fails."""
         self.change_count += 1
-        self.on_change(request.upstream, is_large=request.is_large_prefill)
-        if request.is_large_prefill:
-            self.on_large_prefill_change()
+        try:
+            self.on_change(request.upstream, is_large=request.is_large_prefill)
+            if request.is_large_prefill:
+                self.on_large_prefill_change()
+        except Exception:
+            LOGGER.exception("load_change_not_handled", upstream=request.upstream)
 
     @callback
     def note_remote(
--- a/src/banyanswitch/components/forwarding/refusals.py
+++ b/src/banyanswitch/components/forwarding/refusals.py
@@ -34,6 +34,7 @@
     PART_WITHHELD = "part_withheld"
     OVERLOADED = "upstreams_overloaded"
     EVACUATED = "domains_evacuated"
+    TOO_LARGE = "larger_than_upstreams"
 
 
 DECLINE_REASONS = frozenset(
--- a/src/banyanswitch/platform/headers.py
+++ b/src/banyanswitch/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
+from banyanswitch.components.forwarding.const import MAX_REQUESTS, MAX_TOKENS
 from banyanswitch.components.forwarding.models import (
     PromptPart,
     RequestMetadata,
@@ -53,6 +54,8 @@
 LOAD_FIELDS = 3
 USUAL_SLOWNESS_PERCENT = 100.0
 TOKEN_FIELDS = 2
+MAX_INTEGER = 2**53 - 1
+MAX_DIGITS = 18
 
 
 class HeaderTranslator:
@@ -233,10 +236,12 @@
     return number if 0.0 <= number < float("inf") else None
 
 
-def _parse_integer(value: str | None) -> int | None:
+def _parse_integer(value: str | None, max_value: int = MAX_INTEGER) -> int | None:
+    """Return a number of decimal digits, at most ``max_value``."""
     if value is None or not value.isascii() or not value.isdigit():
         return None
-    return int(value)
+    digits = value.lstrip("0") or "0"
+    return max_value if len(digits) > MAX_DIGITS else min(int(digits), max_value)
 
 
 def _parse_milliseconds(milliseconds: str | None) -> float | None:
@@ -245,7 +250,8 @@
 
 
 def _parse_token_counts(value: str | None) -> tuple[int, int]:
-    numbers = [_parse_integer(part.strip()) for part in (value or "").split(",")]
+    texts = [part.strip() for part in (value or "").split(",")]
+    numbers = [_parse_integer(text, MAX_TOKENS) for text in texts]
     if len(numbers) != TOKEN_FIELDS or None in numbers:
         return 0, 0
     return numbers[0] or 0, numbers[1] or 0
@@ -255,7 +261,7 @@
     parts = []
     for item in (value or "").split(","):
         name, _, tokens = item.strip().partition(":")
-        count = _parse_integer(tokens)
+        count = _parse_integer(tokens, MAX_TOKENS)
         if not name or count is None:
             return ()
         parts.append(PromptPart(name, count))
@@ -273,7 +279,9 @@
     figures = [part.strip() for part in (value or "").split(",")]
     if len(figures) < LOAD_FIELDS:
         return None, None
-    running, waiting, slots = map(_parse_integer, figures[:LOAD_FIELDS])
+    running, waiting, slots = (
+        _parse_integer(figure, MAX_REQUESTS) for figure in figures[:LOAD_FIELDS]
+    )
     if running is None or waiting is None or slots is None:
         return None, None
     percent = (
