Restart tasks that end by an error

A stopped broadcaster is free again; it stayed busy before, so that a restarted task could not have reported.

--- a/src/banyanswitch/components/forwarding/metrics.py
+++ b/src/banyanswitch/components/forwarding/metrics.py
@@ -46,6 +46,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._task_failures = Counter(
+            "banyanswitch_task_failures",
+            "Errors that ended a task of the process, which is restarted",
+            ["task"],
+            registry=self._registry,
+        )
         self._not_sent = Counter(
             "banyanswitch_attempts_not_sent",
             "Attempts whose upstream could not be reached, by service",
@@ -178,6 +184,11 @@
         """Count an attempt that an upstream did not run."""
         self._not_run.labels(service).inc()
 
+    @callback
+    def count_task_failure(self, name: str) -> None:
+        """Count an error that ended a task of the process, before its restart."""
+        self._task_failures.labels(name).inc()
+
     @callback
     def count_not_sent(self, service: ServiceName) -> None:
         """Count an attempt whose upstream could not be reached."""
--- a/src/banyanswitch/components/peers/paced_broadcaster.py
+++ b/src/banyanswitch/components/peers/paced_broadcaster.py
@@ -76,6 +76,7 @@
         """Cancel the rest of the broadcast."""
         if self._task is not None:
             self._task.cancel()
+            self._task = None
 
     async def _async_send_rest(
         self, message: object, rest: list[str], burst: int, pause_s: float
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
 from dataclasses import dataclass, replace
 from http import HTTPStatus
 from typing import Any, Final
@@ -90,6 +89,7 @@
 from banyanswitch.decisions.upstream_limits import ColdPolicy
 from banyanswitch.decisions.weight_age import WeightAgePolicy
 from banyanswitch.helpers.signing import SigningKeys
+from banyanswitch.helpers.supervision import TaskFunction, start_supervised
 from banyanswitch.helpers.suspension import (
     SuspensionWatch,
     SystemSuspensionClock,
@@ -215,30 +215,31 @@
         await self._readiness.async_start(*host_and_port(settings.readiness_address))
         await self._internal.async_start(settings.host, settings.peer_port)
         await self._request_server.async_start(settings.host, settings.request_port)
-        coroutines: dict[str, Coroutine[Any, Any, None]] = {
-            "membership": self._membership.async_run(),
-            "operator_table": self._mirrors[TABLE_OPERATOR].async_run(),
-            "upstream_table": self._mirrors[TABLE_UPSTREAMS].async_run(),
-            "exchange": self._exchange.async_run(),
-            "shares": self._share_reporter.async_run(),
-            "words": self._event_relay.async_run(),
-            "relay": self._relay.async_run(),
-            "named_times": self._target_time_store.async_run(),
-            "software_versions": self._version_store.async_run(),
-            "stream_origins": self._origin_store.async_run(),
-            "quarantine": self._quarantine_store.async_run(),
-            "links": self._links.async_run(),
-            "rollout": self._rollout.async_run(),
-            "cleaner": self._cleaner.async_run(),
-            "housekeeping": self._async_housekeep(),
-            "sweep": self._server.async_sweep(),
-            "sweep_requests": self._request_server.async_sweep(),
-            "sweep_directory": self._directory.async_sweep(),
-            "sweep_readiness": self._readiness.async_sweep(),
-            "sweep_internal": self._internal.async_sweep(),
+        functions: dict[str, TaskFunction] = {
+            "membership": self._membership.async_run,
+            "operator_table": self._mirrors[TABLE_OPERATOR].async_run,
+            "upstream_table": self._mirrors[TABLE_UPSTREAMS].async_run,
+            "exchange": self._exchange.async_run,
+            "shares": self._share_reporter.async_run,
+            "words": self._event_relay.async_run,
+            "relay": self._relay.async_run,
+            "named_times": self._target_time_store.async_run,
+            "software_versions": self._version_store.async_run,
+            "stream_origins": self._origin_store.async_run,
+            "quarantine": self._quarantine_store.async_run,
+            "links": self._links.async_run,
+            "rollout": self._rollout.async_run,
+            "cleaner": self._cleaner.async_run,
+            "housekeeping": self._async_housekeep,
+            "sweep": self._server.async_sweep,
+            "sweep_requests": self._request_server.async_sweep,
+            "sweep_directory": self._directory.async_sweep,
+            "sweep_readiness": self._readiness.async_sweep,
+            "sweep_internal": self._internal.async_sweep,
         }
         tasks = tuple(
-            _start_task(name, coroutine) for name, coroutine in coroutines.items()
+            start_supervised(name, run, self._metrics.count_task_failure)
+            for name, run in functions.items()
         )
         LOGGER.info(
             "started", instance=settings.instance, incarnation=self._incarnation
@@ -249,7 +250,9 @@
             tasks=tasks,
             transport=self._transport,
             leases=self._leases,
-            lease_task=_start_task("leases", self._leases.async_run()),
+            lease_task=start_supervised(
+                "leases", self._leases.async_run, self._metrics.count_task_failure
+            ),
             membership=self._membership,
         )
 
@@ -640,18 +643,6 @@
         await self._relay.async_answer(request, reply)
 
 
-def _start_task(name: str, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
-    task = asyncio.get_running_loop().create_task(coroutine, name=name)
-    task.add_done_callback(_log_failure)
-    return task
-
-
-@callback
-def _log_failure(task: asyncio.Task[Any]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        LOGGER.error("task_failed", task=task.get_name(), exc_info=task.exception())
-
-
 def _refusal_headers(headers: Headers) -> list[Header]:
     """Return the headers of a refusal under pressure, given those of the request."""
     translator = HeaderTranslator()
