Plan prompts of many parts in linear time, and seldom while they wait

Cause: the plan of each part walked over all saves of the last 4 s, and a queued prompt was planned anew at each change of the loads. Ruled out: parsing, and the quarantine, which are linear and done once for each placement.

Change: the tokens of pending saves are kept for each store; stores are looked at once for each plan; a queued prompt is placed again after 0.5 ms a part at the earliest, the first one after a tenth of that.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -121,3 +121,10 @@
 
 MAX_REQUESTS: Final = 1_000_000
 """Highest number of requests at an upstream that is believed."""
+
+PLAN_INTERVAL_S_PER_PART: Final = 0.0005
+"""Minimum time between two placements of a queued request, for each part of its prompt,
+so that a request that waits takes about a hundredth of the processor at most."""
+
+FIRST_PLAN_SHARE: Final = 0.1
+"""Share of this time for the first request of the queue."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -14,12 +14,14 @@
     BUSY_RETRY_AFTER_S,
     DUE_SHARE,
     EVACUATED_RETRY_AFTER_S,
+    FIRST_PLAN_SHARE,
     MAX_LIMIT_RETRY_AFTER_S,
     MAX_QUEUE_WAIT_S,
     MAX_QUEUE_WAIT_SHARE,
     MAX_UNSENT_ATTEMPTS,
     MIN_TIME_LEFT_S,
     OVERLOAD_RETRY_AFTER_S,
+    PLAN_INTERVAL_S_PER_PART,
     QUEUE_POLL_INTERVAL_S,
     QUEUE_POLL_JITTER_S,
     RETRY_BUDGET_SHARE,
@@ -427,10 +429,17 @@
         if not is_resumed:
             aim_s = context.route.target_latency_s
             due_at_s = context.request.received_at_s + DUE_SHARE * aim_s
+        plan_s = PLAN_INTERVAL_S_PER_PART * len(context.metadata.parts)
+        placed_at_s = -math.inf
         try:
             while True:
                 is_wait_over = self._loop.time() >= queue_deadline_s
                 is_first = self._wait_queue.is_first(service, number, self._loop.time())
+                pause_s = FIRST_PLAN_SHARE * plan_s if is_first else plan_s
+                if not is_wait_over and self._loop.time() < placed_at_s + pause_s:
+                    await self._async_wait_in_queue()
+                    continue
+                placed_at_s = self._loop.time()
                 sample = None
                 if is_wait_over or is_first:
                     sample = await self._async_sample(context)
@@ -460,12 +469,16 @@
                 if not placed.must_wait and is_first:
                     return placed
                 self._wait_queue.enqueue(service, number, due_at_s)
-                jitter_s = QUEUE_POLL_JITTER_S * self._random.random()
-                await self._wait_queue.async_wait_for_change(QUEUE_POLL_INTERVAL_S)
-                await asyncio.sleep(jitter_s)
+                await self._async_wait_in_queue()
         finally:
             self._wait_queue.remove(service, number)
 
+    async def _async_wait_in_queue(self) -> None:
+        """Wait for a change of the loads, or for the next poll."""
+        jitter_s = QUEUE_POLL_JITTER_S * self._random.random()
+        await self._wait_queue.async_wait_for_change(QUEUE_POLL_INTERVAL_S)
+        await asyncio.sleep(jitter_s)
+
     async def _async_sample(self, context: RequestContext) -> UpstreamSample | None:
         """Look up the load of a few upstreams among which to place a request.
 
--- a/src/banyanswitch/components/kv_tier/coordinator.py
+++ b/src/banyanswitch/components/kv_tier/coordinator.py
@@ -1,7 +1,7 @@
 """Cached contents of all stores, and plans of what to fetch and save."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass, replace
 
 from banyanswitch.components.forwarding.loads import LoadTracker
@@ -34,6 +34,7 @@
     rounded_tokens,
     transfer_s,
 )
+from banyanswitch.decisions.pending_saves import PendingSaves
 from banyanswitch.helpers.remote_clock import RemoteClock
 from banyanswitch.helpers.suspension import SuspensionWatch
 from banyanswitch.identifiers import StoreId
@@ -126,7 +127,7 @@
         self._newest_version = newest_version
         self._stores: dict[StoreId, StoreFollower] = {}
         self._tasks: dict[StoreId, asyncio.Task[None]] = {}
-        self._pending: dict[PartKey, tuple[float, StoreId, int]] = {}
+        self._pending = PendingSaves[PartKey, StoreId](PENDING_SAVE_LIFETIME_S)
         self._floors: dict[str, FetchFloor] = {}
         self._clock = RemoteClock()
 
@@ -193,6 +194,11 @@
         is_newest = newest is None or version >= newest
         limit_s = self._fetch_limit_s(is_newest)
         floor = self.floor(model)
+        self._pending.drop_expired(_now_s())
+        # The same for all parts, since the saves of this plan are not pending yet.
+        views = [(found, self._view(found)) for found in self._stores.values()]
+        readable = [(view, found.parts) for found, view in views if found.is_usable]
+        writable = [view for found, view in views if found.may_save]
         fetches: list[str] = []
         saves: list[str] = []
         planned_saves: list[Save] = []
@@ -201,11 +207,11 @@
             key = (salt, part.name)
             source = None
             if limit_s > 0.0 and floor.allows(version, part.name):
-                source = self._fastest_store(key, part.tokens, token_bytes)
-            fetches.append(source.node.address if source else "")
+                source = _fastest_store(readable, key, part.tokens, token_bytes)
+            fetches.append(self._stores[source].node.address if source else "")
             stored_tokens += part.tokens if source else 0
-            is_missing = is_newest and not self._is_stored(key)
-            save = self._choose_save(key, part.tokens) if is_missing else None
+            is_missing = is_newest and not any(key in held for _, held in readable)
+            save = self._choose_save(key, part.tokens, writable) if is_missing else None
             saves.append(self._stores[save.store].node.address if save else "")
             planned_saves += [save] if save else []
         return PartPlan(
@@ -219,9 +225,9 @@
     @callback
     def mark_saves_pending(self, plan: PartPlan) -> None:
         """Record that a plan is being sent, so that its saves are not planned again."""
-        ends_at_s = _now_s() + PENDING_SAVE_LIFETIME_S
+        now_s = _now_s()
         for save in plan.planned_saves:
-            self._pending[save.key] = (ends_at_s, save.store, save.tokens)
+            self._pending.add(save.key, save.store, save.tokens, now_s)
 
     @property
     def floors(self) -> dict[str, FetchFloor]:
@@ -261,64 +267,25 @@
             )
         )
 
-    def _is_stored(self, key: PartKey) -> bool:
-        return any(
-            follower.is_usable and key in follower.parts
-            for follower in self._stores.values()
-        )
-
-    def _fastest_store(
-        self, key: PartKey, tokens: int, token_bytes: int
-    ) -> StoreFollower | None:
-        """Return the store with the shortest transfer of a part.
-
-        ``None`` means that no store has the part, or that all transfers take too long.
-        """
-        times_s = [
-            (transfer_s(self._view(follower), tokens, token_bytes), follower.node.name)
-            for follower in self._stores.values()
-            if follower.is_usable and key in follower.parts
-        ]
-        soonest_s, name = min(times_s, default=(MAX_TRANSFER_S, None))
-        if name is None or soonest_s >= MAX_TRANSFER_S:
-            return None
-        return self._stores[name]
-
     def _view(self, follower: StoreFollower) -> StoreView:
         node = follower.node
         return StoreView(
             name=node.name,
             capacity_tokens=node.capacity_tokens,
-            used_tokens=follower.used_tokens + self._pending_tokens(node.name),
+            used_tokens=follower.used_tokens + self._pending.tokens(node.name),
             first_byte_s=node.first_byte_s,
             bandwidth_mbps=node.bandwidth_mbps,
             queued_tokens=self._loads.fetching_tokens(node.address, _now_s()),
         )
 
-    def _choose_save(self, key: PartKey, tokens: int) -> Save | None:
-        now_s = _now_s()
-        pending = self._pending.get(key)
-        if pending is not None and now_s < pending[0]:
+    def _choose_save(
+        self, key: PartKey, tokens: int, views: Sequence[StoreView]
+    ) -> Save | None:
+        if self._pending.is_pending(key):
             return None
-        self._drop_expired(now_s)
-        views = [
-            self._view(follower)
-            for follower in self._stores.values()
-            if follower.may_save
-        ]
         name = choose_store(key[1], tokens, views) if views else None
         return Save(key, name, rounded_tokens(tokens)) if name is not None else None
 
-    def _pending_tokens(self, name: StoreId) -> int:
-        return sum(
-            tokens for _, store, tokens in self._pending.values() if store == name
-        )
-
-    def _drop_expired(self, now_s: float) -> None:
-        expired = [key for key, value in self._pending.items() if value[0] <= now_s]
-        for key in expired:
-            del self._pending[key]
-
     @callback
     def drain_unsent(self) -> dict[str, RelayedEvents]:
         """Return the events to relay that were read since the last call, by store."""
@@ -353,7 +320,31 @@
         self._clock.note(clock_ms, _now_s())
 
     def _note_stored(self, key: PartKey) -> None:
-        self._pending.pop(key, None)
+        self._pending.discard(key)
+
+
+def _fastest_store(
+    readable: Sequence[tuple[StoreView, Container[PartKey]]],
+    key: PartKey,
+    tokens: int,
+    token_bytes: int,
+) -> StoreId | None:
+    """Return the store with the shortest transfer of a part.
+
+    ``None`` means that no store has the part, or that all transfers take too long.
+
+    Parameters
+    ----------
+    readable : sequence of tuple
+        Stores that may be read, with the parts that each holds.
+    """
+    times_s = [
+        (transfer_s(view, tokens, token_bytes), view.name)
+        for view, held in readable
+        if key in held
+    ]
+    soonest_s, name = min(times_s, default=(MAX_TRANSFER_S, None))
+    return None if soonest_s >= MAX_TRANSFER_S else name
 
 
 def _now_s() -> float:
