Count the heads of requests that are handled

Cause: the memory account counted a request that is handled with its body and 2 KB, though what is made from its head takes some 20 times the head. Ruled out: heads that are being received, which are counted and limited.

Change: 20 bytes are counted for each byte of the head, and under pressure a request with a large head is refused before it is handled.

--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -8,6 +8,7 @@
 import structlog
 
 from banyanswitch.components.http1.const import (
+    HEAD_COPIES,
     IDLE_GRACE_S,
     MAX_JOINED_BYTES,
     MAX_PIPELINED_BYTES,
@@ -482,9 +483,10 @@
 
     def _on_head(self, head: ParsedHead) -> None:
         self._head_at_s = self._loop.time()
-        if not self._guard.account.accepts_body(head.declared_bytes):
+        accepts = self._guard.account.accepts_body
+        if not accepts(head.declared_bytes) or not accepts(_held_bytes(head, b"")):
             self._guard.count_closed("large_body")
-            reason = "too much memory is in use for a large body"
+            reason = "too much memory is in use for a large body or head"
             self._parser.reject(STATUS_UNAVAILABLE, reason)
         if head.expects_continue and self._task is None and not self._pending:
             self.write(CONTINUE)
@@ -492,7 +494,7 @@
     def _on_request(self, head: ParsedHead, body: bytes) -> None:
         request = Request(head.method, head.target, head.headers, body, self._head_at_s)
         self._pending.append((head, request))
-        self._memory.queued_bytes += len(body) + REQUEST_OVERHEAD_BYTES
+        self._memory.queued_bytes += _held_bytes(head, body)
         if self._is_queue_full() and self._transport is not None:
             self._is_reading_paused = True
             self._transport.pause_reading()
@@ -504,7 +506,7 @@
         if not self._can_write.is_set():
             return
         head, request = self._pending.popleft()
-        self._handled_bytes = len(request.body) + REQUEST_OVERHEAD_BYTES
+        self._handled_bytes = _held_bytes(head, request.body)
         reply = Reply(
             self,
             is_head_only=head.method == b"HEAD",
@@ -555,3 +557,8 @@
         self._has_invalid_input = True
         if self._task is None and not self._pending:
             self.close()
+
+
+def _held_bytes(head: ParsedHead, body: bytes) -> int:
+    """Return the memory of a request that is queued or being handled, in bytes."""
+    return REQUEST_OVERHEAD_BYTES + HEAD_COPIES * head.size_bytes + len(body)
--- a/src/banyanswitch/components/http1/const.py
+++ b/src/banyanswitch/components/http1/const.py
@@ -88,7 +88,11 @@
 can be interrupted; it holds a thousand of them."""
 
 REQUEST_OVERHEAD_BYTES: Final = 2048
-"""Memory of a queued request beside its body: objects for its head and headers."""
+"""Memory of a queued request beside its body and head: objects that each has."""
+
+HEAD_COPIES: Final = 20
+"""Memory of a request that is being handled, for each byte of its head: the headers,
+the parts of its prompt, their plan, and the request that is sent."""
 
 DEFAULT_MAX_HELD_BYTES: Final = 64 * 1024 * 1024
 """Limit of the memory account of a server that is given none."""
--- a/src/banyanswitch/components/http1/request_parser.py
+++ b/src/banyanswitch/components/http1/request_parser.py
@@ -28,6 +28,8 @@
     ----------
     declared_bytes : int
         Size of the body, 0 if it is not declared.
+    size_bytes : int
+        Size of the head.
     """
 
     __slots__ = (
@@ -36,6 +38,7 @@
         "headers",
         "keeps_alive",
         "method",
+        "size_bytes",
         "target",
     )
 
@@ -47,7 +50,9 @@
         *,
         keeps_alive: bool,
         declared_bytes: int,
+        size_bytes: int,
     ) -> None:
+        self.size_bytes = size_bytes
         self.method = method
         self.target = target
         self.headers = headers
@@ -193,6 +198,7 @@
             headers,
             keeps_alive=self._parser.should_keep_alive(),
             declared_bytes=declared_bytes,
+            size_bytes=self._head_bytes,
         )
         self._on_head(self._head)
 
