--- a/src/banyanswitch/components/discovery/coordinator.py
+++ b/src/banyanswitch/components/discovery/coordinator.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 from banyanswitch.components.discovery.const import MAX_ADDRESSES
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.models import Header, Request
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.decisions.address_choice import EntryView, choose_entries
 from banyanswitch.identifiers import FailureDomainId, WorkspaceId
 from banyanswitch.interfaces import PeerDirectory
--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -23,7 +23,6 @@
 )
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.const import (
     DEFAULT_MAX_IDLE_S,
@@ -34,6 +33,7 @@
     Request,
     ResponseHead,
 )
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.decisions.response_ownership import Ownership, response_ownership
 from banyanswitch.decisions.upstream_notices import ResponseNotice
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -1,10 +1,9 @@
 """Handling of callers' requests from admission to the response."""
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 
 import structlog
@@ -12,20 +11,12 @@
 from banyanswitch.components.forwarding.attempt import Attempt
 from banyanswitch.components.forwarding.const import (
     BUSY_RETRY_AFTER_S,
-    DUE_SHARE,
     EVACUATED_RETRY_AFTER_S,
-    FIRST_PLAN_SHARE,
     MAX_LIMIT_RETRY_AFTER_S,
-    MAX_QUEUE_WAIT_S,
-    MAX_QUEUE_WAIT_SHARE,
     MAX_UNSENT_ATTEMPTS,
     MIN_TIME_LEFT_S,
     OVERLOAD_RETRY_AFTER_S,
-    PLAN_INTERVAL_S_PER_PART,
-    QUEUE_POLL_INTERVAL_S,
-    QUEUE_POLL_JITTER_S,
     RETRY_BUDGET_SHARE,
-    SAMPLE_SIZE,
     UNAVAILABLE_RETRY_AFTER_S,
     UNCONFIGURED_RETRY_AFTER_S,
 )
@@ -39,7 +30,6 @@
 )
 from banyanswitch.components.forwarding.placement import (
     Placement,
-    PlacementRequest,
     PlacementResult,
 )
 from banyanswitch.components.forwarding.protocols import (
@@ -50,6 +40,7 @@
     ServiceVersions,
     StreamOrigins,
 )
+from banyanswitch.components.forwarding.queued_placement import QueuedPlacement
 from banyanswitch.components.forwarding.refusals import (
     DECLINE_REASONS,
     STATUS_BAD_GATEWAY,
@@ -76,12 +67,11 @@
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.connection_pool import ConnectionPool
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.peer_forwarding.client import PeerForwarder
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
-from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.decisions.retry import (
     FailedAttempt,
     GiveUp,
@@ -95,7 +85,6 @@
     StreamOrigin,
     origin_of_resumed_stream,
 )
-from banyanswitch.decisions.upstream_sample import UpstreamSample
 from banyanswitch.exceptions import (
     NotRunError,
     RunOutcome,
@@ -185,14 +174,19 @@
         self._admission = admission
         self._random = generator
         self._retriers: dict[ServiceName, tuple[int, Retrier]] = {}
-        self._wait_queue = wait_queue
+        self._queued = QueuedPlacement(
+            placement=placement,
+            wait_queue=wait_queue,
+            parts=parts,
+            load_source=load_source,
+            generator=generator,
+        )
         self._origins = origins
         self._versions = versions
         self._parts = parts
         self._links = links
         self._costs = costs
         self._peer_forwarder = peer_forwarder
-        self._load_source = load_source
         self._on_replaced = on_replaced
         self._log = RequestLog(routing)
         self._loop = asyncio.get_running_loop()
@@ -335,7 +329,7 @@
     async def _async_serve(self, context: RequestContext) -> None:
         context.tried_parts = await self._parts.async_try(context.content)
         while True:
-            placed = await self._async_place(context)
+            placed = await self._queued.async_place(context)
             if placed is None:
                 self._refuse_unplaced(context, self._loop.time())
                 return
@@ -417,127 +411,6 @@
             context.is_counted = True
             self._retrier(context.service.name).on_first_attempt(self._loop.time())
 
-    async def _async_place(self, context: RequestContext) -> PlacementResult | None:
-        """Place a request; one with a large prefill may wait for capacity first."""
-        service = context.service.name
-        number = self._wait_queue.allocate_number()
-        time_left_s = context.ends_at_s - self._loop.time()
-        wait_s = min(MAX_QUEUE_WAIT_S, MAX_QUEUE_WAIT_SHARE * time_left_s)
-        queue_deadline_s = self._loop.time() + wait_s
-        is_resumed = context.origin is not None
-        due_at_s = math.inf
-        if not is_resumed:
-            aim_s = context.route.target_latency_s
-            due_at_s = context.request.received_at_s + DUE_SHARE * aim_s
-        plan_s = PLAN_INTERVAL_S_PER_PART * len(context.metadata.parts)
-        placed_at_s = -math.inf
-        try:
-            while True:
-                is_wait_over = self._loop.time() >= queue_deadline_s
-                is_first = self._wait_queue.is_first(service, number, self._loop.time())
-                pause_s = FIRST_PLAN_SHARE * plan_s if is_first else plan_s
-                if not is_wait_over and self._loop.time() < placed_at_s + pause_s:
-                    await self._async_wait_in_queue()
-                    continue
-                placed_at_s = self._loop.time()
-                sample = None
-                if is_wait_over or is_first:
-                    sample = await self._async_sample(context)
-                placed = self._place(
-                    context,
-                    self._loop.time(),
-                    is_wait_over=is_wait_over,
-                    sample=sample,
-                )
-                if placed is None or not placed.is_large_prefill:
-                    return placed
-                if is_wait_over:
-                    # A request that waits for an upstream in vain would take the room
-                    # of later ones, which can still be in time.
-                    must_yield = placed.must_wait and (
-                        self._wait_queue.has_others_in_time(
-                            service, number, self._loop.time()
-                        )
-                    )
-                    context.is_overloaded = not is_resumed and (
-                        placed.is_overloaded or must_yield
-                    )
-                    return None if context.is_overloaded else placed
-                # The instance that sends the request lets it wait.
-                if not placed.is_direct:
-                    return placed
-                if not placed.must_wait and is_first:
-                    return placed
-                self._wait_queue.enqueue(service, number, due_at_s)
-                await self._async_wait_in_queue()
-        finally:
-            self._wait_queue.remove(service, number)
-
-    async def _async_wait_in_queue(self) -> None:
-        """Wait for a change of the loads, or for the next poll."""
-        jitter_s = QUEUE_POLL_JITTER_S * self._random.random()
-        await self._wait_queue.async_wait_for_change(QUEUE_POLL_INTERVAL_S)
-        await asyncio.sleep(jitter_s)
-
-    async def _async_sample(self, context: RequestContext) -> UpstreamSample | None:
-        """Look up the load of a few upstreams among which to place a request.
-
-        Returns
-        -------
-        sample : UpstreamSample or None
-            ``None`` if the loads of all upstreams are known anyway.
-        """
-        if not self._load_source.is_needed():
-            return None
-        now_s = self._loop.time()
-        request = self._placement_request(context, now_s, is_wait_over=False)
-        sample = self._placement.sample(request, SAMPLE_SIZE, now_s)
-        return sample.among(await self._load_source.async_refresh(sample.names))
-
-    def _place(
-        self,
-        context: RequestContext,
-        now_s: float,
-        *,
-        is_wait_over: bool,
-        sample: UpstreamSample | None = None,
-    ) -> PlacementResult | None:
-        time_left_s = context.ends_at_s - now_s
-        if time_left_s < MIN_TIME_LEFT_S or self._withheld_parts(context) is not None:
-            return None
-        request = self._placement_request(context, now_s, is_wait_over=is_wait_over)
-        return self._placement.place(replace(request, sample=sample), now_s)
-
-    def _placement_request(
-        self, context: RequestContext, now_s: float, *, is_wait_over: bool
-    ) -> PlacementRequest:
-        resume_after = (
-            context.progress.splitter.last_id if context.progress.has_started else None
-        )
-        return PlacementRequest(
-            metadata=context.metadata,
-            route=context.route,
-            workspace=context.workspace,
-            service=context.service,
-            excluded=context.excluded,
-            time_left_s=context.ends_at_s - now_s,
-            resume_after=resume_after,
-            software_version=(
-                context.origin.software_version if context.origin else None
-            ),
-            is_wait_over=is_wait_over,
-            is_passed_on=context.earlier_attempts is not None,
-            objective_left_s=(
-                context.request.received_at_s + context.route.target_latency_s - now_s
-            ),
-            body_bytes=len(context.request.body),
-        )
-
-    def _withheld_parts(self, context: RequestContext) -> Combination | None:
-        """Return the withheld parts that keep a request from being sent."""
-        found = self._parts.withheld(context.content)
-        return next((parts for parts in found if parts != context.tried_parts), None)
-
     def _note_broken(
         self,
         context: RequestContext,
@@ -660,7 +533,7 @@
         At the end of a start limit all its requests are withdrawn at once. Without this
         check they would spend the retry budget of later failures for nothing.
         """
-        return self._place(context, now_s, is_wait_over=False) is not None
+        return self._queued.place(context, now_s, is_wait_over=False) is not None
 
     def _retrier(self, service: ServiceName) -> Retrier:
         instances = max(1, self._instance_count())
@@ -711,7 +584,7 @@
             return
         wait_s = BUSY_RETRY_AFTER_S if context.excluded else UNAVAILABLE_RETRY_AFTER_S
         reason = RefusalReason.NO_UPSTREAM
-        parts = self._withheld_parts(context)
+        parts = self._queued.withheld_parts(context)
         if parts is not None:
             reason = RefusalReason.PART_WITHHELD
             wait_s = self._parts.retry_after_s(parts)
--- a/src/banyanswitch/components/forwarding/request_context.py
+++ b/src/banyanswitch/components/forwarding/request_context.py
@@ -10,8 +10,8 @@
 )
 from banyanswitch.components.forwarding.request_content import RequestContent
 from banyanswitch.components.forwarding.response_relay import ResponseProgress
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.decisions.part_quarantine import Combination
 from banyanswitch.decisions.stream_resumption import StreamOrigin
 from banyanswitch.identifiers import UpstreamId
--- a/src/banyanswitch/components/forwarding/response_relay.py
+++ b/src/banyanswitch/components/forwarding/response_relay.py
@@ -7,7 +7,6 @@
 from banyanswitch.components.forwarding.event_stream import EventSplitter
 from banyanswitch.components.forwarding.protocols import RequestTranslator
 from banyanswitch.components.http1.body import async_read_body
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.const import (
     MAX_BUFFERED_BODY_BYTES,
     READ_HIGH_WATER_BYTES,
@@ -17,6 +16,7 @@
     ResponseHead,
     header_value,
 )
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.exceptions import UpstreamBrokenError, UpstreamFailureError
 
--- a/src/banyanswitch/components/kv_tier/list_relay.py
+++ b/src/banyanswitch/components/kv_tier/list_relay.py
@@ -7,9 +7,9 @@
 import msgspec
 import structlog
 
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.client import HttpClient
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.kv_tier.const import (
     SNAPSHOT_INTERVAL_S,
     SNAPSHOT_TIMEOUT_S,
--- a/src/banyanswitch/components/peer_forwarding/endpoint.py
+++ b/src/banyanswitch/components/peer_forwarding/endpoint.py
@@ -6,8 +6,8 @@
 
 import structlog
 
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.peer_forwarding.const import (
     DECLINED,
     FINAL,
--- a/src/banyanswitch/components/table_mirror/relay.py
+++ b/src/banyanswitch/components/table_mirror/relay.py
@@ -10,9 +10,9 @@
 import msgspec
 import structlog
 
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.client import HttpClient
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.peers.internal_read import async_read_peer
 from banyanswitch.components.table_mirror.const import (
     FEED_LAG_TOLERANCE_S,
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -24,7 +24,6 @@
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.upstream_registry import UpstreamRegistry
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.caller_server import CallerServer
 from banyanswitch.components.http1.client import HttpClient
 from banyanswitch.components.http1.connection_pool import ConnectionPool
@@ -39,6 +38,7 @@
     Headers,
     Request,
 )
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.kv_tier.cleaner import StoreCleaner
 from banyanswitch.components.kv_tier.coordinator import PartTier
 from banyanswitch.components.kv_tier.event_relay import EventRelay
--- a/tests/components/forwarding/test_start_limits.py
+++ b/tests/components/forwarding/test_start_limits.py
@@ -6,7 +6,7 @@
 import pytest
 from structlog.testing import capture_logs
 
-from banyanswitch.components.forwarding import forwarder
+from banyanswitch.components.forwarding import queued_placement
 from banyanswitch.components.forwarding.models import Repeatability, ResponseMetadata
 from banyanswitch.components.http1.const import CONNECT_TIMEOUT_S, DEFAULT_MAX_IDLE_S
 from banyanswitch.components.http1.models import ResponseHead
@@ -200,7 +200,7 @@
 async def test_large_request_is_sent_to_old_weights_with_room_after_its_wait(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(forwarder, "MAX_QUEUE_WAIT_S", 0.0)
+    monkeypatch.setattr(queued_placement, "MAX_QUEUE_WAIT_S", 0.0)
     instance = Instance()
     old = instance.add("old", 1)
     instance.name_target(2)
--- a/tests/components/http1/test_caller_connection.py
+++ b/tests/components/http1/test_caller_connection.py
@@ -8,13 +8,13 @@
 import pytest
 import structlog
 
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.caller_server import CallerServer
 from banyanswitch.components.http1.models import (
     BodyFraming,
     ConnectionLimits,
     Request,
 )
+from banyanswitch.components.http1.reply import Reply
 
 HOST = "127.0.0.1"
 LONG_BYTES = 8_000_000
--- a/tests/components/http1/test_large_heads.py
+++ b/tests/components/http1/test_large_heads.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from banyanswitch.components.http1.caller_connection import Reply
 from banyanswitch.components.http1.caller_server import CallerServer
 from banyanswitch.components.http1.const import HEAD_COPIES
 from banyanswitch.components.http1.memory_guard import MemoryGuard
 from banyanswitch.components.http1.models import Request
+from banyanswitch.components.http1.reply import Reply
 from banyanswitch.decisions.memory_account import MemoryPolicy
 
 HEAD_BYTES = 12_000
