--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -850,6 +850,20 @@
     def stop_beats(self, name: str) -> None:
         self._beats.pop(name).cancel()
 
+    async def async_lose_store(self) -> None:
+        """Let the store go down once all machines know all of its rows.
+
+        A machine that lags would copy the rows of another one, with the addresses of
+        the other one's links.
+        """
+        names = list(self._beats)
+        for name in names:
+            self.stop_beats(name)
+        await asyncio.sleep(0.5)
+        self.store.is_down = True
+        for name in names:
+            self.start_beats(name)
+
     def start_beats(self, name: str) -> None:
         beat = asyncio.create_task(self.runners[name].async_beat(self.store))
         self._beats[name] = beat
