Show review case 11 without the store's drill too

Cause: entries that expire in an outage of the store are as missing as rows that a return from a copy has lost. Change: VARIANT=lapse, with an outage and a power loss of all machines.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -17,7 +17,7 @@
 )
 
 STREAMS = 24
-EVENTS = 40
+EVENTS = 60
 DEADLINE_S = 10.0
 COPY_AGE_S = 3.2
 """Age of the copy from which the store returns: "some seconds"."""
@@ -25,7 +25,12 @@
 REWRITE_S = 1.2
 """Time after which the runner's entry is written again: one heartbeat."""
 RESTART_S = 0.3
+JOINED_FOR_S = 0.5
+"""Time from the runner's first entry to the trouble, without the drill."""
+OUTAGE_S = 4.5
+POWER_OFF_S = 2.0
 SENDS_RESUMES = os.environ.get("RESUMES") == "1"
+HAS_DRILL = os.environ.get("VARIANT") != "lapse"
 
 
 class Caller:
@@ -97,22 +102,42 @@
                     self.events.append((int(number[4:]), software[6:]))
 
 
-async def async_trouble(deployment: Deployment) -> None:
-    """Let all machines lose power while the store is away."""
-    machines, store, record = deployment.machines, deployment.store, deployment.record
-    deployment.stop_beats("i-3")
-    record.line("the store is away, and all machines lose power")
-    store.is_down = True
+async def async_restart(deployment: Deployment, off_s: float) -> None:
+    """Let all machines lose power for a time."""
+    machines = deployment.machines
     for process in machines.processes.values():
         process.kill()
     for process in machines.processes.values():
         await process.wait()
-    await asyncio.sleep(RESTART_S)
+    await asyncio.sleep(off_s)
     for host in machines.hosts:
         await machines.async_restart(host)
-    await asyncio.sleep(AWAY_S - RESTART_S)
-    store.return_from_copy()
-    record.line("the store is back from its copy")
+
+
+async def async_trouble(deployment: Deployment) -> None:
+    """Let all machines lose power while the store is away."""
+    store, record = deployment.store, deployment.record
+    if HAS_DRILL:
+        deployment.stop_beats("i-3")
+        record.line("the store is away, and all machines lose power")
+        store.is_down = True
+        await async_restart(deployment, RESTART_S)
+        await asyncio.sleep(AWAY_S - RESTART_S)
+        store.return_from_copy()
+        record.line("the store is back from its copy")
+    else:
+        for name in deployment.runners:
+            deployment.stop_beats(name)
+        record.line("the store is down, and all machines lose power")
+        store.is_down = True
+        await async_restart(deployment, POWER_OFF_S)
+        await asyncio.sleep(OUTAGE_S - POWER_OFF_S)
+        store.is_down = False
+        for name in deployment.runners:
+            store.put("servers", name, None)
+        record.line("the store is back, and all entries have expired")
+        for name in ("i-1", "i-2"):
+            deployment.start_beats(name)
     await asyncio.sleep(REWRITE_S)
     deployment.start_beats("i-3")
     record.line("i-3 (v2) writes its entry again")
@@ -133,10 +158,11 @@
         await asyncio.sleep(0.3)
         await deployment.async_add(Engine("i-3", "llm", record, "v2"))
         record.line("i-3 (v2) joins")
-        await asyncio.sleep(COPY_AGE_S - 0.3 - 0.8)
+        if HAS_DRILL:
+            await asyncio.sleep(COPY_AGE_S - 0.3 - 0.8)
         callers = [Caller(deployment, number) for number in range(STREAMS)]
         tasks = [asyncio.create_task(caller.async_run()) for caller in callers]
-        await asyncio.sleep(0.8)
+        await asyncio.sleep(0.8 if HAS_DRILL else JOINED_FOR_S)
         if has_trouble:
             await async_trouble(deployment)
         await asyncio.gather(*tasks)
