--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -355,6 +355,7 @@
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
+        self.first_beat_s = 0.0
         self.slots = 6
         self.work_s = 0.06
         self.is_leaving = False
@@ -386,6 +387,8 @@
 
     async def async_beat(self, store: Store) -> None:
         """Write the entry at each heartbeat until cancelled."""
+        if self.sequence == 0:
+            await asyncio.sleep(self.first_beat_s)
         while True:
             self.sequence += 1
             store.put_json("servers", self.name, self.entry())
