--- a/review/standins-3/kit.py
+++ b/review/standins-3/kit.py
@@ -574,7 +574,7 @@
     """The machines of a deployment: processes of the project."""
 
     def __init__(self, count: int, folder: Path, memory_mb: int = 300) -> None:
-        self.hosts = [f"127.0.0.{number + 2}" for number in range(count)]
+        self.hosts = [f"127.0.63.{number + 2}" for number in range(count)]
         self.ports = _free_ports(self.hosts, 10)
         self._folder = folder
         self._memory_mb = memory_mb
