Continue from a checkpoint of the software versions at a start

Cause: an instance that has just started took the present entries and the stored versions as the whole list. Rows don't show what they lack, and no instance was left that knew it. Waiting until entries are back would refuse streams after every start, and guess if the upstream is gone by then.

Instances that know all versions now store the version of the store up to which they are stored. An instance that starts adds the versions of all entries written since, from the history, also of removed ones. Without a checkpoint of the same era and that history it doesn't know the versions for the lifetime of a stream.

--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -140,6 +140,11 @@
         """
         return self._mirror.gap_at_s
 
+    @property
+    def first_read_at_s(self) -> float | None:
+        """Loop time at which the entries were first read; ``None`` before."""
+        return self._first_read_at_s
+
     @property
     def followed_since_s(self) -> float | None:
         """Loop time since which no entry was missed; ``None`` before the first read."""
--- a/src/banyanswitch/components/stream_origins/const.py
+++ b/src/banyanswitch/components/stream_origins/const.py
@@ -46,6 +46,13 @@
 SETTLED_AFTER_S: Final = ADDITION_DELAY_S + 2 * VERSIONS_INTERVAL_S
 """Time after which another instance has stored a version that it has seen."""
 
+CHECKPOINT_KEY: Final = "checkpoint/software"
+"""Row with the version of the store up to which all software versions are stored."""
+
+CHECKPOINT_INTERVAL_S: Final = 3.0
+"""Interval between two checkpoints. The store keeps its history for about 20 s, which
+includes a restart of all instances."""
+
 CONFIRMATION_TIMEOUT_S: Final = 0.3
 """Longest read that confirms the entries of the upstreams. The store answers in 4 ms; a
 stream that can't go on is refused within the time that the search for its origin
--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
+from typing import Protocol
 
 import msgspec
 import structlog
@@ -11,6 +13,8 @@
 from banyanswitch.components.lease.candidates import WatcherSelector
 from banyanswitch.components.stream_origins.const import (
     ADDITION_DELAY_S,
+    CHECKPOINT_INTERVAL_S,
+    CHECKPOINT_KEY,
     ERA_READ_SPREAD_S,
     REMOVAL_DELAY_S,
     SETTLED_AFTER_S,
@@ -19,8 +23,15 @@
     VERSIONS_TABLE,
 )
 from banyanswitch.components.stream_origins.software_versions import EntryConfirmation
+from banyanswitch.components.stream_origins.version_checkpoint import (
+    VersionsByService,
+)
 from banyanswitch.core import callback
-from banyanswitch.exceptions import ConditionFailedError, PlatformError
+from banyanswitch.exceptions import (
+    ConditionFailedError,
+    HistoryGoneError,
+    PlatformError,
+)
 from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.identifiers import ServiceName
 from banyanswitch.interfaces import (
@@ -34,6 +45,38 @@
 LOGGER = structlog.get_logger(__name__)
 
 
+class Checkpoint(Protocol):
+    """Checkpoint from which an instance continues that starts."""
+
+    async def async_write(self) -> None:
+        """Store that all versions in the entries followed so far are stored."""
+
+    async def async_versions_since(self) -> VersionsByService | None:
+        """Return the versions in entries since the checkpoint, if there is one.
+
+        Raises
+        ------
+        HistoryGoneError
+            If they are lost.
+        PlatformError
+            If they can't be read.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class _LostVersions:
+    """Versions in rows of an earlier era of the store.
+
+    Parameters
+    ----------
+    counts_until_s : float
+        Loop time from which on no stream of them can be left.
+    """
+
+    versions: frozenset[str]
+    counts_until_s: float
+
+
 class SoftwareVersionStore:
     """Keep the versions that may have begun an unfinished stream in the table service.
 
@@ -44,6 +87,11 @@
     they see it, and remove it some time after its last upstream has left. There are a
     few writes for each release, and none for a stream.
 
+    What an instance reads at its start counts from a checkpoint on, which instances
+    that know all versions write regularly. Without one that it can continue from, it
+    doesn't know the versions until it has followed the entries for as long as a stream
+    may last, or until another instance has written a checkpoint.
+
     Parameters
     ----------
     table : TableStore
@@ -60,6 +108,8 @@
         Era of the table service, which may return from an older copy.
     confirmation : EntryConfirmation
         Reads the entries that this instance lacks, before it removes a version.
+    checkpoint : Checkpoint
+        Tells what the rows that are read at the start lack.
     """
 
     def __init__(
@@ -72,7 +122,12 @@
         generator: random.Random,
         eras: StoreEra,
         confirmation: EntryConfirmation,
+        checkpoint: Checkpoint,
     ) -> None:
+        self._checkpoint = checkpoint
+        self._checkpoint_due_at_s = float("-inf")
+        self._before_start: VersionsByService | None = None
+        self._lost: dict[ServiceName, _LostVersions] = {}
         self._table = table
         self._registry = registry
         self._routing = routing
@@ -82,6 +137,7 @@
         self._confirmation = confirmation
         self._requested_at_s = float("-inf")
         self._era = 0
+        self._read_era = 0
         self._is_read = False
         self._is_of_era = False
         self._stored: dict[ServiceName, frozenset[str]] = {}
@@ -90,18 +146,43 @@
 
     @callback
     def versions(self, service: ServiceName) -> frozenset[str] | None:
-        """Return the stored versions of a service; ``None`` until they are read.
+        """Return the stored versions of a service; ``None`` until they are known.
 
         After a gap in the entries, they are not known until they are read again.
         """
-        if not self._is_read or self._lacks_gap():
+        if not self._is_read or self._lacks_gap() or not self._knows_start():
             return None
-        return self._stored.get(service, frozenset())
+        return self._stored.get(service, frozenset()) | self._unstored(service)
 
     def _lacks_gap(self) -> bool:
         """Return whether others may since have stored what this instance missed."""
         return self._requested_at_s < self._registry.gap_at_s + SETTLED_AFTER_S
 
+    def _knows_start(self) -> bool:
+        """Return whether the versions that were in use before the start are known."""
+        if self._before_start is not None:
+            return True
+        first_read_at_s = self._registry.first_read_at_s
+        return (
+            first_read_at_s is not None
+            and _now_s() >= first_read_at_s + STREAM_LIFETIME_S
+        )
+
+    def _unstored(self, service: ServiceName) -> frozenset[str]:
+        """Return versions with streams left that the rows may lack."""
+        versions: frozenset[str] = frozenset()
+        first_read_at_s = self._registry.first_read_at_s
+        if (
+            self._before_start is not None
+            and first_read_at_s is not None
+            and _now_s() < first_read_at_s + STREAM_LIFETIME_S
+        ):
+            versions |= self._before_start.get(service, frozenset())
+        lost = self._lost.get(service)
+        if lost is not None and _now_s() < lost.counts_until_s:
+            versions |= lost.versions
+        return versions
+
     async def async_run(self) -> None:
         """Read the stored versions once, then store changes until cancelled."""
         while True:
@@ -109,15 +190,56 @@
                 self._is_of_era = False
                 delay_s = self._generator.uniform(0.0, ERA_READ_SPREAD_S)
                 await asyncio.sleep(delay_s)
-            now_s = asyncio.get_running_loop().time()
+            now_s = _now_s()
             is_settled = now_s >= self._registry.gap_at_s + SETTLED_AFTER_S
             if not self._is_of_era or (is_settled and self._lacks_gap()):
                 self._is_of_era = await self._async_read()
                 self._is_read = self._is_read or self._is_of_era
             else:
                 await self._async_write_changes()
+            if self._is_of_era and now_s >= self._checkpoint_due_at_s:
+                await self._async_check()
             await asyncio.sleep(VERSIONS_INTERVAL_S)
 
+    async def _async_check(self) -> None:
+        """Continue from the last checkpoint, or write one if this instance can."""
+        self._checkpoint_due_at_s = _now_s() + CHECKPOINT_INTERVAL_S
+        if not self._knows_start():
+            await self._async_read_checkpoint()
+            return
+        self._selector.refresh()
+        if self._selector.is_watching(CHECKPOINT_KEY) and self._has_stored_all():
+            await self._checkpoint.async_write()
+
+    async def _async_read_checkpoint(self) -> None:
+        try:
+            before_start = await self._checkpoint.async_versions_since()
+        except HistoryGoneError as error:
+            LOGGER.warning("software_versions_lost", reason=str(error))
+            return
+        except PlatformError as error:
+            LOGGER.info("version_checkpoint_not_read", reason=str(error))
+            self._checkpoint_due_at_s = _now_s()
+            return
+        era = self._eras.era()
+        # What was stored by the time of the checkpoint is in the rows now.
+        if not await self._async_read() or self._eras.era() != era:
+            self._checkpoint_due_at_s = _now_s()
+            return
+        if before_start is None and self._stored:
+            LOGGER.warning("software_versions_lost", reason="there is no checkpoint")
+            return
+        # Without any row, no instance has run before.
+        self._before_start = before_start or {}
+
+    def _has_stored_all(self) -> bool:
+        """Return whether the rows have all versions that may have begun a stream."""
+        if self._registry.followed_since_s is None or self._lacks_gap():
+            return False
+        now_s = _now_s()
+        services = self._routing.resumable_services()
+        return all(not self._difference(service, now_s)[0] for service in services)
+
     def _begins_era(self) -> bool:
         """Return whether the store has returned from an older copy of its data."""
         era = self._eras.era()
@@ -125,14 +247,28 @@
         self._era = max(era, self._era)
         return has_earlier_era
 
+    def _note_read_era(self) -> None:
+        """Keep what earlier rows had, if the store may have lost it since."""
+        era = self._eras.era()
+        if 0 < self._read_era < era:
+            counts_until_s = _now_s() + STREAM_LIFETIME_S
+            self._lost = {
+                service: _LostVersions(
+                    versions | self._unstored(service), counts_until_s
+                )
+                for service, versions in self._stored.items()
+            }
+        self._read_era = max(era, self._read_era)
+
     async def _async_read(self) -> bool:
-        requested_at_s = asyncio.get_running_loop().time()
+        requested_at_s = _now_s()
         try:
             items = await self._table.async_query(f"{VERSIONS_TABLE}/")
         except PlatformError as error:
             LOGGER.info("software_versions_not_read", reason=str(error))
             return False
         self._requested_at_s = requested_at_s
+        self._note_read_era()
         self._stored.clear()
         self._revisions.clear()
         for item in items:
@@ -149,7 +285,7 @@
         return True
 
     async def _async_write_changes(self) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = _now_s()
         self._selector.refresh()
         due = []
         for service in sorted(self._routing.resumable_services()):
@@ -175,12 +311,13 @@
         since_s = now_s - STREAM_LIFETIME_S
         stored = self._stored.get(service, frozenset())
         known = self._registry.software_versions(service, since_s)
+        known |= self._unstored(service)
         followed_since_s = self._registry.followed_since_s
         is_complete = followed_since_s is not None and followed_since_s <= since_s
         return known - stored, stored - known if is_complete else frozenset()
 
     async def _async_write(self, service: ServiceName) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = _now_s()
         missing, gone = self._difference(service, now_s)
         if gone and await self._confirmation.async_confirm():
             missing, gone = self._difference(service, now_s)
@@ -212,3 +349,7 @@
 
 def _key(service: ServiceName) -> str:
     return f"{VERSIONS_TABLE}/{service}"
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -82,6 +82,15 @@
         """Rows of the table."""
         return tuple(self._items.values())
 
+    @property
+    def followed_version(self) -> int | None:
+        """Version up to which this copy has followed its feed without a break.
+
+        It is ``None`` before the whole table was read, and until it is read again after
+        a break.
+        """
+        return self._cursor
+
     @callback
     def subscribe(self, handler: ChangeHandler) -> None:
         """Call ``handler`` with changed rows and the keys of removed ones."""
--- a/src/banyanswitch/interfaces.py
+++ b/src/banyanswitch/interfaces.py
@@ -180,6 +180,26 @@
         """
 
 
+class TableHistory(Protocol):
+    """History of the changes of whole tables."""
+
+    async def async_history(
+        self, table: str, after: int, until: int
+    ) -> tuple[Item, ...]:
+        """Return all writes to a table after a version, up to another one or later.
+
+        Other than those of `TableFeed.async_changes`, they include the writes to rows
+        that were replaced or removed since. They are in order.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the changes after that version are no longer available.
+        PlatformError
+            If the service can't be read.
+        """
+
+
 class ObjectStore(Protocol):
     """The platform's object store."""
 
--- a/src/banyanswitch/platform/rows.py
+++ b/src/banyanswitch/platform/rows.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from banyanswitch.helpers.store_version import make_version, number_of
-from banyanswitch.interfaces import Item, Write
+from banyanswitch.interfaces import Item, TableChanges, Write
 
 
 class Row(msgspec.Struct, frozen=True):
@@ -75,3 +75,12 @@
 def row_item(table: str, row: Row, era: int) -> Item:
     """Return a row as an item, with the era of the response in its revision."""
     return Item(row_key(table, row), make_version(era, row.ver), row.value)
+
+
+def last_changes(table: str, changes: Rows, era: int) -> TableChanges:
+    """Return what the changes of a feed, which are in order, leave of each row."""
+    last = {row.key: row for row in changes.rows}.values()
+    kept = [row_item(table, row, era) for row in last if not row.removed]
+    removed = [row_key(table, row) for row in last if row.removed]
+    version = make_version(era, changes.ver)
+    return TableChanges(version, tuple(kept), tuple(removed))
--- a/src/banyanswitch/platform/tables.py
+++ b/src/banyanswitch/platform/tables.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 from collections.abc import Sequence
-from typing import TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -17,7 +16,6 @@
     UpstreamBrokenError,
     UpstreamNotSentError,
 )
-from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.helpers.remote_clock import RemoteClock
 from banyanswitch.helpers.store_version import era_of, make_version, number_of
 from banyanswitch.helpers.suspension import SuspensionClock
@@ -32,26 +30,26 @@
 from banyanswitch.platform.rows import (
     Rows,
     TransactionResult,
+    last_changes,
     row_item,
-    row_key,
     split_key,
     transaction,
 )
+from banyanswitch.platform.store_responses import (
+    STATUS_CONDITION_FAILED,
+    STATUS_GONE,
+    decode,
+    raise_for_status,
+)
 
-STATUS_OK = 200
-STATUS_GONE = 410
-STATUS_CONDITION_FAILED = 412
-STATUS_TOO_MANY = 429
-STATUS_UNAVAILABLE = 503
 PAGE_ROWS = 500
 FEED_TIMEOUT_MARGIN_S = 0.6
 """Time beyond the requested wait after which a feed call times out; a response takes
 4 ms, and up to a hundred times as long from a slow store."""
-ResponseT = TypeVar("ResponseT")
 
 
 class PlatformTables:
-    """Implementation of ``TableStore`` and ``TableFeed`` over the platform's store.
+    """Implements ``TableStore``, ``TableFeed`` and ``TableHistory`` over the store.
 
     A key ``table/rest`` is stored as the row ``rest`` of the table ``table``.
 
@@ -163,12 +161,12 @@
         era = self._eras.note(response)
         if response.status == STATUS_CONDITION_FAILED:
             raise ConditionFailedError([write.key for write in writes])
-        _raise_for_status(response)
+        raise_for_status(response)
         if era is None or expected_eras - {era}:
             raise PlatformOutcomeUnknownError(
                 "the store wrote in another era than that of the conditions"
             )
-        result = _decode(response, TransactionResult, PlatformOutcomeUnknownError)
+        result = decode(response, TransactionResult, PlatformOutcomeUnknownError)
         self._note_clock(result.nowMs, requested_at_s)
         return tuple(make_version(era, result.ver) for _ in writes)
 
@@ -201,6 +199,36 @@
         A version of an earlier era has no changes, since its number may stand for
         another content by now.
         """
+        changes = await self._async_feed(table, after, wait_s)
+        return last_changes(table, changes, era_of(after))
+
+    async def async_history(
+        self, table: str, after: int, until: int
+    ) -> tuple[Item, ...]:
+        """Return all writes to a table after a version, up to another one or later."""
+        era = era_of(after)
+        written: list[Item] = []
+        while after < until:
+            changes = await self._async_feed(table, after, 0.0)
+            written += [
+                row_item(table, row, era) for row in changes.rows if not row.removed
+            ]
+            version = make_version(era, changes.ver)
+            if version <= after:
+                raise PlatformUnavailableError(
+                    f"the feed of table {table} ends before version {until}"
+                )
+            after = version
+        return tuple(written)
+
+    async def _async_feed(self, table: str, after: int, wait_s: float) -> Rows:
+        """Return the changes after a version, each as a row of its own.
+
+        Raises
+        ------
+        HistoryGoneError
+            If they are not available, also since the version is of an earlier era.
+        """
         if era_of(after) < self._eras.current:
             raise HistoryGoneError(_other_era(table, after))
         query = {
@@ -216,24 +244,18 @@
             raise HistoryGoneError(
                 f"changes of table {table} after version {after} are not available"
             )
-        _raise_for_status(response)
+        raise_for_status(response)
         if era != era_of(after):
             raise HistoryGoneError(_other_era(table, after))
-        changes = _decode(response, Rows, PlatformUnavailableError)
-        # Changes are sorted by version; only the last change of each row applies.
-        last = {row.key: row for row in changes.rows}.values()
-        kept = [row_item(table, row, era) for row in last if not row.removed]
-        removed = [row_key(table, row) for row in last if row.removed]
-        version = make_version(era, changes.ver)
-        return TableChanges(version, tuple(kept), tuple(removed))
+        return decode(response, Rows, PlatformUnavailableError)
 
     async def _async_rows(self, query: dict[str, str]) -> tuple[Rows, int]:
         """Return the rows of a query, and the era of the response."""
         requested_at_s = self._local_s()
         response = await self._async_read(PATH_ROWS_GET, query, self._timeout_s)
         era = self._note_era(response)
-        _raise_for_status(response)
-        rows = _decode(response, Rows, PlatformUnavailableError)
+        raise_for_status(response)
+        rows = decode(response, Rows, PlatformUnavailableError)
         self._note_clock(rows.nowMs, requested_at_s)
         return rows, era
 
@@ -273,25 +295,5 @@
             raise PlatformUnavailableError(str(error)) from error
 
 
-def _raise_for_status(response: HttpResponse) -> None:
-    if response.status == STATUS_OK:
-        return
-    reason = f"the store answered with status {response.status}"
-    if response.status in (STATUS_TOO_MANY, STATUS_UNAVAILABLE):
-        raise PlatformUnavailableError(reason)
-    raise PlatformOutcomeUnknownError(reason)
-
-
-def _decode(
-    response: HttpResponse,
-    response_type: type[ResponseT],
-    error_type: type[PlatformUnavailableError] | type[PlatformOutcomeUnknownError],
-) -> ResponseT:
-    try:
-        return msgspec.json.decode(response.body, type=response_type)
-    except DECODING_ERRORS as error:
-        raise error_type(f"response of the store can't be decoded: {error}") from error
-
-
 def _other_era(table: str, after: int) -> str:
     return f"version {after} of table {table} is of another era than the store"
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -64,6 +64,7 @@
 from banyanswitch.components.stream_origins.upstream_confirmation import (
     UpstreamConfirmation,
 )
+from banyanswitch.components.stream_origins.version_checkpoint import VersionCheckpoint
 from banyanswitch.components.stream_origins.version_store import SoftwareVersionStore
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
@@ -275,20 +276,20 @@
         self._engines = PlatformEngines(self._engine_client)
 
     def _make_state(self) -> None:
-        decoder = RowDecoder()
+        self._decoder = RowDecoder()
         feed = RelayedFeed(self._tables, self._readers, self._peer_client, self._random)
         self._mirrors = {
             name: TableMirror(name, feed, self._random)
             for name in (TABLE_OPERATOR, TABLE_UPSTREAMS)
         }
         self._routing = RoutingState(
-            self._mirrors[TABLE_OPERATOR], decoder, KEY_CONFIGURATION
+            self._mirrors[TABLE_OPERATOR], self._decoder, KEY_CONFIGURATION
         )
         self._loads = LoadTracker()
         self._slowness = UpstreamSlowness()
         self._registry = UpstreamRegistry(
             self._mirrors[TABLE_UPSTREAMS],
-            decoder,
+            self._decoder,
             self._loads,
             Ejector(EJECTION, self._random),
             UpstreamLimits(
@@ -423,6 +424,12 @@
             generator=self._random,
             eras=self._tables,
             confirmation=confirmation,
+            checkpoint=VersionCheckpoint(
+                table=self._tables,
+                history=self._tables,
+                mirror=self._mirrors[TABLE_UPSTREAMS],
+                decoder=self._decoder,
+            ),
         )
         versions = SoftwareVersions(
             self._registry, self._version_store, self._routing, confirmation
--- a/tests/components/stream_origins/test_version_store.py
+++ b/tests/components/stream_origins/test_version_store.py
@@ -10,6 +10,7 @@
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.stream_origins.const import (
     ADDITION_DELAY_S,
+    CHECKPOINT_INTERVAL_S,
     ERA_READ_SPREAD_S,
     REMOVAL_DELAY_S,
     SETTLED_AFTER_S,
@@ -17,8 +18,16 @@
     VERSIONS_INTERVAL_S,
     VERSIONS_TABLE,
 )
+from banyanswitch.components.stream_origins.version_checkpoint import (
+    VersionsByService,
+)
 from banyanswitch.components.stream_origins.version_store import SoftwareVersionStore
 from banyanswitch.components.table_mirror.mirror import TableMirror
+from banyanswitch.exceptions import (
+    HistoryGoneError,
+    PlatformError,
+    PlatformUnavailableError,
+)
 from banyanswitch.interfaces import Write, WriteClass
 from tests.components.forwarding.fakes import (
     SERVICE,
@@ -44,6 +53,28 @@
         return self.number
 
 
+class FakeCheckpoint:
+    """Implements ``Checkpoint``; by default no instance has run before.
+
+    Attributes
+    ----------
+    since : dict of ServiceName to frozenset of str, or PlatformError, or None
+        Versions in entries since the checkpoint, or why they can't be read.
+    """
+
+    def __init__(self) -> None:
+        self.since: VersionsByService | PlatformError | None = None
+        self.written_at_s: list[float] = []
+
+    async def async_write(self) -> None:
+        self.written_at_s.append(asyncio.get_running_loop().time())
+
+    async def async_versions_since(self) -> VersionsByService | None:
+        if isinstance(self.since, PlatformError):
+            raise self.since
+        return self.since
+
+
 class Node:
     """One instance; its upstreams are set by the test."""
 
@@ -52,6 +83,7 @@
         self.access = Access(table)
         self.eras = Eras()
         self.confirmation = FakeConfirmation(self.upstreams)
+        self.checkpoint = FakeCheckpoint()
         operator = TableMirror("op", NoFeed(), random.Random(1))
         routing = RoutingState(operator, PlainDecoder(), "config")
         routing.apply(make_configuration())
@@ -63,6 +95,7 @@
             generator=random.Random(seed),
             eras=self.eras,
             confirmation=self.confirmation,
+            checkpoint=self.checkpoint,
         )
         self.task = asyncio.create_task(self.store.async_run())
 
@@ -110,6 +143,7 @@
     assert await async_stored(table) == ["v1", "v2"]
     assert sum(node.access.writes for node in nodes) <= 3
     (late,) = start_nodes(1)
+    late.checkpoint.since = {}
     assert late.store.versions(SERVICE) is None
     await asyncio.sleep(VERSIONS_INTERVAL_S)
     assert late.store.versions(SERVICE) == {"v1", "v2"}
@@ -216,3 +250,89 @@
     node.upstreams.put(record("a", software_version="v1"))
     await asyncio.sleep(STORED_WITHIN_S)
     assert await async_stored(table) == ["v1"]
+
+
+# Guards against a guess from rows that the store has lost, by an instance that has not
+# seen the loss.
+@pytest.mark.parametrize("since", [HistoryGoneError("era"), None])
+async def test_versions_before_the_start_are_unknown_without_a_checkpoint(
+    table: FakeTable, start_nodes: StartNodes, since: HistoryGoneError | None
+) -> None:
+    await table.async_transact([Write(KEY, b'["v1"]', 0)], WriteClass.LEASE)
+    (node,) = start_nodes(1)
+    node.checkpoint.since = since
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(STREAM_LIFETIME_S - 0.1)
+    assert node.store.versions(SERVICE) is None
+    assert not node.checkpoint.written_at_s
+    await asyncio.sleep(0.1 + CHECKPOINT_INTERVAL_S + VERSIONS_INTERVAL_S)
+    assert node.store.versions(SERVICE) == {"v1"}
+    assert node.checkpoint.written_at_s
+
+
+# Guards against refusals once another instance has stored what it knows.
+async def test_checkpoint_that_another_instance_writes_later_is_read(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    await table.async_transact([Write(KEY, b'["v1"]', 0)], WriteClass.LEASE)
+    (node,) = start_nodes(1)
+    node.checkpoint.since = HistoryGoneError("era")
+    await asyncio.sleep(5.0)
+    node.checkpoint.since = {}
+    await asyncio.sleep(CHECKPOINT_INTERVAL_S + VERSIONS_INTERVAL_S)
+    assert node.store.versions(SERVICE) == {"v1"}
+
+
+# Guards against the loss of a version that no instance has stored before its end.
+async def test_versions_since_the_checkpoint_count_and_are_stored(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    await table.async_transact([Write(KEY, b'["v1"]', 0)], WriteClass.LEASE)
+    (node,) = start_nodes(1)
+    node.checkpoint.since = PlatformUnavailableError("not reached")
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(2 * VERSIONS_INTERVAL_S)
+    assert node.store.versions(SERVICE) is None
+    node.checkpoint.since = {SERVICE: frozenset({"v2"})}
+    await asyncio.sleep(2 * VERSIONS_INTERVAL_S)
+    assert node.store.versions(SERVICE) == {"v1", "v2"}
+    await asyncio.sleep(STORED_WITHIN_S)
+    assert await async_stored(table) == ["v1", "v2"]
+
+
+# Guards against a checkpoint after which a version is missing, and against more writes
+# with more instances.
+async def test_checkpoints_are_few_and_follow_the_stored_versions(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    nodes = start_nodes(8)
+    for node in nodes:
+        node.upstreams.put(record("a", software_version="v1"))
+        node.access.is_down = True
+    await asyncio.sleep(5.0)
+    assert not any(node.checkpoint.written_at_s for node in nodes)
+    for node in nodes:
+        node.access.is_down = False
+    await asyncio.sleep(STORED_WITHIN_S)
+    intervals = 10
+    await asyncio.sleep(intervals * CHECKPOINT_INTERVAL_S)
+    writes = sum(len(node.checkpoint.written_at_s) for node in nodes)
+    assert intervals <= writes <= 5 * intervals
+
+
+# Guards against a version that had left before the start, whose row the store has lost.
+async def test_versions_in_rows_of_an_earlier_era_count_and_are_stored_again(
+    table: FakeTable, start_nodes: StartNodes
+) -> None:
+    await table.async_transact([Write(KEY, b'["v1", "v2"]', 0)], WriteClass.LEASE)
+    (node,) = start_nodes(1)
+    node.checkpoint.since = {}
+    node.upstreams.put(record("a", software_version="v1"))
+    await asyncio.sleep(VERSIONS_INTERVAL_S)
+    (item,) = await table.async_get([KEY])
+    await table.async_transact([Write(KEY, b"[]", item.revision)], WriteClass.LEASE)
+    node.eras.number = 2
+    await asyncio.sleep(ERA_READ_SPREAD_S + VERSIONS_INTERVAL_S)
+    assert node.store.versions(SERVICE) == {"v1", "v2"}
+    await asyncio.sleep(STORED_WITHIN_S)
+    assert await async_stored(table) == ["v1", "v2"]
