Believe weights of an upstream that are lower than before

Cause: within one start, the highest weight version ever observed counted, so that late observations did no harm. Entries, responses and reports with the lower version were ignored, requests went on with the higher one and got 421, and the rollout saw nothing to order. Ruled out: a missing holder, and checks of the order that could have told it from a new one, as a restart clears revision and fence.

Observations now have the time in which they were made. A lower version counts if it was observed after the last confirmation of the higher one, and after a fall a higher one needs the same proof. Reports between instances state the age.

test_weight_versions_do_not_decrease_without_a_restart has a new name, since they may; its assertions are unchanged. Entries and refusals of the stand-ins state the weights that they have, and the sequence of entries rises.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -231,10 +231,12 @@
     def _note_response(
         self, response: ResponseMetadata, placed: PlacementResult
     ) -> None:
-        model = self._metadata.model
-        if model is not None and response.weight_version is not None:
-            name = placed.record.name
-            self._registry.note_weights(name, model, response.weight_version)
+        model, version = self._metadata.model, response.weight_version
+        name = placed.record.name
+        if model is None or version is None:
+            return
+        if response.answered_by in (None, name):
+            self._registry.note_weights(name, model, version, begun_at_s=self.sent_at_s)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -15,6 +15,9 @@
 """Age of the last answer from the store up to which the entries are up to date; each
 read waits 3 s for a change."""
 
+MAX_ENTRY_AGE_S: Final = 3.0
+"""Age of what an entry says when it is read: about 2 s, and the delay of the feed."""
+
 VERSION_HISTORY_S: Final = 300.0
 """Time for which a software version that has left a service is remembered."""
 
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -1,7 +1,7 @@
 """Registry of the upstreams and their observed state."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -9,6 +9,7 @@
     LOADING_NOTICE_TTL_S,
     MAX_CONTACT_AGE_S,
     MAX_DROPPED_UPSTREAMS,
+    MAX_ENTRY_AGE_S,
     MISSING_ENTRY_GRACE_S,
     REFUSAL_COOLDOWN_S,
     REPLACED_COOLDOWN_S,
@@ -24,6 +25,11 @@
 from banyanswitch.components.upstream_slowness.coordinator import UpstreamSlowness
 from banyanswitch.core import callback
 from banyanswitch.decisions.ejection import Ejector
+from banyanswitch.decisions.observed_weights import (
+    KnownWeights,
+    WeightObservation,
+    updated_weights,
+)
 from banyanswitch.decisions.upstream_notices import ResponseNotice
 from banyanswitch.helpers.store_version import era_of
 from banyanswitch.identifiers import FailureDomainId, ServiceName, UpstreamId
@@ -39,7 +45,7 @@
     Parameters
     ----------
     weight_versions : dict of str to int
-        Highest weight version seen of each model since the upstream started.
+        Present weight version of each model, as far as it is known.
     last_received_at_s : float
         Loop time of the last response head, or of the upstream's addition.
     entry_read_at_s : float
@@ -54,6 +60,8 @@
     cooldown_until_s : float
         Loop time until which it gets no requests that others can take, after a
         refusal.
+    known_weights : dict of str to KnownWeights
+        Evidence of each weight version.
     """
 
     record: UpstreamRecord
@@ -65,6 +73,7 @@
     expires_at_s: float | None = None
     replaced_until_s: float = 0.0
     cooldown_until_s: float = 0.0
+    known_weights: dict[str, KnownWeights] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,15 +250,45 @@
             state.last_received_at_s = now_s
 
     @callback
-    def note_weights(self, upstream: UpstreamId, model: str, version: int) -> None:
-        """Record the weight version in a response or a report."""
+    def note_weights(
+        self,
+        upstream: UpstreamId,
+        model: str,
+        version: int,
+        *,
+        begun_at_s: float = float("-inf"),
+    ) -> None:
+        """Record the weight version in a response or a report.
+
+        Parameters
+        ----------
+        begun_at_s : float
+            Loop time after which the upstream had this version, for example when the
+            request was sent; minus infinity if it is not known.
+        """
         state = self._states.get(upstream)
-        if state is None or version <= state.weight_versions.get(model, 0):
+        if state is None:
             return
-        state.weight_versions[model] = version
-        if version >= state.loading_version:
+        now_s = asyncio.get_running_loop().time()
+        before = state.weight_versions.get(model)
+        known = updated_weights(
+            state.known_weights.get(model),
+            WeightObservation(version, begun_at_s, now_s),
+        )
+        state.known_weights[model] = known
+        if known.version == before:
+            return
+        state.weight_versions[model] = known.version
+        if known.version >= state.loading_version:
             state.loading_until_s = 0.0
-        LOGGER.info("upstream_weights", upstream=upstream, model=model, version=version)
+        LOGGER.info(
+            "upstream_weights",
+            upstream=upstream,
+            model=model,
+            version=known.version,
+            replaced=before,
+            has_fallen=known.has_fallen,
+        )
 
     @callback
     def note_loading(self, upstream: UpstreamId, version: int, now_s: float) -> None:
@@ -342,23 +381,28 @@
             self.ejector.forget(record.name)
             if known is not None:
                 self.limits.cold.forget(known.record)
-            versions = dict(record.weight_versions)
-            state = UpstreamState(record, versions, now_s, now_s)
+            state = UpstreamState(record, {}, now_s, now_s)
             if self._may_have_left(record, item.revision):
                 state.replaced_until_s = now_s + MISSING_ENTRY_GRACE_S
                 LOGGER.info("upstream_reappeared", upstream=key, revision=item.revision)
             self._states[record.name] = state
             LOGGER.info("upstream_joined", upstream=key, revision=item.revision)
+            self._note_entry_weights(record, float("-inf"))
             return
         if record.address != known.record.address:
             known.replaced_until_s = 0.0
         if record.is_leaving and not known.record.is_leaving:
             LOGGER.info("upstream_leaving", upstream=key, revision=item.revision)
+        is_later = _order(record) > _order(known.record)
         known.record = record
         known.entry_read_at_s = now_s
         known.expires_at_s = None
+        written_s = now_s - MAX_ENTRY_AGE_S if is_later else float("-inf")
+        self._note_entry_weights(record, written_s)
+
+    def _note_entry_weights(self, record: UpstreamRecord, written_s: float) -> None:
         for model, version in record.weight_versions.items():
-            self.note_weights(record.name, model, version)
+            self.note_weights(record.name, model, version, begun_at_s=written_s)
 
     def _may_have_left(self, record: UpstreamRecord, revision: int) -> bool:
         """Return whether an entry may only be back because the store lost its removal.
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -53,8 +53,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _ObservedWeights:
+    """Weight version in an upstream's own report.
+
+    Parameters
+    ----------
+    begun_at_s : float
+        Loop time of the earliest moment at which it may have had the version.
+    seen_at_s : float
+        Loop time at which it was announced.
+    """
+
     model: str
     version: int
+    begun_at_s: float
     seen_at_s: float
 
 
@@ -233,6 +244,11 @@
         self._peer_count.note(len(self._peers.peers()), now_s)
         this = self._peers.this_instance()
         loads = self._registry.loads
+        observed_weights = {
+            name: observed
+            for name, observed in self._observed_weights.items()
+            if now_s - observed.seen_at_s <= OBSERVATION_RETENTION_S
+        }
         return InstanceReport(
             instance=this.instance,
             peer_address=self._transport.address,
@@ -246,8 +262,7 @@
             loading=dict(self._local_loading),
             weights={
                 name: (observed.model, observed.version)
-                for name, observed in self._observed_weights.items()
-                if now_s - observed.seen_at_s <= OBSERVATION_RETENTION_S
+                for name, observed in observed_weights.items()
             },
             fetch_floors=dict(self._tier.floors),
             replaced=[
@@ -271,6 +286,10 @@
             slowness={}
             if self._homes.are_used()
             else self._registry.slowness.take_unreported(now_s),
+            weight_ages_s={
+                name: now_s - observed.begun_at_s + delay_s
+                for name, observed in observed_weights.items()
+            },
         )
 
     def _reported_permit(self, now_s: float, delay_s: float) -> PermitReport | None:
@@ -350,16 +369,26 @@
 
     @callback
     def announce_weights(
-        self, upstream: UpstreamId, model: str, version: int | None
+        self, upstream: UpstreamId, model: str, version: int, begun_at_s: float
     ) -> None:
-        """Report that a load has ended, with its weight version if known."""
+        """Report that a load has ended, with the weight version.
+
+        Parameters
+        ----------
+        begun_at_s : float
+            Loop time of the earliest moment at which the upstream may have had it.
+        """
+        self._registry.note_weights(upstream, model, version, begun_at_s=begun_at_s)
+        self._observed_weights[upstream] = _ObservedWeights(
+            model, version, begun_at_s, _now_s()
+        )
+        self.end_loading(upstream)
+
+    @callback
+    def end_loading(self, upstream: UpstreamId) -> None:
+        """Report that a load has ended or failed."""
         self._local_loading.pop(upstream, None)
         self._registry.end_loading(upstream)
-        if version is not None:
-            self._registry.note_weights(upstream, model, version)
-            self._observed_weights[upstream] = _ObservedWeights(
-                model, version, _now_s()
-            )
         self.report_soon()
 
     @callback
@@ -377,7 +406,10 @@
         for name, version in report.loading.items():
             self._registry.note_loading(UpstreamId(name), version, now_s)
         for name, (model, version) in report.weights.items():
-            self._registry.note_weights(UpstreamId(name), model, version)
+            age_s = report.weight_ages_s.get(name, math.inf)
+            self._registry.note_weights(
+                UpstreamId(name), model, version, begun_at_s=now_s - age_s
+            )
         for name in report.replaced:
             self._registry.note_replaced(UpstreamId(name), now_s)
         for model, ages_s in report.target_ages_s.items():
--- a/src/banyanswitch/components/state_exchange/models.py
+++ b/src/banyanswitch/components/state_exchange/models.py
@@ -56,6 +56,10 @@
     slowness : dict of str to SlownessReport
         Slowness that the sender observed since its last report; empty in a large
         fleet, where the upstreams' homes keep it.
+    weight_ages_s: dict of str to float
+        Time since the earliest moment at which upstreams may have had the versions in
+        ``weights``, in seconds, when the last recipient gets the report; missing in
+        reports of earlier versions.
     """
 
     instance: str
@@ -74,3 +78,4 @@
     unreached: list[str] = []
     permit: PermitReport | None = None
     slowness: dict[str, SlownessReport] = {}
+    weight_ages_s: dict[str, float] = {}
--- a/src/banyanswitch/components/weight_rollout/const.py
+++ b/src/banyanswitch/components/weight_rollout/const.py
@@ -19,6 +19,9 @@
 """Interval between two report requests to a loading upstream. A change of its state
 is seen at most one interval late."""
 
+MAX_REPORT_AGE_S: Final = 0.5
+"""Age of what a report says when it is requested; the platform names some 100 ms."""
+
 LOAD_TIMEOUT_S: Final = 8.0
 """Time limit for the wait for a load. After it, the upstream may be ordered again."""
 
--- a/src/banyanswitch/components/weight_rollout/coordinator.py
+++ b/src/banyanswitch/components/weight_rollout/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import dataclass
 from functools import partial
 
 import structlog
@@ -22,6 +23,7 @@
     LOAD_TIMEOUT_S,
     LOADING_SHARE,
     MAX_IDLE_REPORTS,
+    MAX_REPORT_AGE_S,
     MIN_SERVING_SHARE,
     POLL_INTERVAL_S,
     RETRY_DELAY_S,
@@ -36,6 +38,20 @@
 LOGGER = structlog.get_logger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _LoadedWeights:
+    """Weight version in a report of an upstream.
+
+    Parameters
+    ----------
+    begun_at_s : float
+        Loop time of the earliest moment at which the upstream may have had it.
+    """
+
+    version: int
+    begun_at_s: float
+
+
 class WeightRollout:
     """Compare the weights of the upstreams with their targets and order loads.
 
@@ -191,31 +207,36 @@
         self, state: UpstreamState, model: str, version: int, wait_s: float
     ) -> None:
         name = state.record.name
-        loaded_version: int | None = None
+        loaded: _LoadedWeights | None = None
         try:
             await asyncio.sleep(wait_s)
             if not self._registry.notices.may_send(state.record, _now_s()):
                 return
-            loaded_version = await self._async_order_and_wait(state, model, version)
+            loaded = await self._async_order_and_wait(state, model, version)
         except FencedError as error:
             LOGGER.warning("orders_fenced", upstream=name, reason=str(error))
             self._order_lease.invalidate()
         except UpstreamError as error:
             LOGGER.warning("load_not_ordered", upstream=name, reason=str(error))
         finally:
-            if loaded_version is None:
+            if loaded is None:
                 self._retry_at_s[name] = _now_s() + RETRY_DELAY_S
-            self._exchange.announce_weights(name, model, loaded_version)
+                self._exchange.end_loading(name)
+            else:
+                self._exchange.announce_weights(
+                    name, model, loaded.version, loaded.begun_at_s
+                )
 
     async def _async_order_and_wait(
         self, state: UpstreamState, model: str, version: int
-    ) -> int | None:
+    ) -> "_LoadedWeights | None":
         """Return the version that the upstream has reached, or ``None`` if unknown."""
         address = state.record.address
+        begun_at_s = _now_s() - MAX_REPORT_AGE_S
         report = await self._engines.async_report(address)
         known = report.weight_versions.get(model, 0)
         if known >= version:
-            return known
+            return _LoadedWeights(known, begun_at_s)
         token = self._order_lease.token(_now_s())
         if token is None:
             return None
@@ -259,7 +280,7 @@
 
     async def _async_wait_until_loaded(
         self, state: UpstreamState, model: str, version: int
-    ) -> int | None:
+    ) -> "_LoadedWeights | None":
         deadline_s = _now_s() + LOAD_TIMEOUT_S
         idle_reports = 0
         while _now_s() < deadline_s:
@@ -270,6 +291,7 @@
             self._exchange.renew_loading(name, version)
             if not self._registry.notices.may_send(state.record, _now_s()):
                 continue
+            begun_at_s = _now_s() - MAX_REPORT_AGE_S
             try:
                 report = await self._engines.async_report(state.record.address)
             except UpstreamError as error:
@@ -277,7 +299,7 @@
                 continue
             known = report.weight_versions.get(model, 0)
             if known >= version and not report.is_busy:
-                return known
+                return _LoadedWeights(known, begun_at_s)
             idle_reports = 0 if report.is_busy else idle_reports + 1
             if idle_reports > MAX_IDLE_REPORTS:
                 return None
--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -176,6 +176,12 @@
         loop.call_later(self.load_s, self._set_version, order["version"])
         return web.Response(status=202)
 
+    def carry_out_late(self, version: int) -> None:
+        """Load weights by an order of before a restart, which forgot its token."""
+        self._highest_fencing_token = 0
+        self.orders = [{"version": version}]
+        self._set_version(version)
+
     def _set_version(self, version: int) -> None:
         self.weight_version = version
 
@@ -197,7 +203,12 @@
         }
         refusal = self._refusal(request)
         if refusal is not None:
-            not_run = {"Attempt-Id": attempt, "Not-Run": "1", **self._notice_headers()}
+            not_run = {
+                "Attempt-Id": attempt,
+                "Not-Run": "1",
+                "Weight-Versions": str(self.weight_version),
+                **self._notice_headers(),
+            }
             return await self._async_answer(request, refusal, not_run)
         self.received.append(
             ReceivedRequest(
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -60,6 +60,8 @@
 LIMIT = b"limit"
 NOT_RUN = b"not-run"
 SLOWNESS = b"slowness"
+WEIGHTS = b"weights"
+MISDIRECTED = 421
 EVENTS = 2
 """Number of events in a stream."""
 
@@ -214,12 +216,13 @@
         return ResponseMetadata(
             attempt=header_value(head.headers, ATTEMPT),
             is_signed=True,
-            is_not_run=header_value(head.headers, NOT_RUN) is not None,
-            is_misdirected=False,
+            is_not_run=header_value(head.headers, NOT_RUN) is not None
+            or head.status == MISDIRECTED,
+            is_misdirected=head.status == MISDIRECTED,
             answered_by=None,
             load=None,
             limit_per_s=_limit_per_s(head),
-            weight_version=None,
+            weight_version=_weight_version(head),
             retry_after_s=None,
             slowness=_slowness(head),
         )
@@ -233,6 +236,11 @@
         return [] if retry_after_s is None else [(RETRY_AFTER, b"%f" % retry_after_s)]
 
 
+def _weight_version(head: ResponseHead) -> int | None:
+    value = header_value(head.headers, WEIGHTS)
+    return None if value is None else int(value)
+
+
 def _slowness(head: ResponseHead) -> float | None:
     value = header_value(head.headers, SLOWNESS)
     return None if value is None else float(value)
--- a/tests/components/forwarding/test_upstream_registry.py
+++ b/tests/components/forwarding/test_upstream_registry.py
@@ -102,7 +102,7 @@
     assert state.weight_versions[MODEL] == 2
 
 
-async def test_weight_versions_do_not_decrease_without_a_restart() -> None:
+async def test_late_entry_does_not_lower_the_weight_version() -> None:
     upstreams = Upstreams()
     upstreams.put(record("a", version=1))
     upstreams.registry.note_weights(UpstreamId("a"), MODEL, 4)
--- a/tests/components/state_exchange/test_coordinator.py
+++ b/tests/components/state_exchange/test_coordinator.py
@@ -106,7 +106,7 @@
     first.exchange.announce_loading([name], 2)
     assert second.upstreams.loads.total(name, now_s()) == Load(1, 300, 400)
     assert second.upstreams.accepting(now_s()) == []
-    first.exchange.announce_weights(name, MODEL, 2)
+    first.exchange.announce_weights(name, MODEL, 2, now_s())
     assert second.upstreams.accepting(now_s()) == ["u"]
     state = second.upstreams.registry.state(name)
     assert state is not None
@@ -167,7 +167,7 @@
             node.exchange.renew_loading(name, 2)
         await asyncio.sleep(0.2)
     for name in names:
-        node.exchange.announce_weights(name, MODEL, 2)
+        node.exchange.announce_weights(name, MODEL, 2, now_s())
     await asyncio.sleep(1.0)
     assert node.transport.sent <= 90 + URGENT_REPORTS_PER_S * 2.0
 
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -70,7 +70,13 @@
 
 
 def registry_entry(
-    name: str, address: str, state: str = "ready", version: str = "v1"
+    name: str,
+    address: str,
+    state: str = "ready",
+    version: str = "v1",
+    *,
+    weights: int = 1,
+    sequence: int = 1,
 ) -> bytes:
     document = {
         "service": "llm",
@@ -79,9 +85,9 @@
         "version": version,
         "slots": 8,
         "state": state,
-        "sequence": 1,
+        "sequence": sequence,
         "coldRemainingMs": 0,
-        "models": [{"name": "m", "version": 1, "adapters": []}],
+        "models": [{"name": "m", "version": weights, "adapters": []}],
         "born": 1700000000000,
     }
     return json.dumps(document).encode()
@@ -139,6 +145,7 @@
         self._runners_by_name: dict[str, web.AppRunner] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._addresses: dict[str, str] = {}
+        self._entries = 0
         self.session = aiohttp.ClientSession()
 
     async def async_start(self) -> None:
@@ -158,8 +165,16 @@
             await self.async_wait_until(lambda host=host: self.async_is_ready(host))
 
     async def async_register(self, name: str, state: str = "ready") -> None:
-        version = self.upstreams[name].software_version
-        entry = registry_entry(name, self._addresses[name], state, version)
+        upstream = self.upstreams[name]
+        self._entries += 1
+        entry = registry_entry(
+            name,
+            self._addresses[name],
+            state,
+            upstream.software_version,
+            weights=upstream.weight_version,
+            sequence=self._entries,
+        )
         await self.store.async_put("servers", name, entry)
 
     async def async_add_upstream(self, name: str, software_version: str) -> None:
