Avoid upstreams that refuse requests which others can take

Cause: a 421 of the expected upstream gave it no cooldown, and the cooldown of other refusals, 0.2 s, is shorter than the time between two requests of a small service.

A 421 that corrects nothing counts as a refusal, with a cooldown that doubles up to 1.6 s, and a second attempt prefers upstreams that have not just refused.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -224,6 +224,7 @@
                 is_misdirected=response.is_misdirected,
                 answered_by=response.answered_by,
             )
+        self._registry.note_ran(placed.record.name)
         if head.status < FIRST_CLIENT_ERROR_STATUS and not response.is_signed:
             raise UpstreamBrokenError("successful response without a signature")
         await self._relay.async_relay(body, head, is_last=is_last)
--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -30,6 +30,10 @@
 """Time for which an upstream that refused a request is avoided; requests of services
 without model engines take about 0.1 s, so capacity is free again by then."""
 
+MAX_MISDIRECTED_COOLDOWN_S: Final = 1.6
+"""Longest time for which an upstream is avoided that refuses one request after the
+other as not meant for it. The time doubles with each one."""
+
 REPLACED_COOLDOWN_S: Final = 5.0
 """Time for which an upstream gets no requests after another upstream responded at its
 address; its entry expires after three heartbeats of 1.2 s."""
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -450,7 +450,7 @@
         outcome = RunOutcome.UNKNOWN
         if isinstance(error, NotRunError):
             outcome = RunOutcome.NOT_RUN
-            self._note_not_run(placed, error)
+            self._note_not_run(context, placed, error)
         elif isinstance(error, StartTimeoutError):
             # No failure of the upstream, so it is not ejected.
             context.may_have_run = True
@@ -488,16 +488,32 @@
         self._give_up(context, error)
         return False
 
-    def _note_not_run(self, placed: PlacementResult, error: NotRunError) -> None:
+    def _note_not_run(
+        self, context: RequestContext, placed: PlacementResult, error: NotRunError
+    ) -> None:
         self._metrics.count_not_run(placed.record.service)
         name = placed.record.name
-        if not error.is_misdirected:
-            self._registry.note_refused(name, self._loop.time())
-            return
-        self._pool.close_idle(placed.record.address)
-        if error.answered_by is not None and error.answered_by != name:
-            self._registry.note_replaced(name, self._loop.time())
-            self._on_replaced(name)
+        if error.is_misdirected:
+            self._pool.close_idle(placed.record.address)
+            if error.answered_by is not None and error.answered_by != name:
+                self._registry.note_replaced(name, self._loop.time())
+                self._on_replaced(name)
+                return
+            if self._has_learned_weights(context, placed):
+                return
+        self._registry.note_refused(
+            name, self._loop.time(), is_misdirected=error.is_misdirected
+        )
+
+    def _has_learned_weights(
+        self, context: RequestContext, placed: PlacementResult
+    ) -> bool:
+        """Return whether an upstream is known to have other weights than expected."""
+        state = self._registry.state(placed.record.name)
+        model = context.metadata.model
+        if state is None or model is None:
+            return False
+        return state.weight_versions.get(model) != placed.plan.expected_weights
 
     def _decide(
         self,
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -316,6 +316,9 @@
             and (model is None or self._has_weights(state, model, now_s))
             and self._registry.limits.may_send(state.record, now_s)
         ]
+        if request.excluded:
+            # An attempt that failed isn't followed by another that is likely to.
+            states = [s for s in states if not s.has_refused] or states
         healthy = [state for state in states if self._registry.health(state, now_s) > 0]
         if len(healthy) >= MIN_HEALTHY_SHARE * len(states):
             return healthy
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -10,6 +10,7 @@
     MAX_CONTACT_AGE_S,
     MAX_DROPPED_UPSTREAMS,
     MAX_ENTRY_AGE_S,
+    MAX_MISDIRECTED_COOLDOWN_S,
     MISSING_ENTRY_GRACE_S,
     REFUSAL_COOLDOWN_S,
     REPLACED_COOLDOWN_S,
@@ -60,6 +61,11 @@
     cooldown_until_s : float
         Loop time until which it gets no requests that others can take, after a
         refusal.
+    misdirected : int
+        Number of requests in a row that it refused as not meant for it, for an unknown
+        reason.
+    has_refused : bool
+        Whether it refused the last request that it has answered.
     known_weights : dict of str to KnownWeights
         Evidence of each weight version.
     """
@@ -73,6 +79,8 @@
     expires_at_s: float | None = None
     replaced_until_s: float = 0.0
     cooldown_until_s: float = 0.0
+    misdirected: int = 0
+    has_refused: bool = False
     known_weights: dict[str, KnownWeights] = field(default_factory=dict)
 
 
@@ -304,11 +312,36 @@
         state.loading_until_s = now_s + LOADING_NOTICE_TTL_S
 
     @callback
-    def note_refused(self, upstream: UpstreamId, now_s: float) -> None:
-        """Record that an upstream refused a request without running it."""
+    def note_refused(
+        self, upstream: UpstreamId, now_s: float, *, is_misdirected: bool = False
+    ) -> None:
+        """Record that an upstream refused a request without running it.
+
+        Parameters
+        ----------
+        is_misdirected : bool
+            Whether the request was not meant for it, for a reason that this instance
+            doesn't know. Other than a full queue, that doesn't pass by itself.
+        """
+        state = self._states.get(upstream)
+        if state is None:
+            return
+        state.has_refused = True
+        cooldown_s = REFUSAL_COOLDOWN_S
+        if is_misdirected:
+            cooldown_s = min(
+                MAX_MISDIRECTED_COOLDOWN_S, cooldown_s * 2**state.misdirected
+            )
+            state.misdirected += 1
+        state.cooldown_until_s = now_s + cooldown_s
+
+    @callback
+    def note_ran(self, upstream: UpstreamId) -> None:
+        """Record that an upstream did not refuse a request."""
         state = self._states.get(upstream)
         if state is not None:
-            state.cooldown_until_s = now_s + REFUSAL_COOLDOWN_S
+            state.has_refused = False
+            state.misdirected = 0
 
     @callback
     def note_replaced(self, upstream: UpstreamId, now_s: float) -> None:
--- a/tests/components/forwarding/test_fallen_weights.py
+++ b/tests/components/forwarding/test_fallen_weights.py
@@ -1,4 +1,4 @@
-"""Upstreams with older weights than they had."""
+"""Upstreams with older weights than they had, and refusals of the least loaded."""
 
 import asyncio
 
@@ -6,17 +6,26 @@
 
 from banyanswitch.components.forwarding.const import (
     MAX_ENTRY_AGE_S,
+    MAX_MISDIRECTED_COOLDOWN_S,
+    REFUSAL_COOLDOWN_S,
 )
+from banyanswitch.components.forwarding.models import Repeatability
 from banyanswitch.identifiers import UpstreamId
 from tests.components.forwarding.fakes import (
     MODEL,
+    FakeUpstream,
     Upstreams,
     record,
 )
-from tests.components.forwarding.instance import now_s
+from tests.components.forwarding.instance import Instance, now_s
 from tests.components.state_exchange.test_coordinator import make_nodes
 
 pytestmark = pytest.mark.looptime
+REFUSALS = {
+    "421 with weights": b"HTTP/1.1 421 X\r\nWeights: 2\r\nContent-Length: 0\r\n\r\n",
+    "421 without weights": b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+    "503": b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+}
 
 
 def weights(upstreams: Upstreams, name: str) -> int:
@@ -25,6 +34,40 @@
     return state.weight_versions[MODEL]
 
 
+# Guards against requests that all go first to the upstreams that refuse them, which
+# seem idle, and are refused in spite of others that are idle as well.
+@pytest.mark.parametrize("interval_s", [REFUSAL_COOLDOWN_S / 2, 0.4])
+@pytest.mark.parametrize("refusal", REFUSALS.values(), ids=REFUSALS)
+async def test_upstreams_that_refuse_all_requests_do_not_take_them_from_others(
+    refusal: bytes, interval_s: float
+) -> None:
+    instance = Instance()
+    instance.name_target(3)
+    sound = [instance.add(name, 3, response_s=600.0) for name in "cdef"]
+    running = [instance.send(Repeatability.RESUMABLE_STREAM)[1] for _ in range(8)]
+    await asyncio.sleep(1.0)
+    for upstream in sound:
+        upstream.response_s = 0.0
+    refusing: list[FakeUpstream] = []
+    for name in "ab":
+        refusing.append(instance.add(name, 3))
+        refusing[-1].raw_response = refusal
+    statuses = []
+    for _ in range(20):
+        await asyncio.sleep(interval_s)
+        reply, handling = instance.send(Repeatability.RESUMABLE_STREAM)
+        await handling
+        statuses.append(reply.status)
+    for handling in running:
+        handling.cancel()
+    assert statuses.count(503) <= 1
+    assert statuses.count(200) >= 19
+    if b"421" in refusal:
+        # The cooldown reaches its maximum after four refusals.
+        tries = 4 + 20 * interval_s / MAX_MISDIRECTED_COOLDOWN_S
+        assert all(len(upstream.exchanges) <= tries for upstream in refusing)
+
+
 # Guards against weights that count as the newest though the upstream has older ones.
 async def test_entries_that_stay_at_older_weights_are_believed() -> None:
     upstreams = Upstreams()
