Store the origins of streams again after the store has returned

Cause: an instance counted the origins of its streams as stored although the store had returned from an older copy without the row, so that a later end of all instances lost them and their streams were refused.

What was written is forgotten in a new era, and the row written with the next tick.

Before: test_origins_are_stored_again_in_a_new_era failed. After: it passes.

--- a/src/banyanswitch/components/stream_origins/origin_store.py
+++ b/src/banyanswitch/components/stream_origins/origin_store.py
@@ -24,7 +24,14 @@
 from banyanswitch.exceptions import PlatformError
 from banyanswitch.helpers.decoding import DECODING_ERRORS
 from banyanswitch.identifiers import ServiceName
-from banyanswitch.interfaces import Item, PeerDirectory, TableStore, Write, WriteClass
+from banyanswitch.interfaces import (
+    Item,
+    PeerDirectory,
+    StoreEra,
+    TableStore,
+    Write,
+    WriteClass,
+)
 
 LOGGER = structlog.get_logger(__name__)
 
@@ -50,6 +57,8 @@
         Instances that share the rate of writes.
     generator : random.Random
         Selects the instance that removes the rows, and when.
+    eras : StoreEra
+        Era of the table service, which may return from an older copy without the row.
     """
 
     def __init__(
@@ -60,7 +69,10 @@
         versions: AmbiguousVersions,
         peers: PeerDirectory,
         generator: random.Random,
+        eras: StoreEra,
     ) -> None:
+        self._eras = eras
+        self._era = 0
         self._table = table
         self._key = f"{ORIGINS_TABLE}/{row}"
         self._versions = versions
@@ -90,6 +102,7 @@
             except TimeoutError:
                 pass
             self._noted.clear()
+            self._note_era()
             ambiguous = self._versions.ambiguous()
             if not ambiguous:
                 # Without known versions, unfinished streams may still need the rows.
@@ -101,6 +114,13 @@
                 writers = max(1, len(self._peers.peers()))
                 await asyncio.sleep(writers / ORIGIN_WRITES_PER_S)
 
+    def _note_era(self) -> None:
+        """Count nothing as written that the store may have lost."""
+        era = self._eras.era()
+        if era > self._era:
+            self._era = era
+            self._written = frozenset()
+
     async def async_find(self, stream: bytes) -> OriginSearch:
         """Search for an origin among the stored ones.
 
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -440,6 +440,7 @@
             versions=versions,
             peers=self._membership,
             generator=self._random,
+            eras=self._tables,
         )
         self._metrics = ForwardingMetrics()
         loop = asyncio.get_running_loop()
--- a/tests/components/stream_origins/test_origin_store.py
+++ b/tests/components/stream_origins/test_origin_store.py
@@ -32,6 +32,7 @@
     make_configuration,
 )
 from tests.components.lease.conftest import FixedPeers, make_peer
+from tests.components.stream_origins.test_version_store import Eras
 from tests.fakes.table import FakeTable
 
 pytestmark = pytest.mark.looptime
@@ -45,6 +46,7 @@
 
     def __init__(self, table: FakeTable, name: str, start: int, versions: str) -> None:
         self.upstreams = Upstreams()
+        self.eras = Eras()
         for version in versions.split():
             self.add(version)
         operator = TableMirror("op", NoFeed(), random.Random(1))
@@ -62,6 +64,7 @@
             ),
             peers=FixedPeers(make_peer(name), others),
             generator=random.Random(start),
+            eras=self.eras,
         )
         self.task = asyncio.create_task(self.store.async_run())
 
@@ -121,6 +124,21 @@
     assert await third.store.async_find(b"t") == OriginSearch(NEW)
 
 
+# Guards against origins that the store lost when it returned from an older copy.
+async def test_origins_are_stored_again_in_a_new_era(
+    table: FakeTable, start: StartNode
+) -> None:
+    first = start("a", 1)
+    first.store.note(b"s", OLD)
+    await asyncio.sleep(WRITE_S)
+    table.items.clear()
+    first.eras.number = 2
+    await asyncio.sleep(ORIGIN_TICK_S + WRITE_S)
+    first.task.cancel()
+    second = start("a", 2)
+    assert await second.store.async_find(b"s") == OriginSearch(OLD)
+
+
 async def test_stream_from_before_the_second_version_is_stored(
     start: StartNode,
 ) -> None:
