Wait longer for the versions of others after a store has returned

Cause: after a gap in the entries an instance reads the stored software versions 2 s later, when the others have stored what they saw. In a new era of the store they first read what it has kept, within 2.5 s, so the row could still lack a version that only they had seen. An instance that was cut off as the version joined, with the return of an older copy beside it, could go on with its streams at the old one.

Before: test_versions_are_read_again_after_a_gap_in_the_entries failed with a new era. After: it passes.

--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -137,6 +137,7 @@
         self._confirmation = confirmation
         self._requested_at_s = float("-inf")
         self._era = 0
+        self._era_began_at_s = float("-inf")
         self._read_era = 0
         self._is_read = False
         self._is_of_era = False
@@ -156,7 +157,18 @@
 
     def _lacks_gap(self) -> bool:
         """Return whether others may since have stored what this instance missed."""
-        return self._requested_at_s < self._registry.gap_at_s + SETTLED_AFTER_S
+        return self._requested_at_s < self._gap_settles_at_s()
+
+    def _gap_settles_at_s(self) -> float:
+        """Return the loop time at which others have stored what they saw before a gap.
+
+        In a new era of the store they first read what it has kept.
+        """
+        settles_at_s = self._registry.gap_at_s + SETTLED_AFTER_S
+        is_noticed = self._eras.era() <= self._era
+        if is_noticed and _now_s() >= self._era_began_at_s + STREAM_LIFETIME_S:
+            return settles_at_s
+        return settles_at_s + ERA_READ_SPREAD_S + VERSIONS_INTERVAL_S
 
     def _knows_start(self) -> bool:
         """Return whether the versions that were in use before the start are known."""
@@ -191,7 +203,7 @@
                 delay_s = self._generator.uniform(0.0, ERA_READ_SPREAD_S)
                 await asyncio.sleep(delay_s)
             now_s = _now_s()
-            is_settled = now_s >= self._registry.gap_at_s + SETTLED_AFTER_S
+            is_settled = now_s >= self._gap_settles_at_s()
             if not self._is_of_era or (is_settled and self._lacks_gap()):
                 self._is_of_era = await self._async_read()
                 self._is_read = self._is_read or self._is_of_era
@@ -245,6 +257,8 @@
         era = self._eras.era()
         has_earlier_era = 0 < self._era < era
         self._era = max(era, self._era)
+        if has_earlier_era:
+            self._era_began_at_s = _now_s()
         return has_earlier_era
 
     def _note_read_era(self) -> None:
--- a/tests/components/stream_origins/test_version_store.py
+++ b/tests/components/stream_origins/test_version_store.py
@@ -195,16 +195,20 @@
     assert await async_stored(table) == ["v1", "v2"]
 
 
-# Guards against versions that came and went while this instance was cut off.
+# Guards against versions that came and went while this instance was cut off, also if
+# the others store them again only after they have read what a returning store has kept.
+@pytest.mark.parametrize("has_new_era", [False, True])
 async def test_versions_are_read_again_after_a_gap_in_the_entries(
-    table: FakeTable, start_nodes: StartNodes
+    table: FakeTable, start_nodes: StartNodes, has_new_era: bool
 ) -> None:
     (node,) = start_nodes(1)
     node.upstreams.put(record("a", software_version="v1"))
     await asyncio.sleep(STORED_WITHIN_S)
     assert node.store.versions(SERVICE) == {"v1"}
+    node.eras.number = 2 if has_new_era else 1
     node.upstreams.remove("unseen")
-    await asyncio.sleep(SETTLED_AFTER_S - 0.1)
+    spread_s = ERA_READ_SPREAD_S + VERSIONS_INTERVAL_S if has_new_era else 0.0
+    await asyncio.sleep(SETTLED_AFTER_S + spread_s - 0.1)
     assert node.store.versions(SERVICE) is None
     (item,) = await table.async_get([KEY])
     write = Write(KEY, b'["v1", "v2"]', item.revision)
