Share no parts under a configuration that the store may have lost

Cause: an instance that starts beside the return of the store from an older copy took the rows of operators for the newest.

Until the operators' rows are written again, 2.2 s after the first content, or the checkpoint confirms the era, each workspace has a scope of its own, and no stored parts are used. Checkpoints are written 2.2 s after a return at the earliest.

Before: test_workspace_uses_no_parts_of_others_under_a_lost_configuration failed, and the test of a restart beside a sound store passed. After: both pass.

--- a/src/banyanswitch/components/forwarding/const.py
+++ b/src/banyanswitch/components/forwarding/const.py
@@ -2,10 +2,11 @@
 
 from typing import Final
 
-MISSING_ENTRY_GRACE_S: Final = 2.2
-"""Time after the store's return for which an upstream without an entry is kept. The
-platform restores the entries that expired in an outage within about 2 s; one that
-vanishes later has left."""
+from banyanswitch.components.table_mirror.const import REWRITE_S
+
+MISSING_ENTRY_GRACE_S: Final = REWRITE_S
+"""Time after the store's return for which an upstream without an entry is kept; one
+that vanishes later has left."""
 
 MAX_DROPPED_UPSTREAMS: Final = 2_000
 """Number of dropped upstreams whose last entry is remembered; at the target size of 780
--- a/src/banyanswitch/components/forwarding/placement.py
+++ b/src/banyanswitch/components/forwarding/placement.py
@@ -446,7 +446,9 @@
         self, request: PlacementRequest, model: str | None, version: int | None
     ) -> PartPlan:
         parts = request.metadata.parts
-        if model is None or not parts:
+        # The parts of outdated targets may be freed, and others don't find those of a
+        # workspace's own scope.
+        if model is None or not parts or not self._routing.is_current():
             return PartPlan()
         salt = self._salt(request, model, version)
         engine = request.service.engine
--- a/src/banyanswitch/components/forwarding/routing_state.py
+++ b/src/banyanswitch/components/forwarding/routing_state.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
+from typing import Final
 
 import structlog
 
@@ -24,6 +25,7 @@
 from banyanswitch.identifiers import FailureDomainId, ServiceName, WorkspaceId
 from banyanswitch.interfaces import Item
 
+NO_WORKSPACE: Final = WorkspaceId("")
 LOGGER = structlog.get_logger(__name__)
 
 
@@ -68,6 +70,8 @@
     ----------
     on_returned : callable
         Called with a failure domain that is no longer evacuated.
+    is_current : callable
+        Returns whether the rows are not those of an older copy of the store.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         self._targets: dict[str, WeightTarget] = {}
         self._evacuated: set[FailureDomainId] = set()
         self.on_returned: Callable[[FailureDomainId], None] = lambda _domain: None
+        self.is_current: Callable[[], bool] = lambda: True
         self._target_handlers: list[Callable[[str], None]] = []
         self.configuration: ForwardingConfiguration | None = None
         self._shared_scope = ""
@@ -160,13 +165,16 @@
 
         The shared scope belongs to the active configuration. A request that was
         admitted under an earlier one may use it only if its workspace is isolated in
-        neither.
+        neither. While a newer configuration may be missing, each workspace has a scope
+        of its own.
 
         Parameters
         ----------
         workspace : ForwardedWorkspace or None
             Workspace as it was when the request was admitted.
         """
+        if not self.is_current():
+            return isolated_scope(workspace.name if workspace else NO_WORKSPACE)
         if workspace is None:
             return self._shared_scope
         active = self._workspaces_by_name.get(workspace.name)
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -175,6 +175,11 @@
         now_s = asyncio.get_running_loop().time()
         return now_s - self._mirror.last_contact_s <= MAX_CONTACT_AGE_S
 
+    @callback
+    def is_settled(self, now_s: float) -> bool:
+        """Return whether lost entries had time to be written again."""
+        return now_s >= self._mirror.regained_at_s + MISSING_ENTRY_GRACE_S
+
     @callback
     def state(self, upstream: UpstreamId) -> UpstreamState | None:
         """Return the state of an upstream."""
--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -110,6 +111,12 @@
         Reads the entries that this instance lacks, before it removes a version.
     checkpoint : Checkpoint
         Tells what the rows that are read at the start lack.
+
+    Attributes
+    ----------
+    on_continued : callable
+        Called when this instance continues from a checkpoint. The instance that wrote
+        it had seen no return of the store for `REWRITE_S`.
     """
 
     def __init__(
@@ -125,6 +132,7 @@
         checkpoint: Checkpoint,
     ) -> None:
         self._checkpoint = checkpoint
+        self.on_continued: Callable[[], None] = lambda: None
         self._checkpoint_due_at_s = float("-inf")
         self._before_start: VersionsByService | None = None
         self._lost: dict[ServiceName, _LostVersions] = {}
@@ -243,12 +251,16 @@
             return
         # Without any row, no instance has run before.
         self._before_start = before_start or {}
+        if before_start is not None:
+            self.on_continued()
 
     def _has_stored_all(self) -> bool:
         """Return whether the rows have all versions that may have begun a stream."""
         if self._registry.followed_since_s is None or self._lacks_gap():
             return False
         now_s = _now_s()
+        if not self._registry.is_settled(now_s):
+            return False
         services = self._routing.resumable_services()
         return all(not self._difference(service, now_s)[0] for service in services)
 
--- a/src/banyanswitch/components/table_mirror/const.py
+++ b/src/banyanswitch/components/table_mirror/const.py
@@ -45,3 +45,8 @@
 MAX_REMOVED_ROWS: Final = 2_000
 """Number of removed rows that a copy remembers. At the target size of 780 upstreams, it
 covers two full replacements. An instance that lags further reads the whole table."""
+
+REWRITE_S: Final = 2.2
+"""Time after the store's return within which operators and upstreams have written again
+what it has lost, and entries that expired in an outage; the platform names about
+2 s."""
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -54,6 +54,10 @@
     gap_at_s : float
         Loop time at which this copy has last caught up after it may have missed rows
         that were added, and removed or replaced, in between; minus infinity before.
+    first_era_at_s : float or None
+        Loop time of the first content; ``None`` before, and for a store without eras.
+    has_seen_return : bool
+        Whether this copy has had content of an earlier era of the store.
     """
 
     def __init__(self, table: str, feed: TableFeed, generator: random.Random) -> None:
@@ -76,6 +80,8 @@
         self.last_failure_s = float("-inf")
         self.regained_at_s = float("-inf")
         self.gap_at_s = float("-inf")
+        self.first_era_at_s: float | None = None
+        self.has_seen_return = False
 
     @property
     def items(self) -> tuple[Item, ...]:
@@ -277,7 +283,10 @@
         """Count the first content of a new era as the store's return."""
         if era <= self._era:
             return
+        if self.first_era_at_s is None:
+            self.first_era_at_s = asyncio.get_running_loop().time()
         if self._era:
+            self.has_seen_return = True
             self.regained_at_s = asyncio.get_running_loop().time()
             LOGGER.info("table_era_changed", table=self.table, era=era)
         self._era = era
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -69,6 +69,7 @@
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
+from banyanswitch.components.table_mirror.return_watch import ReturnWatch
 from banyanswitch.components.upstream_limits.cold_upstreams import ColdUpstreams
 from banyanswitch.components.upstream_limits.coordinator import UpstreamLimits
 from banyanswitch.components.upstream_links.coordinator import UpstreamLinks
@@ -285,6 +286,8 @@
         self._routing = RoutingState(
             self._mirrors[TABLE_OPERATOR], self._decoder, KEY_CONFIGURATION
         )
+        self._return_watch = ReturnWatch(self._mirrors[TABLE_OPERATOR])
+        self._routing.is_current = self._return_watch.is_current
         self._loads = LoadTracker()
         self._slowness = UpstreamSlowness()
         self._registry = UpstreamRegistry(
@@ -431,6 +434,7 @@
                 decoder=self._decoder,
             ),
         )
+        self._version_store.on_continued = self._return_watch.confirm
         versions = SoftwareVersions(
             self._registry, self._version_store, self._routing, confirmation
         )
