Test heads that stop short on every path

Another operator reports runners that stop in the middle of a head and close, and clients that got a 200 with an empty or short body, framed as whole. It can't happen here on any path that was tried, so the tests are kept and nothing is changed:

- a connection to an upstream, at every byte of 14 heads (length, length first, length 0, chunks, end of connection, event stream, HTTP/1.0, 204, 304, bare line feeds, after a 100 and a 103, 500, 503), closed and reset, in one read and two, new and kept;
- direct requests of all kinds, resumed streams and requests passed on between instances, in memory and with real processes;
- all calls to the store, upstreams and KV stores on both event loops, and all calls, runs and streams of the own interface, with the C and the Python parser of its library.

There is no health check by HTTP on the platform: links are checked by connecting.

--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -344,6 +344,8 @@
         Slowness that its responses report.
     raw_response : bytes or None
         All that it sends in place of a response, before it ends the connection.
+    resets : bool
+        Whether it then resets the connection, in place of an end in order.
     """
 
     name: str
@@ -355,6 +357,7 @@
     crashes: bool = False
     slowness: float | None = None
     raw_response: bytes | None = None
+    resets: bool = False
     exchanges: list["FakeExchange"] = field(default_factory=list)
 
 
@@ -400,7 +403,8 @@
         if self._upstream.raw_response is not None:
             self._connection.data_received(self._upstream.raw_response)
             if not self._is_closed:
-                self._connection.eof_received()
+                if not self._upstream.resets:
+                    self._connection.eof_received()
                 self.abort()
             return
         if not self._upstream.sends_head_first:
@@ -445,7 +449,8 @@
         self._is_closed = True
         if self.ended_at_s is None:
             self.closed_at_s = self._loop.time()
-        self._loop.call_soon(self._connection.connection_lost, None)
+        error = ConnectionResetError() if self._upstream.resets else None
+        self._loop.call_soon(self._connection.connection_lost, error)
 
     def close(self) -> None:
         self.abort()
