Notice silent connections to the store within 2.2 s

Cause: each feed call waits 3.0 s and fails 0.6 s later, each table for itself, and a change just before wakes the calls of all instances together.

The waits of the two feeds end apart, at no more calls, and the first call that fails makes the other begin anew on a new connection. A call without an answer closes the idle connections to its address.

Before: with waits that don't know of each other, 11 of 12 cases of test_silent_connections fail.

--- a/src/banyanswitch/components/http1/client.py
+++ b/src/banyanswitch/components/http1/client.py
@@ -110,6 +110,8 @@
                 is_released = True
             return response
         except TimeoutError as error:
+            # The other open connections may have gone silent as well.
+            self._pool.close_idle(address)
             reason = f"no response to {method} {target} within {timeout_s:.1f} s"
             raise UpstreamBrokenError(reason) from error
         finally:
--- a/src/banyanswitch/components/table_mirror/const.py
+++ b/src/banyanswitch/components/table_mirror/const.py
@@ -3,8 +3,9 @@
 from typing import Final
 
 FEED_WAIT_S: Final = 3.0
-"""Wait time of one feed call. A connection that stopped responding is detected after
-it; shorter waits cost more calls to the store."""
+"""Wait time of one feed call; shorter waits cost more calls to the store. Connections
+that went silent together are detected after half of it, by the call that ends first of
+two (`decisions/feed_schedule.py`)."""
 
 MAX_SILENCE_S: Final = FEED_WAIT_S + 1.0
 """Time between two answers of the feed above which rows may have come and gone unseen.
--- a/src/banyanswitch/components/table_mirror/mirror.py
+++ b/src/banyanswitch/components/table_mirror/mirror.py
@@ -7,12 +7,12 @@
 import structlog
 
 from banyanswitch.components.table_mirror.const import (
-    FEED_WAIT_S,
     MAX_REMOVED_ROWS,
     MAX_SILENCE_S,
     RETRY_MAX_S,
     RETRY_MIN_S,
 )
+from banyanswitch.components.table_mirror.feed_calls import FeedCalls
 from banyanswitch.core import callback
 from banyanswitch.exceptions import (
     HistoryGoneError,
@@ -37,6 +37,8 @@
         Source of the changes.
     generator : random.Random
         Adds jitter to the pauses between retries.
+    calls : FeedCalls, optional
+        Feed calls of all tables that this instance follows.
 
     Attributes
     ----------
@@ -60,7 +62,16 @@
         Whether this copy has had content of an earlier era of the store.
     """
 
-    def __init__(self, table: str, feed: TableFeed, generator: random.Random) -> None:
+    def __init__(
+        self,
+        table: str,
+        feed: TableFeed,
+        generator: random.Random,
+        calls: FeedCalls | None = None,
+    ) -> None:
+        self._calls = calls or FeedCalls()
+        self._calls.add(table, self.confirm)
+        self._call: asyncio.Task[TableChanges] | None = None
         self.table = table
         self._feed = feed
         self._random = generator
@@ -193,7 +204,12 @@
                 LOGGER.info("table_history_gone", table=self.table, reason=str(error))
                 self._cursor = None
             except PlatformError as error:
+                was_connected = self.is_connected
                 self._note_failure(str(error))
+                if was_connected:
+                    # Connections may have gone silent; a new one shows it at once.
+                    self._calls.note_failure(self.table)
+                    continue
                 await asyncio.sleep(pause_s * self._random.uniform(0.7, 1.0))
                 pause_s = min(RETRY_MAX_S, pause_s * 2.0)
             else:
@@ -217,13 +233,35 @@
             return
         # Without a wait, the first call after a failure shows at once that the store is
         # back, and not only with the next change.
-        wait_s = FEED_WAIT_S if self.is_connected else 0.0
-        changes = await self._feed.async_changes(self.table, self._cursor, wait_s)
+        wait_s = self._calls.begin(self.table) if self.is_connected else 0.0
+        changes = await self._async_changes(self._cursor, wait_s)
+        while changes is None:
+            changes = await self._async_changes(self._cursor, 0.0)
         self._note_gap()
         self._cursor = max(self._cursor, changes.version)
         if changes.items or changes.removed:
             self.apply_changes(changes)
 
+    async def _async_changes(self, after: int, wait_s: float) -> TableChanges | None:
+        """Return the changes after a version; ``None`` if the call has to be repeated.
+
+        A call that ends without an answer closes its connection.
+        """
+        feed_call = self._feed.async_changes(self.table, after, wait_s)
+        self._call = asyncio.ensure_future(feed_call)
+        try:
+            await asyncio.wait((self._call,))
+            return None if self._call.cancelled() else self._call.result()
+        finally:
+            self._call.cancel()
+            self._call = None
+
+    @callback
+    def confirm(self) -> None:
+        """Let a call that waits for changes begin anew, without a wait."""
+        if self._call is not None:
+            self._call.cancel()
+
     def _apply(self, changes: TableChanges) -> None:
         self._note_era(era_of(changes.version))
         if any(self._is_unseen(key) for key in changes.removed):
--- a/src/banyanswitch/components/table_mirror/relayed_feed.py
+++ b/src/banyanswitch/components/table_mirror/relayed_feed.py
@@ -43,6 +43,11 @@
         Makes the calls to other instances.
     generator : random.Random
         Chooses among the readers.
+
+    Attributes
+    ----------
+    on_failure : callable
+        Called with a table when a reader of it has failed, before another one is asked.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         self._readers = readers
         self._client = client
         self._random = generator
+        self.on_failure: Callable[[str], None] = lambda _table: None
         self._avoided_until_s: dict[InstanceId, float] = {}
         self._store_avoided_until_s = float("-inf")
 
@@ -129,6 +135,7 @@
                     peer=reader.peer_address,
                     reason=str(error),
                 )
+                self.on_failure(table)
         return await self._async_read_store(table, read_store)
 
     def _candidates(self, topic: str) -> list[Peer]:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -66,6 +66,7 @@
 )
 from banyanswitch.components.stream_origins.version_checkpoint import VersionCheckpoint
 from banyanswitch.components.stream_origins.version_store import SoftwareVersionStore
+from banyanswitch.components.table_mirror.feed_calls import FeedCalls
 from banyanswitch.components.table_mirror.mirror import TableMirror
 from banyanswitch.components.table_mirror.relay import TableRelay
 from banyanswitch.components.table_mirror.relayed_feed import RelayedFeed
@@ -279,8 +280,10 @@
     def _make_state(self) -> None:
         self._decoder = RowDecoder()
         feed = RelayedFeed(self._tables, self._readers, self._peer_client, self._random)
+        calls = FeedCalls()
+        feed.on_failure = calls.note_failure
         self._mirrors = {
-            name: TableMirror(name, feed, self._random)
+            name: TableMirror(name, feed, self._random, calls)
             for name in (TABLE_OPERATOR, TABLE_UPSTREAMS)
         }
         self._routing = RoutingState(
