Read what relayed responses say of their upstreams

Cause: notices were read for direct responses only, and a relayed one doesn't show which upstream gave it. Now all ways read them in one place, and an instance that relays a response names the upstream and its start in a header that callers don't get.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -15,6 +15,7 @@
 )
 from banyanswitch.components.forwarding.placement import PlacementResult
 from banyanswitch.components.forwarding.protocols import RequestTranslator
+from banyanswitch.components.forwarding.response_notes import ResponseNotes
 from banyanswitch.components.forwarding.response_relay import (
     FIRST_CLIENT_ERROR_STATUS,
     ResponseBody,
@@ -36,7 +37,6 @@
 from banyanswitch.components.http1.reply import Reply
 from banyanswitch.components.http1.upstream_connection import UpstreamConnection
 from banyanswitch.decisions.response_ownership import Ownership, response_ownership
-from banyanswitch.decisions.upstream_notices import ResponseNotice
 from banyanswitch.exceptions import (
     NotRunError,
     StartTimeoutError,
@@ -62,6 +62,8 @@
         Response channel to the caller.
     progress : ResponseProgress
         Progress of the response over all attempts.
+    notes : ResponseNotes
+        Records what the response says of the upstream.
     on_first_events : callable
         Called before the first events of this attempt are sent to the caller.
 
@@ -85,8 +87,10 @@
         pool: ConnectionPool,
         registry: UpstreamRegistry,
         start_limits: StartLimits,
+        notes: ResponseNotes,
         on_first_events: Callable[[], None],
     ) -> None:
+        self._notes = notes
         self._request = request
         self._metadata = metadata
         self._route = route
@@ -187,20 +191,11 @@
         head = await connection.async_head()
         name, now_s = placed.record.name, self._loop.time()
         self._registry.note_received(name, now_s)
-        response = self._translator.read_response_metadata(head)
-        self._registry.slowness.note_response(
-            name, response.slowness, now_s, answered_by=response.answered_by
-        )
-        self._registry.limits.note_response(
-            placed.record, response.limit_per_s, self.sent_at_s
-        )
-        self._registry.notices.note_response(
+        response = self._notes.note(
             placed.record,
-            ResponseNotice(
-                status=head.status,
-                retry_after_s=response.retry_after_s,
-                is_leaving=response.is_leaving,
-            ),
+            head,
+            model=self._metadata.model,
+            sent_at_s=self.sent_at_s,
         )
         return head, response
 
@@ -215,7 +210,6 @@
     ) -> None:
         self.status = head.status
         self.framing = head.framing
-        self._note_response(response, placed)
         if response.is_not_run and head.status in NOT_RUN_STATUSES:
             await body.async_read_all()
             raise NotRunError(
@@ -227,17 +221,7 @@
         self._registry.note_ran(placed.record.name)
         if head.status < FIRST_CLIENT_ERROR_STATUS and not response.is_signed:
             raise UpstreamBrokenError("successful response without a signature")
-        await self._relay.async_relay(body, head, is_last=is_last)
-
-    def _note_response(
-        self, response: ResponseMetadata, placed: PlacementResult
-    ) -> None:
-        model, version = self._metadata.model, response.weight_version
-        name = placed.record.name
-        if model is None or version is None:
-            return
-        if response.answered_by in (None, name):
-            self._registry.note_weights(name, model, version, begun_at_s=self.sent_at_s)
+        await self._relay.async_relay(body, head, is_last=is_last, source=placed.record)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -56,6 +56,7 @@
 from banyanswitch.components.forwarding.request_context import RequestContext
 from banyanswitch.components.forwarding.request_costs import RequestCosts
 from banyanswitch.components.forwarding.request_log import RequestLog
+from banyanswitch.components.forwarding.response_notes import ResponseNotes
 from banyanswitch.components.forwarding.response_relay import (
     FIRST_CLIENT_ERROR_STATUS,
     ResponseProgress,
@@ -142,6 +143,7 @@
         self,
         *,
         translator: RequestTranslator,
+        notes: ResponseNotes,
         routing: RoutingState,
         placement: Placement,
         registry: UpstreamRegistry,
@@ -163,6 +165,7 @@
         on_replaced: Callable[[UpstreamId], None],
     ) -> None:
         self._translator = translator
+        self._notes = notes
         self._routing = routing
         self._placement = placement
         self._registry = registry
@@ -355,6 +358,7 @@
                 pool=self._pool,
                 registry=self._registry,
                 start_limits=self._start_limits,
+                notes=self._notes,
                 on_first_events=partial(self._note_first_events, context, placed),
             )
             context.sent += 1
--- a/src/banyanswitch/components/forwarding/response_relay.py
+++ b/src/banyanswitch/components/forwarding/response_relay.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from banyanswitch.components.forwarding.event_stream import EventSplitter
+from banyanswitch.components.forwarding.models import UpstreamRecord
 from banyanswitch.components.forwarding.protocols import RequestTranslator
 from banyanswitch.components.http1.body import async_read_body
 from banyanswitch.components.http1.const import (
@@ -13,6 +14,7 @@
 )
 from banyanswitch.components.http1.models import (
     BodyFraming,
+    Headers,
     ResponseHead,
     header_value,
 )
@@ -109,7 +111,12 @@
         self._loop = asyncio.get_running_loop()
 
     async def async_relay(
-        self, body: "ResponseBody", head: ResponseHead, *, is_last: bool
+        self,
+        body: "ResponseBody",
+        head: ResponseHead,
+        *,
+        is_last: bool,
+        source: UpstreamRecord | None = None,
     ) -> None:
         """Send a response, or the rest of a stream that has started, to the caller.
 
@@ -117,6 +124,8 @@
         ----------
         is_last : bool
             Whether a server error is relayed instead of raised.
+        source : UpstreamRecord, optional
+            Upstream that gave the response.
 
         Raises
         ------
@@ -138,7 +147,7 @@
             await body.async_read_all()
             raise UpstreamFailureError(f"upstream responded with status {head.status}")
         if self._is_streaming and _has_stream(head):
-            headers = self._translator.caller_headers(head)
+            headers = self._headers(head, source)
             # The total length of a stream that may be resumed is unknown.
             self._reply.start(
                 head.status, headers, BodyFraming.CHUNKED, reason=head.reason
@@ -147,10 +156,18 @@
             await self._async_relay_events(body)
             return
         content = await body.async_read_all(self._note_collected)
-        headers = self._translator.caller_headers(head)
+        headers = self._headers(head, source)
         self._progress.begin(head, self._loop.time())
         self._reply.send(head.status, headers, content, reason=head.reason)
 
+    def _headers(self, head: ResponseHead, source: UpstreamRecord | None) -> Headers:
+        headers = self._translator.caller_headers(head)
+        if source is None:
+            return headers
+        named = self._reply.source_headers(source.name, source.started_at_ms)
+        # The first one counts, whatever the upstream itself names.
+        return (*named, *headers)
+
     def _note_collected(self, size_bytes: int) -> None:
         """Report a whole response, which is copied once, and the upstream's buffer."""
         self._reply.note_collected(2 * size_bytes + READ_HIGH_WATER_BYTES)
--- a/src/banyanswitch/components/http1/reply.py
+++ b/src/banyanswitch/components/http1/reply.py
@@ -57,6 +57,9 @@
     refusal_headers : callable
         Returns headers that a refusal has beside its own, given whether the request
         was declined.
+    source_headers : callable
+        Returns headers that name the upstream of a response, given its name and its
+        start time in Unix milliseconds.
     request_id : str
         Identifier of the request for the log, if the handler has set it.
     """
@@ -71,6 +74,7 @@
         self.has_started = False
         self.is_complete = False
         self.refusal_headers: Callable[[bool], Iterable[Header]] = lambda _: ()
+        self.source_headers: Callable[[str, int], Iterable[Header]] = lambda *_: ()
         self.request_id = ""
 
     @callback
--- a/src/banyanswitch/components/peer_forwarding/client.py
+++ b/src/banyanswitch/components/peer_forwarding/client.py
@@ -1,10 +1,12 @@
 """Passing on of requests through an instance that reaches their upstream."""
 
 import asyncio
+from dataclasses import replace
 
 from banyanswitch.components.forwarding.const import ONCE_MAX_IDLE_S
 from banyanswitch.components.forwarding.protocols import RequestTranslator
 from banyanswitch.components.forwarding.request_context import RequestContext
+from banyanswitch.components.forwarding.response_notes import ResponseNotes
 from banyanswitch.components.forwarding.response_relay import (
     ResponseBody,
     ResponseRelay,
@@ -17,6 +19,10 @@
     PassedOn,
     encode_header,
 )
+from banyanswitch.components.peer_forwarding.source_header import (
+    decode_source,
+    without_source,
+)
 from banyanswitch.components.upstream_links.peer_links import PeerLinkTable
 from banyanswitch.decisions.upstream_links import PeerLinks
 from banyanswitch.exceptions import (
@@ -47,6 +53,8 @@
         Connections to them.
     keys : SigningKeys
         Keys that all instances know.
+    notes : ResponseNotes
+        Records what the responses say of their upstreams.
     """
 
     def __init__(
@@ -57,7 +65,9 @@
         peers: PeerLinkTable,
         pool: ConnectionPool,
         keys: SigningKeys,
+        notes: ResponseNotes,
     ) -> None:
+        self._notes = notes
         self._instance = instance
         self._translator = translator
         self._peers = peers
@@ -118,12 +128,14 @@
             raise
         is_released = False
         try:
+            sent_at_s = asyncio.get_running_loop().time()
             connection.send(
                 self._encode(context, earlier_attempts),
                 is_head_only=context.request.method == b"HEAD",
             )
             head = await connection.async_head()
             await self._async_check_refusal(connection, head, peer)
+            head = self._note_source(context, head, sent_at_s)
             relay = ResponseRelay(
                 reply=context.reply,
                 progress=context.progress,
@@ -154,6 +166,18 @@
             more_headers=[encode_header(passed_on, context.request.target, self._keys)],
         )
 
+    def _note_source(
+        self, context: RequestContext, head: ResponseHead, sent_at_s: float
+    ) -> ResponseHead:
+        """Record what a response says of its upstream; return the caller's head."""
+        source = decode_source(head.headers)
+        head = replace(head, headers=without_source(head.headers))
+        if source is not None:
+            self._notes.note_relayed(
+                *source, head, model=context.metadata.model, sent_at_s=sent_at_s
+            )
+        return head
+
     async def _async_check_refusal(
         self, connection: UpstreamConnection, head: ResponseHead, peer: PeerLinks
     ) -> None:
--- a/src/banyanswitch/components/peer_forwarding/const.py
+++ b/src/banyanswitch/components/peer_forwarding/const.py
@@ -9,6 +9,9 @@
 """Response header of a refusal by the other instance itself: `DECLINED` or
 `FINAL`."""
 
+HEADER_SOURCE: Final = b"Response-Source"
+"""Response header: name and start time, in Unix milliseconds, of the upstream."""
+
 DECLINED: Final = b"declined"
 """The request was sent to no upstream; another instance may take it."""
 
--- a/src/banyanswitch/components/peer_forwarding/endpoint.py
+++ b/src/banyanswitch/components/peer_forwarding/endpoint.py
@@ -16,6 +16,7 @@
     MAX_PASSED_ON_REQUESTS,
 )
 from banyanswitch.components.peer_forwarding.signed_header import decode_header
+from banyanswitch.components.peer_forwarding.source_header import encode_source
 from banyanswitch.core import callback
 from banyanswitch.helpers.signing import SigningKeys
 
@@ -63,6 +64,7 @@
             reply.send(HTTPStatus.FORBIDDEN, (), b"")
             return
         reply.refusal_headers = _refusal_headers
+        reply.source_headers = encode_source
         if self._in_progress >= self._max_requests:
             LOGGER.info("passed_on_request_declined", instance=passed_on.instance)
             reply.refuse(HTTPStatus.SERVICE_UNAVAILABLE, (), is_declined=True)
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -16,6 +16,7 @@
 from banyanswitch.components.forwarding.metrics import ForwardingMetrics
 from banyanswitch.components.forwarding.placement import Placement
 from banyanswitch.components.forwarding.request_costs import RequestCosts
+from banyanswitch.components.forwarding.response_notes import ResponseNotes
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.settings import (
     ForwardingSettings,
@@ -483,12 +484,14 @@
             generator=self._random,
         )
         translator = HeaderTranslator()
+        notes = ResponseNotes(translator, self._registry)
         keys = SigningKeys(INTERNAL_KEY, None)
         self._shutdown = GracefulShutdown(
             settings.grace_s, [self._membership.begin_leaving]
         )
         forwarder = Forwarder(
             translator=translator,
+            notes=notes,
             routing=self._routing,
             placement=placement,
             registry=self._registry,
@@ -520,6 +523,7 @@
                 peers=self._links.peers,
                 pool=self._peer_pool,
                 keys=keys,
+                notes=notes,
             ),
             load_source=self._load_lookup,
             on_replaced=self._exchange.announce_replaced,
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -61,6 +61,8 @@
 NOT_RUN = b"not-run"
 SLOWNESS = b"slowness"
 WEIGHTS = b"weights"
+LEAVING = b"leaving"
+ANSWERED_BY = b"answered-by"
 MISDIRECTED = 421
 EVENTS = 2
 """Number of events in a stream."""
@@ -219,11 +221,12 @@
             is_not_run=header_value(head.headers, NOT_RUN) is not None
             or head.status == MISDIRECTED,
             is_misdirected=head.status == MISDIRECTED,
-            answered_by=None,
+            answered_by=_text(head, ANSWERED_BY),
             load=None,
             limit_per_s=_limit_per_s(head),
             weight_version=_weight_version(head),
-            retry_after_s=None,
+            retry_after_s=_number(head, RETRY_AFTER.lower()),
+            is_leaving=header_value(head.headers, LEAVING) is not None,
             slowness=_slowness(head),
         )
 
@@ -236,19 +239,27 @@
         return [] if retry_after_s is None else [(RETRY_AFTER, b"%f" % retry_after_s)]
 
 
+def _text(head: ResponseHead, name: bytes) -> str | None:
+    value = header_value(head.headers, name)
+    return None if value is None else value.decode()
+
+
+def _number(head: ResponseHead, name: bytes) -> float | None:
+    value = header_value(head.headers, name)
+    return None if value is None else float(value)
+
+
 def _weight_version(head: ResponseHead) -> int | None:
     value = header_value(head.headers, WEIGHTS)
     return None if value is None else int(value)
 
 
 def _slowness(head: ResponseHead) -> float | None:
-    value = header_value(head.headers, SLOWNESS)
-    return None if value is None else float(value)
+    return _number(head, SLOWNESS)
 
 
 def _limit_per_s(head: ResponseHead) -> float | None:
-    value = header_value(head.headers, LIMIT)
-    return None if value is None else float(value)
+    return _number(head, LIMIT)
 
 
 def model_request(
@@ -280,6 +291,7 @@
     framing: BodyFraming = BodyFraming.NONE
     is_awaited: bool = False
     ended_at_s: float | None = None
+    source_headers: Callable[[str, int], Iterable[Header]] = lambda *_: ()
 
     def send(
         self, status: int, headers: Iterable[Header], body: bytes, reason: bytes = b""
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -19,6 +19,7 @@
 from banyanswitch.components.forwarding.placement import Placement
 from banyanswitch.components.forwarding.protocols import StreamOrigins
 from banyanswitch.components.forwarding.request_costs import RequestCosts
+from banyanswitch.components.forwarding.response_notes import ResponseNotes
 from banyanswitch.components.forwarding.routing_state import RoutingState
 from banyanswitch.components.forwarding.start_limits import StartLimits
 from banyanswitch.components.forwarding.wait_queue import WaitQueue
@@ -131,8 +132,10 @@
     wait_queue = WaitQueue()
     upstreams.loads.on_large_prefill_change = wait_queue.notify
     translator = PlainTranslator()
+    notes = ResponseNotes(translator, upstreams.registry)
     return Forwarder(
         translator=translator,
+        notes=notes,
         routing=routing,
         placement=placement,
         registry=upstreams.registry,
@@ -157,6 +160,7 @@
             peers=links.peers,
             pool=peer_pool,
             keys=KEYS,
+            notes=notes,
         ),
         load_source=NoLoadSource(),
         on_replaced=lambda _name: None,
--- a/tests/process/test_passing_on.py
+++ b/tests/process/test_passing_on.py
@@ -196,3 +196,29 @@
     events = [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 101)]
     assert body == b"".join(events[:50] if fails else events)
     assert platform.run_count("broken") == 2
+
+
+# Guards against requests to an upstream that has said that it leaves, after an answer
+# that another instance relayed, while the store can't tell.
+async def test_departure_in_a_relayed_answer_is_kept(platform: Platform) -> None:
+    await async_cut(platform)
+    platform.store.faults.is_down = True
+    leaving = platform.upstreams["i-1"]
+    leaving.is_leaving = True
+    for number in range(50):
+        _, _, headers = await platform.async_call(
+            "/again/", f"relayed{number}", host=CUT_HOST
+        )
+        assert "Response-Source" not in headers
+        if headers.get("Server-Leaving") == "1":
+            break
+    else:
+        pytest.fail("the leaving upstream got no request")
+    platform.links[CUT_HOST].heal()
+    await asyncio.sleep(2.5)
+    for number in range(20):
+        status, _, _ = await platform.async_call(
+            "/again/", f"after{number}", host=CUT_HOST
+        )
+        assert status == 200
+    assert not [s for s in leaving.received if s.attempt.startswith("after")]
