Send no request for a caller who has already left

Cause: five of six instances lose power, and the sixth is late by 0.6 s and more. The loop reads a request and runs its handler, which sends it on without a pause, and reads the end of the connection, which is in the kernel by then, only in its next round. Ruled out: the loop's clock, which is not cached between callbacks.

Before each attempt, the kernel is asked whether the caller has closed the connection.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -227,8 +227,7 @@
             if reply.is_awaited:
                 self._end_stopped(found)
             else:
-                self._log.event(found, "caller_left")
-                self._metrics.count_request(found.route.name, "caller_left")
+                self._note_left(found)
             raise
 
     def _admit(
@@ -336,6 +335,10 @@
             if placed is None:
                 self._refuse_unplaced(context, self._loop.time())
                 return
+            if context.reply.has_caller_left:
+                self._note_left(context)
+                context.reply.abort()
+                return
             context.last_upstream = placed.record.name
             if not placed.is_direct or self._prefers_peer(context):
                 if await self._async_pass_on(context, placed):
@@ -638,6 +641,10 @@
             refusal = Refusal(STATUS_UNAVAILABLE, RefusalReason.LEAVING, 0.0)
         self._refuse(context.request, context.metadata, context.reply, refusal, context)
 
+    def _note_left(self, context: RequestContext) -> None:
+        self._log.event(context, "caller_left")
+        self._metrics.count_request(context.route.name, "caller_left")
+
     def _break_off(self, context: RequestContext, reason: str) -> None:
         """Abort a response of which a part was sent."""
         self._log.event(context, "answer_broken", reason=reason)
--- a/src/banyanswitch/components/http1/caller_connection.py
+++ b/src/banyanswitch/components/http1/caller_connection.py
@@ -30,6 +30,7 @@
 from banyanswitch.core import callback
 from banyanswitch.decisions.memory_account import Phase
 from banyanswitch.exceptions import RequestSyntaxError
+from banyanswitch.helpers.peer_state import has_peer_closed
 from banyanswitch.helpers.send_queue import unsent_bytes
 
 LOGGER = structlog.get_logger(__name__)
@@ -121,6 +122,13 @@
         """Whether the caller is connected and the connection isn't being closed."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed the connection; asks the kernel."""
+        return not self.is_connected or (
+            self._transport is not None and has_peer_closed(self._transport)
+        )
+
     @property
     def request_id(self) -> str:
         """Identifier of the last request that was handled; empty if there is none."""
--- a/src/banyanswitch/components/http1/reply.py
+++ b/src/banyanswitch/components/http1/reply.py
@@ -24,6 +24,10 @@
     def is_connected(self) -> bool:
         """Whether the caller is connected and the connection isn't being closed."""
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed the connection; asks the kernel."""
+
     def write(self, data: bytes) -> None:
         """Send bytes to the caller."""
 
@@ -157,6 +161,11 @@
         """Whether the caller is connected and has no complete response."""
         return self._connection.is_connected and not self.is_complete
 
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the caller has closed the connection; asks the kernel."""
+        return self._connection.has_caller_left
+
     @callback
     def abort(self) -> None:
         """Abort the connection, so that the response can't appear complete."""
--- a/tests/components/forwarding/fakes.py
+++ b/tests/components/forwarding/fakes.py
@@ -290,6 +290,7 @@
     is_declined: bool = False
     framing: BodyFraming = BodyFraming.NONE
     is_awaited: bool = False
+    has_caller_left: bool = False
     ended_at_s: float | None = None
     source_headers: Callable[[str, int], Iterable[Header]] = lambda *_: ()
 
