Bound the memory of buffered log lines by their size

Cause: what a slow reader left of the joined lines counted as one line, so that each write that it took in part made room for 4,000 more.

The buffer is bounded at 2 MB, with what was joined and not written, and dropped lines are reported once, when the reader has taken the rest.

--- a/src/banyanswitch/helpers/log_buffer.py
+++ b/src/banyanswitch/helpers/log_buffer.py
@@ -10,8 +10,9 @@
 import structlog
 from structlog.typing import EventDict, WrappedLogger
 
-MAX_BUFFERED_LINES: Final = 4000
-"""Maximum number of lines buffered for a slow reader; further ones are dropped."""
+MAX_BUFFERED_BYTES: Final = 2_000_000
+"""Maximum size of the lines buffered for a slow reader; further ones are dropped. It is
+about 5,000 lines of a request."""
 
 FLUSH_INTERVAL_S: Final = 0.1
 """Interval of the writes of buffered lines."""
@@ -35,16 +36,25 @@
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
         self._lines: list[bytes] = []
+        # Lines that were joined to be written, without the part that was written.
+        self._unwritten = b""
+        self._size_bytes = 0
         self._dropped: Counter[str] = Counter()
         self._line_counts: Counter[str] = Counter()
         self._second = 0
 
+    @property
+    def size_bytes(self) -> int:
+        """Size of all buffered lines."""
+        return len(self._unwritten) + self._size_bytes
+
     def add(self, line: bytes) -> None:
         """Add a line, or count it as dropped if the buffer is full."""
-        if len(self._lines) >= MAX_BUFFERED_LINES:
+        if self.size_bytes + len(line) >= MAX_BUFFERED_BYTES:
             self._dropped["buffer_full"] += 1
             return
         self._lines.append(line)
+        self._size_bytes += len(line) + 1
 
     def is_within_rate(self, event: str, level: str, now_s: float) -> bool:
         """Return whether a line is within the rate limit of its event.
@@ -69,25 +79,31 @@
 
     def flush(self) -> None:
         """Write the buffered lines; keep what the descriptor doesn't accept yet."""
-        if self._dropped:
-            dropped = dict(self._dropped)
-            self._dropped.clear()
-            self._lines.append(
-                msgspec.json.encode({"event": "lines_dropped", "counts": dropped})
-            )
-        if not self._lines:
+        if not self._unwritten:
+            self._join_lines()
+        if not self._unwritten:
             return
-        data = b"\n".join(self._lines) + b"\n"
         try:
-            written = os.write(self._descriptor, data)
+            written = os.write(self._descriptor, self._unwritten)
         except BlockingIOError:
             return
         except OSError:
             # The reader is gone, and there is no other place to report that.
-            self._lines.clear()
+            self._unwritten = b""
+            return
+        self._unwritten = self._unwritten[written:]
+
+    def _join_lines(self) -> None:
+        """Take all lines, and report dropped ones once."""
+        if self._dropped:
+            counts = {"event": "lines_dropped", "counts": dict(self._dropped)}
+            self._dropped.clear()
+            self._lines.append(msgspec.json.encode(counts))
+        if not self._lines:
             return
-        rest = data[written:]
-        self._lines = [rest[:-1]] if rest else []
+        self._unwritten = b"\n".join(self._lines) + b"\n"
+        self._lines.clear()
+        self._size_bytes = 0
 
     async def async_run(self) -> None:
         """Write the buffered lines periodically until cancelled."""
