Count an error of an upstream as a sound answer to a withheld request

Cause: a request that was in flight at three upstreams that ended is withheld, and only an answer below 400 showed that it is sound. One whose right answer is a 404 stayed withheld for up to an hour.

An error with which an upstream answers a request that it has run counts for the request, not for the parts of its prompt, which it may not have read.

Before: test_request_that_is_answered_with_an_error_is_sound failed, 503 after the first trial. After: it passes.

--- a/src/banyanswitch/components/forwarding/forwarder.py
+++ b/src/banyanswitch/components/forwarding/forwarder.py
@@ -97,6 +97,11 @@
 )
 from banyanswitch.identifiers import ServiceName, UpstreamId
 
+SOUND_ERROR_STATUSES = frozenset(
+    {400, 401, 403, 404, 405, 406, 409, 410, 411, 412, 422}
+)
+"""Errors with which an upstream answers a request that it has run."""
+
 LOGGER = structlog.get_logger(__name__)
 
 
@@ -700,8 +705,15 @@
     ) -> None:
         now_s = self._loop.time()
         self._registry.ejector.on_success(placed.record.name, now_s)
-        if attempt.status < FIRST_CLIENT_ERROR_STATUS:
-            self._parts.note_served(context.content, placed.record, attempt.sent_at_s)
+        has_succeeded = attempt.status < FIRST_CLIENT_ERROR_STATUS
+        if has_succeeded or attempt.status in SOUND_ERROR_STATUSES:
+            self._parts.note_served(
+                context.content,
+                placed.record,
+                attempt.sent_at_s,
+                has_read_parts=has_succeeded,
+            )
+        if has_succeeded:
             self._costs.note_served(
                 placed.record,
                 placed.cost,
--- a/src/banyanswitch/components/forwarding/protocols.py
+++ b/src/banyanswitch/components/forwarding/protocols.py
@@ -60,14 +60,21 @@
         """
 
     def note_served(
-        self, content: RequestContent, record: UpstreamRecord, sent_at_s: float
+        self,
+        content: RequestContent,
+        record: UpstreamRecord,
+        sent_at_s: float,
+        *,
+        has_read_parts: bool,
     ) -> None:
-        """Record that an upstream served a request.
+        """Record that an upstream has run a request and answered it.
 
         Parameters
         ----------
         sent_at_s : float
             Loop time at which the request was sent to it.
+        has_read_parts : bool
+            Whether it has read the parts of the prompt, and not only the request.
         """
 
 
--- a/src/banyanswitch/components/part_quarantine/coordinator.py
+++ b/src/banyanswitch/components/part_quarantine/coordinator.py
@@ -171,18 +171,17 @@
 
     @callback
     def note_served(
-        self, content: RequestContent, record: UpstreamRecord, sent_at_s: float
+        self,
+        content: RequestContent,
+        record: UpstreamRecord,
+        sent_at_s: float,
+        *,
+        has_read_parts: bool,
     ) -> None:
-        """Record that an upstream served a request.
-
-        Parameters
-        ----------
-        sent_at_s : float
-            Loop time at which the request was sent to it.
-        """
+        """Record that an upstream has run a request and answered it."""
         now_s = _now_s()
         self._note_answered(record, sent_at_s)
-        for part in content.shared_parts:
+        for part in content.shared_parts if has_read_parts else ():
             key = PartKey(content.model, part)
             _put(self._served_at_s, key, now_s, MAX_SERVED_PARTS)
         key = PartKey(content.model, _content_name(content))
--- a/tests/components/forwarding/test_withheld_requests.py
+++ b/tests/components/forwarding/test_withheld_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from banyanswitch.components.forwarding.models import Repeatability
+from banyanswitch.decisions.part_quarantine import Combination, QuarantinePolicy
 from tests.components.forwarding.fakes import RETRY_AFTER
 from tests.components.forwarding.instance import Instance
 
@@ -46,3 +47,26 @@
     served, handling = instance.send(Repeatability.REPEATABLE, body=b"sound")
     await handling
     assert served.status == 200
+
+
+# Guards against a sound request that is refused for an hour since its answer is an
+# error, after it was under way at three upstreams that ended.
+async def test_request_that_is_answered_with_an_error_is_sound() -> None:
+    instance = Instance()
+
+    permits = iter([True])
+
+    async def async_permit(parts: Combination) -> bool:
+        return next(permits, False)
+
+    instance.quarantine.async_permit_trial = async_permit
+    await async_break_off(instance, Repeatability.REPEATABLE)
+    upstream = instance.add("d", 1)
+    upstream.raw_response = b"HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\nno"
+    await asyncio.sleep(QuarantinePolicy().first_trial_s)
+    statuses = []
+    for _ in range(3):
+        reply, handling = instance.send(Repeatability.REPEATABLE, body=b"bad")
+        await handling
+        statuses.append(reply.status)
+    assert statuses == [404, 404, 404]
--- a/tests/components/part_quarantine/test_coordinator.py
+++ b/tests/components/part_quarantine/test_coordinator.py
@@ -86,7 +86,9 @@
     def serve(self, served: RequestContent, upstream: str = "other") -> None:
         """Serve a request that was sent to an upstream just now."""
         sent_at_s = asyncio.get_running_loop().time()
-        self.quarantine.note_served(served, record(upstream), sent_at_s)
+        self.quarantine.note_served(
+            served, record(upstream), sent_at_s, has_read_parts=True
+        )
 
     def is_withheld(self, parts: str, body: bytes | None = None) -> bool:
         return bool(self.quarantine.withheld(request(parts, body)))
