Let no late write replace newer stored origins

Cause: the row of an instance's stream origins was written without a condition, so a write without an answer that is applied seconds later replaced a newer row. After an end of all instances, the streams in between were then refused.

The row is written under its revision, which is read again after a failed write, a removal of the rows and in a new era of the store.

Before: test_late_write_replaces_no_newer_origins failed. After: it passes.

--- a/src/banyanswitch/components/stream_origins/origin_store.py
+++ b/src/banyanswitch/components/stream_origins/origin_store.py
@@ -81,6 +81,8 @@
         self._selector = WatcherSelector(peers, generator)
         self._own = OriginMemory()
         self._written: frozenset[bytes] = frozenset()
+        # Revision of this process's row; `None` if it has to be read.
+        self._revision: int | None = 0
         self._noted = asyncio.Event()
         self._sweep_at_s: float | None = None
         self._found: dict[bytes, StreamOrigin] = {}
@@ -119,7 +121,11 @@
         era = self._eras.era()
         if era > self._era:
             self._era = era
-            self._written = frozenset()
+            self._forget_row()
+
+    def _forget_row(self) -> None:
+        self._written = frozenset()
+        self._revision = None
 
     async def async_find(self, stream: bytes) -> OriginSearch:
         """Search for an origin among the stored ones.
@@ -182,21 +188,33 @@
             versions = stored.setdefault(origin.service, {})
             streams = versions.setdefault(origin.software_version, [])
             streams.append(stream.decode("latin-1"))
-        write = Write(self._key, msgspec.json.encode(StoredOrigins(stored)))
         try:
-            await self._table.async_transact([write], WriteClass.LEASE)
+            await self._async_write_row(msgspec.json.encode(StoredOrigins(stored)))
         except PlatformError as error:
+            self._revision = None
             LOGGER.info("stream_origins_not_written", reason=str(error))
             return True
         self._written = frozenset(origins)
         return True
 
+    async def _async_write_row(self, content: bytes) -> None:
+        """Write the row unless another write of it has been applied meanwhile.
+
+        A write without an answer may be applied later, and must not replace a newer
+        one.
+        """
+        if self._revision is None:
+            items = await self._table.async_get([self._key])
+            self._revision = items[0].revision if items else 0
+        write = Write(self._key, content, self._revision)
+        (self._revision,) = await self._table.async_transact([write], WriteClass.LEASE)
+
     async def _async_sweep(self) -> None:
         """Remove all rows once no unfinished stream needs them."""
         if self._sweep_at_s is None or _now_s() < self._sweep_at_s:
             return
         self._sweep_at_s = None
-        self._written = frozenset()
+        self._forget_row()
         self._selector.refresh()
         if not self._selector.is_watching(self._key.partition("/")[0]):
             return
--- a/tests/components/stream_origins/test_origin_store.py
+++ b/tests/components/stream_origins/test_origin_store.py
@@ -33,7 +33,7 @@
 )
 from tests.components.lease.conftest import FixedPeers, make_peer
 from tests.components.stream_origins.test_version_store import Eras
-from tests.fakes.table import FakeTable
+from tests.fakes.table import FakeTable, TableFault
 
 pytestmark = pytest.mark.looptime
 OLD = StreamOrigin(SERVICE, "v1")
@@ -139,6 +139,22 @@
     assert await second.store.async_find(b"s") == OriginSearch(OLD)
 
 
+# Guards against a row that a write which was applied late replaces with an older one.
+async def test_late_write_replaces_no_newer_origins(
+    table: FakeTable, start: StartNode
+) -> None:
+    table.write_faults = [TableFault.APPLY_LATE]
+    first = start("a", 1)
+    first.store.note(b"s", OLD)
+    await asyncio.sleep(WRITE_S)
+    first.store.note(b"t", NEW)
+    await asyncio.sleep(table.late_write_delay_s + WRITE_S)
+    first.task.cancel()
+    second = start("a", 2)
+    assert await second.store.async_find(b"s") == OriginSearch(OLD)
+    assert await second.store.async_find(b"t") == OriginSearch(NEW)
+
+
 async def test_stream_from_before_the_second_version_is_stored(
     start: StartNode,
 ) -> None:
