Promise "not run" to no caller whose call may have run

Cause: a 503, 429 or 408 of an upstream without its note that the request has not run was relayed as it is, and callers take these statuses for that promise and send a call that must not run twice again.

For such calls the answer is 502. Requests that may run again get what the upstream answered.

--- a/src/banyanswitch/components/forwarding/attempt.py
+++ b/src/banyanswitch/components/forwarding/attempt.py
@@ -47,6 +47,8 @@
 
 LOGGER = structlog.get_logger(__name__)
 NOT_RUN_STATUSES = frozenset({421, 429, 503, 400, 408})
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that callers take for the promise that a request has not run."""
 
 
 class Attempt:
@@ -218,6 +220,13 @@
                 is_misdirected=response.is_misdirected,
                 answered_by=response.answered_by,
             )
+        is_call_once = self._route.repeatability is Repeatability.ONCE
+        if is_call_once and head.status in PROMISING_STATUSES:
+            await body.async_read_all()
+            raise UpstreamFailureError(
+                f"{placed.record.name} answered with status {head.status}, which "
+                "doesn't say that the request has not run"
+            )
         self._registry.note_ran(placed.record.name)
         if head.status < FIRST_CLIENT_ERROR_STATUS and not response.is_signed:
             raise UpstreamBrokenError("successful response without a signature")
