Believe lower weights in entries that are not written again

Cause: an upstream that had fallen back within 3 s of the confirmation of the newest weights stayed there. Its entry was ignored as one that may be older, and upstreams write their entries again only if something changes; another instance had seen the fall in a response, but reported nothing, and sent nothing more there.

Entries that still contradict the known weights 3 s after these were last seen are believed, and an instance whose response shows a fall reports it to the others.

--- a/src/banyanswitch/components/forwarding/response_notes.py
+++ b/src/banyanswitch/components/forwarding/response_notes.py
@@ -1,6 +1,7 @@
 """What the responses to requests say of the upstreams that gave them."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 
@@ -27,6 +28,12 @@
         Reads the headers.
     registry : UpstreamRegistry
         Observed state of the upstreams.
+
+    Attributes
+    ----------
+    on_fallen : callable
+        Called with an upstream, a model, the lower weight version that a response has
+        shown, and the loop time at which its request was sent.
     """
 
     def __init__(
@@ -34,6 +41,7 @@
     ) -> None:
         self._translator = translator
         self._registry = registry
+        self.on_fallen: Callable[[UpstreamId, str, int, float], None] = lambda *_: None
         self._loop = asyncio.get_running_loop()
 
     @callback
@@ -69,10 +77,13 @@
                 is_leaving=response.is_leaving,
             ),
         )
-        if model is not None and response.weight_version is not None:
-            self._registry.note_weights(
-                record.name, model, response.weight_version, begun_at_s=sent_at_s
+        version = response.weight_version
+        if model is not None and version is not None:
+            has_fallen = self._registry.note_weights(
+                record.name, model, version, begun_at_s=sent_at_s
             )
+            if has_fallen:
+                self.on_fallen(record.name, model, version, sent_at_s)
         return response
 
     @callback
--- a/src/banyanswitch/components/forwarding/upstream_registry.py
+++ b/src/banyanswitch/components/forwarding/upstream_registry.py
@@ -270,7 +270,7 @@
         version: int,
         *,
         begun_at_s: float = float("-inf"),
-    ) -> None:
+    ) -> bool:
         """Record the weight version in a response or a report.
 
         Parameters
@@ -278,10 +278,15 @@
         begun_at_s : float
             Loop time after which the upstream had this version, for example when the
             request was sent; minus infinity if it is not known.
+
+        Returns
+        -------
+        has_fallen : bool
+            Whether the known version has become lower.
         """
         state = self._states.get(upstream)
         if state is None:
-            return
+            return False
         now_s = asyncio.get_running_loop().time()
         before = state.weight_versions.get(model)
         known = updated_weights(
@@ -290,7 +295,7 @@
         )
         state.known_weights[model] = known
         if known.version == before:
-            return
+            return False
         state.weight_versions[model] = known.version
         if known.version >= state.loading_version:
             state.loading_until_s = 0.0
@@ -302,6 +307,7 @@
             replaced=before,
             has_fallen=known.has_fallen,
         )
+        return known.has_fallen
 
     @callback
     def note_loading(self, upstream: UpstreamId, version: int, now_s: float) -> None:
@@ -385,6 +391,19 @@
             if state.expires_at_s is not None and now_s >= state.expires_at_s:
                 self._drop(name, "entry_lapsed")
 
+    @callback
+    def confirm_entries(self, now_s: float) -> None:
+        """Believe entries that still contradict the known weights some time later.
+
+        Upstreams write their entries again only if something has changed.
+        """
+        if not self._mirror.is_connected or not self.is_settled(now_s):
+            return
+        for state in self._states.values():
+            versions = state.record.weight_versions
+            if state.expires_at_s is None and versions != state.weight_versions:
+                self._note_entry_weights(state.record, now_s - MAX_ENTRY_AGE_S)
+
     def _on_rows(self, changed: tuple[Item, ...], removed: tuple[str, ...]) -> None:
         now_s = asyncio.get_running_loop().time()
         if self._first_read_at_s is None:
--- a/src/banyanswitch/components/state_exchange/coordinator.py
+++ b/src/banyanswitch/components/state_exchange/coordinator.py
@@ -379,10 +379,24 @@
             Loop time of the earliest moment at which the upstream may have had it.
         """
         self._registry.note_weights(upstream, model, version, begun_at_s=begun_at_s)
+        self.announce_observed(upstream, model, version, begun_at_s)
+        self.end_loading(upstream)
+
+    @callback
+    def announce_observed(
+        self, upstream: UpstreamId, model: str, version: int, begun_at_s: float
+    ) -> None:
+        """Report the weight version that this instance has seen at an upstream.
+
+        Parameters
+        ----------
+        begun_at_s : float
+            Loop time of the earliest moment at which the upstream may have had it.
+        """
         self._observed_weights[upstream] = _ObservedWeights(
             model, version, begun_at_s, _now_s()
         )
-        self.end_loading(upstream)
+        self.report_soon()
 
     @callback
     def end_loading(self, upstream: UpstreamId) -> None:
--- a/src/banyanswitch/platform_composition.py
+++ b/src/banyanswitch/platform_composition.py
@@ -485,6 +485,7 @@
         )
         translator = HeaderTranslator()
         notes = ResponseNotes(translator, self._registry)
+        notes.on_fallen = self._exchange.announce_observed
         keys = SigningKeys(INTERNAL_KEY, None)
         self._shutdown = GracefulShutdown(
             settings.grace_s, [self._membership.begin_leaving]
@@ -641,6 +642,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self._registry.remove_expired(loop.time())
+            self._registry.confirm_entries(loop.time())
             self._loads.forget_expired(loop.time())
             self._slowness.forget_expired(loop.time())
             self._guard.check()
--- a/src/banyanswitch_standins/users_platform/upstream.py
+++ b/src/banyanswitch_standins/users_platform/upstream.py
@@ -179,7 +179,7 @@
     def carry_out_late(self, version: int) -> None:
         """Load weights by an order of before a restart, which forgot its token."""
         self._highest_fencing_token = 0
-        self.orders = [{"version": version}]
+        self.orders = [{"version": version, "fencingToken": 0}]
         self._set_version(version)
 
     def _set_version(self, version: int) -> None:
--- a/tests/components/forwarding/instance.py
+++ b/tests/components/forwarding/instance.py
@@ -104,6 +104,7 @@
     quarantine: PartQuarantine,
     links: UpstreamLinks,
     peer_pool: ConnectionPool,
+    notes: ResponseNotes,
 ) -> Forwarder:
     generator = random.Random(1)
     tier = PartTier(
@@ -132,7 +133,6 @@
     wait_queue = WaitQueue()
     upstreams.loads.on_large_prefill_change = wait_queue.notify
     translator = PlainTranslator()
-    notes = ResponseNotes(translator, upstreams.registry)
     return Forwarder(
         translator=translator,
         notes=notes,
@@ -241,6 +241,7 @@
         self.routing.apply(make_configuration())
         self.quarantine = PartQuarantine(alone)
         self.peer_pool = FakePool()
+        self.notes = ResponseNotes(PlainTranslator(), self.upstreams.registry)
         others = FixedPeers(make_peer("a"), [make_peer("b"), make_peer("c")])
         self.links = UpstreamLinks(
             self.upstreams.registry,
@@ -257,6 +258,7 @@
             quarantine=self.quarantine,
             links=self.links,
             peer_pool=self.peer_pool,
+            notes=self.notes,
         )
 
     def add(
--- a/tests/components/forwarding/test_fallen_weights.py
+++ b/tests/components/forwarding/test_fallen_weights.py
@@ -80,6 +80,42 @@
     assert weights(upstreams, "a") == 2
 
 
+# Guards against weights that are never corrected since the entry, which was read soon
+# after the higher ones were seen, is not written again.
+@pytest.mark.parametrize("is_connected", [True, False])
+async def test_entry_that_is_not_written_again_is_believed_in_the_end(
+    is_connected: bool,
+) -> None:
+    upstreams = Upstreams()
+    upstreams.mirror.is_connected = is_connected
+    upstreams.put(record("a", version=1, sequence=1))
+    upstreams.registry.note_weights(UpstreamId("a"), MODEL, 3)
+    await asyncio.sleep(0.5)
+    upstreams.put(record("a", version=2, sequence=2))
+    await asyncio.sleep(MAX_ENTRY_AGE_S - 1.0)
+    upstreams.registry.confirm_entries(now_s())
+    assert weights(upstreams, "a") == 3
+    await asyncio.sleep(1.0)
+    upstreams.registry.confirm_entries(now_s())
+    assert weights(upstreams, "a") == (2 if is_connected else 3)
+
+
+# Guards against weights that are only known where a request has shown them, and not to
+# the instance that orders loads.
+async def test_fall_that_a_response_shows_is_announced() -> None:
+    instance = Instance()
+    announced = []
+    instance.notes.on_fallen = lambda *seen: announced.append(seen)
+    instance.name_target(3)
+    instance.add("a", 3).raw_response = REFUSALS["421 with weights"]
+    await asyncio.sleep(1.0)
+    sent_at_s = now_s()
+    for _ in range(2):
+        _, handling = instance.send(Repeatability.ONCE)
+        await handling
+    assert announced == [("a", MODEL, 2, sent_at_s)]
+
+
 # Guards against the weights of an entry that is read a second time in a new era.
 async def test_same_entry_is_no_later_observation() -> None:
     upstreams = Upstreams()
