Let the soak cause power losses, late orders and silent connections

Late orders are followed by a check that all upstreams have the same weights again within 12 s.

A process that ends by itself is reported with its status and its last lines, which include its standard error, and each run has addresses of its own.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -23,7 +23,10 @@
 )
 from tests.process.instance_links import InstanceLinks, async_link
 
-HOSTS = ("127.0.0.2", "127.0.0.3")
+NETWORK = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
+"""Loopback addresses that no other run of tests uses at the same time."""
+
+HOSTS = (f"{NETWORK}.2", f"{NETWORK}.3")
 KEY = {"Authorization": "Bearer key-1"}
 PROMPT = {
     "Model": "m",
@@ -227,6 +230,7 @@
             *program,
             str(path),
             stdout=(self.folder / f"{host}.log").open("ab"),
+            stderr=asyncio.subprocess.STDOUT,
             env={**os.environ, "UV_USE_IO_URING": "0"},
         )
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -41,6 +41,7 @@
         self._target = (host, port)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
         self.mode = Mode.PASS
 
     async def async_start(self) -> str:
@@ -56,8 +57,13 @@
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Let the open connections go silent for good, without a reset."""
+        self._silent |= self._writers
+
     def stop(self) -> None:
         """Reset all connections and stop listening."""
+        self._silent.clear()
         self.reset()
         if self._server is not None:
             self._server.close()
@@ -79,6 +85,7 @@
             await asyncio.gather(*forwards)
         finally:
             self._writers -= {writer, target_writer}
+            self._silent -= {writer, target_writer}
             writer.transport.abort()
             target_writer.transport.abort()
 
@@ -95,6 +102,8 @@
                     await asyncio.sleep(DELAY_S)
                 while self.mode in BLOCKING_MODES[is_request]:
                     await asyncio.sleep(POLL_S)
+                while writer in self._silent and not reader.at_eof():
+                    await asyncio.sleep(POLL_S)
                 writer.write(chunk)
                 await writer.drain()
         writer.transport.abort()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,14 +25,18 @@
     Action,
     BrokenStream,
     Fault,
+    LateOrders,
     Limit,
     LinkFault,
     NewWeights,
+    PowerLoss,
     ProcessFault,
+    Silence,
     StoreReturn,
     generate_broken_streams,
     generate_faults,
     generate_limits,
+    generate_sequences,
     generate_store_returns,
     names_answering_twice,
 )
@@ -45,6 +49,13 @@
 RESTART_DELAY_S = 0.3
 STOP_TIMEOUT_S = 6.0
 RECOVERY_TIMEOUT_S = 8.0
+ROLLOUT_TIMEOUT_S = 12.0
+"""The users' bound on the rollout of weights, in calm."""
+
+NEWEST_WEIGHTS = 3
+"""Version after those that a run names, also by `generate_sequences`."""
+
+LAST_LINES = 5
 STREAM_EVENTS = 6
 FAULTY_PROXIES = 3
 """Proxies with link faults: those of the store, i-1 and i-2. The number is part of what
@@ -277,9 +288,15 @@
                     registry_entry(name, self._addresses[name], version=version)
                 )
                 document["models"][0]["version"] = upstream.weight_version
+                self._entries += 1
+                document["sequence"] = self._entries
                 content = json.dumps(document).encode()
                 await self.store.async_put("servers", name, content)
 
+    def last_log_lines(self, host: str) -> list[str]:
+        """Return the last lines that a process has written."""
+        return (self.folder / f"{host}.log").read_text().splitlines()[-LAST_LINES:]
+
     def logged_requests(self) -> set[str]:
         """Return the IDs of the requests in the logs of the processes."""
         found: set[str] = set()
@@ -309,6 +326,63 @@
                 await self.async_run_drill(copy_age_s, down_s)
             case ProcessFault():
                 await self._async_signal(fault)
+            case _:
+                await self._async_apply_sequence(fault)
+
+    async def _async_apply_sequence(self, fault: Fault) -> None:
+        """Apply a fault that only harms in a certain order."""
+        match fault:
+            case PowerLoss():
+                await self._async_lose_power(fault)
+            case LateOrders(count=count):
+                await self._async_carry_out_late(count)
+            case Silence():
+                for proxy in self.proxies:
+                    proxy.silence()
+
+    async def _async_carry_out_late(self, count: int) -> None:
+        """Let some upstreams fall back once all have the newest weights."""
+        ends_at_s = asyncio.get_running_loop().time() + ROLLOUT_TIMEOUT_S
+        while asyncio.get_running_loop().time() < ends_at_s:
+            upstreams = list(self.upstreams.values())
+            if all(u.weight_version == NEWEST_WEIGHTS for u in upstreams):
+                for upstream in upstreams[:count]:
+                    upstream.carry_out_late(NEWEST_WEIGHTS - 1)
+                return
+            await asyncio.sleep(CALL_PAUSE_S)
+
+    async def _async_lose_power(self, fault: PowerLoss) -> None:
+        """Let all processes end while the store loses the entry of an upstream."""
+        self.store.take_copy()
+        name = f"i-{next(self._replacements)}"
+        upstream = PlatformUpstream(
+            name,
+            software_version="v2",
+            events=STREAM_EVENTS,
+            names_version=True,
+            echoes_body=True,
+        )
+        self._let_crash(upstream)
+        self.upstreams[name] = upstream
+        await self._async_start_upstream(name)
+        await asyncio.sleep(fault.joined_s)
+        self.store.go_away()
+        kills = [ProcessFault(0.0, n, Action.KILL, 0.0) for n in range(len(HOSTS))]
+        restarts = [asyncio.create_task(self._async_signal(kill)) for kill in kills]
+        await asyncio.sleep(fault.down_s)
+        if fault.has_copy:
+            await self.store.async_return_from_copy()
+        else:
+            self.store.faults.is_down = False
+            for known in self.upstreams:
+                await self.store.async_put("servers", known, None)
+            for known in self.upstreams:
+                if known != name:
+                    await self.async_register(known)
+        await asyncio.sleep(fault.rewrite_s)
+        if name in self.upstreams:
+            await self.async_register(name)
+        await asyncio.gather(*restarts)
 
     async def _async_signal(self, fault: ProcessFault) -> None:
         host = HOSTS[fault.process]
@@ -381,6 +455,11 @@
         )
         faults += generate_store_returns(self._seed, length_s=RUN_LENGTH_S)
         faults += generate_limits(self._seed, length_s=RUN_LENGTH_S)
+        sequences = generate_sequences(self._seed, length_s=RUN_LENGTH_S)
+        if any(isinstance(fault, NewWeights) for fault in sequences):
+            # Versions must rise.
+            faults = [f for f in faults if not isinstance(f, NewWeights)]
+        faults += sequences
         faults.sort(key=lambda fault: fault.at_s)
         self.outcome.faults = faults
         loop = asyncio.get_running_loop()
@@ -397,6 +476,7 @@
         self._is_load_finished = True
         await asyncio.gather(*workers)
         await self._async_check_recovery()
+        await self._async_check_weights()
         crashing.cancel()
         await asyncio.gather(crashing, return_exceptions=True)
         self._check_late_requests()
@@ -617,7 +697,24 @@
                     await asyncio.sleep(CALL_PAUSE_S)
                 self._expect(is_served, f"{host} does not serve /{kind}/ again")
         for host, process in self._platform.processes.items():
-            self._expect(process.returncode is None, f"{host} ended unexpectedly")
+            self._expect(
+                process.returncode is None,
+                f"{host} ended unexpectedly with status {process.returncode}: "
+                f"{self._platform.last_log_lines(host)}",
+            )
+
+    async def _async_check_weights(self) -> None:
+        """Check that upstreams which have fallen back get the newest weights again."""
+        if not any(isinstance(fault, LateOrders) for fault in self.outcome.faults):
+            return
+        upstreams = self._platform.upstreams
+        ends_at_s = asyncio.get_running_loop().time() + ROLLOUT_TIMEOUT_S
+        while asyncio.get_running_loop().time() < ends_at_s:
+            versions = {name: u.weight_version for name, u in upstreams.items()}
+            if len(set(versions.values())) == 1:
+                return
+            await asyncio.sleep(CALL_PAUSE_S)
+        self._expect(False, f"weights of the upstreams at the end: {versions}")
 
     def _expect(self, condition: bool, violation: str) -> None:
         if not condition:
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -71,7 +71,47 @@
     limit_per_s: float | None
 
 
-Fault = Limit | LinkFault | ProcessFault | NewWeights | BrokenStream | StoreReturn
+@dataclass(frozen=True, slots=True)
+class PowerLoss:
+    """All processes end as the store goes away, just after an upstream has joined.
+
+    The store returns from a copy without its entry or, without a copy, after all
+    entries have expired. They are written again ``rewrite_s`` later.
+    """
+
+    at_s: float
+    joined_s: float
+    down_s: float
+    has_copy: bool
+    rewrite_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LateOrders:
+    """Upstreams have started again and carry out orders of older weights."""
+
+    at_s: float
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Silence:
+    """All open connections to the store and the upstreams go silent for good."""
+
+    at_s: float
+
+
+Fault = (
+    Limit
+    | LinkFault
+    | ProcessFault
+    | NewWeights
+    | BrokenStream
+    | StoreReturn
+    | PowerLoss
+    | LateOrders
+    | Silence
+)
 
 
 def generate_faults(
@@ -154,3 +194,25 @@
     """Return the upstreams that answer requests twice; six of seven runs have none."""
     generator = random.Random(f"second answers {seed}")
     return generator.sample(names, generator.randint(1, 2)) if seed % 7 == 4 else []
+
+
+def generate_sequences(seed: int, *, length_s: float) -> list[Fault]:
+    """Return faults that only harm in a certain order; two of five runs have none."""
+    generator = random.Random(f"sequences {seed}")
+    at_s = generator.uniform(0.3, 0.6) * length_s
+    match seed % 5:
+        case 2:
+            loss = PowerLoss(
+                at_s,
+                joined_s=generator.uniform(0.3, 1.0),
+                down_s=generator.uniform(0.1, 1.0),
+                has_copy=generator.random() < 0.5,
+                rewrite_s=generator.uniform(0.8, 2.0),
+            )
+            return [loss]
+        case 3:
+            weights = [NewWeights(0.1, 2), NewWeights(0.3 * length_s, 3)]
+            return [*weights, LateOrders(0.9 * length_s, 2)]
+        case 4:
+            return [Silence(at_s)]
+    return []
