Read the checkpoint and the versions once at a start, and write it less often

The rows were read twice at a start, and three instances wrote the checkpoint every 3 s. It is written as soon as all versions are stored now, and then every 5 s, a quarter of the store's history.

--- a/src/banyanswitch/components/stream_origins/const.py
+++ b/src/banyanswitch/components/stream_origins/const.py
@@ -49,7 +49,7 @@
 CHECKPOINT_KEY: Final = "checkpoint/software"
 """Row with the version of the store up to which all software versions are stored."""
 
-CHECKPOINT_INTERVAL_S: Final = 3.0
+CHECKPOINT_INTERVAL_S: Final = 5.0
 """Interval between two checkpoints. The store keeps its history for about 20 s, which
 includes a restart of all instances."""
 
--- a/src/banyanswitch/components/stream_origins/version_store.py
+++ b/src/banyanswitch/components/stream_origins/version_store.py
@@ -213,46 +213,58 @@
             now_s = _now_s()
             is_settled = now_s >= self._gap_settles_at_s()
             if not self._is_of_era or (is_settled and self._lacks_gap()):
-                self._is_of_era = await self._async_read()
+                if self._knows_start():
+                    self._is_of_era = await self._async_read()
+                else:
+                    self._is_of_era = await self._async_read_start()
                 self._is_read = self._is_read or self._is_of_era
             else:
                 await self._async_write_changes()
-            if self._is_of_era and now_s >= self._checkpoint_due_at_s:
-                await self._async_check()
+                if now_s >= self._checkpoint_due_at_s:
+                    await self._async_check()
             await asyncio.sleep(VERSIONS_INTERVAL_S)
 
     async def _async_check(self) -> None:
         """Continue from the last checkpoint, or write one if this instance can."""
-        self._checkpoint_due_at_s = _now_s() + CHECKPOINT_INTERVAL_S
         if not self._knows_start():
-            await self._async_read_checkpoint()
+            await self._async_read_start()
+            return
+        if not self._has_stored_all():
             return
+        self._checkpoint_due_at_s = _now_s() + CHECKPOINT_INTERVAL_S
         self._selector.refresh()
-        if self._selector.is_watching(CHECKPOINT_KEY) and self._has_stored_all():
+        if self._selector.is_watching(CHECKPOINT_KEY):
             await self._checkpoint.async_write()
 
-    async def _async_read_checkpoint(self) -> None:
+    async def _async_read_start(self) -> bool:
+        """Read what was in use before the start; return whether the rows were read."""
+        before_start: VersionsByService | None = None
+        is_lost = False
         try:
             before_start = await self._checkpoint.async_versions_since()
         except HistoryGoneError as error:
+            is_lost = True
             LOGGER.warning("software_versions_lost", reason=str(error))
-            return
         except PlatformError as error:
             LOGGER.info("version_checkpoint_not_read", reason=str(error))
-            self._checkpoint_due_at_s = _now_s()
-            return
+            return False
         era = self._eras.era()
         # What was stored by the time of the checkpoint is in the rows now.
-        if not await self._async_read() or self._eras.era() != era:
-            self._checkpoint_due_at_s = _now_s()
-            return
-        if before_start is None and self._stored:
+        if not await self._async_read():
+            return False
+        if self._eras.era() != era:
+            return True
+        if before_start is None and self._stored and not is_lost:
+            is_lost = True
             LOGGER.warning("software_versions_lost", reason="there is no checkpoint")
-            return
+        if is_lost:
+            self._checkpoint_due_at_s = _now_s() + CHECKPOINT_INTERVAL_S
+            return True
         # Without any row, no instance has run before.
         self._before_start = before_start or {}
         if before_start is not None:
             self.on_continued()
+        return True
 
     def _has_stored_all(self) -> bool:
         """Return whether the rows have all versions that may have begun a stream."""
